--- /dev/null
+++ b/crates/core/src/addresses.rs
@@ -0,0 +1,47 @@
+//! Which addresses callers should use.
+//!
+//! A caller keeps an answer for its lifetime. A leaving VM is left out of new answers at once
+//! and keeps accepting until every answer that named it has expired.
+
+use {
+    crate::{NodeId, rank},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Time a caller may use an answer.
+pub const LIFETIME: Duration = Duration::from_secs(5);
+/// Addresses in one answer.
+const MAX_ADDRESSES: usize = 4;
+
+/// A daemon that accepts callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its identity.
+    pub id: NodeId,
+    /// Its address for callers.
+    pub addr: SocketAddr,
+    /// Data centre it runs in.
+    pub centre: String,
+    /// False while it leaves or its data centre is taken out.
+    pub open: bool,
+}
+
+/// Picks addresses for a caller near `centre`; `spread` differs from caller to caller.
+///
+/// ```
+/// use rattanturn_core::{NodeId, addresses::{Entry, pick}};
+/// let entry = |id, open| Entry {
+///     id: NodeId(id),
+///     addr: format!("127.0.0.{id}:80").parse().unwrap(),
+///     centre: "a".into(),
+///     open,
+/// };
+/// let picked = pick(&[entry(1, true), entry(2, false)], "a", 0);
+/// assert_eq!(picked, ["127.0.0.1:80".parse().unwrap()]);
+/// ```
+#[must_use]
+pub fn pick(entries: &[Entry], centre: &str, spread: u64) -> Vec<SocketAddr> {
+    let mut open: Vec<&Entry> = entries.iter().filter(|e| e.open).collect();
+    open.sort_by_key(|e| (e.centre != centre, rank::score(e.id, spread)));
+    open.iter().take(MAX_ADDRESSES).map(|e| e.addr).collect()
+}
--- /dev/null
+++ b/crates/core/src/hedge.rs
@@ -0,0 +1,100 @@
+//! When a call is late, and whether the budget allows another one.
+//!
+//! The delay is the service's own 95th percentile, kept by a stochastic quantile estimate that
+//! needs a few bytes for each service. The budget is a ratio of first attempts, so hedges and
+//! retries cannot multiply when everything is slow.
+
+use std::time::Duration;
+
+/// Share of calls that answer within the hedge delay.
+const QUANTILE: f64 = 0.95;
+/// Delay before the first measurements.
+const INITIAL_DELAY_US: f64 = 20_000.0;
+/// Hedges sooner than this cost more than they save.
+const MIN_DELAY_US: f64 = 1_000.0;
+/// Step of the estimate relative to its value.
+const STEP: f64 = 0.05;
+
+/// Estimate of a service's late delay.
+///
+/// ```
+/// use {rattanturn_core::hedge::Late, std::time::Duration};
+/// let mut late = Late::default();
+/// (0..2_000).for_each(|i| late.record(Duration::from_micros(4_000 + i % 1_000)));
+/// assert!(late.delay() > Duration::from_micros(4_500) && late.delay() < Duration::from_millis(6));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Late {
+    delay: f64,
+}
+
+impl Default for Late {
+    fn default() -> Self {
+        Self {
+            delay: INITIAL_DELAY_US,
+        }
+    }
+}
+
+impl Late {
+    /// Records how long an answer took.
+    pub fn record(&mut self, took: Duration) {
+        let took = took.as_secs_f64() * 1e6;
+        let step = self.delay * STEP;
+        if took > self.delay {
+            self.delay += step * QUANTILE;
+        } else {
+            self.delay -= step * (1.0 - QUANTILE);
+        }
+        self.delay = self.delay.max(MIN_DELAY_US);
+    }
+
+    /// Time after which a call counts as late.
+    #[must_use]
+    pub fn delay(&self) -> Duration {
+        Duration::from_secs_f64(self.delay / 1e6)
+    }
+}
+
+/// Budget for calls beyond the first attempts.
+///
+/// ```
+/// use rattanturn_core::hedge::Budget;
+/// let mut budget = Budget::new(0.05, 1.0);
+/// assert!(budget.take());
+/// assert!(!budget.take());
+/// (0..20).for_each(|_| budget.earn());
+/// assert!(budget.take());
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    ratio: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+impl Budget {
+    /// `ratio` extra calls for each first attempt, at most `burst` saved up.
+    #[must_use]
+    pub fn new(ratio: f64, burst: f64) -> Self {
+        Self {
+            ratio,
+            burst,
+            tokens: burst,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.ratio).min(self.burst);
+    }
+
+    /// Takes one extra call if the budget allows it.
+    pub fn take(&mut self) -> bool {
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+//! Coordination decisions of a query tier: events and a time go in, actions come out.
+//!
+//! Nothing in this crate opens a socket, reads a clock or draws from a global random source, so
+//! every decision can be embedded in another program, replayed from a recorded trace and
+//! explored with generated orders of events. Each module is one duty with its own state:
+//!
+//! - [`membership`]: which daemons are alive, found by probing peers.
+//! - [`lease`]: which daemon may use a group of targets, granted by a majority of a panel.
+//! - [`panels`]: which daemons grant leases, changed one voter at a time.
+//! - [`register`]: the newest accepted version of a shared object.
+//! - [`queue`]: slots, cold start and order of calls at one target.
+//! - [`gather`]: one query: replicas, hedges, snapshot, coverage and the final answer.
+//! - [`hedge`]: when a call is late and whether the budget allows another.
+//! - [`admission`]: which requests start under overload.
+//! - [`journal`]: outcomes of non-idempotent requests by request id.
+//! - [`snapshot`]: which index version a query asks for.
+//! - [`addresses`]: which addresses callers should use.
+
+pub mod addresses;
+pub mod admission;
+pub mod gather;
+pub mod hedge;
+pub mod journal;
+pub mod lease;
+pub mod membership;
+pub mod panels;
+mod priority;
+pub mod queue;
+pub mod rank;
+pub mod register;
+pub mod snapshot;
+mod time;
+
+pub use {priority::Priority, rank::NodeId, time::Time};
--- /dev/null
+++ b/crates/tables/src/settings.rs
@@ -0,0 +1,166 @@
+//! A daemon's own settings: addresses, place and peers. They are read once at start.
+
+use {
+    crate::{finding::Findings, reader::Reader},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// Who may use a server's slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holding {
+    /// One leased holder for each group of targets; other daemons relay to it.
+    Leased,
+    /// Every daemon calls every server with an equal static share: the baseline of the
+    /// comparison in docs/design/holders.md.
+    Shares,
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this daemon, unique in the deployment.
+    pub name: String,
+    /// Data centre this daemon runs in.
+    pub centre: String,
+    /// IP address that all of its listeners bind.
+    pub ip: IpAddr,
+    /// Port for callers (HTTP); 0 takes a free one.
+    pub http_port: u16,
+    /// Port for operators: metrics and state dump (HTTP); 0 takes a free one.
+    pub admin_port: u16,
+    /// First port for other daemons (RPC); each traffic thread takes the next one.
+    pub rpc_port: u16,
+    /// Port for membership and leases (UDP).
+    pub gossip_port: u16,
+    /// Address of the platform's object API.
+    pub platform: SocketAddr,
+    /// Gossip addresses to start from.
+    pub peers: Vec<SocketAddr>,
+    /// Number of traffic threads.
+    pub threads: u32,
+    /// Filter for log lines, for example `info`.
+    pub log_level: String,
+    /// Text or JSON.
+    pub log_format: LogFormat,
+    /// Time that a graceful shutdown may take.
+    pub drain_limit: Duration,
+    /// Largest request body, in bytes.
+    pub max_body: u32,
+    /// Who may use a server's slots.
+    pub holding: Holding,
+    /// Daemons that share a server under `holding = shares`.
+    pub shares: u32,
+}
+
+impl Settings {
+    /// Reads settings from INI text; `file` names it in findings.
+    ///
+    /// # Errors
+    ///
+    /// All findings, when at least one of them is an error.
+    ///
+    /// ```
+    /// use rattanturn_tables::Settings;
+    /// let text = "[daemon]\nname = a1\ndata-centre = a\nip = 127.0.0.1\n\
+    ///             [platform]\naddress = 127.0.0.1:7000\n";
+    /// let (settings, _) = Settings::parse("daemon.ini", text).unwrap();
+    /// assert_eq!(settings.threads, 1);
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<(Self, Findings), Findings> {
+        let reader = Reader::open(file, text)?;
+        reader.unknown_sections(&["daemon", "platform", "log"]);
+        let settings = read(&reader);
+        let findings = reader.into_findings();
+        match settings {
+            Some(s) if !findings.refused() => Ok((s, findings)),
+            _ => Err(findings),
+        }
+    }
+}
+
+fn read(reader: &Reader<'_>) -> Option<Settings> {
+    let all = reader.sections("daemon");
+    let Some(daemon) = all.first() else {
+        reader.push(
+            1,
+            "daemon",
+            "the section is missing",
+            "add a section [daemon]",
+        );
+        return None;
+    };
+    let platforms = reader.sections("platform");
+    let Some(platform) = platforms.first() else {
+        reader.push(
+            1,
+            "platform",
+            "the section is missing",
+            "add a section [platform]",
+        );
+        return None;
+    };
+    let unset = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    platform.required("address");
+    let mut settings = Settings {
+        name: daemon.required("name").into(),
+        centre: daemon.required("data-centre").into(),
+        ip: daemon.parse("ip", IpAddr::V4(Ipv4Addr::LOCALHOST), "an IP address"),
+        http_port: daemon.parse("http-port", 8080, "a port"),
+        admin_port: daemon.parse("admin-port", 8081, "a port"),
+        rpc_port: daemon.parse("rpc-port", 8090, "a port"),
+        gossip_port: daemon.parse("gossip-port", 8082, "a port"),
+        platform: platform.parse("address", unset, "IP:PORT"),
+        peers: Vec::new(),
+        threads: daemon.count("threads", 1),
+        log_level: "info".into(),
+        log_format: LogFormat::Text,
+        drain_limit: daemon.duration("drain-limit", Duration::from_secs(30)),
+        max_body: daemon.count("max-body", 65_536),
+        holding: daemon.choice(
+            "holding",
+            &[("leased", Holding::Leased), ("shares", Holding::Shares)],
+            Holding::Leased,
+        ),
+        shares: daemon.count("shares", 8),
+    };
+    for peer in daemon
+        .text("peers")
+        .unwrap_or("")
+        .split(',')
+        .map(str::trim)
+        .filter(|p| !p.is_empty())
+    {
+        match peer.parse() {
+            Ok(addr) => settings.peers.push(addr),
+            Err(_) => daemon.problem(
+                "peers",
+                &format!("`{peer}` is not an address"),
+                "write IP:PORT",
+            ),
+        }
+    }
+    if let Some(log) = reader.sections("log").first() {
+        settings.log_level = log.text("level").unwrap_or("info").into();
+        settings.log_format = log.choice(
+            "format",
+            &[("text", LogFormat::Text), ("json", LogFormat::Json)],
+            LogFormat::Text,
+        );
+        log.unknown_keys();
+    }
+    daemon.unknown_keys();
+    platform.unknown_keys();
+    Some(settings)
+}
--- /dev/null
+++ b/crates/wire/src/datagram.rs
@@ -0,0 +1,202 @@
+//! Datagrams: membership and leases.
+
+use {
+    crate::peer_capnp::{datagram, fact, gossip},
+    capnp::{message, serialize_packed},
+    rattanturn_core::{
+        NodeId,
+        lease::{Request, UnitId, Vote},
+        membership::{Fact, Message, Place, Purpose, State, Versions},
+    },
+    std::net::SocketAddr,
+};
+
+/// One datagram between daemons.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Datagram {
+    /// Membership.
+    Gossip(Message),
+    /// Lease requests of one daemon to one voter.
+    Requests(NodeId, Vec<Request>),
+    /// A voter's replies to one daemon.
+    Votes(NodeId, Vec<Vote>),
+}
+
+/// Encodes a datagram, packed.
+///
+/// ```
+/// use {rattanturn_core::NodeId, rattanturn_wire::{Datagram, decode, encode}};
+/// let datagram = Datagram::Votes(NodeId(3), vec![]);
+/// assert_eq!(decode(&encode(&datagram)).unwrap(), datagram);
+/// ```
+#[must_use]
+pub fn encode(datagram: &Datagram) -> Vec<u8> {
+    let mut message = message::Builder::new_default();
+    let root = message.init_root::<datagram::Builder<'_>>();
+    match datagram {
+        Datagram::Gossip(m) => write_gossip(root.init_gossip(), m),
+        Datagram::Requests(from, list) => write_requests(root, *from, list),
+        Datagram::Votes(from, list) => write_votes(root, *from, list),
+    }
+    let mut out = Vec::new();
+    // Writing to a vector cannot fail.
+    let _ = serialize_packed::write_message(&mut out, &message);
+    out
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// The bytes are not a datagram of this schema.
+pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
+    let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
+    let root = reader.get_root::<datagram::Reader<'_>>()?;
+    Ok(match root.which()? {
+        datagram::Gossip(m) => Datagram::Gossip(read_gossip(m?)?),
+        datagram::Requests(m) => {
+            let m = m?;
+            let from = NodeId(m.get_from());
+            let read = |r: crate::peer_capnp::lease_request::Reader<'_>| Request {
+                unit: UnitId(r.get_unit()),
+                holder: from,
+                epoch: r.get_epoch(),
+                round: r.get_round(),
+                release: r.get_release(),
+            };
+            Datagram::Requests(from, m.get_list()?.iter().map(read).collect())
+        }
+        datagram::Votes(m) => {
+            let m = m?;
+            let read = |r: crate::peer_capnp::lease_vote::Reader<'_>| Vote {
+                unit: UnitId(r.get_unit()),
+                round: r.get_round(),
+                epoch: r.get_epoch(),
+                granted: r.get_granted(),
+            };
+            Datagram::Votes(
+                NodeId(m.get_from()),
+                m.get_list()?.iter().map(read).collect(),
+            )
+        }
+    })
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
+
+fn write_requests(root: datagram::Builder<'_>, from: NodeId, list: &[Request]) {
+    let mut m = root.init_requests();
+    m.set_from(from.0);
+    let mut out = m.init_list(count(list.len()));
+    for (i, request) in (0..).zip(list) {
+        let mut r = out.reborrow().get(i);
+        r.set_unit(request.unit.0);
+        r.set_epoch(request.epoch);
+        r.set_round(request.round);
+        r.set_release(request.release);
+    }
+}
+
+fn write_votes(root: datagram::Builder<'_>, from: NodeId, list: &[Vote]) {
+    let mut m = root.init_votes();
+    m.set_from(from.0);
+    let mut out = m.init_list(count(list.len()));
+    for (i, vote) in (0..).zip(list) {
+        let mut r = out.reborrow().get(i);
+        r.set_unit(vote.unit.0);
+        r.set_epoch(vote.epoch);
+        r.set_round(vote.round);
+        r.set_granted(vote.granted);
+    }
+}
+
+fn write_gossip(mut out: gossip::Builder<'_>, m: &Message) {
+    out.set_from(m.from.0);
+    out.set_digest(m.digest);
+    out.set_tables(m.versions.tables);
+    out.set_panels(m.versions.panels);
+    match m.purpose {
+        Purpose::Probe(n) => {
+            out.set_number(n);
+            out.set_probe(());
+        }
+        Purpose::Indirect(n, id) => {
+            out.set_number(n);
+            out.set_indirect(id.0);
+        }
+        Purpose::Ack(n) => {
+            out.set_number(n);
+            out.set_ack(());
+        }
+        Purpose::Sync(wanted) => out.set_sync(wanted),
+    }
+    let mut facts = out.init_facts(count(m.facts.len()));
+    for (i, fact) in (0..).zip(&m.facts) {
+        write_fact(facts.reborrow().get(i), fact);
+    }
+}
+
+fn write_fact(mut out: fact::Builder<'_>, fact: &Fact) {
+    out.set_id(fact.id.0);
+    out.set_state(fact.state as u8);
+    out.set_incarnation(fact.incarnation);
+    out.set_name(&fact.place.name);
+    out.set_centre(&fact.place.centre);
+    out.set_gossip(fact.place.gossip.to_string());
+    out.set_http(fact.place.http);
+    out.set_admin(fact.place.admin);
+    out.set_rpc(fact.place.rpc);
+    out.set_threads(fact.place.threads);
+}
+
+fn read_gossip(m: gossip::Reader<'_>) -> capnp::Result<Message> {
+    let n = m.get_number();
+    let purpose = match m.which()? {
+        gossip::Probe(()) => Purpose::Probe(n),
+        gossip::Indirect(id) => Purpose::Indirect(n, NodeId(id)),
+        gossip::Ack(()) => Purpose::Ack(n),
+        gossip::Sync(wanted) => Purpose::Sync(wanted),
+    };
+    let facts: capnp::Result<Vec<Fact>> = m.get_facts()?.iter().map(read_fact).collect();
+    Ok(Message {
+        from: NodeId(m.get_from()),
+        purpose,
+        digest: m.get_digest(),
+        versions: Versions {
+            tables: m.get_tables(),
+            panels: m.get_panels(),
+        },
+        facts: facts?,
+    })
+}
+
+fn read_fact(m: fact::Reader<'_>) -> capnp::Result<Fact> {
+    let state = match m.get_state() {
+        0 => State::Alive,
+        1 => State::Leaving,
+        2 => State::Suspect,
+        3 => State::Dead,
+        n => return Err(capnp::Error::failed(format!("unknown member state {n}"))),
+    };
+    let gossip: SocketAddr = m
+        .get_gossip()?
+        .to_str()?
+        .parse()
+        .map_err(|_| capnp::Error::failed("not an address".into()))?;
+    Ok(Fact {
+        id: NodeId(m.get_id()),
+        state,
+        incarnation: m.get_incarnation(),
+        place: Place {
+            name: m.get_name()?.to_str()?.into(),
+            centre: m.get_centre()?.to_str()?.into(),
+            gossip,
+            http: m.get_http(),
+            admin: m.get_admin(),
+            rpc: m.get_rpc(),
+            threads: m.get_threads(),
+        },
+    })
+}
