--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,127 @@
-fn main() {}
+//! `rattanturn`: the operators' command-line tool.
+
+mod ask;
+mod tables;
+
+use std::process::ExitCode;
+
+mod flags {
+    #![allow(missing_docs)] // the macro's items are documented by its own texts
+
+    use std::{net::SocketAddr, path::PathBuf};
+
+    xflags::xflags! {
+        /// Edits the tables and asks daemons for their state.
+        ///
+        /// Exit codes: 0 done, 1 refused or not found, 2 wrong usage, 3 another edit came first,
+        /// 4 the platform or daemon did not answer or it is not known whether the edit took
+        /// effect.
+        cmd rattanturn {
+            /// Checks both tables and prints every finding.
+            cmd check {
+                required routes: PathBuf
+                required pools: PathBuf
+            }
+            /// Prints the tables in force, or writes them into a folder.
+            cmd show {
+                /// Address of the platform's object API.
+                required --platform addr: SocketAddr
+                /// Folder that gets routes.ini and pools.ini.
+                optional --into folder: PathBuf
+            }
+            /// Shows what an apply would change.
+            cmd diff {
+                required routes: PathBuf
+                required pools: PathBuf
+                /// Address of the platform's object API.
+                required --platform addr: SocketAddr
+            }
+            /// Checks both tables and puts them in force.
+            cmd apply {
+                required routes: PathBuf
+                required pools: PathBuf
+                /// Address of the platform's object API.
+                required --platform addr: SocketAddr
+                /// Version that the edit was made on; refused if another edit came first.
+                optional --base version: u64
+                /// Name recorded with the edit.
+                optional --editor name: String
+                /// Accepts keys that this version does not know.
+                optional --allow-unknown
+            }
+            /// Sends one query and prints the answer.
+            cmd query {
+                required route: String
+                required body: String
+                /// Address of a daemon for callers.
+                required --daemon addr: SocketAddr
+                /// Request id; needed for routes that are not idempotent.
+                optional --id text: String
+                /// Deadline in milliseconds.
+                optional --deadline-ms count: u64
+            }
+            /// Prints the addresses that callers should use.
+            cmd addresses {
+                /// Address of a daemon for callers.
+                required --daemon addr: SocketAddr
+                /// Data centre that the caller is near.
+                optional --centre name: String
+            }
+            /// Prints the state dump of one daemon.
+            cmd state {
+                /// Address of the daemon for operators.
+                required --admin addr: SocketAddr
+            }
+            /// Prints a line for each daemon: state and versions in force.
+            cmd status {
+                /// Address of any daemon for operators.
+                required --admin addr: SocketAddr
+                /// Prints JSON.
+                optional --json
+            }
+            /// Replays a recorded query trace and checks its stated outcome.
+            cmd replay {
+                required trace: PathBuf
+            }
+        }
+    }
+}
+
+/// Why a command did not succeed; its number is the exit code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    Refused = 1,
+    Conflict = 3,
+    Unanswered = 4,
+}
+
+/// A failure and what to tell the operator.
+pub(crate) struct Failed(pub(crate) Failure, pub(crate) String);
+
+pub(crate) type Outcome = Result<(), Failed>;
+
+fn main() -> ExitCode {
+    let flags = flags::Rattanturn::from_env_or_exit();
+    match actix_rt::System::new().block_on(run(flags)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failed(failure, text)) => {
+            eprintln!("{text}");
+            ExitCode::from(failure as u8)
+        }
+    }
+}
+
+async fn run(flags: flags::Rattanturn) -> Outcome {
+    use flags::RattanturnCmd as Cmd;
+    match flags.subcommand {
+        Cmd::Check(c) => tables::check(&c.routes, &c.pools),
+        Cmd::Show(c) => tables::show(c.platform, c.into.as_deref()).await,
+        Cmd::Diff(c) => tables::diff(&c.routes, &c.pools, c.platform).await,
+        Cmd::Apply(c) => tables::apply(&c).await,
+        Cmd::Query(c) => ask::query(&c).await,
+        Cmd::Addresses(c) => ask::addresses(c.daemon, c.centre.as_deref()).await,
+        Cmd::State(c) => ask::state(c.admin).await,
+        Cmd::Status(c) => ask::status(c.admin, c.json).await,
+        Cmd::Replay(c) => ask::replay(&c.trace),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/tables.rs
@@ -0,0 +1,207 @@
+//! Commands on the two tables.
+//!
+//! An edit is one conditional update of one object that holds both tables. A conflict shows who
+//! came first and what changed; a lost answer is settled by reading back.
+
+use {
+    crate::{Failed, Failure, Outcome, flags},
+    rattanturn_platform::{Platform, Read, TABLES_KEY, Write},
+    rattanturn_tables::{Severity, TablesObject},
+    similar::{ChangeTag, TextDiff},
+    std::{
+        fmt::Write as _,
+        net::SocketAddr,
+        path::Path,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// Both tables as read from files.
+struct Texts {
+    routes: String,
+    pools: String,
+}
+
+pub(crate) fn check(routes: &Path, pools: &Path) -> Outcome {
+    let texts = read_files(routes, pools)?;
+    checked(&texts, true)?;
+    println!("both tables are fine");
+    Ok(())
+}
+
+pub(crate) async fn show(platform: SocketAddr, into: Option<&Path>) -> Outcome {
+    let (version, object) = fetch(&Platform::open(platform)).await?;
+    let Some(folder) = into else {
+        println!(
+            "; version {version} by {}\n; routes.ini\n{}",
+            object.editor, object.routes
+        );
+        println!("; pools.ini\n{}", object.pools);
+        return Ok(());
+    };
+    for (name, text) in [("routes.ini", &object.routes), ("pools.ini", &object.pools)] {
+        let path = folder.join(name);
+        std::fs::write(&path, text).map_err(|e| {
+            Failed(
+                Failure::Refused,
+                format!("cannot write {}: {e}", path.display()),
+            )
+        })?;
+    }
+    println!(
+        "version {version} by {}; pass --base {version} to apply",
+        object.editor
+    );
+    Ok(())
+}
+
+pub(crate) async fn diff(routes: &Path, pools: &Path, platform: SocketAddr) -> Outcome {
+    let texts = read_files(routes, pools)?;
+    let (version, object) = fetch(&Platform::open(platform)).await?;
+    println!("against version {version} by {}", object.editor);
+    print!("{}", difference(&object, &texts));
+    Ok(())
+}
+
+pub(crate) async fn apply(flags: &flags::Apply) -> Outcome {
+    let texts = read_files(&flags.routes, &flags.pools)?;
+    checked(&texts, !flags.allow_unknown)?;
+    let platform = Platform::open(flags.platform);
+    let base = match flags.base {
+        Some(base) => base,
+        None => present_version(&platform).await?,
+    };
+    let editor = flags.editor.clone().or_else(|| std::env::var("USER").ok());
+    let object = TablesObject {
+        routes: texts.routes.clone(),
+        pools: texts.pools.clone(),
+        editor: editor.unwrap_or_else(|| "unknown".into()),
+        written: unix_ms(),
+    };
+    let body = serde_json::to_vec(&object)
+        .map_err(|e| Failed(Failure::Refused, format!("cannot encode the tables: {e}")))?;
+    match platform.write_settled(TABLES_KEY, base, &body).await {
+        Write::Done(version) => {
+            println!("version {version} is accepted");
+            Ok(())
+        }
+        Write::Conflict => Err(conflict(&platform, base, &texts).await),
+        Write::Refused(why) => Err(Failed(
+            Failure::Refused,
+            format!("the platform refused the edit: {why}"),
+        )),
+        Write::Ambiguous => Err(Failed(
+            Failure::Unanswered,
+            "the platform did not answer: the edit may have taken effect; see `rattanturn show`"
+                .into(),
+        )),
+    }
+}
+
+async fn conflict(platform: &Platform, base: u64, mine: &Texts) -> Failed {
+    let text = match fetch(platform).await {
+        Ok((version, object)) => format!(
+            "another edit came first: version {version} by {} (yours was made on {base})\n{}\
+             merge it and apply again with --base {version}",
+            object.editor,
+            difference(&object, mine)
+        ),
+        Err(Failed(_, why)) => format!("another edit came first; {why}"),
+    };
+    Failed(Failure::Conflict, text)
+}
+
+fn read_files(routes: &Path, pools: &Path) -> Result<Texts, Failed> {
+    let read = |path: &Path| {
+        std::fs::read_to_string(path).map_err(|e| {
+            Failed(
+                Failure::Refused,
+                format!("cannot read {}: {e}", path.display()),
+            )
+        })
+    };
+    Ok(Texts {
+        routes: read(routes)?,
+        pools: read(pools)?,
+    })
+}
+
+/// Checks both tables; with `strict`, unknown keys are refused too.
+fn checked(texts: &Texts, strict: bool) -> Outcome {
+    let findings = match rattanturn_tables::tables(&texts.routes, &texts.pools) {
+        Ok((_, warnings)) => warnings,
+        Err(findings) => findings,
+    };
+    let refused = findings.refused() || (strict && !findings.list.is_empty());
+    if refused {
+        let errors = findings
+            .list
+            .iter()
+            .filter(|f| f.severity == Severity::Error)
+            .count();
+        let warnings = findings.list.len() - errors;
+        let text = format!("{findings}\n{errors} errors, {warnings} warnings; nothing was written");
+        return Err(Failed(Failure::Refused, text));
+    }
+    if !findings.list.is_empty() {
+        eprintln!("{findings}");
+    }
+    Ok(())
+}
+
+async fn fetch(platform: &Platform) -> Result<(u64, TablesObject), Failed> {
+    match platform.read(TABLES_KEY).await {
+        Read::Found(o) => serde_json::from_slice(&o.body)
+            .map(|object| (o.version, object))
+            .map_err(|e| Failed(Failure::Refused, format!("the object cannot be read: {e}"))),
+        Read::Absent => Err(Failed(Failure::Refused, "there are no tables yet".into())),
+        Read::Unchanged | Read::Down => Err(Failed(
+            Failure::Unanswered,
+            "the platform does not answer".into(),
+        )),
+    }
+}
+
+/// Version of the tables in the platform; 0 if there are none.
+async fn present_version(platform: &Platform) -> Result<u64, Failed> {
+    match platform.read(TABLES_KEY).await {
+        Read::Found(o) => Ok(o.version),
+        Read::Absent => Ok(0),
+        Read::Unchanged | Read::Down => Err(Failed(
+            Failure::Unanswered,
+            "the platform does not answer".into(),
+        )),
+    }
+}
+
+/// Changed lines from the tables in the platform to `mine`.
+fn difference(theirs: &TablesObject, mine: &Texts) -> String {
+    let pairs = [
+        ("routes.ini", &theirs.routes, &mine.routes),
+        ("pools.ini", &theirs.pools, &mine.pools),
+    ];
+    let mut out = String::new();
+    for (name, old, new) in pairs {
+        for change in TextDiff::from_lines(old, new).iter_all_changes() {
+            let sign = match change.tag() {
+                ChangeTag::Equal => continue,
+                ChangeTag::Delete => '-',
+                ChangeTag::Insert => '+',
+            };
+            let line = change
+                .old_index()
+                .or(change.new_index())
+                .map_or(0, |i| i + 1);
+            // Writing to a string cannot fail.
+            let _ = writeln!(out, "{name}:{line}: {sign} {}", change.value().trim_end());
+        }
+    }
+    out
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/core/src/gather.rs
+++ b/crates/core/src/gather/mod.rs
@@ -8,6 +8,8 @@
 //! the reason. Once nothing more can arrive the answer is final at once; it is not held back
 //! until the deadline.
 
+pub mod trace;
+
 use {
     crate::{Time, hedge::Budget, snapshot::ANY},
     std::{collections::BTreeMap, fmt, time::Duration},
@@ -181,6 +183,15 @@
     reason: Option<Missing>,
 }
 
+impl Slot {
+    fn into_part(self) -> Part {
+        match self.body {
+            Some(body) => Part::Covered(body),
+            None => Part::Missing(self.reason.unwrap_or(Missing::Deadline)),
+        }
+    }
+}
+
 /// One query.
 ///
 /// ```
@@ -325,13 +336,13 @@
     /// The answer, a part for each service of the plan.
     #[must_use]
     pub fn parts(self) -> Vec<Part> {
-        self.slots
-            .into_iter()
-            .map(|s| match s.body {
-                Some(body) => Part::Covered(body),
-                None => Part::Missing(s.reason.unwrap_or(Missing::Deadline)),
-            })
-            .collect()
+        self.slots.into_iter().map(Slot::into_part).collect()
+    }
+
+    /// The part of one service as it stands.
+    #[must_use]
+    pub fn part(&self, service: usize) -> Option<Part> {
+        self.slots.get(service).cloned().map(Slot::into_part)
     }
 
     fn close(&mut self, attempt: AttemptId) -> Option<usize> {
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,72 @@
+//! Operators' listener: metrics and state dump.
+//!
+//! `GET /metrics` in Prometheus text, `GET /state` as JSON, `GET /ready`. It runs on the control
+//! thread, so it answers also while traffic threads are overloaded.
+
+use {
+    crate::control::Event,
+    actix_http::{Request, Response, body::BoxBody},
+    metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    rattanturn_http::{Limits, Server, response},
+    std::{net::TcpListener, sync::OnceLock},
+    tokio::sync::{mpsc::UnboundedSender, oneshot},
+};
+
+/// Operators' connections at once.
+const MAX_CONNECTIONS: usize = 64;
+
+static METRICS: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// The process's metrics; `None` if the embedding program installed its own recorder.
+fn metrics_handle() -> Option<&'static PrometheusHandle> {
+    METRICS
+        .get_or_init(|| PrometheusBuilder::new().install_recorder().ok())
+        .as_ref()
+}
+
+pub(crate) fn spawn(
+    listener: TcpListener,
+    events: UnboundedSender<Event>,
+) -> std::io::Result<Server> {
+    metrics_handle();
+    let limits = Limits {
+        connections: MAX_CONNECTIONS,
+        ..Limits::default()
+    };
+    rattanturn_http::spawn(listener, limits, move |request| {
+        let events = events.clone();
+        async move { handle(&request, &events).await }
+    })
+}
+
+async fn handle(request: &Request, events: &UnboundedSender<Event>) -> Response<BoxBody> {
+    match request.path() {
+        "/metrics" => {
+            let text = metrics_handle()
+                .map(PrometheusHandle::render)
+                .unwrap_or_default();
+            response(
+                200,
+                &[("content-type", "text/plain; version=0.0.4".into())],
+                text,
+            )
+        }
+        "/state" => state(events).await,
+        "/ready" => response(200, &[], "ready\n"),
+        _ => response(404, &[], "no such path; use /metrics, /state or /ready\n"),
+    }
+}
+
+async fn state(events: &UnboundedSender<Event>) -> Response<BoxBody> {
+    let (send, receive) = oneshot::channel();
+    // A failed send drops the sender, which the receiver sees.
+    let _ = events.send(Event::Dump(send));
+    match receive.await {
+        Ok(state) => response(
+            200,
+            &[("content-type", "application/json".into())],
+            state.to_string(),
+        ),
+        Err(_) => response(503, &[], "control has ended\n"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/leases.rs
@@ -0,0 +1,193 @@
+//! Leases of this daemon: as holder of units and as voter on others' requests.
+//!
+//! A unit that this daemon should hold is asked for until a majority of its panel grants it and
+//! renewed from then on. A unit that has moved to another daemon is closed to new work, given
+//! back once the work under way has ended, and taken over by the other daemon at its next
+//! request.
+
+use {
+    crate::{
+        clock,
+        routing::{LeaseCell, Unit},
+    },
+    rattanturn_core::{
+        NodeId, Time,
+        lease::{Hold, Panel, RENEW_INTERVAL, Request, UnitId, Vote, Voter},
+        panels::Panels,
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Interval between requests for a unit that is wanted and not held.
+const ACQUIRE_INTERVAL: Duration = Duration::from_millis(100);
+/// Requests or votes in one datagram.
+pub(crate) const PER_DATAGRAM: usize = 32;
+
+struct Held {
+    hold: Hold,
+    cell: Arc<LeaseCell>,
+    wanted: bool,
+    next: Time,
+}
+
+/// Messages to other voters.
+pub(crate) type Outgoing = BTreeMap<NodeId, Vec<Request>>;
+
+/// Leases of one daemon.
+pub(crate) struct Leases {
+    me: NodeId,
+    voter: Voter,
+    held: HashMap<UnitId, Held>,
+}
+
+/// Counts of leases, for the state dump.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct LeaseDump {
+    held: usize,
+    wanted: usize,
+    closing: usize,
+    grants: usize,
+}
+
+impl Leases {
+    pub(crate) fn new(me: NodeId) -> Self {
+        Self {
+            me,
+            voter: Voter::default(),
+            held: HashMap::new(),
+        }
+    }
+
+    /// Follows the units' holders and attaches the cells of those wanted or still held here.
+    pub(crate) fn follow(&mut self, units: &mut [Unit]) {
+        for held in self.held.values_mut() {
+            held.wanted = false;
+        }
+        for unit in units {
+            if unit.holder == Some(self.me) {
+                let held = self.held.entry(unit.id).or_insert_with(|| Held {
+                    hold: Hold::new(unit.id, self.me),
+                    cell: Arc::default(),
+                    wanted: true,
+                    next: Time::ZERO,
+                });
+                held.wanted = true;
+                held.cell.reopen();
+            }
+            unit.cell = self.held.get(&unit.id).map(|h| h.cell.clone());
+        }
+        for held in self.held.values().filter(|h| !h.wanted) {
+            held.cell.close();
+        }
+    }
+
+    /// Renews, asks for and gives back units.
+    pub(crate) fn tick(&mut self, now: Time, panels: &Panels) -> Outgoing {
+        self.voter.expire(now);
+        let mut out = Outgoing::new();
+        let mut gone = Vec::new();
+        let mut own = Vec::new();
+        for (unit, held) in &mut self.held {
+            let Some(panel) = panels.of(*unit) else {
+                continue;
+            };
+            let idle = held.cell.in_use() == 0;
+            let request = if !held.wanted && (idle || !held.hold.held(now)) {
+                gone.push(*unit);
+                held.cell.set(Time::ZERO, 0);
+                held.hold.release()
+            } else if now >= held.next {
+                let wait = if held.hold.held(now) {
+                    RENEW_INTERVAL
+                } else {
+                    ACQUIRE_INTERVAL
+                };
+                held.next = now + wait;
+                held.hold.request(now, &panel)
+            } else {
+                continue;
+            };
+            for voter in &panel.voters {
+                if *voter == self.me {
+                    own.push((panel.clone(), request));
+                } else {
+                    out.entry(*voter).or_default().push(request);
+                }
+            }
+        }
+        for unit in gone {
+            self.held.remove(&unit);
+        }
+        for (panel, request) in own {
+            let vote = self.voter.vote(now, &panel, &request);
+            self.count(now, &panel, self.me, &vote);
+        }
+        out
+    }
+
+    /// Votes on the requests of another daemon.
+    pub(crate) fn vote(&mut self, now: Time, panels: &Panels, list: &[Request]) -> Vec<Vote> {
+        let mut votes = Vec::new();
+        for request in list {
+            let Some(panel) = panels.of(request.unit) else {
+                continue;
+            };
+            if panel.voters.contains(&self.me) {
+                let vote = self.voter.vote(now, &panel, request);
+                if !request.release {
+                    votes.push(vote);
+                }
+            }
+        }
+        votes
+    }
+
+    /// Counts the votes of another daemon.
+    pub(crate) fn votes(&mut self, now: Time, panels: &Panels, from: NodeId, list: &[Vote]) {
+        for vote in list {
+            if let Some(panel) = panels.of(vote.unit) {
+                self.count(now, &panel, from, vote);
+            }
+        }
+    }
+
+    /// Work under way on all units.
+    pub(crate) fn in_use(&self) -> usize {
+        self.held.values().map(|h| h.cell.in_use()).sum()
+    }
+
+    /// Number of units not given back yet.
+    pub(crate) fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub(crate) fn dump(&self) -> LeaseDump {
+        let now = clock::now();
+        LeaseDump {
+            held: self.held.values().filter(|h| h.hold.held(now)).count(),
+            wanted: self.held.values().filter(|h| h.wanted).count(),
+            closing: self.held.values().filter(|h| !h.wanted).count(),
+            grants: self.voter.len(),
+        }
+    }
+
+    fn count(&mut self, now: Time, panel: &Panel, voter: NodeId, vote: &Vote) {
+        let Some(held) = self.held.get_mut(&vote.unit) else {
+            return;
+        };
+        if !held.hold.count(panel, voter, vote) {
+            return;
+        }
+        let since = held.hold.since().unwrap_or(now);
+        let since_unix = clock::unix_ms().saturating_sub(clock::millis(now.since(since)));
+        let known = held.cell.since_unix();
+        // The tenure's start must not wander with the wall clock from renewal to renewal.
+        let fresh = known == 0 || since == held.hold.until() - rattanturn_core::lease::HOLDER_TERM;
+        let since_unix = if fresh { since_unix } else { known };
+        held.cell.set(held.hold.until(), since_unix);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,522 @@
+//! The control thread: membership, leases, shared objects and the routing derived from them.
+
+mod leases;
+mod objects;
+mod registrar;
+
+use {
+    crate::{
+        clock,
+        control::{
+            leases::Leases,
+            objects::{Fetching, Found, PANELS_KEY, WATCHERS},
+        },
+        routing::{self, Inputs, Interner, LeaseCell, Shared},
+        traffic::{
+            Gauges,
+            rpc::{Objects, Peers},
+        },
+    },
+    rattanturn_core::{
+        NodeId, Time, addresses,
+        membership::{Fact, Membership, Place, Send, State, Versions},
+        panels::Panels,
+        rank,
+        register::{Offer, Register},
+    },
+    rattanturn_platform::{Platform, TABLES_KEY},
+    rattanturn_tables::{Holding, Settings, Tables, TablesObject},
+    rattanturn_wire::{Datagram, decode, encode},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, PoisonError, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::{
+        net::UdpSocket,
+        sync::{mpsc, oneshot},
+    },
+};
+
+/// Interval of the control loop.
+const TICK: Duration = Duration::from_millis(25);
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 8_192;
+/// Time for news of a withdrawal to reach every daemon before its address answers expire.
+const SPREAD_TIME: Duration = Duration::from_secs(2);
+
+/// What reaches the control thread from its own tasks and from outside.
+pub(crate) enum Event {
+    Found(Found),
+    FetchFailed(&'static str),
+    Dump(oneshot::Sender<serde_json::Value>),
+    Stop(oneshot::Sender<String>),
+    /// Ends at once without a word to anyone, as a killed process would.
+    Kill,
+}
+
+/// What the control thread is started with.
+pub(crate) struct Start {
+    pub(crate) settings: Settings,
+    pub(crate) me: NodeId,
+    pub(crate) place: Place,
+    pub(crate) socket: std::net::UdpSocket,
+    pub(crate) routing: Shared,
+    pub(crate) gauges: Arc<Gauges>,
+    pub(crate) objects: Objects,
+}
+
+/// Phases of a daemon's life. Each is entered once, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Serving,
+    /// Left out of new address answers; accepts until all earlier ones expired.
+    Withdrawn(Time),
+    /// Listeners are closed; what runs may end.
+    Draining(Time),
+}
+
+struct Control {
+    settings: Settings,
+    me: NodeId,
+    membership: Membership,
+    leases: Leases,
+    tables: Register<Arc<Tables>>,
+    panels: Register<Panels>,
+    interner: Interner,
+    routing: Shared,
+    gauges: Arc<Gauges>,
+    objects: Objects,
+    platform: Platform,
+    peers: Peers,
+    events: mpsc::UnboundedSender<Event>,
+    watches: Vec<tokio::task::JoinHandle<()>>,
+    fetching: [Fetching; 2],
+    routed: (u64, u64),
+    registrar: registrar::Registrar,
+    phase: Phase,
+    stopped: Option<oneshot::Sender<String>>,
+    refused_tables: u64,
+}
+
+/// Runs control until the daemon stops.
+pub(crate) async fn run(
+    start: Start,
+    events: mpsc::UnboundedSender<Event>,
+    mut inbox: mpsc::UnboundedReceiver<Event>,
+) -> std::io::Result<()> {
+    start.socket.set_nonblocking(true)?;
+    let socket = UdpSocket::from_std(start.socket)?;
+    let mut control = Control::new(
+        start.settings,
+        start.me,
+        start.place,
+        start.routing,
+        start.gauges,
+        start.objects,
+        events,
+    );
+    control.seed_from_platform();
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut next = clock::now();
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                if let Ok((len, from)) = received {
+                    control.receive(&socket, from, &buffer[..len]).await;
+                }
+            }
+            Some(event) = inbox.recv() => match event {
+                Event::Kill => return Ok(()),
+                event => control.event(event),
+            },
+            () = clock::sleep_until(next) => {
+                next = clock::now() + TICK;
+                if control.tick(&socket).await {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+impl Control {
+    #[allow(clippy::too_many_arguments)]
+    fn new(
+        settings: Settings,
+        me: NodeId,
+        place: Place,
+        routing: Shared,
+        gauges: Arc<Gauges>,
+        objects: Objects,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        let membership = Membership::new(me, place, settings.peers.clone(), me.0);
+        Self {
+            me,
+            membership,
+            leases: Leases::new(me),
+            tables: Register::default(),
+            panels: Register::default(),
+            interner: Interner::default(),
+            routing,
+            gauges,
+            objects,
+            platform: Platform::open(settings.platform),
+            peers: Peers::new(std::rc::Rc::new(|_| {}), Duration::ZERO),
+            events,
+            watches: Vec::new(),
+            fetching: Default::default(),
+            routed: (0, 0),
+            registrar: registrar::Registrar::default(),
+            phase: Phase::Serving,
+            stopped: None,
+            refused_tables: 0,
+            settings,
+        }
+    }
+
+    /// Adds the platform's VM list to the seeds; the list lags and only seeds.
+    fn seed_from_platform(&self) {
+        for key in [TABLES_KEY, PANELS_KEY] {
+            let (platform, events) = (self.platform.clone(), self.events.clone());
+            actix_rt::spawn(async move {
+                if let rattanturn_platform::Read::Found(o) = platform.read(key).await {
+                    let found = Found {
+                        key,
+                        version: o.version,
+                        body: o.body,
+                    };
+                    let _ = events.send(Event::Found(found));
+                }
+            });
+        }
+    }
+
+    async fn receive(&mut self, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
+        let now = clock::now();
+        metrics::counter!("rattanturn_control_bytes_total", "direction" => "in")
+            .increment(bytes.len() as u64);
+        let Ok(datagram) = decode(bytes) else {
+            tracing::debug!(%from, "dropped a datagram that cannot be read");
+            return;
+        };
+        match datagram {
+            Datagram::Gossip(message) => {
+                let out = self.membership.receive(now, from, &message);
+                self.compare(now, message.from, message.versions);
+                send_all(socket, out).await;
+            }
+            Datagram::Requests(_, list) => {
+                let panels = self.panels.value().cloned().unwrap_or_default();
+                let votes = self.leases.vote(now, &panels, &list);
+                if !votes.is_empty() {
+                    send(socket, from, &Datagram::Votes(self.me, votes)).await;
+                }
+            }
+            Datagram::Votes(voter, list) => {
+                if let Some(panels) = self.panels.value() {
+                    self.leases.votes(now, panels, voter, &list);
+                }
+            }
+        }
+    }
+
+    /// Fetches what a peer has in a newer version.
+    fn compare(&mut self, now: Time, from: NodeId, theirs: Versions) {
+        let Some(member) = self.membership.get(from) else {
+            return;
+        };
+        let place = &member.fact.place;
+        let rpc = SocketAddr::new(place.gossip.ip(), place.rpc);
+        let wanted = [
+            (TABLES_KEY, theirs.tables, self.tables.version()),
+            (PANELS_KEY, theirs.panels, self.panels.version()),
+        ];
+        for (i, (key, version, known)) in wanted.into_iter().enumerate() {
+            if version > known && self.fetching[i].claim(now) {
+                let (peers, events) = (self.peers.clone(), self.events.clone());
+                actix_rt::spawn(objects::fetch(peers, rpc, key, known, events));
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Found(found) => self.found(found),
+            Event::FetchFailed(key) => {
+                self.fetching[usize::from(key == PANELS_KEY)].until = Time::ZERO;
+            }
+            Event::Dump(send) => {
+                let _ = send.send(self.dump());
+            }
+            Event::Stop(send) => self.withdraw(send),
+            Event::Kill => {}
+        }
+    }
+
+    fn found(&mut self, found: Found) {
+        self.fetching[usize::from(found.key == PANELS_KEY)].until = Time::ZERO;
+        let taken = if found.key == PANELS_KEY {
+            self.take_panels(&found)
+        } else {
+            self.take_tables(&found)
+        };
+        if !taken {
+            return;
+        }
+        tracing::info!(
+            object = found.key,
+            version = found.version,
+            "a newer version is in force"
+        );
+        let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
+        objects.insert(found.key.into(), (found.version, found.body));
+        drop(objects);
+        self.membership.set_versions(Versions {
+            tables: self.tables.version(),
+            panels: self.panels.version(),
+        });
+    }
+
+    fn take_panels(&mut self, found: &Found) -> bool {
+        match serde_json::from_slice(&found.body) {
+            Ok(panels) => self.panels.offer(found.version, panels) == Offer::Taken,
+            Err(error) => {
+                tracing::error!(version = found.version, %error, "the panels object cannot be read");
+                false
+            }
+        }
+    }
+
+    /// Takes newer tables; tables that do not pass the check are refused and the old ones stay.
+    fn take_tables(&mut self, found: &Found) -> bool {
+        if found.version <= self.tables.version() || found.version == self.refused_tables {
+            return false;
+        }
+        let checked = serde_json::from_slice::<TablesObject>(&found.body)
+            .map_err(|e| e.to_string())
+            .and_then(|o| {
+                rattanturn_tables::tables(&o.routes, &o.pools).map_err(|f| f.to_string())
+            });
+        match checked {
+            Ok((tables, warnings)) => {
+                for warning in warnings.list {
+                    tracing::warn!(version = found.version, %warning, "tables");
+                }
+                self.tables.offer(found.version, Arc::new(tables)) == Offer::Taken
+            }
+            Err(findings) => {
+                self.refused_tables = found.version;
+                tracing::error!(version = found.version, %findings, "tables refused; the old ones stay");
+                false
+            }
+        }
+    }
+
+    /// One turn of the loop; true when the daemon may end.
+    async fn tick(&mut self, socket: &UdpSocket) -> bool {
+        let now = clock::now();
+        let out = self.membership.tick(now);
+        send_all(socket, out).await;
+        self.route();
+        self.assign_watches();
+        if self.settings.holding == Holding::Leased {
+            let panels = self.panels.value().cloned().unwrap_or_default();
+            let due = self.leases.tick(now, &panels);
+            self.send_leases(socket, due).await;
+            self.keep_panels(now);
+        }
+        self.advance(now, socket).await
+    }
+
+    async fn send_leases(&mut self, socket: &UdpSocket, due: leases::Outgoing) {
+        for (voter, list) in due {
+            let Some(to) = self.membership.get(voter).map(|m| m.fact.place.gossip) else {
+                continue;
+            };
+            for part in list.chunks(leases::PER_DATAGRAM) {
+                send(socket, to, &Datagram::Requests(self.me, part.to_vec())).await;
+            }
+        }
+    }
+
+    /// Derives routing anew if membership or tables changed.
+    fn route(&mut self) {
+        let key = (self.membership.changes(), self.tables.version());
+        if key == self.routed {
+            return;
+        }
+        self.routed = key;
+        let Some(tables) = self.tables.value().cloned() else {
+            return;
+        };
+        let present: Vec<&Fact> = self.membership.present().map(|m| &m.fact).collect();
+        let alone = self.settings.holding == Holding::Shares;
+        let inputs = Inputs {
+            me: self.me,
+            my_centre: &self.settings.centre,
+            rpc_port: self.membership.get(self.me).map_or(0, |m| m.fact.place.rpc),
+            version: self.tables.version(),
+            tables: &tables,
+            present: &present,
+            leaving: self.phase != Phase::Serving,
+            alone,
+        };
+        let mut routing = routing::derive(&inputs, &mut self.interner);
+        if alone {
+            let cell = Arc::new(LeaseCell::forever());
+            routing
+                .units
+                .iter_mut()
+                .for_each(|u| u.cell = Some(cell.clone()));
+        } else {
+            self.leases.follow(&mut routing.units);
+        }
+        self.routing.store(Arc::new(routing));
+    }
+
+    /// Starts or ends watching the platform, by rank among the data centre's daemons.
+    fn assign_watches(&mut self) {
+        let centre = &self.settings.centre;
+        let near = self
+            .membership
+            .present()
+            .filter(|m| m.fact.place.centre == *centre && m.fact.state == State::Alive);
+        let ranked = rank::top(near.map(|m| m.fact.id), rank::key("watch"), WATCHERS);
+        let watching = !self.watches.is_empty();
+        if ranked.contains(&self.me) == watching {
+            return;
+        }
+        for watch in self.watches.drain(..) {
+            watch.abort();
+        }
+        if !watching {
+            let known = [
+                (TABLES_KEY, self.tables.version()),
+                (PANELS_KEY, self.panels.version()),
+            ];
+            for (key, version) in known {
+                let (platform, events) = (self.platform.clone(), self.events.clone());
+                let watch = objects::watch(platform, key, version, self.me.0, events);
+                self.watches.push(actix_rt::spawn(watch));
+            }
+        }
+    }
+
+    fn keep_panels(&mut self, now: Time) {
+        let members: Vec<_> = self.membership.present().cloned().collect();
+        let panels = (self.panels.version(), self.panels.value());
+        let first = rank::first(members.iter().map(|m| m.fact.id), rank::key("registrar"));
+        if first != Some(self.me) || !self.registrar.due(now) {
+            return;
+        }
+        let Some((version, body)) = registrar::next_panels(panels, &members) else {
+            return;
+        };
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        actix_rt::spawn(registrar::write(platform, version, body, events));
+    }
+
+    /// Begins the planned stop.
+    fn withdraw(&mut self, stopped: oneshot::Sender<String>) {
+        let now = clock::now();
+        if self.phase != Phase::Serving {
+            return;
+        }
+        tracing::info!("withdrawn: new callers are sent elsewhere");
+        self.phase = Phase::Withdrawn(now + SPREAD_TIME + addresses::LIFETIME);
+        self.stopped = Some(stopped);
+        self.membership.leave(now);
+    }
+
+    /// Moves through the phases of the planned stop; true when the daemon may end.
+    async fn advance(&mut self, now: Time, socket: &UdpSocket) -> bool {
+        let requests = self.gauges.requests.load(Ordering::Acquire);
+        match self.phase {
+            Phase::Serving => false,
+            Phase::Withdrawn(until) => {
+                if now >= until {
+                    tracing::info!("draining: no new connections");
+                    self.gauges.closed.store(true, Ordering::Release);
+                    self.phase = Phase::Draining(now + self.settings.drain_limit);
+                }
+                false
+            }
+            Phase::Draining(limit) => {
+                let busy = requests + self.leases.in_use();
+                let held = self.leases.len();
+                if (busy > 0 || held > 0) && now < limit {
+                    return false;
+                }
+                let left = format!("{requests} requests and {held} units were left");
+                tracing::info!(%left, "stopped");
+                let out = self.membership.farewell(now);
+                send_all(socket, out).await;
+                if let Some(stopped) = self.stopped.take() {
+                    let _ = stopped.send(left);
+                }
+                true
+            }
+        }
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let member = |m: &rattanturn_core::membership::Member| {
+            serde_json::json!({
+                "id": m.fact.id.to_string(),
+                "name": m.fact.place.name,
+                "centre": m.fact.place.centre,
+                "admin": SocketAddr::new(m.fact.place.gossip.ip(), m.fact.place.admin),
+                "state": format!("{:?}", m.fact.state),
+                "tables": m.versions.tables,
+                "panels": m.versions.panels,
+            })
+        };
+        let routing = self.routing.load();
+        let now = clock::now();
+        let unit = |u: &routing::Unit| {
+            let mine = u.cell.as_ref().is_some_and(|c| c.usable(now));
+            serde_json::json!({
+                "unit": u.name,
+                "centre": u.centre,
+                "holder": u.holder.map(|h| h.to_string()),
+                "mine": mine,
+            })
+        };
+        let threads = self
+            .gauges
+            .dumps
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        serde_json::json!({
+            "name": self.settings.name,
+            "id": self.me.to_string(),
+            "centre": self.settings.centre,
+            "phase": format!("{:?}", self.phase),
+            "tables": self.tables.version(),
+            "panels": self.panels.version(),
+            "watching": !self.watches.is_empty(),
+            "requests": self.gauges.requests.load(Ordering::Acquire),
+            "leases": self.leases.dump(),
+            "members": self.membership.members().map(member).collect::<Vec<_>>(),
+            "units": routing.units.iter().map(unit).collect::<Vec<_>>(),
+            "threads": threads,
+        })
+    }
+}
+
+async fn send_all(socket: &UdpSocket, list: Vec<Send>) {
+    for item in list {
+        send(socket, item.to, &Datagram::Gossip(item.message)).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+    let bytes = encode(datagram);
+    metrics::counter!("rattanturn_control_bytes_total", "direction" => "out")
+        .increment(bytes.len() as u64);
+    // A lost datagram is repeated by the protocol that sent it.
+    let _ = socket.send_to(&bytes, to).await;
+}
--- /dev/null
+++ b/crates/daemon/src/control/registrar.rs
@@ -0,0 +1,89 @@
+//! Keeps the panels object in step with membership.
+//!
+//! One daemon does this, chosen by rank; if two believe so for a while, the platform's
+//! conditional update lets one through. While the platform is down the panels stay.
+
+use {
+    crate::control::{Event, Found, PANELS_KEY},
+    rattanturn_core::{
+        Time,
+        membership::{Member, State},
+        panels::{Panels, Peer},
+        rank,
+    },
+    rattanturn_platform::{Platform, Read, Write},
+    std::time::Duration,
+    tokio::sync::mpsc::UnboundedSender,
+};
+
+/// Interval between steps.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Time after start before the first panels are made, so that peers are known.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// When the next step is due.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Registrar {
+    next: Option<Time>,
+}
+
+impl Registrar {
+    pub(crate) fn due(&mut self, now: Time) -> bool {
+        let next = *self.next.get_or_insert(now + SETTLE);
+        if now < next {
+            return false;
+        }
+        self.next = Some(now + INTERVAL);
+        true
+    }
+}
+
+/// The panels to write and the version they replace, if anything has to change.
+pub(crate) fn next_panels(
+    panels: (u64, Option<&Panels>),
+    members: &[Member],
+) -> Option<(u64, Vec<u8>)> {
+    let staying = members.iter().filter(|m| m.fact.state != State::Leaving);
+    let peers: Vec<Peer> = staying
+        .map(|m| Peer {
+            id: m.fact.id,
+            centre: rank::key(&m.fact.place.centre),
+            known: m.versions.panels,
+        })
+        .collect();
+    let (version, next) = match panels {
+        (version, Some(panels)) => (version, panels.step(version, &peers)?),
+        (_, None) => (0, Panels::create(&peers)),
+    };
+    Some((version, serde_json::to_vec(&next).ok()?))
+}
+
+/// Writes panels; whatever the platform then holds is taken from it.
+pub(crate) async fn write(
+    platform: Platform,
+    version: u64,
+    body: Vec<u8>,
+    events: UnboundedSender<Event>,
+) {
+    let found = match platform.write(PANELS_KEY, version, body.clone()).await {
+        Write::Done(version) => Found {
+            key: PANELS_KEY,
+            version,
+            body,
+        },
+        Write::Refused(why) => {
+            tracing::error!(%why, "the platform refused the panels");
+            return;
+        }
+        Write::Conflict | Write::Ambiguous => match platform.read(PANELS_KEY).await {
+            Read::Found(o) => Found {
+                key: PANELS_KEY,
+                version: o.version,
+                body: o.body,
+            },
+            _ => return,
+        },
+    };
+    // The control thread may be gone.
+    let _ = events.send(Event::Found(found));
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/entry.rs
@@ -0,0 +1,444 @@
+//! Callers' requests over HTTP.
+//!
+//! `POST /query/ROUTE` with the query as body. Headers: `x-request-id` and `x-issued`
+//! (milliseconds since 1970, kept on repeats) for routes that are not idempotent;
+//! `x-deadline-ms` and `x-priority` may tighten what the route allows. Every answer names its
+//! outcome: `ran`, `not-run` or `unknown`. `GET /addresses?centre=NAME` tells which addresses to
+//! use and for how long.
+
+use {
+    crate::{
+        clock,
+        routing::Shared,
+        traffic::{
+            Gauges,
+            calls::Calls,
+            once::{Keeper, OnceRequest, ask_keeper},
+            query::{Answer, Queries, Query},
+        },
+    },
+    actix_http::{Method, Request, Response, body::BoxBody},
+    rattanturn_core::{
+        Priority, Time, addresses,
+        admission::{Admission, Moves, RequestId, Verdict},
+        gather::Part,
+        journal::Outcome,
+    },
+    rattanturn_http::{BodyError, header, parameter, read_body, response},
+    rattanturn_tables::Route,
+    serde_json::{json, value::RawValue},
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+};
+
+/// Longest request id, in bytes.
+const MAX_REQUEST_ID: usize = 128;
+
+/// Admission to one pool and the requests that wait for it.
+#[derive(Default)]
+struct Gate {
+    admission: Admission,
+    waiting: HashMap<RequestId, oneshot::Sender<Result<(), Duration>>>,
+}
+
+/// Serves callers on one thread.
+pub(crate) struct Entry {
+    routing: Shared,
+    max_body: usize,
+    queries: Queries,
+    calls: Calls,
+    keeper: Keeper,
+    gauges: Arc<Gauges>,
+    gates: RefCell<BTreeMap<String, Gate>>,
+    next: Cell<u64>,
+}
+
+/// A refusal with its status.
+struct Refused(Response<BoxBody>);
+
+/// Counts a request while it is under way.
+struct Underway(Arc<Gauges>);
+
+impl Drop for Underway {
+    fn drop(&mut self) {
+        self.0.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Frees a place in a gate when a request ends in any way.
+struct Admitted {
+    entry: Rc<Entry>,
+    pool: String,
+    started: Time,
+    pressed: Cell<bool>,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let mut gates = self.entry.gates.borrow_mut();
+        let Some(gate) = gates.get_mut(&self.pool) else {
+            return;
+        };
+        let moves = gate
+            .admission
+            .finish(now, now.since(self.started), self.pressed.get());
+        gate.perform(moves);
+    }
+}
+
+impl Gate {
+    fn perform(&mut self, moves: Moves) {
+        for (id, wait) in moves.refuse {
+            if let Some(send) = self.waiting.remove(&id) {
+                let _ = send.send(Err(wait));
+            }
+        }
+        for id in moves.start {
+            let sent = self
+                .waiting
+                .remove(&id)
+                .is_some_and(|send| send.send(Ok(())).is_ok());
+            if !sent {
+                // The caller went away while it waited: its place goes to the next.
+                let again = self.admission.finish(clock::now(), Duration::ZERO, false);
+                self.perform(again);
+            }
+        }
+    }
+}
+
+impl Entry {
+    pub(crate) fn new(
+        routing: Shared,
+        max_body: usize,
+        queries: Queries,
+        calls: Calls,
+        keeper: Keeper,
+        gauges: Arc<Gauges>,
+    ) -> Self {
+        Self {
+            routing,
+            max_body,
+            queries,
+            calls,
+            keeper,
+            gauges,
+            gates: RefCell::default(),
+            next: Cell::new(0),
+        }
+    }
+
+    /// Answers one HTTP request.
+    pub(crate) async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        self.gauges.requests.fetch_add(1, Ordering::AcqRel);
+        let _underway = Underway(self.gauges.clone());
+        let path = request.path().to_owned();
+        let mut answer = match (request.method(), path.as_str()) {
+            (&Method::GET, "/addresses") => self.addresses(&request),
+            (&Method::POST, p) if p.starts_with("/query/") => {
+                let name = p.trim_start_matches("/query/");
+                self.query(name, &mut request)
+                    .await
+                    .unwrap_or_else(|refused| refused.0)
+            }
+            _ => {
+                refuse(
+                    404,
+                    "not-run",
+                    "no such path; use POST /query/ROUTE or GET /addresses",
+                )
+                .0
+            }
+        };
+        if self.routing.load().leaving {
+            answer
+                .head_mut()
+                .set_connection_type(actix_http::ConnectionType::Close);
+        }
+        answer
+    }
+
+    /// Refuses waiting requests that cannot be answered in time.
+    pub(crate) fn tick(&self) {
+        for gate in self.gates.borrow_mut().values_mut() {
+            let moves = gate.admission.advance(clock::now());
+            gate.perform(moves);
+        }
+    }
+
+    /// Admission of each pool, for the state dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let gates = self.gates.borrow();
+        let one = |(pool, gate): (&String, &Gate)| {
+            let a = &gate.admission;
+            let state = json!({"limit": a.limit(), "running": a.running(), "waiting": a.waiting()});
+            (pool.clone(), state)
+        };
+        serde_json::Value::Object(gates.iter().map(one).collect())
+    }
+
+    fn addresses(&self, request: &Request) -> Response<BoxBody> {
+        let centre = parameter(request, "centre").unwrap_or("");
+        self.next.set(self.next.get() + 1);
+        let list = addresses::pick(&self.routing.load().entries, centre, self.next.get());
+        let body = json!({
+            "addresses": list,
+            "lifetime_ms": clock::millis(addresses::LIFETIME),
+        });
+        response(
+            200,
+            &[("content-type", "application/json".into())],
+            body.to_string(),
+        )
+    }
+
+    async fn query(
+        self: &Rc<Self>,
+        name: &str,
+        request: &mut Request,
+    ) -> Result<Response<BoxBody>, Refused> {
+        let arrived = clock::now();
+        let route = self.routing.load().tables.routes.get(name).cloned();
+        let Some(route) = route else {
+            let known = self.routing.load().version > 0;
+            return Err(if known {
+                refuse(404, "not-run", &format!("there is no route `{name}`"))
+            } else {
+                retry(Duration::from_secs(1), "no tables are known yet")
+            });
+        };
+        let deadline = arrived + allowed_time(request, &route)?;
+        let priority = asked_priority(request, &route)?;
+        let body = match read_body(request, self.max_body).await {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => {
+                let why = format!("the body is longer than {} bytes", self.max_body);
+                return Err(refuse(413, "not-run", &why));
+            }
+            Err(BodyError::Broken) => return Err(refuse(400, "not-run", "the body is broken")),
+        };
+        let once = if route.idempotent {
+            None
+        } else {
+            Some(once_head(request)?)
+        };
+        let admitted = self.admit(&route, priority, deadline).await?;
+        let Some((id, issued)) = once else {
+            self.next.set(self.next.get() + 1);
+            let spread = self.next.get();
+            let query = Query {
+                route,
+                arrived,
+                deadline,
+                priority,
+                body,
+                spread,
+            };
+            let answer = self.queries.run(&query).await;
+            admitted.pressed.set(answer.pressed);
+            count_answer(&query, &answer, arrived);
+            return Ok(render(&query, answer));
+        };
+        let pool = route.pool;
+        let once = OnceRequest {
+            id,
+            issued,
+            pool,
+            deadline,
+            priority,
+            body,
+        };
+        let outcome = ask_keeper(&self.routing, &self.calls, &self.keeper, once).await;
+        Ok(render_once(outcome))
+    }
+
+    async fn admit(
+        self: &Rc<Self>,
+        route: &Route,
+        priority: Priority,
+        deadline: Time,
+    ) -> Result<Admitted, Refused> {
+        self.next.set(self.next.get() + 1);
+        let id = RequestId(self.next.get());
+        let wait = {
+            let mut gates = self.gates.borrow_mut();
+            let gate = gates.entry(route.pool.clone()).or_default();
+            match gate.admission.ask(clock::now(), id, priority, deadline) {
+                Verdict::Start => None,
+                Verdict::Refused(wait) => return Err(retry(wait, "overloaded")),
+                Verdict::Queued => {
+                    let (send, receive) = oneshot::channel();
+                    gate.waiting.insert(id, send);
+                    Some(receive)
+                }
+            }
+        };
+        if let Some(receive) = wait {
+            match receive.await {
+                Ok(Ok(())) => {}
+                Ok(Err(wait)) => return Err(retry(wait, "overloaded")),
+                Err(_) => return Err(retry(Duration::from_secs(1), "the daemon stops")),
+            }
+        }
+        Ok(Admitted {
+            entry: self.clone(),
+            pool: route.pool.clone(),
+            started: clock::now(),
+            pressed: Cell::new(false),
+        })
+    }
+}
+
+/// Time that a request may take: the route's deadline or the caller's, if that is shorter.
+fn allowed_time(request: &Request, route: &Route) -> Result<Duration, Refused> {
+    let Some(text) = header(request, "x-deadline-ms") else {
+        return Ok(route.deadline);
+    };
+    match text.parse() {
+        Ok(ms) if ms > 0 => Ok(route.deadline.min(Duration::from_millis(ms))),
+        _ => Err(refuse(
+            400,
+            "not-run",
+            "x-deadline-ms is not a number of milliseconds",
+        )),
+    }
+}
+
+/// The route's priority or the caller's, if that is lower.
+fn asked_priority(request: &Request, route: &Route) -> Result<Priority, Refused> {
+    let asked = match header(request, "x-priority") {
+        None => return Ok(route.priority),
+        Some("low") => Priority::Low,
+        Some("normal") => Priority::Normal,
+        Some("high") => Priority::High,
+        Some(_) => {
+            return Err(refuse(
+                400,
+                "not-run",
+                "x-priority is not low, normal or high",
+            ));
+        }
+    };
+    Ok(asked.min(route.priority))
+}
+
+/// Request id and time of issue of a request that is not idempotent.
+fn once_head(request: &Request) -> Result<(String, u64), Refused> {
+    let id = header(request, "x-request-id").unwrap_or("");
+    if id.is_empty() || id.len() > MAX_REQUEST_ID {
+        let why = "this route is not idempotent: send x-request-id with 1 to 128 bytes";
+        return Err(refuse(400, "not-run", why));
+    }
+    let issued = header(request, "x-issued").and_then(|v| v.parse().ok());
+    let Some(issued) = issued else {
+        let why = "this route is not idempotent: send x-issued, in milliseconds since 1970";
+        return Err(refuse(400, "not-run", why));
+    };
+    Ok((id.to_owned(), issued))
+}
+
+fn refuse(status: u16, outcome: &str, reason: &str) -> Refused {
+    let body = json!({"outcome": outcome, "reason": reason});
+    let headers = [("content-type", "application/json".into())];
+    Refused(response(status, &headers, body.to_string()))
+}
+
+/// A request that was not run and may come back later.
+fn retry(wait: Duration, reason: &str) -> Refused {
+    let wait_ms = clock::millis(wait).max(1);
+    let body = json!({"outcome": "not-run", "reason": reason, "retry_after_ms": wait_ms});
+    let headers = [
+        ("content-type", "application/json".to_owned()),
+        ("retry-after", wait_ms.div_ceil(1_000).to_string()),
+    ];
+    metrics::counter!("rattanturn_refused_total", "reason" => reason.to_owned()).increment(1);
+    Refused(response(503, &headers, body.to_string()))
+}
+
+fn render_once(outcome: Outcome) -> Response<BoxBody> {
+    match outcome {
+        Outcome::Ran(body) => {
+            let headers = [
+                ("content-type", "application/json".to_owned()),
+                ("x-outcome", "ran".to_owned()),
+            ];
+            response(200, &headers, body)
+        }
+        Outcome::NotRun(why) => refuse(503, "not-run", &why).0,
+        Outcome::Unknown => refuse(504, "unknown", "whether the request ran is not known").0,
+    }
+}
+
+/// The merged answer. 200: complete; 206: enough services answered; 504: too few did.
+fn render(query: &Query, answer: Answer) -> Response<BoxBody> {
+    let total = answer.parts.len();
+    let mut results: Vec<(&str, Box<RawValue>)> = Vec::new();
+    let mut missing = BTreeMap::new();
+    for (name, part) in answer.names.iter().zip(answer.parts) {
+        match part {
+            Part::Covered(body) => results.push((name, raw(body))),
+            Part::Missing(reason) => {
+                missing.insert(name.as_str(), reason.as_str());
+            }
+        }
+    }
+    let answered = results.len();
+    // Service counts are far below 2^32.
+    let share = f64::from(u32::try_from(answered).unwrap_or(u32::MAX))
+        / f64::from(u32::try_from(total.max(1)).unwrap_or(u32::MAX));
+    let status = match answered {
+        n if n == total => 200,
+        _ if share >= query.route.min_coverage && answered > 0 => 206,
+        _ => 504,
+    };
+    let results: BTreeMap<&str, Box<RawValue>> = results.into_iter().collect();
+    let body = json!({
+        "outcome": "ran",
+        "route": query.route.name,
+        "snapshot": answer.snapshot,
+        "tables": answer.tables,
+        "coverage": {"answered": answered, "of": total, "missing": missing},
+        "calls": {
+            "first": answer.counts.first,
+            "hedges": answer.counts.hedges,
+            "retries": answer.counts.retries,
+            "restarts": answer.counts.restarts,
+        },
+        "results": results,
+    });
+    response(
+        status,
+        &[("content-type", "application/json".into())],
+        body.to_string(),
+    )
+}
+
+/// A target's partial answer as JSON; text that is not JSON becomes a string.
+fn raw(body: Vec<u8>) -> Box<RawValue> {
+    let text = String::from_utf8(body).unwrap_or_default();
+    RawValue::from_string(text).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+fn count_answer(query: &Query, answer: &Answer, arrived: Time) {
+    let route = query.route.name.clone();
+    let took = clock::now().since(arrived).as_secs_f64();
+    metrics::histogram!("rattanturn_query_seconds", "route" => route.clone()).record(took);
+    metrics::counter!("rattanturn_calls_total", "route" => route.clone(), "kind" => "first")
+        .increment(u64::from(answer.counts.first));
+    metrics::counter!("rattanturn_calls_total", "route" => route.clone(), "kind" => "hedge")
+        .increment(u64::from(answer.counts.hedges));
+    metrics::counter!("rattanturn_calls_total", "route" => route.clone(), "kind" => "retry")
+        .increment(u64::from(answer.counts.retries));
+    for (reason, count) in rattanturn_core::gather::reasons(&answer.parts) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        let labels = [("route", route.clone()), ("reason", reason.to_string())];
+        metrics::counter!("rattanturn_missing_total", &labels).increment(count);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/once.rs
@@ -0,0 +1,303 @@
+//! Non-idempotent requests: the journal's keeper runs each at most once.
+//!
+//! A request id belongs to one of a fixed number of shares, and the daemon that holds the
+//! share's lease keeps its journal. The keeper sends the call to one target at a time and tries
+//! another only on the word, of the holder or the target, that it was not run.
+
+use {
+    crate::{
+        clock,
+        routing::Shared,
+        traffic::{
+            calls::{Calls, Outgoing, blank},
+            holder::{CallResult, HolderCall, Outcome as CallOutcome},
+            rpc::priority,
+        },
+    },
+    rattanturn_core::{
+        Priority, Time,
+        journal::{Journal, Outcome, Verdict},
+        lease::UnitId,
+        rank,
+    },
+    rattanturn_wire::peer_capnp::{self, once_request, once_result},
+    std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
+    tokio::sync::{Notify, oneshot},
+};
+
+/// Targets tried for one request.
+const MAX_TRIES: usize = 3;
+
+/// A non-idempotent request.
+#[derive(Clone, Debug)]
+pub(crate) struct OnceRequest {
+    pub(crate) id: String,
+    /// Milliseconds since 1970 by the caller's clock.
+    pub(crate) issued: u64,
+    pub(crate) pool: String,
+    pub(crate) deadline: Time,
+    pub(crate) priority: Priority,
+    pub(crate) body: Vec<u8>,
+}
+
+struct Share {
+    /// Start of the tenure that the journal belongs to.
+    since: u64,
+    journal: Journal,
+    ended: Rc<Notify>,
+}
+
+/// Keeps the journals held by one traffic thread.
+#[derive(Clone)]
+pub(crate) struct Keeper {
+    routing: Shared,
+    calls: Calls,
+    shares: Rc<RefCell<HashMap<UnitId, Share>>>,
+}
+
+impl Keeper {
+    pub(crate) fn new(routing: Shared, calls: Calls) -> Self {
+        Self {
+            routing,
+            calls,
+            shares: Rc::default(),
+        }
+    }
+
+    /// Number of requests remembered.
+    pub(crate) fn len(&self) -> usize {
+        self.shares.borrow().values().map(|s| s.journal.len()).sum()
+    }
+
+    /// Runs a request at most once and returns how it ended.
+    pub(crate) async fn run(&self, request: OnceRequest) -> Outcome {
+        let Some(unit) = self.open_share(&request.id) else {
+            return Outcome::NotRun("this daemon does not keep the request's journal".into());
+        };
+        let digest = rank::key(&format!("{}:{:?}", request.pool, request.body));
+        loop {
+            let (verdict, ended) = {
+                let mut shares = self.shares.borrow_mut();
+                let Some(share) = shares.get_mut(&unit) else {
+                    return Outcome::Unknown;
+                };
+                let now = clock::unix_ms();
+                let verdict = share
+                    .journal
+                    .begin(now, request.issued, &request.id, digest);
+                (verdict, share.ended.clone())
+            };
+            match verdict {
+                Verdict::Run => break,
+                Verdict::Ended(outcome) => return outcome,
+                Verdict::Unknown => return Outcome::Unknown,
+                Verdict::Refused(why) => return Outcome::NotRun(why.into()),
+                Verdict::Running => {
+                    let left = request.deadline.since(clock::now());
+                    if tokio::time::timeout(left, ended.notified()).await.is_err() {
+                        return Outcome::Unknown;
+                    }
+                }
+            }
+        }
+        // The run outlives a caller that goes away, so that its outcome is kept for a repeat.
+        let this = self.clone();
+        let run = actix_rt::spawn(async move { this.run_first(unit, &request).await });
+        run.await.unwrap_or(Outcome::Unknown)
+    }
+
+    async fn run_first(&self, unit: UnitId, request: &OnceRequest) -> Outcome {
+        let outcome = self.try_targets(unit, request).await;
+        if let Some(share) = self.shares.borrow_mut().get_mut(&unit) {
+            share.journal.finish(&request.id, outcome.clone());
+            share.ended.notify_waiters();
+        }
+        outcome
+    }
+
+    /// Finds the request's share and makes sure that its journal is of the present tenure.
+    fn open_share(&self, id: &str) -> Option<UnitId> {
+        let routing = self.routing.load();
+        let unit = routing.journal_unit(id)?;
+        let cell = unit.cell.as_ref()?;
+        if !cell.usable(clock::now()) {
+            return None;
+        }
+        let since = cell.since_unix();
+        let mut shares = self.shares.borrow_mut();
+        let share = shares.entry(unit.id).or_insert_with(|| Share {
+            since,
+            journal: Journal::open(since),
+            ended: Rc::default(),
+        });
+        if share.since != since {
+            // The lease lapsed in between; another daemon may have run requests meanwhile.
+            *share = Share {
+                since,
+                journal: Journal::open(since),
+                ended: Rc::default(),
+            };
+        }
+        Some(unit.id)
+    }
+
+    async fn try_targets(&self, unit: UnitId, request: &OnceRequest) -> Outcome {
+        let mut why = "no target is available";
+        for target in self.targets(request) {
+            let held = {
+                let routing = self.routing.load();
+                let cell = routing
+                    .units
+                    .iter()
+                    .find(|u| u.id == unit)
+                    .and_then(|u| u.cell.clone());
+                cell.is_some_and(|c| clock::now() < c.until())
+            };
+            if !held {
+                return Outcome::NotRun("the journal's lease lapsed".into());
+            }
+            let result = self.call(target, request).await;
+            match result.outcome {
+                CallOutcome::Done => return Outcome::Ran(result.body),
+                CallOutcome::Failed => return Outcome::Unknown,
+                CallOutcome::Busy => why = "its targets are busy",
+                CallOutcome::Unreachable => why = "its targets cannot be reached",
+                CallOutcome::NoHolder => why = "no daemon holds its targets",
+                CallOutcome::WrongSnapshot => why = "its targets have no index",
+            }
+            if clock::now() >= request.deadline {
+                break;
+            }
+        }
+        Outcome::NotRun(why.into())
+    }
+
+    /// Targets to try, those with the shortest wait first.
+    fn targets(&self, request: &OnceRequest) -> Vec<usize> {
+        let routing = self.routing.load();
+        let Some(services) = routing.services.get(&request.pool) else {
+            return Vec::new();
+        };
+        let mut all: Vec<usize> = services.iter().flatten().copied().collect();
+        let spread = rank::key(&request.id);
+        all.sort_by_key(|t| {
+            (
+                self.calls.load(*t),
+                rank::score(rattanturn_core::NodeId(*t as u64), spread),
+            )
+        });
+        all.truncate(MAX_TRIES);
+        all
+    }
+
+    async fn call(&self, target: usize, request: &OnceRequest) -> CallResult {
+        let Some(addr) = self.routing.load().targets.get(&target).map(|t| t.addr) else {
+            return CallResult::of(0, CallOutcome::NoHolder);
+        };
+        let call = HolderCall {
+            deadline: request.deadline,
+            priority: request.priority,
+            body: request.body.clone(),
+            once: Some(request.id.clone()),
+            ..blank(addr)
+        };
+        let (send, receive) = oneshot::channel();
+        let receiver = Box::new(move |result| {
+            let _ = send.send(result);
+        });
+        let numbers = self.calls.send(vec![Outgoing {
+            target,
+            call,
+            receive: receiver,
+        }]);
+        let limit = request.deadline.since(clock::now());
+        if let Ok(Ok(result)) = tokio::time::timeout(limit, receive).await {
+            return result;
+        }
+        self.calls.cancel(&numbers);
+        CallResult::of(0, CallOutcome::Failed)
+    }
+}
+
+/// Asks the keeper of a request, here or at another daemon, to run it.
+pub(crate) async fn ask_keeper(
+    routing: &Shared,
+    calls: &Calls,
+    keeper: &Keeper,
+    request: OnceRequest,
+) -> Outcome {
+    let destination = routing
+        .load()
+        .journal_unit(&request.id)
+        .and_then(|u| u.destination);
+    let Some(destination) = destination else {
+        return Outcome::NotRun("no daemon keeps the request's journal".into());
+    };
+    if calls.is_local(destination) {
+        return keeper.run(request).await;
+    }
+    let peers = calls.peers();
+    peers.travel(destination).await;
+    let Ok(client) = peers.client(destination.addr).await else {
+        return Outcome::NotRun("the keeper of its journal cannot be reached".into());
+    };
+    let mut message = client.run_once_request();
+    write_request(message.get().init_request(), &request);
+    let limit = request.deadline.since(clock::now()) + Duration::from_millis(100);
+    match tokio::time::timeout(limit, message.send().promise).await {
+        Ok(Ok(response)) => {
+            let outcome = response.get().and_then(|r| read_outcome(r.get_result()?));
+            outcome.unwrap_or(Outcome::Unknown)
+        }
+        Ok(Err(error)) => {
+            let _ = peers.settle(destination.addr, Err(error));
+            Outcome::Unknown
+        }
+        Err(_) => Outcome::Unknown,
+    }
+}
+
+fn write_request(mut out: once_request::Builder<'_>, request: &OnceRequest) {
+    out.set_id(&request.id);
+    out.set_issued(request.issued);
+    out.set_pool(&request.pool);
+    out.set_remaining(clock::micros(request.deadline.since(clock::now())));
+    out.set_priority(request.priority as u8);
+    out.set_body(&request.body);
+}
+
+/// Reads a request from its message.
+pub(crate) fn read_request(m: once_request::Reader<'_>) -> capnp::Result<OnceRequest> {
+    Ok(OnceRequest {
+        id: m.get_id()?.to_str()?.into(),
+        issued: m.get_issued(),
+        pool: m.get_pool()?.to_str()?.into(),
+        deadline: clock::now() + Duration::from_micros(m.get_remaining()),
+        priority: priority(m.get_priority()),
+        body: m.get_body()?.to_vec(),
+    })
+}
+
+/// Writes an outcome into its message.
+pub(crate) fn write_outcome(mut out: once_result::Builder<'_>, outcome: &Outcome) {
+    match outcome {
+        Outcome::Ran(body) => {
+            out.set_verdict(peer_capnp::Verdict::Ran);
+            out.set_body(body);
+        }
+        Outcome::NotRun(reason) => {
+            out.set_verdict(peer_capnp::Verdict::NotRun);
+            out.set_reason(reason);
+        }
+        Outcome::Unknown => out.set_verdict(peer_capnp::Verdict::Unknown),
+    }
+}
+
+fn read_outcome(m: once_result::Reader<'_>) -> capnp::Result<Outcome> {
+    Ok(match m.get_verdict() {
+        Ok(peer_capnp::Verdict::Ran) => Outcome::Ran(m.get_body()?.to_vec()),
+        Ok(peer_capnp::Verdict::NotRun) => Outcome::NotRun(m.get_reason()?.to_str()?.into()),
+        // A verdict of a later version: nothing is known of the request.
+        Ok(peer_capnp::Verdict::Unknown) | Err(_) => Outcome::Unknown,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/query.rs
@@ -0,0 +1,323 @@
+//! One idempotent query from admission to its answer.
+
+use {
+    crate::{
+        clock,
+        routing::{Routing, Shared},
+        traffic::{
+            calls::{CallNumber, Calls, Outgoing, blank},
+            holder::{CallResult, HolderCall, Outcome},
+        },
+    },
+    rattanturn_core::{
+        Priority, Time,
+        gather::{Action, AttemptId, Budgets, Counts, Gather, Missing, Part, Plan, Reply},
+        hedge::Late,
+        rank,
+        snapshot::Book,
+    },
+    rattanturn_tables::{Kind, Route},
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+};
+
+/// A call that waited longer than this share of the time allowed means pressure.
+const PRESSURE_SHARE: f64 = 0.25;
+/// Part of the deadline kept for merging and sending the answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(3);
+
+/// A query that was admitted.
+#[derive(Clone, Debug)]
+pub(crate) struct Query {
+    pub(crate) route: Route,
+    pub(crate) arrived: Time,
+    pub(crate) deadline: Time,
+    pub(crate) priority: Priority,
+    pub(crate) body: Vec<u8>,
+    /// Differs from query to query; chooses among equal targets.
+    pub(crate) spread: u64,
+}
+
+/// A query's answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) snapshot: u64,
+    pub(crate) tables: u64,
+    pub(crate) names: Vec<String>,
+    pub(crate) parts: Vec<Part>,
+    pub(crate) counts: Counts,
+    /// Whether the pool showed signs of overload.
+    pub(crate) pressed: bool,
+}
+
+/// What queries of one thread share.
+#[derive(Clone)]
+pub(crate) struct Queries {
+    routing: Shared,
+    calls: Calls,
+    shared: Rc<RefCell<Learned>>,
+}
+
+#[derive(Default)]
+struct Learned {
+    budgets: Budgets,
+    book: Book,
+    late: HashMap<String, Late>,
+    chosen: BTreeMap<String, (u64, u64)>,
+    book_changes: u64,
+}
+
+/// Events that reach a running query.
+struct Arrival {
+    attempt: AttemptId,
+    target: usize,
+    result: CallResult,
+}
+
+/// The parts of a running query that actions touch.
+struct Running<'a> {
+    query: &'a Query,
+    routing: &'a Routing,
+    send: mpsc::UnboundedSender<Arrival>,
+    numbers: HashMap<AttemptId, CallNumber>,
+}
+
+impl Queries {
+    pub(crate) fn new(routing: Shared, calls: Calls) -> Self {
+        Self {
+            routing,
+            calls,
+            shared: Rc::default(),
+        }
+    }
+
+    /// Runs a query to its final answer.
+    pub(crate) async fn run(&self, query: &Query) -> Answer {
+        let routing = self.routing.load_full();
+        let (names, services) = services_of(&routing, query);
+        let plan = self.plan(query, &names, services);
+        let services = plan.services.clone();
+        let (send, mut arrivals) = mpsc::unbounded_channel();
+        let mut running = Running {
+            query,
+            routing: &routing,
+            send,
+            numbers: HashMap::new(),
+        };
+        let (mut gather, actions) =
+            Gather::start(clock::now(), plan, &mut self.shared.borrow_mut().budgets);
+        let mut pressed = false;
+        let mut finished = self.perform(&mut running, actions);
+        while !finished {
+            let actions = tokio::select! {
+                biased;
+                Some(arrival) = arrivals.recv() => {
+                    pressed |= is_pressed(query, &arrival.result);
+                    self.arrived(&mut gather, &services, &running, arrival)
+                }
+                () = clock::sleep_until(gather.next_tick()) => {
+                    gather.tick(clock::now(), &mut self.shared.borrow_mut().budgets)
+                }
+            };
+            finished = self.perform(&mut running, actions);
+        }
+        Answer {
+            snapshot: gather.snapshot(),
+            tables: routing.version,
+            counts: gather.counts(),
+            parts: gather.parts(),
+            names,
+            pressed,
+        }
+    }
+
+    fn plan(&self, query: &Query, names: &[String], services: Vec<Vec<usize>>) -> Plan {
+        let mut shared = self.shared.borrow_mut();
+        let snapshot = shared.snapshot(&query.route.pool, &services);
+        let late = names
+            .iter()
+            .map(|n| shared.late.entry(n.clone()).or_default().delay())
+            .collect();
+        let ordered = services
+            .into_iter()
+            .map(|s| self.ordered(&shared.book, s, snapshot, query.spread))
+            .collect();
+        Plan {
+            services: ordered,
+            late,
+            deadline: query.deadline - ANSWER_MARGIN,
+            snapshot,
+            hedging: query.route.hedging,
+        }
+    }
+
+    /// Orders a service's targets: those that serve the snapshot, then by estimated wait.
+    fn ordered(
+        &self,
+        book: &Book,
+        mut targets: Vec<usize>,
+        snapshot: u64,
+        spread: u64,
+    ) -> Vec<usize> {
+        targets.sort_by_cached_key(|t| {
+            let (wait, open) = self.calls.load(*t);
+            let tie = rank::score(rattanturn_core::NodeId(*t as u64), spread);
+            (!book.may_serve(*t, snapshot), wait, open, tie)
+        });
+        targets
+    }
+
+    fn arrived(
+        &self,
+        gather: &mut Gather,
+        services: &[Vec<usize>],
+        running: &Running<'_>,
+        arrival: Arrival,
+    ) -> Vec<Action> {
+        let now = clock::now();
+        let mut shared = self.shared.borrow_mut();
+        let shared = &mut *shared;
+        if shared.book.record(arrival.target, &arrival.result.versions) {
+            shared.book_changes += 1;
+        }
+        if arrival.result.outcome == Outcome::Done {
+            let took = gather.age(now, arrival.attempt);
+            let service = running
+                .routing
+                .targets
+                .get(&arrival.target)
+                .map(|t| t.service.as_str());
+            if let Some(late) = service.and_then(|s| shared.late.get_mut(s)) {
+                late.record(took);
+            }
+        }
+        let newest = shared.snapshot(&running.query.route.pool, services);
+        let reply = reply_of(arrival.result);
+        gather.reply(now, arrival.attempt, reply, newest, &mut shared.budgets)
+    }
+
+    /// Sends and cancels; returns true when the answer is final.
+    fn perform(&self, running: &mut Running<'_>, actions: Vec<Action>) -> bool {
+        let mut finished = false;
+        let mut outgoing = Vec::new();
+        let mut attempts = Vec::new();
+        let mut cancels = Vec::new();
+        for action in actions {
+            match action {
+                Action::Call {
+                    attempt,
+                    target,
+                    snapshot,
+                    ..
+                } => {
+                    attempts.push(attempt);
+                    outgoing.extend(call_of(running, attempt, target, snapshot));
+                }
+                Action::Cancel(attempt) => cancels.extend(running.numbers.remove(&attempt)),
+                Action::Finish => finished = true,
+            }
+        }
+        if !cancels.is_empty() {
+            self.calls.cancel(&cancels);
+        }
+        if !outgoing.is_empty() {
+            let numbers = self.calls.send(outgoing);
+            running.numbers.extend(attempts.into_iter().zip(numbers));
+        }
+        finished
+    }
+}
+
+impl Learned {
+    /// Snapshot for a pool, chosen anew only when targets name other versions.
+    fn snapshot(&mut self, pool: &str, services: &[Vec<usize>]) -> u64 {
+        if let Some((changes, chosen)) = self.chosen.get(pool)
+            && *changes == self.book_changes
+        {
+            return *chosen;
+        }
+        let chosen = self.book.choose(services);
+        self.chosen.insert(pool.into(), (self.book_changes, chosen));
+        chosen
+    }
+}
+
+/// Tells whether a result is a sign of overload.
+fn is_pressed(query: &Query, result: &CallResult) -> bool {
+    let allowed = query.deadline.since(query.arrived).as_secs_f64();
+    result.outcome == Outcome::Busy || result.queued.as_secs_f64() > allowed * PRESSURE_SHARE
+}
+
+fn call_of(
+    running: &Running<'_>,
+    attempt: AttemptId,
+    target: usize,
+    snapshot: u64,
+) -> Option<Outgoing> {
+    let addr = running.routing.targets.get(&target)?.addr;
+    let call = HolderCall {
+        snapshot,
+        deadline: running.query.deadline - ANSWER_MARGIN,
+        priority: running.query.priority,
+        body: running.query.body.clone(),
+        ..blank(addr)
+    };
+    let send = running.send.clone();
+    let receive = Box::new(move |result| {
+        // The query may have ended.
+        let _ = send.send(Arrival {
+            attempt,
+            target,
+            result,
+        });
+    });
+    Some(Outgoing {
+        target,
+        call,
+        receive,
+    })
+}
+
+/// Names and targets of the services that a query asks.
+fn services_of(routing: &Routing, query: &Query) -> (Vec<String>, Vec<Vec<usize>>) {
+    let pool = &query.route.pool;
+    let lists = routing.services.get(pool).cloned().unwrap_or_default();
+    let names: Vec<String> = routing
+        .tables
+        .pools
+        .get(pool)
+        .map(|p| {
+            p.services
+                .iter()
+                .map(|s| format!("{pool}/{}", s.name))
+                .collect()
+        })
+        .unwrap_or_default();
+    match query.route.kind {
+        Kind::FanOut => (names, lists),
+        Kind::SingleRecord => {
+            // Every service of a single-record pool can serve the record.
+            let all = lists.into_iter().flatten().collect();
+            (names.into_iter().take(1).collect(), vec![all])
+        }
+    }
+}
+
+fn reply_of(result: CallResult) -> Reply {
+    match result.outcome {
+        Outcome::Done => Reply::Done {
+            snapshot: result.snapshot,
+            body: result.body,
+        },
+        Outcome::WrongSnapshot => Reply::WrongSnapshot,
+        Outcome::Busy => Reply::NotRun(Missing::Busy),
+        Outcome::Unreachable => Reply::NotRun(Missing::Unreachable),
+        Outcome::NoHolder => Reply::NotRun(Missing::NoHolder),
+        Outcome::Failed => Reply::Failed,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -0,0 +1,374 @@
+//! RPC between daemons: the server of this thread and its clients to others.
+
+use {
+    crate::{
+        clock,
+        routing::Destination,
+        traffic::{
+            holder::{CallResult, Done, Holder, HolderCall, Outcome},
+            once::Keeper,
+        },
+    },
+    capnp::capability::Rc as ObjectRef,
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::{AsyncReadExt, future::join_all},
+    rattanturn_core::Priority,
+    rattanturn_wire::peer_capnp::{self, call, peer, result, sink},
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, sync::oneshot},
+    tokio_util::compat::TokioAsyncReadCompatExt,
+};
+
+/// Time for connecting to another daemon.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Objects that other daemons may ask for: version and body by key.
+pub(crate) type Objects = Arc<Mutex<HashMap<String, (u64, Vec<u8>)>>>;
+
+/// Receives results of calls sent to other daemons.
+pub(crate) type Deliver = Rc<dyn Fn(CallResult)>;
+
+/// Serves RPC on `listener` until the thread ends.
+pub(crate) async fn serve(
+    listener: tokio::net::TcpListener,
+    holder: Holder,
+    keeper: Keeper,
+    objects: Objects,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let server = Server {
+            holder: holder.clone(),
+            keeper: keeper.clone(),
+            objects: objects.clone(),
+        };
+        let client: peer::Client = capnp_rpc::new_client(server);
+        let system = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(client.client));
+        actix_rt::spawn(async move {
+            let _ = system.await;
+        });
+    }
+}
+
+fn network(
+    stream: TcpStream,
+    side: Side,
+) -> VatNetwork<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>> {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    VatNetwork::new(
+        reader,
+        writer,
+        side,
+        capnp::message::ReaderOptions::default(),
+    )
+}
+
+struct Server {
+    holder: Holder,
+    keeper: Keeper,
+    objects: Objects,
+}
+
+impl peer::Server for Server {
+    async fn run(
+        self: ObjectRef<Self>,
+        params: peer::RunParams,
+        _: peer::RunResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let outbox = Rc::new(Outbox {
+            sink: params.get_sink()?,
+            pending: RefCell::default(),
+        });
+        let mut ends = Vec::new();
+        for call in params.get_calls()? {
+            let call = read_call(call)?;
+            let (send, end) = oneshot::channel::<()>();
+            ends.push(end);
+            let outbox = outbox.clone();
+            let done: Done = Box::new(move |result| {
+                outbox.push(result);
+                drop(send);
+            });
+            self.holder.submit(call, done);
+        }
+        // A dropped sender means that the call ended or was cancelled.
+        join_all(ends).await;
+        Outbox::flush(&outbox).await;
+        Ok(())
+    }
+
+    async fn cancel(
+        self: ObjectRef<Self>,
+        params: peer::CancelParams,
+        _: peer::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        for number in params.get_numbers()? {
+            self.holder.cancel(params.get_origin(), number);
+        }
+        Ok(())
+    }
+
+    async fn run_once(
+        self: ObjectRef<Self>,
+        params: peer::RunOnceParams,
+        mut results: peer::RunOnceResults,
+    ) -> Result<(), capnp::Error> {
+        let request = crate::traffic::once::read_request(params.get()?.get_request()?)?;
+        let outcome = self.keeper.run(request).await;
+        crate::traffic::once::write_outcome(results.get().init_result(), &outcome);
+        Ok(())
+    }
+
+    async fn object(
+        self: ObjectRef<Self>,
+        params: peer::ObjectParams,
+        mut results: peer::ObjectResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((version, body)) = objects.get(params.get_key()?.to_str()?)
+            && *version > params.get_known()
+        {
+            results.get().set_version(*version);
+            results.get().set_body(body);
+        }
+        Ok(())
+    }
+}
+
+/// Collects results that come in one turn of the event loop and sends them together.
+struct Outbox {
+    sink: sink::Client,
+    pending: RefCell<Vec<CallResult>>,
+}
+
+impl Outbox {
+    fn push(self: &Rc<Self>, result: CallResult) {
+        let first = self.pending.borrow().is_empty();
+        self.pending.borrow_mut().push(result);
+        if first {
+            let outbox = self.clone();
+            actix_rt::spawn(async move {
+                tokio::task::yield_now().await;
+                Self::flush(&outbox).await;
+            });
+        }
+    }
+
+    async fn flush(outbox: &Rc<Self>) {
+        let list = outbox.pending.take();
+        if list.is_empty() {
+            return;
+        }
+        let mut request = outbox.sink.deliver_request();
+        let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+        let mut results = request.get().init_results(count);
+        for (i, result) in (0..).zip(&list) {
+            write_result(results.reborrow().get(i), result);
+        }
+        // A receiver that is gone no longer wants the results.
+        let _ = request.send().promise.await;
+    }
+}
+
+struct SinkServer(Deliver);
+
+impl sink::Server for SinkServer {
+    async fn deliver(
+        self: ObjectRef<Self>,
+        params: sink::DeliverParams,
+        _: sink::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        for result in params.get()?.get_results()? {
+            (self.0)(read_result(result)?);
+        }
+        Ok(())
+    }
+}
+
+/// Clients of one thread to other daemons, one connection each.
+#[derive(Clone)]
+pub(crate) struct Peers {
+    clients: Rc<RefCell<HashMap<SocketAddr, peer::Client>>>,
+    sink: sink::Client,
+    delay: Duration,
+}
+
+impl Peers {
+    /// `delay` is added to each message to another data centre, for demonstrations.
+    pub(crate) fn new(deliver: Deliver, delay: Duration) -> Self {
+        let sink = capnp_rpc::new_client(SinkServer(deliver));
+        Self {
+            clients: Rc::default(),
+            sink,
+            delay,
+        }
+    }
+
+    /// Sends calls to the daemon at `to`; results arrive through the sink.
+    ///
+    /// Returns when all calls ended; an error means that those without a result are lost.
+    pub(crate) async fn run(&self, to: Destination, calls: &[HolderCall]) -> eyre::Result<()> {
+        self.travel(to).await;
+        let client = self.client(to.addr).await?;
+        let mut request = client.run_request();
+        request.get().set_sink(self.sink.clone());
+        let count = u32::try_from(calls.len()).unwrap_or(u32::MAX);
+        let mut list = request.get().init_calls(count);
+        for (i, call) in (0..).zip(calls) {
+            write_call(list.reborrow().get(i), call);
+        }
+        let sent = request.send().promise.await;
+        self.settle(to.addr, sent.map(|_| ()))
+    }
+
+    /// Cancels calls at the daemon at `to`.
+    pub(crate) async fn cancel(&self, to: Destination, origin: u64, numbers: &[u64]) {
+        self.travel(to).await;
+        let Ok(client) = self.client(to.addr).await else {
+            return;
+        };
+        let mut request = client.cancel_request();
+        request.get().set_origin(origin);
+        let count = u32::try_from(numbers.len()).unwrap_or(u32::MAX);
+        let mut list = request.get().init_numbers(count);
+        for (i, number) in (0..).zip(numbers) {
+            list.set(i, *number);
+        }
+        let sent = request.send().promise.await;
+        let _ = self.settle(to.addr, sent.map(|_| ()));
+    }
+
+    /// Client of the daemon at `addr`, connecting if need be.
+    pub(crate) async fn client(&self, addr: SocketAddr) -> eyre::Result<peer::Client> {
+        if let Some(client) = self.clients.borrow().get(&addr) {
+            return Ok(client.clone());
+        }
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+        let stream = connect.await.map_err(io::Error::from)??;
+        let network = network(stream, Side::Client);
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client = system.bootstrap(Side::Server);
+        let clients = self.clients.clone();
+        clients.borrow_mut().insert(addr, client.clone());
+        actix_rt::spawn(async move {
+            let _ = system.await;
+            clients.borrow_mut().remove(&addr);
+        });
+        Ok(client)
+    }
+
+    /// Forgets a connection that failed, so that the next use makes a new one.
+    pub(crate) fn settle(
+        &self,
+        addr: SocketAddr,
+        sent: Result<(), capnp::Error>,
+    ) -> eyre::Result<()> {
+        if let Err(error) = sent {
+            if error.kind == capnp::ErrorKind::Disconnected {
+                self.clients.borrow_mut().remove(&addr);
+            }
+            return Err(error.into());
+        }
+        Ok(())
+    }
+
+    /// Time that a message takes to another data centre in demonstrations.
+    pub(crate) async fn travel(&self, to: Destination) {
+        if to.far && !self.delay.is_zero() {
+            actix_rt::time::sleep(self.delay).await;
+        }
+    }
+}
+
+fn write_call(mut out: call::Builder<'_>, call: &HolderCall) {
+    out.set_origin(call.origin);
+    out.set_number(call.number);
+    out.set_target(call.target.to_string());
+    out.set_snapshot(call.snapshot);
+    out.set_remaining(clock::micros(call.deadline.since(clock::now())));
+    out.set_priority(call.priority as u8);
+    out.set_body(&call.body);
+    out.set_idempotent(call.once.is_none());
+    out.set_request(call.once.as_deref().unwrap_or(""));
+}
+
+fn read_call(m: call::Reader<'_>) -> capnp::Result<HolderCall> {
+    let target = m.get_target()?.to_str()?;
+    let target = target
+        .parse()
+        .map_err(|_| capnp::Error::failed("not an address".into()))?;
+    let request = m.get_request()?.to_str()?;
+    Ok(HolderCall {
+        origin: m.get_origin(),
+        number: m.get_number(),
+        target,
+        snapshot: m.get_snapshot(),
+        deadline: clock::now() + Duration::from_micros(m.get_remaining()),
+        priority: priority(m.get_priority()),
+        body: m.get_body()?.to_vec(),
+        once: (!m.get_idempotent()).then(|| request.to_owned()),
+    })
+}
+
+/// Priority from its number; a number of a later version counts as the highest known.
+pub(crate) fn priority(number: u8) -> Priority {
+    let index = usize::from(number).min(Priority::ALL.len() - 1);
+    Priority::ALL[index]
+}
+
+fn write_result(mut out: result::Builder<'_>, result: &CallResult) {
+    out.set_number(result.number);
+    out.set_outcome(match result.outcome {
+        Outcome::Done => peer_capnp::Outcome::Done,
+        Outcome::WrongSnapshot => peer_capnp::Outcome::WrongSnapshot,
+        Outcome::Busy => peer_capnp::Outcome::Busy,
+        Outcome::Unreachable => peer_capnp::Outcome::Unreachable,
+        Outcome::NoHolder => peer_capnp::Outcome::NoHolder,
+        Outcome::Failed => peer_capnp::Outcome::Failed,
+    });
+    out.set_snapshot(result.snapshot);
+    out.set_body(&result.body);
+    out.set_wait(clock::micros(result.wait));
+    out.set_queued(clock::micros(result.queued));
+    let count = u32::try_from(result.versions.len()).unwrap_or(u32::MAX);
+    let mut versions = out.init_versions(count);
+    for (i, version) in (0..).zip(&result.versions) {
+        versions.set(i, *version);
+    }
+}
+
+fn read_result(m: result::Reader<'_>) -> capnp::Result<CallResult> {
+    let outcome = match m.get_outcome() {
+        Ok(peer_capnp::Outcome::Done) => Outcome::Done,
+        Ok(peer_capnp::Outcome::WrongSnapshot) => Outcome::WrongSnapshot,
+        Ok(peer_capnp::Outcome::Busy) => Outcome::Busy,
+        Ok(peer_capnp::Outcome::Unreachable) => Outcome::Unreachable,
+        Ok(peer_capnp::Outcome::NoHolder) => Outcome::NoHolder,
+        // An outcome of a later version: nothing is known of the call.
+        Ok(peer_capnp::Outcome::Failed) | Err(_) => Outcome::Failed,
+    };
+    Ok(CallResult {
+        number: m.get_number(),
+        outcome,
+        snapshot: m.get_snapshot(),
+        body: m.get_body()?.to_vec(),
+        versions: m.get_versions()?.iter().collect(),
+        wait: Duration::from_micros(m.get_wait()),
+        queued: Duration::from_micros(m.get_queued()),
+    })
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! A whole deployment in one process, on embedded stand-ins: for the demonstration, the benches
+//! and the tests that need the whole path.
+
+pub mod bed;
+pub mod load;
+pub mod report;
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -18,5 +18,5 @@
 pub use {
     finding::{Finding, Findings, Severity},
     settings::{Holding, LogFormat, Settings},
-    tables::{DataCentre, Kind, Pool, Route, Service, Tables, Target, tables},
+    tables::{DataCentre, Kind, Pool, Route, Service, Tables, TablesObject, Target, tables},
 };
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -8,12 +8,12 @@
     },
 };
 
-/// Who may use a server's slots.
+/// Who may use a target's slots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Holding {
     /// One leased holder for each group of targets; other daemons relay to it.
     Leased,
-    /// Every daemon calls every server with an equal static share: the baseline of the
+    /// Every daemon calls every target with an equal static share: the baseline of the
     /// comparison in docs/design/holders.md.
     Shares,
 }
@@ -58,9 +58,12 @@
     pub drain_limit: Duration,
     /// Largest request body, in bytes.
     pub max_body: u32,
-    /// Who may use a server's slots.
+    /// Who may use a target's slots.
     pub holding: Holding,
-    /// Daemons that share a server under `holding = shares`.
+    /// Time added to each message to daemons of other data centres, for demonstrations on one
+    /// machine; zero in production.
+    pub peer_delay: Duration,
+    /// Daemons that share a target under `holding = shares`.
     pub shares: u32,
 }
 
@@ -133,6 +136,7 @@
             &[("leased", Holding::Leased), ("shares", Holding::Shares)],
             Holding::Leased,
         ),
+        peer_delay: daemon.duration("peer-delay", Duration::ZERO),
         shares: daemon.count("shares", 8),
     };
     for peer in daemon
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -6,7 +6,7 @@
         reader::{Reader, Section},
     },
     rattanturn_core::Priority,
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -20,7 +20,7 @@
 pub enum Kind {
     /// The request goes to every service of the pool and the answers are merged.
     FanOut,
-    /// The request goes to one server of the pool.
+    /// The request goes to one target of the pool.
     SingleRecord,
 }
 
@@ -79,20 +79,33 @@
 pub struct Pool {
     /// Name that routes refer to.
     pub name: String,
-    /// Calls that a warm server runs at once.
+    /// Calls that a warm target runs at once.
     pub slots: u32,
-    /// Connections that a server accepts.
+    /// Connections that a target accepts.
     pub connections: u32,
     /// Cost of setting up one connection.
     pub connect_time: Duration,
-    /// Calls that a cold server bears at once.
+    /// Calls that a cold target bears at once.
     pub cold_calls: u32,
-    /// Time over which a server that reports itself warm is brought to its full slots.
+    /// Time over which a target that reports itself warm is brought to its full slots.
     pub cold_ramp: Duration,
     /// Services by name, in the order of the table.
     pub services: Vec<Service>,
 }
 
+/// Both tables as one object, so that an edit of both takes effect at once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TablesObject {
+    /// Text of routes.ini.
+    pub routes: String,
+    /// Text of pools.ini.
+    pub pools: String,
+    /// Who wrote it.
+    pub editor: String,
+    /// When it was written, in milliseconds since 1970.
+    pub written: u64,
+}
+
 /// Both tables, checked and joined.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Tables {
@@ -203,7 +216,7 @@
     if pool.cold_calls > pool.slots {
         section.problem(
             "cold-calls",
-            "a cold server would get more than its slots",
+            "a cold target would get more than its slots",
             "lower `cold-calls`",
         );
     }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -8,7 +8,7 @@
   # Cancels calls by their numbers; outcomes of cancelled calls are not delivered.
   cancel @1 (origin :UInt64, numbers :List(UInt64)) -> ();
   # Runs a non-idempotent request at most once; the receiver holds its journal.
-  once @2 (request :Once) -> (result :OnceResult);
+  runOnce @2 (request :OnceRequest) -> (result :OnceResult);
   # Returns a shared object if the receiver's version is newer than `known`.
   object @3 (key :Text, known :UInt64) -> (version :UInt64, body :Data);
 }
@@ -49,7 +49,7 @@
   failed @5;
 }
 
-struct Once {
+struct OnceRequest {
   id @0 :Text;
   issued @1 :UInt64;      # milliseconds since 1970, by the caller's clock
   pool @2 :Text;
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -12,8 +12,8 @@
     pub type RunResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::run_results::Owned>;
     pub type CancelParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::cancel_params::Owned>;
     pub type CancelResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::cancel_results::Owned>;
-    pub type OnceParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::once_params::Owned>;
-    pub type OnceResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::once_results::Owned>;
+    pub type RunOnceParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::run_once_params::Owned>;
+    pub type RunOnceResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::run_once_results::Owned>;
     pub type ObjectParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::object_params::Owned>;
     pub type ObjectResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::object_results::Owned>;
 
@@ -71,7 +71,7 @@
         pub fn cancel_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::cancel_params::Owned,crate::peer_capnp::peer::cancel_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
-        pub fn once_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::once_params::Owned,crate::peer_capnp::peer::once_results::Owned> {
+        pub fn run_once_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::run_once_params::Owned,crate::peer_capnp::peer::run_once_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
         pub fn object_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::object_params::Owned,crate::peer_capnp::peer::object_results::Owned> {
@@ -81,7 +81,7 @@
     pub trait Server<> : 'static  {
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::run not implemented".to_string()))) }
         fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::cancel not implemented".to_string()))) }
-        fn once_(self: ::capnp::capability::Rc<Self>, _: OnceParams<>, _: OnceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::once_ not implemented".to_string()))) }
+        fn run_once(self: ::capnp::capability::Rc<Self>, _: RunOnceParams<>, _: RunOnceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::run_once not implemented".to_string()))) }
         fn object(self: ::capnp::capability::Rc<Self>, _: ObjectParams<>, _: ObjectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::object not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
@@ -114,7 +114,7 @@
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::once_(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run_once(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::object(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
@@ -941,7 +941,7 @@
         }
     }
 
-    pub mod once_params {
+    pub mod run_once_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1003,7 +1003,7 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::once_::Reader<'a>> {
+            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::once_request::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
@@ -1065,15 +1065,15 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::once_::Builder<'a>> {
+            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::once_request::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_request(&mut self, value: crate::peer_capnp::once_::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_request(&mut self, value: crate::peer_capnp::once_request::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_request(self, ) -> crate::peer_capnp::once_::Builder<'a> {
+            pub fn init_request(self, ) -> crate::peer_capnp::once_request::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
@@ -1089,7 +1089,7 @@
             }
         }
         impl Pipeline  {
-            pub fn get_request(&self) -> crate::peer_capnp::once_::Pipeline {
+            pub fn get_request(&self) -> crate::peer_capnp::once_request::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -1101,7 +1101,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -1109,8 +1109,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(111, 110, 99, 101, 36, 80, 97, 114),
-                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 117, 110, 79, 110, 99, 101, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -1121,7 +1121,7 @@
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(159, 123, 178, 179, 251, 94, 73, 205),
+                ::capnp::word(172, 139, 137, 188, 12, 48, 87, 240),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -1130,7 +1130,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::peer_capnp::once_::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::peer_capnp::once_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -1151,7 +1151,7 @@
         }
     }
 
-    pub mod once_results {
+    pub mod run_once_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1311,7 +1311,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -1319,8 +1319,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(111, 110, 99, 101, 36, 82, 101, 115),
-                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(114, 117, 110, 79, 110, 99, 101, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -3288,7 +3288,7 @@
 pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
 }
 
-pub mod once_ {
+pub mod once_request {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3522,21 +3522,22 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(159, 123, 178, 179, 251, 94, 73, 205),
+            ::capnp::word(172, 139, 137, 188, 12, 48, 87, 240),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(66, 154, 227, 183, 197, 240, 166, 209),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 79, 110, 99, 101, 0),
+            ::capnp::word(110, 112, 58, 79, 110, 99, 101, 82),
+            ::capnp::word(101, 113, 117, 101, 115, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3656,7 +3657,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,1,2,4,3];
-        pub(crate) const TYPE_ID: u64 = 0xcd49_5efb_b3b2_7b9f;
+        pub(crate) const TYPE_ID: u64 = 0xf057_300c_bc89_8bac;
     }
 }
 
