Make the lease test's search find its planted fault

Ruled out: a fault in the lease rules; the search was blind, and slow (64 panels a world). Change: one panel a world, changes that name one dead daemon, learning by groups; the recovery test informs its peers after each step.

--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -32,7 +32,7 @@
             match admission.ask(now, id, priority, deadline) {
                 Verdict::Start => started.push(id),
                 Verdict::Queued => {}
-                Verdict::Refused(wait) => assert!(wait < Duration::from_secs(60)),
+                Verdict::Refused(wait) => assert!(wait < Duration::from_mins(1)),
             }
         }
         let (ended, rest): (Vec<_>, Vec<_>) = running.drain(..).partition(|r| r.0 <= now);
--- a/crates/core/tests/leases.rs
+++ b/crates/core/tests/leases.rs
@@ -30,10 +30,10 @@
     Release { node: usize },
     /// Time passes.
     Wait { ms: u64 },
-    /// The platform's panel changes as a registrar that sees the mask would change it.
-    Change { alive: u8 },
-    /// A daemon learns the newest panel.
-    Learn { node: usize },
+    /// The platform's panel changes as a registrar would that sees one daemon as dead.
+    Change { dead: usize },
+    /// The daemons in the mask learn the newest panel.
+    Learn { nodes: u8 },
 }
 
 struct Node {
@@ -79,8 +79,12 @@
             version: 1,
         };
         let nodes: Vec<Node> = (0..NODES).map(node).collect();
-        let mut first = Panels::create(&peers(&nodes, u8::MAX));
-        first.list.truncate(1);
+        let first = Panels {
+            list: vec![Entry {
+                epoch: 1,
+                voters: (0..5).map(id).collect(),
+            }],
+        };
         Self {
             now: Time::from_millis(1),
             nodes,
@@ -124,14 +128,18 @@
                 }
             }
             Op::Wait { ms } => self.now = self.now + Duration::from_millis(*ms),
-            Op::Change { alive } => {
+            Op::Change { dead } => {
                 let newest = self.history.last().expect("there is a version");
-                let peers = peers(&self.nodes, *alive);
+                let peers = peers(&self.nodes, !(1 << dead));
                 if let Some(next) = (self.step)(newest, self.history.len() as u64, &peers) {
                     self.history.push(next);
                 }
             }
-            Op::Learn { node } => self.nodes[*node].version = self.history.len(),
+            Op::Learn { nodes } => {
+                for node in (0..NODES).filter(|n| nodes & (1 << n) != 0) {
+                    self.nodes[node].version = self.history.len();
+                }
+            }
         }
     }
 
@@ -184,10 +192,10 @@
         1 => any::<usize>().prop_map(|pick| Op::Lose { pick }),
         1 => (0..NODES).prop_map(|node| Op::Release { node }),
         2 => (1..2_500_u64).prop_map(|ms| Op::Wait { ms }),
-        2 => any::<u8>().prop_map(|alive| Op::Change { alive }),
-        3 => (0..NODES).prop_map(|node| Op::Learn { node }),
+        3 => (0..NODES).prop_map(|dead| Op::Change { dead }),
+        2 => any::<u8>().prop_map(|nodes| Op::Learn { nodes }),
     ];
-    proptest::collection::vec(op, 1..120)
+    proptest::collection::vec(op, 1..60)
 }
 
 fn config(cases: u32) -> ProptestConfig {
@@ -216,7 +224,7 @@
 
 #[test]
 fn never_two_holders() {
-    explore(4_000, Panels::step).unwrap();
+    explore(3_000, Panels::step).unwrap();
 }
 
 /// The rule that a majority must know the present panel is what keeps changes safe.
@@ -232,7 +240,7 @@
             .collect();
         panels.step(version, &informed)
     }
-    let found = explore(20_000, hasty).unwrap_err();
+    let found = explore(6_000, hasty).unwrap_err();
     assert!(found.contains("two holders"), "{found}");
 }
 
@@ -304,23 +312,21 @@
         })
         .collect();
     let mut panels = Panels::create(&all);
-    let left: Vec<Peer> = all.iter().filter(|p| p.centre != 0).cloned().collect();
-    let mut version = 1;
-    while let Some(next) = panels.step(version, &left) {
-        panels = next;
-        version += 1;
-        assert!(version < 20, "the panels never settle");
-        let known = version;
-        let informed: Vec<Peer> = left.iter().map(|p| Peer { known, ..p.clone() }).collect();
-        if let Some(next) = panels.step(version, &informed) {
-            panels = next;
-            version += 1;
-        }
-        let settled = |e: &Entry| e.voters.len() == 5 && e.voters.iter().all(|v| v.0 % 3 != 1);
-        if panels.list.iter().all(settled) {
-            assert_eq!(panels.list.len(), PANELS);
-            return;
+    let left: Vec<Peer> = all.into_iter().filter(|p| p.centre != 0).collect();
+    for version in 1..10 {
+        let inform = |p: &Peer| Peer {
+            known: version,
+            ..p.clone()
+        };
+        let informed: Vec<Peer> = left.iter().map(inform).collect();
+        match panels.step(version, &informed) {
+            Some(next) => panels = next,
+            None => break,
         }
     }
-    panic!("the panels stopped short: {panels:?}");
+    assert_eq!(panels.list.len(), PANELS);
+    for entry in &panels.list {
+        assert_eq!(entry.voters.len(), 5);
+        assert!(entry.voters.iter().all(|v| left.iter().any(|p| p.id == *v)));
+    }
 }
