Test every promise on the whole path, and membership in virtual time

Cause: the promises were held only by the parts' own tests. Change: an in-memory link for many memberships (loss, pauses, cuts, deaths) with nine tests; fourteen whole-path tests, one or more for each promise; a target that said it is leaving is tried again with one call after 30 s, since nothing ever took it back.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -256,6 +256,11 @@
         }
     }
 
+    /// Takes in a member that was learned of elsewhere, for example from a VM list.
+    pub fn introduce(&mut self, now: Time, fact: &Fact) {
+        self.learn(now, fact);
+    }
+
     /// Announces that this daemon is about to stop.
     pub fn leave(&mut self, now: Time) {
         let mut fact = self.members[&self.me].fact.clone();
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -28,6 +28,8 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest pause after a target could not be reached.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Time after which a target that said it was leaving is tried with one call, in case it stayed.
+const LEAVING_TIME: Duration = Duration::from_secs(30);
 
 /// A call as the queue knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -146,7 +148,7 @@
 pub struct Queue {
     shape: Shape,
     heat: Heat,
-    leaving: bool,
+    leaving_until: Option<Time>,
     running: BTreeMap<CallId, Time>,
     waiting: [VecDeque<Ask>; 3],
     service: Duration,
@@ -161,7 +163,7 @@
         Self {
             shape,
             heat: Heat::Unknown,
-            leaving: false,
+            leaving_until: None,
             running: BTreeMap::new(),
             waiting: Default::default(),
             service: INITIAL_SERVICE,
@@ -216,7 +218,7 @@
     #[must_use]
     pub fn heat(&self) -> &'static str {
         match self.heat {
-            _ if self.leaving => "leaving",
+            _ if self.leaving_until.is_some() => "leaving",
             Heat::Unknown => "unknown",
             Heat::Cold => "cold",
             Heat::Ramping(_) => "ramping",
@@ -243,7 +245,7 @@
 
     /// A call asks to run.
     pub fn ask(&mut self, now: Time, ask: &Ask) -> Verdict {
-        if self.leaving {
+        if self.leaving(now) {
             return Verdict::Refused(Refusal::Draining);
         }
         if self.limit(now) == 0 {
@@ -266,13 +268,19 @@
             return Moves::default();
         };
         match end {
-            End::Answered { cold } => self.answered(now, now.since(started), cold),
+            End::Answered { cold } => {
+                self.leaving_until = None;
+                self.answered(now, now.since(started), cold);
+            }
             End::Shed { cold } => {
                 if cold {
                     self.heat = Heat::Cold;
                 }
             }
-            End::Leaving => self.leaving = true,
+            End::Leaving => {
+                self.leaving_until = Some(now + LEAVING_TIME);
+                self.heat = Heat::Unknown;
+            }
             End::Unreachable => self.unreachable(now),
             End::Cancelled => {}
         }
@@ -294,11 +302,6 @@
         }
     }
 
-    /// Marks the target as leaving or staying: a leaving target gets no new call.
-    pub fn set_leaving(&mut self, leaving: bool) {
-        self.leaving = leaving;
-    }
-
     /// Refuses waiting calls that cannot be answered in time and starts others.
     pub fn advance(&mut self, now: Time) -> Moves {
         if let Heat::Ramping(since) = self.heat
@@ -307,7 +310,7 @@
             self.heat = Heat::Warm;
         }
         let mut moves = Moves::default();
-        let refusal = if self.leaving {
+        let refusal = if self.leaving(now) {
             Some(Refusal::Draining)
         } else if self.limit(now) == 0 {
             Some(Refusal::Down)
@@ -377,6 +380,11 @@
         }
     }
 
+    /// A target that leaves gets no new call.
+    fn leaving(&self, now: Time) -> bool {
+        self.leaving_until.is_some_and(|t| now < t)
+    }
+
     fn free(&self, now: Time) -> bool {
         self.running.len() < self.limit(now) as usize
     }
--- /dev/null
+++ b/crates/demo/tests/promises.rs
@@ -0,0 +1,448 @@
+//! What must always hold, on the whole path: real daemons, stand-ins for everything else.
+//!
+//! Nothing here asserts a time. Each test waits for a state, such as every daemon naming the
+//! newest tables, and then checks what targets and callers saw.
+
+use {
+    actix_rt::{System, time::sleep},
+    rattanturn_daemon::Daemon,
+    rattanturn_demo::{
+        bed::{Bed, Options},
+        load::{Finder, Seen, Stream, run, unix_ms},
+        report::{false_not_run, totals},
+    },
+    rattanturn_platform::TABLES_KEY,
+    rattanturn_standins::platform::Mode,
+    std::{
+        collections::BTreeMap,
+        fmt::Write,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const CENTRES: [&str; 3] = ["east", "north", "west"];
+const LOAD_TIME: Duration = Duration::from_secs(3);
+const LIMIT: Duration = Duration::from_secs(60);
+
+const ROUTES: &str = "\
+[route search]
+kind = fan-out
+pool = ledgers
+deadline = 2s
+min-coverage = 0.5
+[route renew]
+kind = single-record
+pool = events
+idempotent = no
+hedging = no
+deadline = 2s
+";
+
+fn pools() -> String {
+    let mut out = String::new();
+    for centre in CENTRES {
+        let _ = write!(out, "[data-centre {centre}]\nregion = r\nstate = in\n");
+    }
+    out.push_str("[pool ledgers]\nslots = 3\nconnections = 30\nconnect-time = 6ms\n");
+    out.push_str("[pool events]\nslots = 4\nconnections = 40\n");
+    let mut port = 9_000;
+    let mut target = |i: usize| {
+        port += 1;
+        format!("{}@127.0.0.1:{port}", CENTRES[i % 3])
+    };
+    for i in 0..6 {
+        let pair = [target(i), target(i + 1)].join(", ");
+        let _ = write!(out, "[service ledgers/l{i}]\ntargets = {pair}\n");
+    }
+    let list = [target(0), target(1), target(2)].join(", ");
+    let _ = write!(out, "[service events/e]\ntargets = {list}\n");
+    out
+}
+
+fn options(daemons: usize) -> Options {
+    let mut options = Options::new(ROUTES, &pools());
+    options.daemons = daemons;
+    options.distance = Duration::ZERO;
+    options
+}
+
+/// Runs a test on a deployment of `daemons` daemons.
+fn on_bed<F>(daemons: usize, test: F)
+where
+    F: AsyncFnOnce(&mut Bed),
+{
+    System::new().block_on(async {
+        let mut bed = Bed::spawn(options(daemons)).await.unwrap();
+        test(&mut bed).await;
+        bed.end();
+    });
+}
+
+fn stream(route: &str, rate: f64) -> Stream {
+    Stream {
+        route: route.into(),
+        rate,
+        idempotent: route == "search",
+    }
+}
+
+async fn load(bed: &Bed, route: &str, rate: f64, seed: u64) -> Seen {
+    let finder = Finder::new(bed.entries(), "east");
+    run(finder, stream(route, rate), LOAD_TIME, seed).await
+}
+
+/// Waits until every daemon has the platform's newest tables in force.
+async fn in_force(bed: &Bed) {
+    let (newest, _) = bed.platform.get(TABLES_KEY).unwrap();
+    until("the tables are in force everywhere", async || {
+        bed.states()
+            .await
+            .iter()
+            .all(|s| s["tables"].as_u64() == Some(newest))
+    })
+    .await;
+}
+
+async fn until(what: &str, done: impl AsyncFn() -> bool) {
+    let start = Instant::now();
+    while !done().await {
+        assert!(start.elapsed() < LIMIT, "never: {what}");
+        sleep(Duration::from_millis(30)).await;
+    }
+}
+
+/// Calls that reached the targets of a data centre.
+fn arrivals(bed: &Bed, centre: &str) -> u64 {
+    let targets = bed
+        .targets
+        .iter()
+        .filter(|t| t.state.shape().centre == centre);
+    targets
+        .map(|t| t.state.tally())
+        .map(|t| t.ran + t.shed + t.cancelled)
+        .sum()
+}
+
+#[test]
+fn an_answer_comes_from_one_snapshot() {
+    on_bed(6, async |bed| {
+        let states: Vec<_> = bed.targets.iter().map(|t| t.state.clone()).collect();
+        let mover = actix_rt::spawn(async move {
+            for version in 2..40 {
+                for state in &states {
+                    state.set_versions(&[version - 1, version]);
+                    sleep(Duration::from_millis(5)).await;
+                }
+            }
+        });
+        let seen = load(bed, "search", 40.0, 1).await;
+        mover.abort();
+        assert_eq!(seen.wrong, 0, "{seen:?}");
+        assert!(seen.full > 0, "{seen:?}");
+    });
+}
+
+#[test]
+fn coverage_is_true_when_services_are_gone() {
+    on_bed(6, async |bed| {
+        for target in bed
+            .targets
+            .iter()
+            .filter(|t| t.state.shape().service == "ledgers/l0")
+        {
+            target.state.set_leaving(true);
+        }
+        let seen = load(bed, "search", 30.0, 2).await;
+        assert_eq!((seen.wrong, seen.full), (0, 0), "{seen:?}");
+        assert!(seen.partial > 0, "{seen:?}");
+        // One service of six is missing from each answer and named with its reason.
+        let answers = seen.partial + seen.short;
+        assert!(
+            seen.reasons
+                .get("unreachable")
+                .is_some_and(|n| *n >= answers),
+            "{seen:?}"
+        );
+    });
+}
+
+#[test]
+fn a_cold_target_gets_no_more_than_it_bears() {
+    on_bed(6, async |bed| {
+        let cold = bed
+            .targets
+            .iter()
+            .filter(|t| t.state.shape().centre == "north");
+        let cold: Vec<_> = cold.map(|t| t.state.clone()).collect();
+        // Falls back without warning, under load; its health page goes on saying "warm".
+        let fall = actix_rt::spawn(async move {
+            sleep(LOAD_TIME / 3).await;
+            for state in &cold {
+                state.set_cold(Duration::from_secs(2));
+            }
+        });
+        let seen = load(bed, "search", 60.0, 3).await;
+        fall.await.unwrap();
+        // A fall is noticed by the first answer after it; only the slots that were free at that
+        // moment can be filled before.
+        for target in &bed.targets {
+            let (shape, tally) = (target.state.shape(), target.state.tally());
+            let unnoticed = u64::from(shape.slots - shape.cold_calls);
+            assert!(tally.overheated <= unnoticed, "{} {tally:?}", shape.service);
+        }
+        assert_eq!((seen.wrong, seen.broken), (0, 0), "{seen:?}");
+    });
+}
+
+#[test]
+fn slots_and_connections_are_never_oversubscribed() {
+    on_bed(6, async |bed| {
+        bed.targets[0].state.set_slow(10.0);
+        let seen = load(bed, "search", 80.0, 4).await;
+        let totals = totals(&bed.targets);
+        assert_eq!(
+            (totals.oversubscribed, totals.refused_connections),
+            (0, 0),
+            "{totals:?}"
+        );
+        assert_eq!(seen.wrong, 0, "{seen:?}");
+    });
+}
+
+#[test]
+fn a_data_centre_taken_out_gets_no_new_work() {
+    // Three daemons in each data centre: one of them does not watch the platform.
+    on_bed(9, async |bed| {
+        load(bed, "search", 20.0, 5).await;
+        assert!(arrivals(bed, "west") > 0);
+        bed.set_centre("west", true).unwrap();
+        in_force(bed).await;
+        // What was under way ends.
+        sleep(Duration::from_secs(1)).await;
+        let before = arrivals(bed, "west");
+        let seen = load(bed, "search", 30.0, 6).await;
+        assert_eq!(arrivals(bed, "west"), before);
+        assert_eq!(
+            (seen.partial, seen.short, seen.broken),
+            (0, 0, 0),
+            "{seen:?}"
+        );
+        bed.set_centre("west", false).unwrap();
+        in_force(bed).await;
+        until("the data centre works again", async || {
+            load(bed, "search", 20.0, 7).await;
+            arrivals(bed, "west") > before
+        })
+        .await;
+        assert_eq!(totals(&bed.targets).oversubscribed, 0);
+    });
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    on_bed(6, async |bed| {
+        let target = &bed.targets[0].state;
+        load(bed, "search", 20.0, 8).await;
+        target.set_leaving(true);
+        load(bed, "search", 20.0, 9).await;
+        // Its refusal of what was sent before it spoke is all it gets.
+        let shed = target.tally().shed;
+        assert!(shed <= u64::from(target.shape().slots), "{shed}");
+        let seen = load(bed, "search", 20.0, 10).await;
+        assert_eq!(target.tally().shed, shed);
+        assert_eq!(
+            (seen.partial, seen.short, seen.wrong),
+            (0, 0, 0),
+            "{seen:?}"
+        );
+    });
+}
+
+#[test]
+fn each_caller_gets_its_own_whole_answer() {
+    on_bed(6, async |bed| {
+        // Slow targets make hedges and cancellations, so answers come late and crossed.
+        for target in bed.targets.iter().step_by(3) {
+            target.state.set_slow(8.0);
+        }
+        let seen = load(bed, "search", 50.0, 11).await;
+        assert_eq!((seen.wrong, seen.broken), (0, 0), "{seen:?}");
+        assert!(seen.calls[1] > 0, "no call was hedged: {seen:?}");
+    });
+}
+
+#[test]
+fn not_run_is_true_and_nothing_runs_twice_under_kills_and_lost_answers() {
+    on_bed(6, async |bed| {
+        bed.targets.last().unwrap().state.set_broken(true);
+        let finder = Finder::new(bed.entries(), "east");
+        let running = actix_rt::spawn(run(finder, stream("renew", 60.0), LOAD_TIME * 2, 12));
+        sleep(LOAD_TIME / 2).await;
+        bed.kill(1);
+        sleep(LOAD_TIME / 2).await;
+        bed.kill(4);
+        let seen = running.await.unwrap();
+        let totals = totals(&bed.targets);
+        assert_eq!(totals.doubled, 0, "{totals:?}");
+        assert!(seen.full > 0, "{seen:?}");
+        let all = BTreeMap::from([("renew".to_owned(), seen)]);
+        assert_eq!(false_not_run(&all, &totals), 0);
+    });
+}
+
+/// Sends one non-idempotent request and returns its outcome.
+async fn renew(addr: SocketAddr, id: &str, issued: u64) -> String {
+    let request = awc::Client::builder()
+        .timeout(Duration::from_secs(5))
+        .finish();
+    let sent = request
+        .post(format!("http://{addr}/query/renew"))
+        .insert_header(("x-request-id", id))
+        .insert_header(("x-issued", issued.to_string()))
+        .send_body(id.to_owned())
+        .await;
+    let Ok(mut response) = sent else {
+        return "broken".into();
+    };
+    let ran = response.status().is_success();
+    let body = response.body().await.unwrap();
+    if ran {
+        return "ran".into();
+    }
+    let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    body["outcome"].as_str().unwrap().to_owned()
+}
+
+#[test]
+fn a_repeat_at_another_vm_is_answered_from_the_first() {
+    on_bed(6, async |bed| {
+        // The journals' tenures must lie behind the tolerated clock skew.
+        sleep(Duration::from_secs(2)).await;
+        let entries = bed.entries();
+        for n in 0..20 {
+            let (id, issued) = (format!("r{n}"), unix_ms());
+            let both = futures::future::join(
+                renew(entries[n % 6], &id, issued),
+                renew(entries[(n + 1) % 6], &id, issued),
+            );
+            let (first, second) = both.await;
+            let third = renew(entries[(n + 2) % 6], &id, issued).await;
+            assert_eq!([first.as_str(), &second, &third], ["ran"; 3], "{id}");
+        }
+        let totals = totals(&bed.targets);
+        assert!(totals.once.len() == 20 && totals.doubled == 0, "{totals:?}");
+    });
+}
+
+#[test]
+fn a_repeat_after_its_keeper_died_does_not_run_again() {
+    on_bed(6, async |bed| {
+        sleep(Duration::from_secs(2)).await;
+        let issued = unix_ms();
+        let first = bed.entries()[5];
+        for n in 0..30 {
+            assert_eq!(renew(first, &format!("r{n}"), issued).await, "ran");
+        }
+        bed.kill(0);
+        bed.kill(2);
+        bed.ready().await.unwrap();
+        let mut outcomes = BTreeMap::new();
+        for n in 0..30 {
+            let outcome = renew(first, &format!("r{n}"), issued).await;
+            *outcomes.entry(outcome).or_insert(0) += 1;
+        }
+        let totals = totals(&bed.targets);
+        assert_eq!((totals.doubled, totals.once.len()), (0, 30), "{outcomes:?}");
+        assert!(!outcomes.contains_key("not-run"), "they ran: {outcomes:?}");
+    });
+}
+
+#[test]
+fn planned_stops_cut_off_nothing() {
+    on_bed(6, async |bed| {
+        let finder = Finder::new(bed.entries(), "east");
+        let time = Duration::from_secs(16);
+        let search = actix_rt::spawn(run(finder.clone(), stream("search", 30.0), time, 13));
+        let renewals = actix_rt::spawn(run(finder, stream("renew", 30.0), time, 14));
+        sleep(Duration::from_secs(1)).await;
+        bed.add_daemon("fresh-1").unwrap();
+        bed.add_daemon("fresh-2").unwrap();
+        let stops: Vec<Daemon> = [0, 3].into_iter().filter_map(|i| bed.take(i)).collect();
+        let lefts = futures::future::join_all(stops.into_iter().map(Daemon::stop)).await;
+        for left in lefts {
+            assert_eq!(left, "0 requests and 0 units were left");
+        }
+        let (search, renewals) = (search.await.unwrap(), renewals.await.unwrap());
+        assert_eq!(
+            (search.broken, search.wrong, search.not_run),
+            (0, 0, 0),
+            "{search:?}"
+        );
+        assert_eq!(search.short, 0, "{search:?}");
+        assert_eq!((renewals.broken, renewals.wrong), (0, 0), "{renewals:?}");
+        let totals = totals(&bed.targets);
+        assert_eq!(
+            (totals.doubled, totals.oversubscribed),
+            (0, 0),
+            "{totals:?}"
+        );
+    });
+}
+
+#[test]
+fn an_accepted_configuration_is_in_force_everywhere_and_never_reverts() {
+    on_bed(9, async |bed| {
+        let mut highest: BTreeMap<String, u64> = BTreeMap::new();
+        for (turn, mode) in [Mode::Up, Mode::Past, Mode::Up, Mode::Past]
+            .into_iter()
+            .enumerate()
+        {
+            bed.set_centre("west", turn % 2 == 0).unwrap();
+            if mode == Mode::Up {
+                in_force(bed).await;
+            }
+            // The platform now answers from the past for a while.
+            bed.platform.set_mode(mode);
+            for _ in 0..20 {
+                for state in bed.states().await {
+                    let version = state["tables"].as_u64().unwrap();
+                    let name = state["name"].as_str().unwrap().to_owned();
+                    let before = highest.insert(name, version).unwrap_or(0);
+                    assert!(version >= before, "reverted from {before} to {version}");
+                }
+                sleep(Duration::from_millis(25)).await;
+            }
+            bed.platform.set_mode(Mode::Up);
+            in_force(bed).await;
+        }
+    });
+}
+
+#[test]
+fn a_daemon_that_starts_while_the_platform_is_down_serves() {
+    on_bed(4, async |bed| {
+        bed.platform.set_mode(Mode::Down);
+        bed.add_daemon("late").unwrap();
+        in_force(bed).await;
+        bed.kill(0);
+        bed.ready().await.unwrap();
+        let seen = load(bed, "search", 20.0, 15).await;
+        assert_eq!((seen.short, seen.broken, seen.wrong), (0, 0, 0), "{seen:?}");
+    });
+}
+
+#[test]
+fn refused_tables_leave_the_old_ones_in_force() {
+    on_bed(4, async |bed| {
+        let good = bed.pools.clone();
+        bed.pools = good.replace("slots = 3", "slots = 0");
+        let _ = bed.put_tables();
+        sleep(Duration::from_millis(500)).await;
+        let seen = load(bed, "search", 20.0, 16).await;
+        assert_eq!((seen.full, seen.broken), (seen.total(), 0), "{seen:?}");
+        bed.pools = good;
+        let _ = bed.put_tables();
+        in_force(bed).await;
+    });
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,6 @@
 //! from the past). They count what must never happen: too many calls at once, cold targets given
 //! more than they bear, non-idempotent requests run twice.
 
+pub mod gossip;
 pub mod platform;
 pub mod target;
--- /dev/null
+++ b/crates/standins/tests/membership.rs
@@ -0,0 +1,126 @@
+//! Membership under deaths, pauses, loss, partitions and replacement, in virtual time.
+
+use {rattanturn_core::membership::State, rattanturn_standins::gossip::Net, std::time::Duration};
+
+const SEED: u64 = 5;
+const LONG: Duration = Duration::from_mins(2);
+
+fn settled(count: usize) -> Net {
+    let mut net = Net::new(count, SEED);
+    assert!(
+        net.run_until(LONG, Net::agreed).is_some(),
+        "{count} members never agreed"
+    );
+    net
+}
+
+#[test]
+fn members_find_each_other_through_one_seed() {
+    settled(24);
+}
+
+#[test]
+fn a_death_is_seen_by_all() {
+    let mut net = settled(9);
+    net.nodes[4].dead = true;
+    let took = net
+        .run_until(LONG, Net::agreed)
+        .expect("the death was not seen");
+    assert!(took < Duration::from_secs(15), "{took:?}");
+}
+
+#[test]
+fn all_of_a_data_centre_gone_at_once_is_seen_by_all() {
+    let mut net = settled(24);
+    for node in net.nodes.iter_mut().skip(16) {
+        node.dead = true;
+    }
+    let took = net
+        .run_until(LONG, Net::agreed)
+        .expect("the deaths were not seen");
+    assert!(took < Duration::from_secs(30), "{took:?}");
+}
+
+#[test]
+fn a_paused_process_does_not_accuse_the_others() {
+    let mut net = settled(9);
+    net.nodes[3].paused = true;
+    net.run(Duration::from_secs(2));
+    net.nodes[3].paused = false;
+    for _ in 0..200 {
+        net.run(Duration::from_millis(50));
+        assert_eq!(
+            net.believed(3, State::Suspect) + net.believed(3, State::Dead),
+            0
+        );
+    }
+}
+
+#[test]
+fn a_short_pause_is_refuted() {
+    let mut net = settled(9);
+    net.nodes[3].paused = true;
+    net.run(Duration::from_secs(2));
+    net.nodes[3].paused = false;
+    net.run(Duration::from_secs(10));
+    assert!(net.agreed());
+}
+
+#[test]
+fn loss_alone_kills_nobody() {
+    let mut net = settled(24);
+    net.loss = 0.05;
+    for _ in 0..120 {
+        net.run(Duration::from_secs(1));
+        for observer in 0..24 {
+            assert_eq!(net.believed(observer, State::Dead), 0, "at {}", net.now);
+        }
+    }
+}
+
+#[test]
+fn a_partition_of_an_hour_heals() {
+    let mut net = settled(9);
+    net.cut = Some(5);
+    net.run(Duration::from_mins(10));
+    assert_eq!(net.believed(0, State::Dead), 4);
+    net.cut = None;
+    assert!(
+        net.run_until(LONG, Net::agreed).is_some(),
+        "the partition never healed"
+    );
+}
+
+#[test]
+fn a_leaving_member_is_known_as_leaving() {
+    let mut net = settled(9);
+    let now = net.now;
+    net.nodes[2].membership.leave(now);
+    let known = |net: &Net| (0..9).all(|o| net.state(o, 2) == Some(State::Leaving));
+    let took = net.run_until(LONG, known).expect("the leave was not heard");
+    assert!(took < Duration::from_secs(5), "{took:?}");
+}
+
+#[test]
+fn every_member_replaced_one_after_another() {
+    let mut net = settled(8);
+    for old in 0..8 {
+        let now = net.now;
+        net.nodes[old].membership.leave(now);
+        net.run(Duration::from_secs(3));
+        net.nodes[old].dead = true;
+        let next = net.nodes.len();
+        net.join(next, SEED);
+        // A new VM is told the addresses of those that run; here it asks the last one.
+        let peer = next - 1;
+        let fact = net.nodes[peer]
+            .membership
+            .get(rattanturn_standins::gossip::id(peer));
+        let fact = fact.expect("a member knows itself").fact.clone();
+        net.nodes[next].membership.introduce(net.now, &fact);
+        assert!(
+            net.run_until(LONG, Net::agreed).is_some(),
+            "replacement {old} never settled"
+        );
+    }
+}
