--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -87,12 +87,24 @@
     }
 }
 
-/// Why a command did not succeed; its number is the exit code.
+/// Why a command did not succeed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
-    Refused = 1,
-    Conflict = 3,
-    Unanswered = 4,
+    Refused,
+    Absent,
+    Conflict,
+    Unanswered,
+}
+
+impl Failure {
+    /// Exit code, as documented in the tool's help.
+    const fn code(self) -> u8 {
+        match self {
+            Self::Refused | Self::Absent => 1,
+            Self::Conflict => 3,
+            Self::Unanswered => 4,
+        }
+    }
 }
 
 /// A failure and what to tell the operator.
@@ -106,7 +118,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(Failed(failure, text)) => {
             eprintln!("{text}");
-            ExitCode::from(failure as u8)
+            ExitCode::from(failure.code())
         }
     }
 }
--- a/crates/cli/src/tables.rs
+++ b/crates/cli/src/tables.rs
@@ -67,16 +67,16 @@
     let texts = read_files(&flags.routes, &flags.pools)?;
     checked(&texts, !flags.allow_unknown)?;
     let platform = Platform::open(flags.platform);
-    let base = match flags.base {
-        Some(base) => base,
-        None => present_version(&platform).await?,
-    };
+    let (present, previous) = present(&platform).await?;
+    let base = flags.base.unwrap_or(present);
     let editor = flags.editor.clone().or_else(|| std::env::var("USER").ok());
+    let made = TablesObject::new(&texts.routes, &texts.pools, previous.as_ref())
+        .map_err(|f| Failed(Failure::Refused, f.to_string()))?;
+    let editor = editor.unwrap_or_else(|| "unknown".into());
     let object = TablesObject {
-        routes: texts.routes.clone(),
-        pools: texts.pools.clone(),
-        editor: editor.unwrap_or_else(|| "unknown".into()),
+        editor,
         written: unix_ms(),
+        ..made
     };
     let body = serde_json::to_vec(&object)
         .map_err(|e| Failed(Failure::Refused, format!("cannot encode the tables: {e}")))?;
@@ -154,7 +154,7 @@
         Read::Found(o) => serde_json::from_slice(&o.body)
             .map(|object| (o.version, object))
             .map_err(|e| Failed(Failure::Refused, format!("the object cannot be read: {e}"))),
-        Read::Absent => Err(Failed(Failure::Refused, "there are no tables yet".into())),
+        Read::Absent => Err(Failed(Failure::Absent, "there are no tables yet".into())),
         Read::Unchanged | Read::Down => Err(Failed(
             Failure::Unanswered,
             "the platform does not answer".into(),
@@ -162,15 +162,12 @@
     }
 }
 
-/// Version of the tables in the platform; 0 if there are none.
-async fn present_version(platform: &Platform) -> Result<u64, Failed> {
-    match platform.read(TABLES_KEY).await {
-        Read::Found(o) => Ok(o.version),
-        Read::Absent => Ok(0),
-        Read::Unchanged | Read::Down => Err(Failed(
-            Failure::Unanswered,
-            "the platform does not answer".into(),
-        )),
+/// The tables in the platform and their version; 0 if there are none.
+async fn present(platform: &Platform) -> Result<(u64, Option<TablesObject>), Failed> {
+    match fetch(platform).await {
+        Ok((version, object)) => Ok((version, Some(object))),
+        Err(Failed(Failure::Absent, _)) => Ok((0, None)),
+        Err(failed) => Err(failed),
     }
 }
 
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -1,8 +1,8 @@
 //! What traffic threads need to know, as one immutable value that control replaces.
 //!
-//! Targets are grouped into units: a power-of-two number of buckets for each pool and data
-//! centre, so that adding a service seldom moves a target to another unit. A unit is held by
-//! one daemon; the holder is derived from membership, without a vote, and takes effect only
+//! Targets are grouped into units by hash of their address, so that adding a service moves no
+//! other target; the number of units of a pool and data centre is part of the tables object. A
+//! unit is held by one daemon; the holder is derived from membership, without a vote, and takes effect only
 //! under a lease.
 
 use {
@@ -24,8 +24,6 @@
     },
 };
 
-/// Targets in a unit, on average at most.
-const UNIT_TARGETS: usize = 8;
 /// Shares of the request ids of non-idempotent requests.
 pub(crate) const JOURNALS: u64 = 16;
 
@@ -214,7 +212,7 @@
         .collect();
     let mut first = BTreeMap::new();
     for centre in centres {
-        let count = buckets(pool, centre);
+        let count = inputs.tables.unit_count(pool, centre);
         first.insert(centre, (out.units.len(), count));
         for i in 0..count {
             let name = format!("{}/{centre}/{count}/{i}", pool.name);
@@ -251,13 +249,6 @@
     out.services.insert(pool.name.clone(), services);
 }
 
-/// Number of units of a pool in a data centre.
-pub(crate) fn buckets(pool: &Pool, centre: &str) -> usize {
-    let targets = pool.services.iter().flat_map(|s| &s.targets);
-    let count = targets.filter(|t| t.centre == centre).count();
-    count.div_ceil(UNIT_TARGETS).next_power_of_two()
-}
-
 fn unit(inputs: &Inputs<'_>, name: String, centre: Option<&str>) -> Unit {
     let id = UnitId(rank::key(&name));
     let holder = if inputs.alone {
--- a/crates/demo/src/bed.rs
+++ b/crates/demo/src/bed.rs
@@ -155,12 +155,15 @@
     /// Writes the present tables to the platform; returns their version.
     #[must_use]
     pub fn put_tables(&self) -> u64 {
-        let object = TablesObject {
-            routes: self.routes.clone(),
-            pools: self.pools.clone(),
-            editor: "bed".into(),
-            written: 0,
-        };
+        let previous = self.platform.get(TABLES_KEY);
+        let previous = previous.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+        // Tables that are refused are put all the same: daemons have to refuse them too.
+        let object = TablesObject::new(&self.routes, &self.pools, previous.as_ref())
+            .unwrap_or_else(|_| TablesObject {
+                routes: self.routes.clone(),
+                pools: self.pools.clone(),
+                ..TablesObject::default()
+            });
         let body = serde_json::to_vec(&object).unwrap_or_default();
         self.platform.put(TABLES_KEY, &body)
     }
--- a/crates/demo/tests/promises.rs
+++ b/crates/demo/tests/promises.rs
@@ -23,7 +23,7 @@
 
 const CENTRES: [&str; 3] = ["east", "north", "west"];
 const LOAD_TIME: Duration = Duration::from_secs(3);
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 const ROUTES: &str = "\
 [route search]
--- a/crates/standins/tests/membership.rs
+++ b/crates/standins/tests/membership.rs
@@ -109,15 +109,15 @@
         net.nodes[old].membership.leave(now);
         net.run(Duration::from_secs(3));
         net.nodes[old].dead = true;
-        let next = net.nodes.len();
-        net.join(next, SEED);
+        let fresh = net.nodes.len();
+        net.join(fresh, SEED);
         // A new VM is told the addresses of those that run; here it asks the last one.
-        let peer = next - 1;
+        let peer = fresh - 1;
         let fact = net.nodes[peer]
             .membership
             .get(rattanturn_standins::gossip::id(peer));
         let fact = fact.expect("a member knows itself").fact.clone();
-        net.nodes[next].membership.introduce(net.now, &fact);
+        net.nodes[fresh].membership.introduce(net.now, &fact);
         assert!(
             net.run_until(LONG, Net::agreed).is_some(),
             "replacement {old} never settled"
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -10,6 +10,7 @@
 //! tool refuses unknown keys before it writes, because there they are most likely typing errors.
 
 mod finding;
+mod object;
 mod reader;
 mod settings;
 mod tables;
@@ -17,6 +18,7 @@
 pub use rattanturn_core::Priority;
 pub use {
     finding::{Finding, Findings, Severity},
+    object::TablesObject,
     settings::{Holding, LogFormat, Settings},
-    tables::{DataCentre, Kind, Pool, Route, Service, Tables, TablesObject, Target, tables},
+    tables::{DataCentre, Kind, Pool, Route, Service, Tables, Target, tables},
 };
--- a/crates/tables/src/tables.rs
+++ b/crates/tables/src/tables.rs
@@ -6,7 +6,7 @@
         reader::{Reader, Section},
     },
     rattanturn_core::Priority,
-    serde::{Deserialize, Serialize},
+    serde::Serialize,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -93,19 +93,6 @@
     pub services: Vec<Service>,
 }
 
-/// Both tables as one object, so that an edit of both takes effect at once.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TablesObject {
-    /// Text of routes.ini.
-    pub routes: String,
-    /// Text of pools.ini.
-    pub pools: String,
-    /// Who wrote it.
-    pub editor: String,
-    /// When it was written, in milliseconds since 1970.
-    pub written: u64,
-}
-
 /// Both tables, checked and joined.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Tables {
@@ -115,6 +102,8 @@
     pub pools: BTreeMap<String, Pool>,
     /// Data centres by name.
     pub centres: BTreeMap<String, DataCentre>,
+    /// Number of units by `POOL/DATA-CENTRE`, as the platform's object records them.
+    pub units: BTreeMap<String, usize>,
 }
 
 /// Parses and checks both tables together.
--- /dev/null
+++ b/crates/tables/tests/units.rs
@@ -0,0 +1,28 @@
+//! The number of units is recorded once and kept, so that growth moves no target.
+
+use {rattanturn_tables::TablesObject, std::fmt::Write};
+
+fn pools(services: usize) -> String {
+    let mut out =
+        String::from("[data-centre a]\nregion = r\n[pool p]\nslots = 2\nconnections = 9\n");
+    for i in 0..services {
+        let _ = write!(
+            out,
+            "[service p/s{i}]\ntargets = a@127.0.0.1:{}\n",
+            9_000 + i
+        );
+    }
+    out
+}
+
+#[test]
+fn a_grown_pool_keeps_its_units() {
+    let first = TablesObject::new("", &pools(10), None).unwrap();
+    assert_eq!(first.units["p/a"], 2);
+    let grown = TablesObject::new("", &pools(40), Some(&first)).unwrap();
+    assert_eq!(grown.units["p/a"], 2);
+    let (tables, _) = grown.tables().unwrap();
+    assert_eq!(tables.unit_count(&tables.pools["p"], "a"), 2);
+    let fresh = TablesObject::new("", &pools(40), None).unwrap();
+    assert_eq!(fresh.units["p/a"], 8);
+}
