Measure control's slopes; spread facts less often, suspect for a shorter time

Cause: control had no figures. Change: a fact is sent 1 x (log2 N + 1) times instead of 3 x; suspicion lasts 2 intervals x (log2 N + 1) instead of 3. Benches slopes and path; control counts its own processor time and bytes. Three whole-path tests were vacuous, shown by disabling the line that guards them: the leaving and slow target was not in the pool asked, and the broken target ran no renewals. Now they are.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -27,13 +27,13 @@
 /// Members asked to probe on behalf.
 const HELPERS: usize = 2;
 /// Suspicion lasts this many intervals, times the logarithm of the member count.
-const SUSPICION_INTERVALS: u32 = 3;
+const SUSPICION_INTERVALS: u32 = 2;
 /// A tick gap above this means that this process itself was paused.
 const PAUSE: Duration = Duration::from_millis(600);
 /// Facts carried by one message.
 const FACTS_PER_MESSAGE: usize = 6;
 /// Each fact is sent this many times, times the logarithm of the member count.
-const FACT_SENDS: u32 = 3;
+const FACT_SENDS: u32 = 1;
 /// Least time between two full exchanges with differing digests.
 const SYNC_INTERVAL: Duration = Duration::from_secs(5);
 /// Facts in one part of a full exchange.
@@ -242,6 +242,12 @@
         self.members.get(&id)
     }
 
+    /// Facts that this daemon still spreads.
+    #[must_use]
+    pub fn pending_news(&self) -> usize {
+        self.news.len()
+    }
+
     /// Raised whenever a member's state changes.
     #[must_use]
     pub fn changes(&self) -> u64 {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: membership, leases, shared objects and the routing derived from them.
 
+mod cost;
 mod leases;
 mod objects;
 mod registrar;
@@ -8,6 +9,7 @@
     crate::{
         clock,
         control::{
+            cost::Cost,
             leases::Leases,
             objects::{Fetching, Found, PANELS_KEY, WATCHERS},
         },
@@ -51,6 +53,8 @@
     FetchFailed(&'static str),
     Dump(oneshot::Sender<serde_json::Value>),
     Stop(oneshot::Sender<String>),
+    /// Blocks the control thread, as a starved process would be; for tests.
+    Freeze(Duration),
     /// Ends at once without a word to anyone, as a killed process would.
     Kill,
 }
@@ -97,6 +101,7 @@
     phase: Phase,
     stopped: Option<oneshot::Sender<String>>,
     refused_tables: u64,
+    cost: Cost,
 }
 
 /// Runs control until the daemon stops.
@@ -172,6 +177,7 @@
             phase: Phase::Serving,
             stopped: None,
             refused_tables: 0,
+            cost: Cost::start(),
             settings,
         }
     }
@@ -195,8 +201,7 @@
 
     async fn receive(&mut self, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
         let now = clock::now();
-        metrics::counter!("rattanturn_control_bytes_total", "direction" => "in")
-            .increment(bytes.len() as u64);
+        self.cost.received(bytes.len());
         let Ok(datagram) = decode(bytes) else {
             tracing::debug!(%from, "dropped a datagram that cannot be read");
             return;
@@ -205,13 +210,14 @@
             Datagram::Gossip(message) => {
                 let out = self.membership.receive(now, from, &message);
                 self.compare(now, message.from, message.versions);
-                send_all(socket, out).await;
+                self.send_all(socket, out).await;
             }
             Datagram::Requests(_, list) => {
                 let panels = self.panels.value().cloned().unwrap_or_default();
                 let votes = self.leases.vote(now, &panels, &list);
                 if !votes.is_empty() {
-                    send(socket, from, &Datagram::Votes(self.me, votes)).await;
+                    self.send(socket, from, &Datagram::Votes(self.me, votes))
+                        .await;
                 }
             }
             Datagram::Votes(voter, list) => {
@@ -251,6 +257,7 @@
                 let _ = send.send(self.dump());
             }
             Event::Stop(send) => self.withdraw(send),
+            Event::Freeze(time) => std::thread::sleep(time),
             Event::Kill => {}
         }
     }
@@ -316,7 +323,8 @@
     async fn tick(&mut self, socket: &UdpSocket) -> bool {
         let now = clock::now();
         let out = self.membership.tick(now);
-        send_all(socket, out).await;
+        self.send_all(socket, out).await;
+        self.cost.export(&self.settings.name);
         self.route();
         self.assign_watches();
         if self.settings.holding == Holding::Leased {
@@ -334,7 +342,8 @@
                 continue;
             };
             for part in list.chunks(leases::PER_DATAGRAM) {
-                send(socket, to, &Datagram::Requests(self.me, part.to_vec())).await;
+                self.send(socket, to, &Datagram::Requests(self.me, part.to_vec()))
+                    .await;
             }
         }
     }
@@ -450,7 +459,7 @@
                 let left = format!("{requests} requests and {held} units were left");
                 tracing::info!(%left, "stopped");
                 let out = self.membership.farewell(now);
-                send_all(socket, out).await;
+                self.send_all(socket, out).await;
                 if let Some(stopped) = self.stopped.take() {
                     let _ = stopped.send(left);
                 }
@@ -459,6 +468,20 @@
         }
     }
 
+    async fn send_all(&mut self, socket: &UdpSocket, list: Vec<Send>) {
+        for item in list {
+            self.send(socket, item.to, &Datagram::Gossip(item.message))
+                .await;
+        }
+    }
+
+    async fn send(&mut self, socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+        let bytes = encode(datagram);
+        self.cost.sent(bytes.len());
+        // A lost datagram is repeated by the protocol that sent it.
+        let _ = socket.send_to(&bytes, to).await;
+    }
+
     fn dump(&self) -> serde_json::Value {
         let member = |m: &rattanturn_core::membership::Member| {
             serde_json::json!({
@@ -498,23 +521,10 @@
             "watching": !self.watches.is_empty(),
             "requests": self.gauges.requests.load(Ordering::Acquire),
             "leases": self.leases.dump(),
+            "control": self.cost.dump(),
             "members": self.membership.members().map(member).collect::<Vec<_>>(),
             "units": routing.units.iter().map(unit).collect::<Vec<_>>(),
             "threads": threads,
         })
     }
 }
-
-async fn send_all(socket: &UdpSocket, list: Vec<Send>) {
-    for item in list {
-        send(socket, item.to, &Datagram::Gossip(item.message)).await;
-    }
-}
-
-async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
-    let bytes = encode(datagram);
-    metrics::counter!("rattanturn_control_bytes_total", "direction" => "out")
-        .increment(bytes.len() as u64);
-    // A lost datagram is repeated by the protocol that sent it.
-    let _ = socket.send_to(&bytes, to).await;
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
     std::{
         net::{SocketAddr, TcpListener, UdpSocket},
         sync::Arc,
+        time::Duration,
     },
     tokio::sync::{mpsc, oneshot},
 };
@@ -150,6 +151,11 @@
         left
     }
 
+    /// Blocks control for a time, as a starved process would be; traffic goes on. For tests.
+    pub fn freeze(&self, time: Duration) {
+        let _ = self.events.send(Event::Freeze(time));
+    }
+
     /// Ends at once without a word to anyone, as a killed process would.
     pub fn kill(self) {
         let _ = self.events.send(Event::Kill);
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -109,6 +109,7 @@
         rattanturn_http::Limits::default(),
         handler,
     )?);
+    let cpu = cpu_time::ThreadTime::now();
     let mut ticks = 0_u64;
     loop {
         actix_rt::time::sleep(holder::TICK).await;
@@ -122,6 +123,7 @@
             let dump = serde_json::json!({
                 "thread": start.thread,
                 "time_us": clock::now().micros(),
+                "cpu_s": cpu.elapsed().as_secs_f64(),
                 "targets": holder.dump(),
                 "admission": entry.dump(),
                 "journal_entries": keeper.len(),
--- a/crates/demo/tests/promises.rs
+++ b/crates/demo/tests/promises.rs
@@ -12,7 +12,7 @@
         report::{false_not_run, totals},
     },
     rattanturn_platform::TABLES_KEY,
-    rattanturn_standins::platform::Mode,
+    rattanturn_standins::{platform::Mode, target},
     std::{
         collections::BTreeMap,
         fmt::Write,
@@ -112,6 +112,14 @@
     }
 }
 
+/// A target of the fan-out pool.
+fn ledger(bed: &Bed) -> &target::State {
+    let all = bed.targets.iter().map(|t| &*t.state);
+    all.into_iter()
+        .find(|s| s.shape().service == "ledgers/l0")
+        .expect("there is one")
+}
+
 /// Calls that reached the targets of a data centre.
 fn arrivals(bed: &Bed, centre: &str) -> u64 {
     let targets = bed
@@ -198,7 +206,7 @@
 #[test]
 fn slots_and_connections_are_never_oversubscribed() {
     on_bed(6, async |bed| {
-        bed.targets[0].state.set_slow(10.0);
+        ledger(bed).set_slow(10.0);
         let seen = load(bed, "search", 80.0, 4).await;
         let totals = totals(&bed.targets);
         assert_eq!(
@@ -210,6 +218,27 @@
     });
 }
 
+/// A daemon whose control is starved loses its units to others and must stop using them.
+#[test]
+fn a_frozen_holder_stops_when_its_lease_lapses() {
+    on_bed(6, async |bed| {
+        let finder = Finder::new(bed.entries(), "east");
+        let time = Duration::from_secs(10);
+        let running = actix_rt::spawn(run(finder, stream("search", 150.0), time, 17));
+        sleep(Duration::from_secs(1)).await;
+        let frozen = bed.slots[0].daemon.as_ref().unwrap();
+        frozen.freeze(Duration::from_secs(8));
+        let seen = running.await.unwrap();
+        let totals = totals(&bed.targets);
+        assert_eq!(
+            (totals.oversubscribed, totals.refused_connections),
+            (0, 0),
+            "{totals:?}"
+        );
+        assert_eq!((seen.wrong, seen.broken), (0, 0), "{seen:?}");
+    });
+}
+
 #[test]
 fn a_data_centre_taken_out_gets_no_new_work() {
     // Three daemons in each data centre: one of them does not watch the platform.
@@ -242,8 +271,9 @@
 #[test]
 fn a_leaving_target_gets_no_new_work() {
     on_bed(6, async |bed| {
-        let target = &bed.targets[0].state;
+        let target = ledger(bed);
         load(bed, "search", 20.0, 8).await;
+        assert!(target.tally().ran > 0);
         target.set_leaving(true);
         load(bed, "search", 20.0, 9).await;
         // Its refusal of what was sent before it spoke is all it gets.
@@ -275,7 +305,11 @@
 #[test]
 fn not_run_is_true_and_nothing_runs_twice_under_kills_and_lost_answers() {
     on_bed(6, async |bed| {
-        bed.targets.last().unwrap().state.set_broken(true);
+        let broken = bed
+            .targets
+            .iter()
+            .find(|t| t.state.shape().service == "events/e");
+        broken.unwrap().state.set_broken(true);
         let finder = Finder::new(bed.entries(), "east");
         let running = actix_rt::spawn(run(finder, stream("renew", 60.0), LOAD_TIME * 2, 12));
         sleep(LOAD_TIME / 2).await;
@@ -285,7 +319,7 @@
         let seen = running.await.unwrap();
         let totals = totals(&bed.targets);
         assert_eq!(totals.doubled, 0, "{totals:?}");
-        assert!(seen.full > 0, "{seen:?}");
+        assert!(seen.full > 0 && seen.unknown > 0, "{seen:?}");
         let all = BTreeMap::from([("renew".to_owned(), seen)]);
         assert_eq!(false_not_run(&all, &totals), 0);
     });
--- a/crates/standins/src/gossip.rs
+++ b/crates/standins/src/gossip.rs
@@ -8,16 +8,18 @@
     rand_chacha::ChaCha8Rng,
     rattanturn_core::{
         NodeId, Time,
-        membership::{Membership, Message, Place, Send, State},
+        membership::{Membership, Message, Place, Send, State, Versions},
     },
     rattanturn_wire::{Datagram, encode},
     std::{
         collections::BTreeMap,
-        net::{Ipv4Addr, SocketAddr},
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
     },
 };
 
+/// Address of the first member: 10.0.0.0; nothing is sent to it.
+const FIRST_IP: u32 = 0x0a00_0000;
 /// Interval at which each member is ticked.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -29,6 +31,8 @@
     pub paused: bool,
     /// Whether its process exists.
     pub dead: bool,
+    /// Version of the tables that it uses.
+    pub tables: u64,
     /// Messages sent.
     pub messages: u64,
     /// Bytes sent.
@@ -54,7 +58,15 @@
 #[must_use]
 pub fn addr(index: usize) -> SocketAddr {
     let n = u32::try_from(index).unwrap_or(u32::MAX);
-    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + n), 8_082))
+    SocketAddr::from((Ipv4Addr::from(FIRST_IP + n), 8_082))
+}
+
+/// Member at a gossip address.
+fn index(addr: SocketAddr) -> Option<usize> {
+    match addr.ip() {
+        IpAddr::V4(ip) => usize::try_from(u32::from(ip).checked_sub(FIRST_IP)?).ok(),
+        IpAddr::V6(_) => None,
+    }
 }
 
 /// Identity of a member.
@@ -98,6 +110,7 @@
             membership,
             paused: false,
             dead: false,
+            tables: 0,
             messages: 0,
             bytes: 0,
         });
@@ -162,6 +175,16 @@
         })
     }
 
+    /// Puts a version of the tables in force at one member.
+    pub fn set_tables(&mut self, index: usize, version: u64) {
+        let node = &mut self.nodes[index];
+        node.tables = version;
+        node.membership.set_versions(Versions {
+            tables: version,
+            panels: 1,
+        });
+    }
+
     /// Forgets what was counted.
     pub fn reset_counts(&mut self) {
         for node in &mut self.nodes {
@@ -174,8 +197,9 @@
             let node = &mut self.nodes[from];
             node.messages += 1;
             node.bytes += encode(&Datagram::Gossip(send.message.clone())).len() as u64;
-            let to = (0..self.nodes.len()).find(|i| addr(*i) == send.to);
-            let Some(to) = to else { continue };
+            let Some(to) = index(send.to).filter(|i| *i < self.nodes.len()) else {
+                continue;
+            };
             let apart = self.cut.is_some_and(|c| (from < c) != (to < c));
             if apart || self.rng.random_range(0.0..1.0) < self.loss {
                 continue;
@@ -203,6 +227,10 @@
                 continue;
             }
             let out = node.membership.receive(at, addr(from), &message);
+            // Stands for fetching the newer tables from the sender.
+            if message.versions.tables > node.tables {
+                self.set_tables(to, message.versions.tables);
+            }
             self.send(to, out);
         }
     }
