Choose targets by expected time, aged and in turn among equals

Cause: with one target in 20 slow by 10x, p99 of searches was three to four times that of steady load. Entries ordered targets by queueing time only, so an idle slow target looked as good as a fast one. Ruled out: hedging (its budget of 4% was in use to the last call; more hedges would break the 5%). Change: holders tell the time that a new call would take, queueing and mean service; entries age the word with a half-life of 2 s so that a slow target is tried again, count near-equals as equal, and mark targets whose calls were lost or had no holder.

--- /dev/null
+++ b/crates/core/src/choice.rs
@@ -0,0 +1,99 @@
+//! Order in which the targets of a service are tried.
+//!
+//! Holders tell with each result how long a new call to the target would take. The word ages: it
+//! counts for less the older it is, so that a target that was slow or unreachable is tried again
+//! now and then. Targets with about the same estimate count as equal and are taken in turn,
+//! because always taking the best of near-equals would send every entry to the same one.
+
+use {
+    crate::Time,
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Time in which an estimate loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Estimate for a target that could not be used.
+const UNUSABLE: Duration = Duration::from_millis(250);
+/// Expected time of a call to a target not heard of yet.
+const UNKNOWN: Duration = Duration::from_millis(5);
+/// Each call of this thread that is under way adds this much.
+const OPEN_CALL: Duration = Duration::from_millis(1);
+/// Estimates within this factor count as equal.
+const EQUAL_FACTOR: f64 = 1.5;
+
+/// What is known of one target.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    time: Duration,
+    at: Time,
+    open: u32,
+}
+
+/// Estimates of one thread for all targets, by target index.
+///
+/// ```
+/// use {rattanturn_core::{Time, choice::Choice}, std::time::Duration};
+/// let mut choice = Choice::default();
+/// let now = Time::from_millis(1);
+/// choice.record(now, 0, Duration::from_millis(50));
+/// choice.record(now, 1, Duration::from_millis(5));
+/// assert!(choice.rank(now, 1) < choice.rank(now, 0));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Choice {
+    words: HashMap<usize, Word>,
+}
+
+impl Choice {
+    /// Records the holder's word on how long a new call would take.
+    pub fn record(&mut self, now: Time, target: usize, time: Duration) {
+        let word = self.word(target);
+        (word.time, word.at) = (time, now);
+    }
+
+    /// Records that a call could not be brought to the target or was lost.
+    pub fn failed(&mut self, now: Time, target: usize) {
+        self.record(now, target, UNUSABLE);
+    }
+
+    /// Counts a call that is under way.
+    pub fn begin(&mut self, target: usize) {
+        self.word(target).open += 1;
+    }
+
+    /// Ends the count of a call.
+    pub fn end(&mut self, target: usize) {
+        let word = self.word(target);
+        word.open = word.open.saturating_sub(1);
+    }
+
+    /// Rank of a target; lower ones are tried first, equal ones in turn.
+    #[must_use]
+    pub fn rank(&self, now: Time, target: usize) -> u32 {
+        let expected = match self.words.get(&target) {
+            None => UNKNOWN,
+            Some(word) => {
+                let halvings = now.since(word.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+                let excess = word
+                    .time
+                    .saturating_sub(UNKNOWN)
+                    .mul_f64(0.5_f64.powf(halvings));
+                UNKNOWN.min(word.time) + excess + OPEN_CALL * word.open
+            }
+        };
+        let micros = expected.as_secs_f64() * 1e6;
+        // Times here are far below 2^32 microseconds and not negative.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let rank = (micros.max(1.0).ln() / EQUAL_FACTOR.ln()) as u32;
+        rank
+    }
+
+    fn word(&mut self, target: usize) -> &mut Word {
+        let blank = Word {
+            time: UNKNOWN,
+            at: Time::ZERO,
+            open: 0,
+        };
+        self.words.entry(target).or_insert(blank)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`panels`]: which daemons grant leases, changed one voter at a time.
 //! - [`register`]: the newest accepted version of a shared object.
 //! - [`queue`]: slots, cold start and order of calls at one target.
+//! - [`choice`]: order in which the targets of a service are tried.
 //! - [`gather`]: one query: replicas, hedges, snapshot, coverage and the final answer.
 //! - [`hedge`]: when a call is late and whether the budget allows another.
 //! - [`admission`]: which requests start under overload.
@@ -18,6 +19,7 @@
 
 pub mod addresses;
 pub mod admission;
+pub mod choice;
 pub mod gather;
 pub mod hedge;
 pub mod journal;
--- a/crates/daemon/src/traffic/calls.rs
+++ b/crates/daemon/src/traffic/calls.rs
@@ -12,7 +12,7 @@
             rpc::{Deliver, Peers},
         },
     },
-    rattanturn_core::NodeId,
+    rattanturn_core::{NodeId, choice::Choice},
     slotmap::{Key, KeyData, SlotMap, new_key_type},
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
 };
@@ -30,18 +30,10 @@
     receive: Receive,
 }
 
-/// What is known of a target from results.
-#[derive(Clone, Copy, Debug, Default)]
-struct Load {
-    wait: Duration,
-    /// Calls of this thread that are under way.
-    open: u32,
-}
-
 #[derive(Default)]
 struct Inner {
     open: SlotMap<CallNumber, Open>,
-    loads: HashMap<usize, Load>,
+    choice: Choice,
 }
 
 /// Sends calls to holders.
@@ -144,21 +136,14 @@
         }
     }
 
-    /// Estimated time that a new call to `target` would wait.
-    pub(crate) fn load(&self, target: usize) -> (Duration, u32) {
-        let load = self
-            .inner
-            .borrow()
-            .loads
-            .get(&target)
-            .copied()
-            .unwrap_or_default();
-        (load.wait, load.open)
+    /// Rank of a target by the time that a new call to it would take.
+    pub(crate) fn rank(&self, target: usize) -> u32 {
+        self.inner.borrow().choice.rank(clock::now(), target)
     }
 
     fn open(&self, destination: Destination, target: usize, receive: Receive) -> CallNumber {
         let mut inner = self.inner.borrow_mut();
-        inner.loads.entry(target).or_default().open += 1;
+        inner.choice.begin(target);
         inner.open.insert(Open {
             target,
             destination,
@@ -206,9 +191,7 @@
 fn close(inner: &Rc<RefCell<Inner>>, key: CallNumber) -> Option<Open> {
     let mut inner = inner.borrow_mut();
     let open = inner.open.remove(key)?;
-    if let Some(load) = inner.loads.get_mut(&open.target) {
-        load.open = load.open.saturating_sub(1);
-    }
+    inner.choice.end(open.target);
     Some(open)
 }
 
@@ -217,10 +200,15 @@
     let Some(open) = close(inner, key) else {
         return;
     };
-    if result.outcome != Outcome::NoHolder
-        && let Some(load) = inner.borrow_mut().loads.get_mut(&open.target)
-    {
-        load.wait = result.wait;
+    let now = clock::now();
+    match result.outcome {
+        Outcome::NoHolder | Outcome::Failed | Outcome::Unreachable => {
+            inner.borrow_mut().choice.failed(now, open.target);
+        }
+        _ => inner
+            .borrow_mut()
+            .choice
+            .record(now, open.target, result.wait),
     }
     (open.receive)(result);
 }
--- a/crates/daemon/src/traffic/holder.rs
+++ b/crates/daemon/src/traffic/holder.rs
@@ -70,7 +70,7 @@
     pub(crate) snapshot: u64,
     pub(crate) body: Vec<u8>,
     pub(crate) versions: Vec<u64>,
-    /// Time that a new call would wait at the target.
+    /// Time that a new call to the target would take, waiting included.
     pub(crate) wait: Duration,
     /// Time that this call waited.
     pub(crate) queued: Duration,
@@ -335,7 +335,7 @@
             return;
         };
         let moves = target.queue.end(now, id_of(key), end);
-        let wait = target.queue.wait(now, pending.call.priority);
+        let wait = expected(&target.queue, now, pending.call.priority);
         drop(inner);
         let queued = pending.sent.unwrap_or(now).since(pending.arrived);
         if let Some(done) = pending.done {
@@ -369,7 +369,9 @@
         };
         let inner = self.inner.borrow();
         let target = inner.targets.get(&pending.target);
-        let wait = target.map_or(Duration::ZERO, |t| t.queue.wait(now, pending.call.priority));
+        let wait = target.map_or(Duration::ZERO, |t| {
+            expected(&t.queue, now, pending.call.priority)
+        });
         drop(inner);
         if let Some(done) = pending.done {
             let queued = now.since(pending.arrived);
@@ -393,6 +395,11 @@
     }
 }
 
+/// Time that a new call to a target would take, waiting included.
+fn expected(queue: &Queue, now: Time, priority: Priority) -> Duration {
+    queue.wait(now, priority) + queue.service()
+}
+
 /// What a target's answer means for the queue and for the caller.
 fn outcome(answer: Answer) -> (End, CallResult) {
     let cold = answer.cold;
--- a/crates/daemon/src/traffic/once.rs
+++ b/crates/daemon/src/traffic/once.rs
@@ -182,7 +182,7 @@
         let spread = rank::key(&request.id);
         all.sort_by_key(|t| {
             (
-                self.calls.load(*t),
+                self.calls.rank(*t),
                 rank::score(rattanturn_core::NodeId(*t as u64), spread),
             )
         });
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -165,9 +165,8 @@
         spread: u64,
     ) -> Vec<usize> {
         targets.sort_by_cached_key(|t| {
-            let (wait, open) = self.calls.load(*t);
             let tie = rank::score(rattanturn_core::NodeId(*t as u64), spread);
-            (!book.may_serve(*t, snapshot), wait, open, tie)
+            (!book.may_serve(*t, snapshot), self.calls.rank(*t), tie)
         });
         targets
     }
