Write merged answers without parsing the targets' parts again

Cause: the merged answer was built as a JSON value, which parsed every partial answer once more. Change: a typed answer is written straight out, partial answers as they came. Conclusion: kept because it is also shorter to read: the answer's shape is a type now.

--- a/crates/daemon/src/traffic/entry.rs
+++ b/crates/daemon/src/traffic/entry.rs
@@ -21,11 +21,12 @@
     rattanturn_core::{
         Priority, Time, addresses,
         admission::{Admission, Moves, RequestId, Verdict},
-        gather::Part,
+        gather::{Counts, Part},
         journal::Outcome,
     },
     rattanturn_http::{BodyError, header, parameter, read_body, response},
     rattanturn_tables::Route,
+    serde::Serialize,
     serde_json::{json, value::RawValue},
     std::{
         cell::{Cell, RefCell},
@@ -59,6 +60,48 @@
     next: Cell<u64>,
 }
 
+/// A merged answer as callers see it.
+#[derive(Serialize)]
+struct Merged<'a> {
+    outcome: &'static str,
+    route: &'a str,
+    snapshot: u64,
+    /// Version of the tables that the answer was made under.
+    tables: u64,
+    coverage: Coverage<'a>,
+    calls: CallCounts,
+    /// Partial answers by service, as the targets gave them.
+    results: BTreeMap<&'a str, Box<RawValue>>,
+}
+
+/// Which services answered, and why others did not.
+#[derive(Serialize)]
+struct Coverage<'a> {
+    answered: usize,
+    of: usize,
+    missing: BTreeMap<&'a str, &'static str>,
+}
+
+/// Calls made for an answer.
+#[derive(Serialize)]
+struct CallCounts {
+    first: u32,
+    hedges: u32,
+    retries: u32,
+    restarts: u32,
+}
+
+impl From<Counts> for CallCounts {
+    fn from(c: Counts) -> Self {
+        Self {
+            first: c.first,
+            hedges: c.hedges,
+            retries: c.retries,
+            restarts: c.restarts,
+        }
+    }
+}
+
 /// A refusal with its status.
 struct Refused(Response<BoxBody>);
 
@@ -379,45 +422,51 @@
 /// The merged answer. 200: complete; 206: enough services answered; 504: too few did.
 fn render(query: &Query, answer: Answer) -> Response<BoxBody> {
     let total = answer.parts.len();
-    let mut results: Vec<(&str, Box<RawValue>)> = Vec::new();
+    let mut results = BTreeMap::new();
     let mut missing = BTreeMap::new();
     for (name, part) in answer.names.iter().zip(answer.parts) {
         match part {
-            Part::Covered(body) => results.push((name, raw(body))),
-            Part::Missing(reason) => {
-                missing.insert(name.as_str(), reason.as_str());
-            }
+            Part::Covered(body) => drop(results.insert(name.as_str(), raw(body))),
+            Part::Missing(reason) => drop(missing.insert(name.as_str(), reason.as_str())),
         }
     }
     let answered = results.len();
-    // Service counts are far below 2^32.
-    let share = f64::from(u32::try_from(answered).unwrap_or(u32::MAX))
-        / f64::from(u32::try_from(total.max(1)).unwrap_or(u32::MAX));
     let status = match answered {
         n if n == total => 200,
-        _ if share >= query.route.min_coverage && answered > 0 => 206,
+        n if n > 0 && share(n, total) >= query.route.min_coverage => 206,
         _ => 504,
     };
-    let results: BTreeMap<&str, Box<RawValue>> = results.into_iter().collect();
-    let body = json!({
-        "outcome": "ran",
-        "route": query.route.name,
-        "snapshot": answer.snapshot,
-        "tables": answer.tables,
-        "coverage": {"answered": answered, "of": total, "missing": missing},
-        "calls": {
-            "first": answer.counts.first,
-            "hedges": answer.counts.hedges,
-            "retries": answer.counts.retries,
-            "restarts": answer.counts.restarts,
+    let merged = Merged {
+        outcome: "ran",
+        route: &query.route.name,
+        snapshot: answer.snapshot,
+        tables: answer.tables,
+        coverage: Coverage {
+            answered,
+            of: total,
+            missing,
         },
-        "results": results,
-    });
-    response(
-        status,
-        &[("content-type", "application/json".into())],
-        body.to_string(),
-    )
+        calls: answer.counts.into(),
+        results,
+    };
+    match serde_json::to_vec(&merged) {
+        Ok(body) => response(status, &[("content-type", "application/json".into())], body),
+        Err(error) => {
+            refuse(
+                500,
+                "unknown",
+                &format!("the answer cannot be written: {error}"),
+            )
+            .0
+        }
+    }
+}
+
+/// `part` of `whole` as a ratio.
+fn share(part: usize, whole: usize) -> f64 {
+    // Service counts are far below 2^32.
+    let number = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+    number(part) / number(whole.max(1))
 }
 
 /// A target's partial answer as JSON; text that is not JSON becomes a string.
