--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Adds a journal that arrived after this one was opened in its place; entries made here stay.
+    ///
+    /// The caller makes sure that this journal's tenure directly follows the other's.
+    pub fn absorb(&mut self, earlier: Self) {
+        self.since = self.since.min(earlier.since);
+        for (id, entry) in earlier.entries {
+            self.entries.entry(id).or_insert(entry);
+        }
+    }
+
     /// Start of the first of the unbroken tenures that this journal covers.
     #[must_use]
     pub fn since(&self) -> u64 {
--- a/crates/core/tests/journal.rs
+++ b/crates/core/tests/journal.rs
@@ -119,3 +119,20 @@
         }
     }
 }
+
+#[test]
+fn a_journal_that_arrives_late_is_taken_in() {
+    let mut earlier = Journal::open(0);
+    assert_eq!(earlier.begin(10_000, 10_000, "old", 1), Verdict::Run);
+    earlier.finish("old", Outcome::Ran(vec![7]));
+    let mut journal = Journal::open(11_000);
+    assert_eq!(journal.begin(12_500, 10_000, "old", 1), Verdict::Unknown);
+    assert_eq!(journal.begin(12_500, 12_400, "new", 1), Verdict::Run);
+    journal.absorb(earlier);
+    assert_eq!(
+        journal.begin(12_600, 10_000, "old", 1),
+        Verdict::Ended(Outcome::Ran(vec![7]))
+    );
+    assert_eq!(journal.begin(12_600, 12_400, "new", 1), Verdict::Running);
+    assert_eq!(journal.begin(12_600, 10_500, "first", 1), Verdict::Run);
+}
--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -6,6 +6,7 @@
 use {
     super::{Keeper, read_outcome, write_outcome},
     crate::{
+        clock,
         routing::{LeaseCell, Unit},
         traffic::rpc::Peers,
     },
@@ -40,7 +41,8 @@
         let Some(to) = unit.destination.filter(|d| !self.calls.is_local(*d)) else {
             return;
         };
-        let Some((tenure, journal)) = self.shares.borrow_mut().take_received(unit.id) else {
+        let Some((tenure, journal)) = self.shares.borrow_mut().take_unused(clock::now(), unit.id)
+        else {
             return;
         };
         let (id, calls) = (unit.id, self.calls.clone());
@@ -61,7 +63,7 @@
         let journal = Journal::resume(message.get_since(), entries?);
         self.shares
             .borrow_mut()
-            .receive(UnitId(message.get_unit()), tenure, journal);
+            .receive(clock::now(), UnitId(message.get_unit()), tenure, journal);
         Ok(())
     }
 
--- a/crates/daemon/src/traffic/once/shares.rs
+++ b/crates/daemon/src/traffic/once/shares.rs
@@ -3,26 +3,40 @@
 use {
     crate::routing::{LeaseCell, Tenures},
     rattanturn_core::{
+        Time,
         journal::Journal,
         lease::{Tenure, UnitId},
     },
-    std::{collections::HashMap, rc::Rc},
+    std::{collections::HashMap, rc::Rc, time::Duration},
     tokio::sync::Notify,
 };
 
+/// Time that a journal waits for this daemon to become its share's holder before it is passed on;
+/// daemons learn of a move at slightly different times.
+const RECEIVED_PATIENCE: Duration = Duration::from_millis(50);
+
 /// A journal and the tenure that it belongs to.
 pub(super) struct Share {
     tenure: Option<Tenure>,
+    /// The tenure whose journal is missing here and may still arrive.
+    missing: Option<Tenure>,
     pub(super) journal: Journal,
     /// Wakes repeats that wait for a first run.
     pub(super) ended: Rc<Notify>,
 }
 
+/// A journal that another daemon handed over.
+struct Received {
+    tenure: Tenure,
+    journal: Journal,
+    at: Time,
+}
+
 /// Journals by share, and journals that other daemons handed over.
 #[derive(Default)]
 pub(super) struct Shares {
     open: HashMap<UnitId, Share>,
-    received: HashMap<UnitId, (Tenure, Journal)>,
+    received: HashMap<UnitId, Received>,
 }
 
 impl Shares {
@@ -35,7 +49,10 @@
         let known = self.open.get(&unit).map(|s| s.tenure);
         if known != Some(present) {
             let kept = self.open.remove(&unit).map(|s| (s.tenure, s.journal));
-            let received = self.received.remove(&unit).map(|(t, j)| (Some(t), j));
+            let received = self
+                .received
+                .remove(&unit)
+                .map(|r| (Some(r.tenure), r.journal));
             let follows =
                 |(tenure, _): &(Option<Tenure>, Journal)| previous.is_some() && *tenure == previous;
             let journal = kept
@@ -44,6 +61,7 @@
                 .map(|(_, j)| j);
             let share = Share {
                 tenure: present,
+                missing: if journal.is_some() { None } else { previous },
                 journal: journal.unwrap_or_else(|| Journal::open(cell.since_unix())),
                 ended: Rc::default(),
             };
@@ -58,13 +76,33 @@
     }
 
     /// Keeps a journal that the holder of `tenure` handed over.
-    pub(super) fn receive(&mut self, unit: UnitId, tenure: Tenure, journal: Journal) {
-        self.received.insert(unit, (tenure, journal));
+    ///
+    /// A share that was opened before its journal arrived takes it in.
+    pub(super) fn receive(&mut self, now: Time, unit: UnitId, tenure: Tenure, journal: Journal) {
+        if let Some(share) = self.open.get_mut(&unit)
+            && share.missing == Some(tenure)
+        {
+            share.missing = None;
+            share.journal.absorb(journal);
+            return;
+        }
+        self.received.insert(
+            unit,
+            Received {
+                tenure,
+                journal,
+                at: now,
+            },
+        );
     }
 
-    /// Takes out a received journal that was not opened.
-    pub(super) fn take_received(&mut self, unit: UnitId) -> Option<(Tenure, Journal)> {
-        self.received.remove(&unit)
+    /// Takes out a journal that has waited here in vain.
+    pub(super) fn take_unused(&mut self, now: Time, unit: UnitId) -> Option<(Tenure, Journal)> {
+        let waited = now.since(self.received.get(&unit)?.at);
+        if waited < RECEIVED_PATIENCE {
+            return None;
+        }
+        self.received.remove(&unit).map(|r| (r.tenure, r.journal))
     }
 
     /// Requests remembered.
