Hedge on the pool's delay, also at the only target, within a budget for each pool

Cause: with a data centre out p99 of searches rose from 33 to 77-131 ms, and with slow targets to 55-92 ms. Services left with one replica had nowhere to hedge; the delay learned for each service had not come down from its first guess after 8 s; two calls in a hundred were hedged, not four. Retries have 3% (was 10%), so both together keep the stated 10%; a repeat where nobody held the target is free, as nothing ran. The budget test's bound is now that 10% and was 15% by mistake. Tried and reverted: no hedges while a pool is pressed. Stragglers here are per call; a target that is slow as a whole gains from the order, not from hedging at itself.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -6,7 +6,7 @@
 //! because always taking the best of near-equals would send every entry to the same one.
 
 use {
-    crate::Time,
+    crate::{NodeId, Time, rank},
     std::{collections::HashMap, time::Duration},
 };
 
@@ -21,6 +21,9 @@
 /// Estimates within this factor count as equal.
 const EQUAL_FACTOR: f64 = 1.5;
 
+/// Ranks between targets of which one is several times slower than the other.
+const MUCH_SLOWER: u32 = 3;
+
 /// What is known of one target.
 #[derive(Clone, Copy, Debug)]
 struct Word {
@@ -88,6 +91,30 @@
         rank
     }
 
+    /// Targets in the order to try them; `spread` chooses among equals.
+    ///
+    /// A second try at a good target beats a first one at a target that is several times slower,
+    /// so such a target is tried only after the best one has been tried twice.
+    ///
+    /// ```
+    /// use {rattanturn_core::{Time, choice::Choice}, std::time::Duration};
+    /// let mut choice = Choice::default();
+    /// let now = Time::from_millis(1);
+    /// choice.record(now, 0, Duration::from_millis(50));
+    /// assert_eq!(choice.order(now, vec![0, 1], 7), [1, 1, 0]);
+    /// ```
+    #[must_use]
+    pub fn order(&self, now: Time, mut targets: Vec<usize>, spread: u64) -> Vec<usize> {
+        targets
+            .sort_by_cached_key(|t| (self.rank(now, *t), rank::score(NodeId(*t as u64), spread)));
+        if let [best, second, ..] = targets[..]
+            && self.rank(now, second) >= self.rank(now, best) + MUCH_SLOWER
+        {
+            targets.insert(1, best);
+        }
+        targets
+    }
+
     fn word(&mut self, target: usize) -> &mut Word {
         let blank = Word {
             time: UNKNOWN,
--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -120,7 +120,7 @@
     Finish,
 }
 
-/// Budgets that all queries of one thread share.
+/// Budgets that all queries of one thread share: together at most a tenth of the first attempts.
 #[derive(Clone, Copy, Debug)]
 pub struct Budgets {
     /// For hedges.
@@ -132,8 +132,8 @@
 impl Default for Budgets {
     fn default() -> Self {
         Self {
-            hedge: Budget::new(0.04, 10.0),
-            retry: Budget::new(0.1, 20.0),
+            hedge: Budget::new(0.07, 3.0),
+            retry: Budget::new(0.03, 10.0),
         }
     }
 }
@@ -418,7 +418,9 @@
     }
 
     fn repeat(&mut self, now: Time, service: usize, budgets: &mut Budgets, out: &mut Vec<Action>) {
-        if budgets.retry.take() {
+        // Nothing ran where nobody held the target, so the repeat adds no load to targets.
+        let free = self.slots[service].reason == Some(Missing::NoHolder);
+        if free || budgets.retry.take() {
             self.counts.retries += 1;
             self.call(now, service, out);
         }
@@ -446,7 +448,7 @@
 
     fn may_hedge(&self, service: usize) -> bool {
         let slot = &self.slots[service];
-        !slot.hedged && slot.open == 1 && self.plan.services[service].len() > 1
+        !slot.hedged && slot.open == 1
     }
 
     fn call(&mut self, now: Time, service: usize, out: &mut Vec<Action>) {
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -169,8 +169,10 @@
         first += counts.first;
         extra += counts.hedges + counts.retries;
     }
+    // The saved-up bursts of both budgets come on top once.
+    let bound = f64::from(first) * 0.10 + 13.0;
     assert!(
-        f64::from(extra) <= f64::from(first) * 0.15,
+        f64::from(extra) <= bound,
         "{extra} extra for {first} first calls"
     );
 }
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -155,7 +155,6 @@
 pub(crate) struct TargetInfo {
     pub(crate) addr: SocketAddr,
     pub(crate) pool: String,
-    pub(crate) service: String,
     pub(crate) unit: usize,
     /// True if its data centre is taken out.
     pub(crate) out: bool,
@@ -277,7 +276,6 @@
             let info = TargetInfo {
                 addr: target.addr,
                 pool: pool.name.clone(),
-                service: format!("{}/{}", pool.name, service.name),
                 unit: start + usize::try_from(bucket).unwrap_or(0),
                 out: is_out,
             };
--- a/crates/daemon/src/traffic/calls.rs
+++ b/crates/daemon/src/traffic/calls.rs
@@ -136,9 +136,12 @@
         }
     }
 
-    /// Rank of a target by the time that a new call to it would take.
-    pub(crate) fn rank(&self, target: usize) -> u32 {
-        self.inner.borrow().choice.rank(clock::now(), target)
+    /// Targets in the order to try them; `spread` chooses among equals.
+    pub(crate) fn order(&self, targets: Vec<usize>, spread: u64) -> Vec<usize> {
+        self.inner
+            .borrow()
+            .choice
+            .order(clock::now(), targets, spread)
     }
 
     fn open(&self, destination: Destination, target: usize, receive: Receive) -> CallNumber {
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -178,16 +178,10 @@
         let Some(services) = routing.services.get(&request.pool) else {
             return Vec::new();
         };
-        let mut all: Vec<usize> = services.iter().flatten().copied().collect();
-        let spread = rank::key(&request.id);
-        all.sort_by_key(|t| {
-            (
-                self.calls.rank(*t),
-                rank::score(rattanturn_core::NodeId(*t as u64), spread),
-            )
-        });
-        all.truncate(MAX_TRIES);
-        all
+        let all: Vec<usize> = services.iter().flatten().copied().collect();
+        let mut order = self.calls.order(all, rank::key(&request.id));
+        order.truncate(MAX_TRIES);
+        order
     }
 
     async fn call(&self, target: usize, request: &OnceRequest) -> CallResult {
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -13,7 +13,6 @@
         Priority, Time,
         gather::{Action, AttemptId, Budgets, Counts, Gather, Missing, Part, Plan, Reply},
         hedge::Late,
-        rank,
         snapshot::Book,
     },
     rattanturn_tables::{Kind, Route},
@@ -65,8 +64,10 @@
 
 #[derive(Default)]
 struct Learned {
-    budgets: Budgets,
+    /// Extra calls allowed on each pool, so that one pool does not spend another's share.
+    budgets: HashMap<String, Budgets>,
     book: Book,
+    /// Late delay of each pool.
     late: HashMap<String, Late>,
     chosen: BTreeMap<String, (u64, u64)>,
     book_changes: u64,
@@ -100,7 +101,7 @@
     pub(crate) async fn run(&self, query: &Query) -> Answer {
         let routing = self.routing.load_full();
         let (names, services) = services_of(&routing, query);
-        let plan = self.plan(query, &names, services);
+        let plan = self.plan(query, services);
         let services = plan.services.clone();
         let (send, mut arrivals) = mpsc::unbounded_channel();
         let mut running = Running {
@@ -109,8 +110,11 @@
             send,
             numbers: HashMap::new(),
         };
-        let (mut gather, actions) =
-            Gather::start(clock::now(), plan, &mut self.shared.borrow_mut().budgets);
+        let (mut gather, actions) = Gather::start(
+            clock::now(),
+            plan,
+            self.shared.borrow_mut().budgets(&query.route.pool),
+        );
         let mut pressed = false;
         let mut finished = self.perform(&mut running, actions);
         while !finished {
@@ -121,7 +125,7 @@
                     self.arrived(&mut gather, &services, &running, arrival)
                 }
                 () = clock::sleep_until(gather.next_tick()) => {
-                    gather.tick(clock::now(), &mut self.shared.borrow_mut().budgets)
+                    gather.tick(clock::now(), self.shared.borrow_mut().budgets(&query.route.pool))
                 }
             };
             finished = self.perform(&mut running, actions);
@@ -136,13 +140,15 @@
         }
     }
 
-    fn plan(&self, query: &Query, names: &[String], services: Vec<Vec<usize>>) -> Plan {
+    fn plan(&self, query: &Query, services: Vec<Vec<usize>>) -> Plan {
         let mut shared = self.shared.borrow_mut();
         let snapshot = shared.snapshot(&query.route.pool, &services);
-        let late = names
-            .iter()
-            .map(|n| shared.late.entry(n.clone()).or_default().delay())
-            .collect();
+        let delay = shared
+            .late
+            .entry(query.route.pool.clone())
+            .or_default()
+            .delay();
+        let late = vec![delay; services.len()];
         let ordered = services
             .into_iter()
             .map(|s| self.ordered(&shared.book, s, snapshot, query.spread))
@@ -156,19 +162,13 @@
         }
     }
 
-    /// Orders a service's targets: those that serve the snapshot, then by estimated wait.
-    fn ordered(
-        &self,
-        book: &Book,
-        mut targets: Vec<usize>,
-        snapshot: u64,
-        spread: u64,
-    ) -> Vec<usize> {
-        targets.sort_by_cached_key(|t| {
-            let tie = rank::score(rattanturn_core::NodeId(*t as u64), spread);
-            (!book.may_serve(*t, snapshot), self.calls.rank(*t), tie)
-        });
-        targets
+    /// Orders a service's targets; those that do not serve the snapshot come last.
+    fn ordered(&self, book: &Book, targets: Vec<usize>, snapshot: u64, spread: u64) -> Vec<usize> {
+        let may_serve = |t: &usize| book.may_serve(*t, snapshot);
+        let (fit, unfit): (Vec<usize>, Vec<usize>) = targets.into_iter().partition(may_serve);
+        let mut out = self.calls.order(fit, spread);
+        out.extend(unfit);
+        out
     }
 
     fn arrived(
@@ -186,18 +186,14 @@
         }
         if arrival.result.outcome == Outcome::Done {
             let took = gather.age(now, arrival.attempt);
-            let service = running
-                .routing
-                .targets
-                .get(&arrival.target)
-                .map(|t| t.service.as_str());
-            if let Some(late) = service.and_then(|s| shared.late.get_mut(s)) {
+            if let Some(late) = shared.late.get_mut(&running.query.route.pool) {
                 late.record(took);
             }
         }
         let newest = shared.snapshot(&running.query.route.pool, services);
         let reply = reply_of(arrival.result);
-        gather.reply(now, arrival.attempt, reply, newest, &mut shared.budgets)
+        let budgets = shared.budgets(&running.query.route.pool);
+        gather.reply(now, arrival.attempt, reply, newest, budgets)
     }
 
     /// Sends and cancels; returns true when the answer is final.
@@ -233,6 +229,10 @@
 }
 
 impl Learned {
+    fn budgets(&mut self, pool: &str) -> &mut Budgets {
+        self.budgets.entry(pool.into()).or_default()
+    }
+
     /// Snapshot for a pool, chosen anew only when targets name other versions.
     fn snapshot(&mut self, pool: &str, services: &[Vec<usize>]) -> u64 {
         if let Some((changes, chosen)) = self.chosen.get(pool)
--- /dev/null
+++ b/crates/demo/tests/platform.rs
@@ -0,0 +1,78 @@
+//! Operators racing and lost answers: an edit is accepted once, or its writer learns why not.
+
+use {
+    actix_rt::System,
+    rattanturn_platform::{Object, Platform, Read, Write},
+    rattanturn_standins::platform::{self, Mode},
+};
+
+const KEY: &str = "tables";
+
+fn with_platform<F>(test: F)
+where
+    F: AsyncFnOnce(&platform::State, &Platform),
+{
+    System::new().block_on(async {
+        let standin = platform::Platform::spawn().unwrap();
+        test(&standin.state(), &Platform::open(standin.addr())).await;
+    });
+}
+
+#[test]
+fn of_two_racing_operators_one_gets_a_conflict() {
+    with_platform(async |state, client| {
+        state.put(KEY, b"first");
+        assert_eq!(client.write_settled(KEY, 1, b"mine").await, Write::Done(2));
+        assert_eq!(
+            client.write_settled(KEY, 1, b"yours").await,
+            Write::Conflict
+        );
+        let newest = Object {
+            version: 2,
+            body: b"mine".into(),
+        };
+        assert_eq!(client.read(KEY).await, Read::Found(newest));
+    });
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    with_platform(async |state, client| {
+        state.put(KEY, b"first");
+        state.set_mode(Mode::LoseAnswers);
+        assert_eq!(client.write_settled(KEY, 1, b"mine").await, Write::Done(2));
+        assert_eq!(client.write_settled(KEY, 1, b"late").await, Write::Conflict);
+        assert_eq!(state.get(KEY), Some((2, b"mine".into())));
+    });
+}
+
+#[test]
+fn an_outage_leaves_the_outcome_open_and_says_so() {
+    with_platform(async |state, client| {
+        state.put(KEY, b"first");
+        state.set_mode(Mode::Down);
+        assert_eq!(
+            client.write_settled(KEY, 1, b"mine").await,
+            Write::Ambiguous
+        );
+        assert_eq!(client.read(KEY).await, Read::Down);
+        state.set_mode(Mode::Up);
+        assert_eq!(state.get(KEY), Some((1, b"first".into())));
+    });
+}
+
+#[test]
+fn a_watch_ends_with_the_newer_version_or_unchanged() {
+    with_platform(async |state, client| {
+        let wait = std::time::Duration::from_millis(50);
+        state.put(KEY, b"first");
+        assert_eq!(client.watch(KEY, 1, wait).await, Read::Unchanged);
+        state.put(KEY, b"second");
+        let newest = Object {
+            version: 2,
+            body: b"second".into(),
+        };
+        assert_eq!(client.watch(KEY, 1, wait).await, Read::Found(newest));
+        assert_eq!(state.calls()["watch"], 2);
+    });
+}
