--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -132,7 +132,7 @@
 impl Default for Budgets {
     fn default() -> Self {
         Self {
-            hedge: Budget::new(0.07, 3.0),
+            hedge: Budget::new(0.07, 10.0),
             retry: Budget::new(0.03, 10.0),
         }
     }
