--- /dev/null
+++ b/crates/core/src/membership/message.rs
@@ -0,0 +1,109 @@
+//! What members tell each other.
+
+use {
+    crate::{NodeId, rank},
+    std::net::SocketAddr,
+};
+
+/// A member's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// Answers probes.
+    Alive,
+    /// Answers probes and takes no new work.
+    Leaving,
+    /// Did not answer; dead unless it refutes in time.
+    Suspect,
+    /// Gone.
+    Dead,
+}
+
+/// Where a member is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Name in its settings.
+    pub name: String,
+    /// Data centre it runs in.
+    pub centre: String,
+    /// Gossip address (UDP).
+    pub gossip: SocketAddr,
+    /// Port for callers.
+    pub http: u16,
+    /// Port for operators.
+    pub admin: u16,
+    /// First RPC port.
+    pub rpc: u16,
+    /// Number of traffic threads, each with its own RPC port.
+    pub threads: u16,
+}
+
+/// News of one member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fact {
+    /// The member.
+    pub id: NodeId,
+    /// Its state.
+    pub state: State,
+    /// Raised by the member itself when it refutes or changes.
+    pub incarnation: u32,
+    /// Where it is reached.
+    pub place: Place,
+}
+
+/// Versions that a daemon uses, carried on every message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Versions {
+    /// Version of the tables.
+    pub tables: u64,
+    /// Version of the panels.
+    pub panels: u64,
+}
+
+/// What a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Asks for an answer with the same number.
+    Probe(u32),
+    /// Asks the receiver to probe `NodeId`.
+    Indirect(u32, NodeId),
+    /// Answers a probe.
+    Ack(u32),
+    /// Carries a part of the sender's full list; true asks for the receiver's.
+    Sync(bool),
+}
+
+/// A message between members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Sender.
+    pub from: NodeId,
+    /// What it is for.
+    pub purpose: Purpose,
+    /// Digest of the sender's list.
+    pub digest: u64,
+    /// Versions that the sender uses.
+    pub versions: Versions,
+    /// News.
+    pub facts: Vec<Fact>,
+}
+
+/// A message to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// Receiver's gossip address.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: Message,
+}
+
+/// Digest of one fact; the list's digest combines them in any order.
+///
+/// Suspicion is passing and local, so a suspect counts as alive.
+pub(super) fn fact_digest(fact: &Fact) -> u64 {
+    let state = match fact.state {
+        State::Alive | State::Suspect => 0,
+        State::Leaving => 1,
+        State::Dead => 2,
+    };
+    rank::score(fact.id, u64::from(fact.incarnation) << 2 | state)
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,9 +1,11 @@
 //! The control thread: membership, leases, shared objects and the routing derived from them.
 
 mod cost;
+mod dump;
 mod leases;
 mod objects;
 mod registrar;
+mod shutdown;
 
 use {
     crate::{
@@ -12,6 +14,7 @@
             cost::Cost,
             leases::Leases,
             objects::{Fetching, Found, PANELS_KEY, WATCHERS},
+            shutdown::Phase,
         },
         routing::{self, Inputs, Interner, LeaseCell, Shared},
         traffic::{
@@ -20,7 +23,7 @@
         },
     },
     rattanturn_core::{
-        NodeId, Time, addresses,
+        NodeId, Time,
         membership::{Fact, Membership, Place, Send, State, Versions},
         panels::Panels,
         rank,
@@ -31,7 +34,7 @@
     rattanturn_wire::{Datagram, decode, encode},
     std::{
         net::SocketAddr,
-        sync::{Arc, PoisonError, atomic::Ordering},
+        sync::{Arc, PoisonError},
         time::Duration,
     },
     tokio::{
@@ -44,8 +47,6 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 8_192;
-/// Time for news of a withdrawal to reach every daemon before its address answers expire.
-const SPREAD_TIME: Duration = Duration::from_secs(2);
 
 /// What reaches the control thread from its own tasks and from outside.
 pub(crate) enum Event {
@@ -70,16 +71,6 @@
     pub(crate) objects: Objects,
 }
 
-/// Phases of a daemon's life. Each is entered once, in this order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    Serving,
-    /// Left out of new address answers; accepts until all earlier ones expired.
-    Withdrawn(Time),
-    /// Listeners are closed; what runs may end.
-    Draining(Time),
-}
-
 struct Control {
     settings: Settings,
     me: NodeId,
@@ -426,49 +417,6 @@
         actix_rt::spawn(registrar::write(platform, version, body, events));
     }
 
-    /// Begins the planned stop.
-    fn withdraw(&mut self, stopped: oneshot::Sender<String>) {
-        let now = clock::now();
-        if self.phase != Phase::Serving {
-            return;
-        }
-        tracing::info!("withdrawn: new callers are sent elsewhere");
-        self.phase = Phase::Withdrawn(now + SPREAD_TIME + addresses::LIFETIME);
-        self.stopped = Some(stopped);
-        self.membership.leave(now);
-    }
-
-    /// Moves through the phases of the planned stop; true when the daemon may end.
-    async fn advance(&mut self, now: Time, socket: &UdpSocket) -> bool {
-        let requests = self.gauges.requests.load(Ordering::Acquire);
-        match self.phase {
-            Phase::Serving => false,
-            Phase::Withdrawn(until) => {
-                if now >= until {
-                    tracing::info!("draining: no new connections");
-                    self.gauges.closed.store(true, Ordering::Release);
-                    self.phase = Phase::Draining(now + self.settings.drain_limit);
-                }
-                false
-            }
-            Phase::Draining(limit) => {
-                let busy = requests + self.leases.in_use();
-                let held = self.leases.len();
-                if (busy > 0 || held > 0) && now < limit {
-                    return false;
-                }
-                let left = format!("{requests} requests and {held} units were left");
-                tracing::info!(%left, "stopped");
-                let out = self.membership.farewell(now);
-                self.send_all(socket, out).await;
-                if let Some(stopped) = self.stopped.take() {
-                    let _ = stopped.send(left);
-                }
-                true
-            }
-        }
-    }
-
     async fn send_all(&mut self, socket: &UdpSocket, list: Vec<Send>) {
         for item in list {
             self.send(socket, item.to, &Datagram::Gossip(item.message))
@@ -482,50 +430,4 @@
         // A lost datagram is repeated by the protocol that sent it.
         let _ = socket.send_to(&bytes, to).await;
     }
-
-    fn dump(&self) -> serde_json::Value {
-        let member = |m: &rattanturn_core::membership::Member| {
-            serde_json::json!({
-                "id": m.fact.id.to_string(),
-                "name": m.fact.place.name,
-                "centre": m.fact.place.centre,
-                "admin": SocketAddr::new(m.fact.place.gossip.ip(), m.fact.place.admin),
-                "state": format!("{:?}", m.fact.state),
-                "tables": m.versions.tables,
-                "panels": m.versions.panels,
-            })
-        };
-        let routing = self.routing.load();
-        let now = clock::now();
-        let unit = |u: &routing::Unit| {
-            let mine = u.cell.as_ref().is_some_and(|c| c.usable(now));
-            serde_json::json!({
-                "unit": u.name,
-                "centre": u.centre,
-                "holder": u.holder.map(|h| h.to_string()),
-                "mine": mine,
-            })
-        };
-        let threads = self
-            .gauges
-            .dumps
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        serde_json::json!({
-            "name": self.settings.name,
-            "id": self.me.to_string(),
-            "centre": self.settings.centre,
-            "phase": format!("{:?}", self.phase),
-            "tables": self.tables.version(),
-            "panels": self.panels.version(),
-            "watching": !self.watches.is_empty(),
-            "requests": self.gauges.requests.load(Ordering::Acquire),
-            "leases": self.leases.dump(),
-            "control": self.cost.dump(),
-            "members": self.membership.members().map(member).collect::<Vec<_>>(),
-            "units": routing.units.iter().map(unit).collect::<Vec<_>>(),
-            "threads": threads,
-        })
-    }
 }
