Bring edited slots to the holders of targets

Cause: a holder took a target's shape from the tables at the first call and kept it, so an edit of slots did not take effect until the lease moved. Change: a target's state follows the tables' version; its queue is reshaped, its client remade.

--- a/crates/daemon/src/traffic/holder.rs
+++ b/crates/daemon/src/traffic/holder.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         clock,
-        routing::{LeaseCell, Shared, TargetInfo},
+        routing::{LeaseCell, Routing, Shared, TargetInfo},
         traffic::target_client::{Answer, CallHead, Kind, TargetClient},
     },
     rattanturn_core::{
@@ -104,11 +104,26 @@
 }
 
 struct TargetState {
+    /// Version of the tables that the shape comes from.
+    tables: u64,
+    shape: Shape,
     queue: Queue,
     client: Rc<TargetClient>,
     cell: Arc<LeaseCell>,
 }
 
+impl TargetState {
+    /// Takes over what an edit of the tables changed; what is known of the target stays.
+    fn follow(&mut self, fresh: Self) {
+        self.tables = fresh.tables;
+        if self.shape != fresh.shape {
+            self.shape = fresh.shape;
+            self.queue.reshape(fresh.shape);
+            self.client = fresh.client;
+        }
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     targets: HashMap<usize, TargetState>,
@@ -255,26 +270,30 @@
             return None;
         }
         let mut inner = self.inner.borrow_mut();
-        let replaced = inner
-            .targets
-            .get(&index)
-            .is_some_and(|t| !Arc::ptr_eq(&t.cell, &cell));
-        if replaced && inner.targets[&index].queue.running() == 0 {
+        let known = inner.targets.get(&index);
+        if known.is_some_and(|t| !Arc::ptr_eq(&t.cell, &cell) && t.queue.running() == 0) {
             inner.targets.remove(&index);
         }
-        if let Entry::Vacant(vacant) = inner.targets.entry(index) {
-            vacant.insert(self.target_state(&routing.tables, info, cell.clone())?);
+        match inner.targets.entry(index) {
+            Entry::Vacant(vacant) => {
+                vacant.insert(self.target_state(&routing, info, cell.clone())?);
+            }
+            Entry::Occupied(mut known) if known.get().tables != routing.version => {
+                let fresh = self.target_state(&routing, info, cell.clone())?;
+                known.get_mut().follow(fresh);
+            }
+            Entry::Occupied(_) => {}
         }
         Some((index, cell))
     }
 
     fn target_state(
         &self,
-        tables: &rattanturn_tables::Tables,
+        routing: &Routing,
         info: &TargetInfo,
         cell: Arc<LeaseCell>,
     ) -> Option<TargetState> {
-        let pool = tables.pools.get(&info.pool)?;
+        let pool = routing.tables.pools.get(&info.pool)?;
         let shares = self.shares.unwrap_or(1).max(1);
         let slots = (pool.slots / shares).max(1);
         let shape = Shape {
@@ -286,8 +305,11 @@
         // still have as many open.
         let connections = (slots + 1).min((pool.connections / shares).max(1));
         let client = Rc::new(TargetClient::open(info.addr, connections, &self.centre));
+        let queue = Queue::new(shape);
         Some(TargetState {
-            queue: Queue::new(shape),
+            tables: routing.version,
+            shape,
+            queue,
             client,
             cell,
         })
