Record queries as traces that replay

Change: one query in 64 is recorded with the budgets it met; the last four of each thread are in the state dump; `rattanturn replay` runs them. Figures: all traces recorded under a slow target replay to the recorded outcome (whole-path test). Conclusion: a bad answer seen by an operator can become a test.

--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -13,6 +13,9 @@
 //! expect part=1 missing=busy
 //! ```
 //!
+//! Any line but the last may name the budgets that it met, as `budgets=HEDGE,RETRY`: queries share
+//! them, so a replay has to be told.
+//!
 //! An `expect` line states the outcome at its place in the trace.
 
 use {
@@ -42,7 +45,7 @@
 impl Recorder {
     /// Starts a trace of a query that arrived at `start`.
     #[must_use]
-    pub fn open(start: Time, plan: &Plan) -> Self {
+    pub fn open(start: Time, plan: &Plan, budgets: &Budgets) -> Self {
         let lists: Vec<String> = plan
             .services
             .iter()
@@ -59,44 +62,45 @@
             .map(|d| d.as_micros().to_string())
             .collect();
         let text = format!(
-            "plan deadline={} snapshot={} hedging={} late={} services={}\n",
+            "plan deadline={} snapshot={} hedging={} late={} services={} {}\n",
             plan.deadline.since(start).as_micros(),
             plan.snapshot,
             if plan.hedging { "yes" } else { "no" },
             late.join(","),
             lists.join(";"),
+            budget_words(budgets),
         );
         Self { text, start }
     }
 
     /// Records the end of an attempt; the body is left out.
-    pub fn reply(&mut self, now: Time, attempt: AttemptId, reply: &Reply, newest: u64) {
-        let at = now.since(self.start).as_micros();
-        let n = attempt.0;
-        // Writing to a string cannot fail.
-        let _ = match reply {
-            Reply::Done { snapshot, .. } => {
-                writeln!(
-                    self.text,
-                    "{at} done attempt={n} snapshot={snapshot} newest={newest}"
-                )
-            }
-            Reply::WrongSnapshot => {
-                writeln!(self.text, "{at} wrong-snapshot attempt={n} newest={newest}")
-            }
-            Reply::NotRun(reason) => {
-                writeln!(
-                    self.text,
-                    "{at} not-run attempt={n} reason={reason} newest={newest}"
-                )
-            }
-            Reply::Failed => writeln!(self.text, "{at} failed attempt={n} newest={newest}"),
+    pub fn reply(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        reply: &Reply,
+        newest: u64,
+        budgets: &Budgets,
+    ) {
+        let event = match reply {
+            Reply::Done { snapshot, .. } => format!("done snapshot={snapshot}"),
+            Reply::WrongSnapshot => "wrong-snapshot".into(),
+            Reply::NotRun(reason) => format!("not-run reason={reason}"),
+            Reply::Failed => "failed".into(),
         };
+        let words = format!("{event} attempt={} newest={newest}", attempt.0);
+        self.line(now, &words, budgets);
     }
 
     /// Records that time passed.
-    pub fn tick(&mut self, now: Time) {
-        let _ = writeln!(self.text, "{} tick", now.since(self.start).as_micros());
+    pub fn tick(&mut self, now: Time, budgets: &Budgets) {
+        self.line(now, "tick", budgets);
+    }
+
+    fn line(&mut self, now: Time, words: &str, budgets: &Budgets) {
+        let at = now.since(self.start).as_micros();
+        // Writing to a string cannot fail.
+        let _ = writeln!(self.text, "{at} {words} {}", budget_words(budgets));
     }
 
     /// Ends the trace with the outcome as it was.
@@ -112,6 +116,14 @@
     }
 }
 
+fn budget_words(budgets: &Budgets) -> String {
+    format!(
+        "budgets={:.3},{:.3}",
+        budgets.hedge.tokens(),
+        budgets.retry.tokens()
+    )
+}
+
 /// Words of one line: bare words, then `key=value`.
 struct Line<'a> {
     words: Vec<&'a str>,
@@ -142,6 +154,21 @@
             .map_err(|_| format!("`{key}={text}` is not a number"))
     }
 
+    /// Sets the budgets that the line names.
+    fn set_budgets(&self, budgets: &mut Budgets) -> Result<(), String> {
+        let Some(text) = self.pairs.get("budgets") else {
+            return Ok(());
+        };
+        let parsed = text
+            .split_once(',')
+            .and_then(|(h, r)| Some((h.parse().ok()?, r.parse().ok()?)));
+        let (hedge, retry) =
+            parsed.ok_or_else(|| format!("`budgets={text}` is not two numbers"))?;
+        budgets.hedge.set_tokens(hedge);
+        budgets.retry.set_tokens(retry);
+        Ok(())
+    }
+
     fn flag(&self, key: &str) -> bool {
         self.pairs.get(key) == Some(&"yes")
     }
@@ -232,6 +259,7 @@
         hedging: line.flag("hedging"),
     };
     let mut budgets = Budgets::default();
+    line.set_budgets(&mut budgets)?;
     let (gather, actions) = Gather::start(Time::ZERO, plan, &mut budgets);
     let finished = actions.contains(&Action::Finish);
     Ok(Replay {
@@ -248,6 +276,7 @@
             .map_err(|_| "a line starts with its time")?;
         let now = Time::from_micros(at);
         let kind = line.words.get(1).copied().ok_or("the event is missing")?;
+        line.set_budgets(&mut self.budgets)?;
         let actions = if kind == "tick" {
             self.gather.tick(now, &mut self.budgets)
         } else {
--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -84,6 +84,17 @@
         }
     }
 
+    /// Extra calls saved up.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// Sets the extra calls saved up, for replay of a recorded state.
+    pub fn set_tokens(&mut self, tokens: f64) {
+        self.tokens = tokens;
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.burst);
--- a/crates/daemon/src/traffic/entry.rs
+++ b/crates/daemon/src/traffic/entry.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// Traces of recent queries, for the state dump.
+    pub(crate) fn traces(&self) -> Vec<String> {
+        self.queries.traces()
+    }
+
     /// Admission of each pool, for the state dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let gates = self.gates.borrow();
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -128,6 +128,7 @@
                 "targets": holder.dump(),
                 "admission": entry.dump(),
                 "journal_entries": keeper.len(),
+                "traces": entry.traces(),
             });
             publish(&start.gauges, start.thread as usize, dump);
         }
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -11,14 +11,16 @@
     },
     rattanturn_core::{
         Priority, Time,
-        gather::{Action, AttemptId, Budgets, Counts, Gather, Missing, Part, Plan, Reply},
+        gather::{
+            Action, AttemptId, Budgets, Counts, Gather, Missing, Part, Plan, Reply, trace::Recorder,
+        },
         hedge::Late,
         snapshot::Book,
     },
     rattanturn_tables::{Kind, Route},
     std::{
         cell::RefCell,
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, VecDeque},
         rc::Rc,
         time::Duration,
     },
@@ -27,6 +29,10 @@
 
 /// A call that waited longer than this share of the time allowed means pressure.
 const PRESSURE_SHARE: f64 = 0.25;
+/// One query in this many is recorded.
+const TRACE_ONE_IN: u64 = 64;
+/// Traces kept by each thread.
+const TRACES_KEPT: usize = 4;
 /// Part of the deadline kept for merging and sending the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(3);
 
@@ -71,6 +77,7 @@
     late: HashMap<String, Late>,
     chosen: BTreeMap<String, (u64, u64)>,
     book_changes: u64,
+    traces: VecDeque<String>,
 }
 
 /// Events that reach a running query.
@@ -103,6 +110,14 @@
         let (names, services) = services_of(&routing, query);
         let plan = self.plan(query, services);
         let services = plan.services.clone();
+        let started = clock::now();
+        let mut recorder = query.spread.is_multiple_of(TRACE_ONE_IN).then(|| {
+            Recorder::open(
+                started,
+                &plan,
+                self.shared.borrow_mut().budgets(&query.route.pool),
+            )
+        });
         let (send, mut arrivals) = mpsc::unbounded_channel();
         let mut running = Running {
             query,
@@ -111,7 +126,7 @@
             numbers: HashMap::new(),
         };
         let (mut gather, actions) = Gather::start(
-            clock::now(),
+            started,
             plan,
             self.shared.borrow_mut().budgets(&query.route.pool),
         );
@@ -122,14 +137,17 @@
                 biased;
                 Some(arrival) = arrivals.recv() => {
                     pressed |= is_pressed(query, &arrival.result);
-                    self.arrived(&mut gather, &services, &running, arrival)
+                    self.arrived(&mut gather, &services, &running, arrival, recorder.as_mut())
                 }
                 () = clock::sleep_until(gather.next_tick()) => {
-                    gather.tick(clock::now(), self.shared.borrow_mut().budgets(&query.route.pool))
+                    self.ticked(&mut gather, query, recorder.as_mut())
                 }
             };
             finished = self.perform(&mut running, actions);
         }
+        if let Some(recorder) = recorder {
+            self.keep_trace(recorder.close(&gather));
+        }
         Answer {
             snapshot: gather.snapshot(),
             tables: routing.version,
@@ -171,12 +189,39 @@
         out
     }
 
+    fn ticked(
+        &self,
+        gather: &mut Gather,
+        query: &Query,
+        recorder: Option<&mut Recorder>,
+    ) -> Vec<Action> {
+        let now = clock::now();
+        let mut shared = self.shared.borrow_mut();
+        let budgets = shared.budgets(&query.route.pool);
+        if let Some(recorder) = recorder {
+            recorder.tick(now, budgets);
+        }
+        gather.tick(now, budgets)
+    }
+
+    /// Traces of recent queries, for the state dump and `rattanturn replay`.
+    pub(crate) fn traces(&self) -> Vec<String> {
+        self.shared.borrow().traces.iter().cloned().collect()
+    }
+
+    fn keep_trace(&self, trace: String) {
+        let traces = &mut self.shared.borrow_mut().traces;
+        traces.push_front(trace);
+        traces.truncate(TRACES_KEPT);
+    }
+
     fn arrived(
         &self,
         gather: &mut Gather,
         services: &[Vec<usize>],
         running: &Running<'_>,
         arrival: Arrival,
+        recorder: Option<&mut Recorder>,
     ) -> Vec<Action> {
         let now = clock::now();
         let mut shared = self.shared.borrow_mut();
@@ -193,6 +238,9 @@
         let newest = shared.snapshot(&running.query.route.pool, services);
         let reply = reply_of(arrival.result);
         let budgets = shared.budgets(&running.query.route.pool);
+        if let Some(recorder) = recorder {
+            recorder.reply(now, arrival.attempt, &reply, newest, budgets);
+        }
         gather.reply(now, arrival.attempt, reply, newest, budgets)
     }
 
--- a/crates/demo/tests/promises.rs
+++ b/crates/demo/tests/promises.rs
@@ -325,6 +325,30 @@
     });
 }
 
+/// A daemon records some of its queries; their traces replay to the same outcome.
+#[test]
+fn recorded_traces_replay_to_what_happened() {
+    on_bed(2, async |bed| {
+        ledger(bed).set_slow(10.0);
+        load(bed, "search", 150.0, 18).await;
+        let states = bed.states().await;
+        let threads = states
+            .iter()
+            .filter_map(|s| s["threads"].as_array())
+            .flatten();
+        let traces: Vec<&str> = threads
+            .filter_map(|t| t["traces"].as_array())
+            .flatten()
+            .filter_map(|t| t.as_str())
+            .collect();
+        assert!(!traces.is_empty());
+        for trace in traces {
+            let replayed = rattanturn_core::gather::trace::replay(trace);
+            assert!(replayed.is_ok(), "{replayed:?}\n{trace}");
+        }
+    });
+}
+
 /// Sends one non-idempotent request and returns its outcome.
 async fn renew(addr: SocketAddr, id: &str, issued: u64) -> String {
     let request = awc::Client::builder()
@@ -483,6 +507,30 @@
     });
 }
 
+/// An edit of a pool's slots reaches the holders of its targets.
+#[test]
+fn edited_slots_take_effect() {
+    on_bed(4, async |bed| {
+        load(bed, "search", 20.0, 19).await;
+        bed.pools = bed.pools.replace("slots = 3", "slots = 2");
+        let _ = bed.put_tables();
+        in_force(bed).await;
+        load(bed, "search", 40.0, 20).await;
+        until("every ledger's limit is two", async || {
+            let states = bed.states().await;
+            let threads = states
+                .iter()
+                .filter_map(|s| s["threads"].as_array())
+                .flatten();
+            let targets = threads.filter_map(|t| t["targets"].as_array()).flatten();
+            let limits: Vec<u64> = targets.filter_map(|t| t["limit"].as_u64()).collect();
+            // Events have four slots and ledgers had three.
+            !limits.is_empty() && limits.iter().all(|l| [1, 2, 4].contains(l))
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_daemon_that_starts_while_the_platform_is_down_serves() {
     on_bed(4, async |bed| {
