--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -75,7 +75,7 @@
         let journal = self
             .shares
             .borrow_mut()
-            .open(unit.id, &cell)
+            .open(clock::now(), unit.id, &cell)
             .journal
             .clone();
         let (id, calls) = (unit.id, self.calls.clone());
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -33,6 +33,8 @@
 const KEEPER_PATIENCE: Duration = Duration::from_millis(500);
 /// Pause between two tries to reach the keeper.
 const KEEPER_PAUSE: Duration = Duration::from_millis(25);
+/// Pause before a journal that is on its way is looked for again.
+const JOURNAL_PAUSE: Duration = Duration::from_millis(10);
 /// Time beyond the deadline in which the keeper's answer may still arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Targets tried for one request.
@@ -100,7 +102,12 @@
                     break;
                 }
                 Verdict::Ended(outcome) => return outcome,
-                Verdict::Unknown => return Outcome::Unknown,
+                Verdict::Unknown => {
+                    if !self.shares.borrow().expects_journal(clock::now(), unit) {
+                        return Outcome::Unknown;
+                    }
+                    actix_rt::time::sleep(JOURNAL_PAUSE).await;
+                }
                 Verdict::Refused(why) => return Outcome::NotRun(why.into()),
                 Verdict::Running => {
                     let left = request.deadline.since(clock::now());
@@ -137,7 +144,7 @@
         if !cell.usable(clock::now()) {
             return None;
         }
-        self.shares.borrow_mut().open(unit.id, &cell);
+        self.shares.borrow_mut().open(clock::now(), unit.id, &cell);
         Some((unit.id, cell))
     }
 
--- a/crates/daemon/src/traffic/once/shares.rs
+++ b/crates/daemon/src/traffic/once/shares.rs
@@ -15,11 +15,15 @@
 /// daemons learn of a move at slightly different times.
 const RECEIVED_PATIENCE: Duration = Duration::from_millis(50);
 
+/// Time that a new holder waits for the journal of the tenure before to arrive.
+const ARRIVAL_PATIENCE: Duration = Duration::from_millis(250);
+
 /// A journal and the tenure that it belongs to.
 pub(super) struct Share {
     tenure: Option<Tenure>,
     /// The tenure whose journal is missing here and may still arrive.
     missing: Option<Tenure>,
+    opened: Time,
     pub(super) journal: Journal,
     /// Wakes repeats that wait for a first run.
     pub(super) ended: Rc<Notify>,
@@ -44,7 +48,7 @@
     ///
     /// A journal goes on only if the new tenure directly follows the one that it belongs to;
     /// otherwise another daemon may have run requests in between, and a new one is opened.
-    pub(super) fn open(&mut self, unit: UnitId, cell: &LeaseCell) -> &mut Share {
+    pub(super) fn open(&mut self, now: Time, unit: UnitId, cell: &LeaseCell) -> &mut Share {
         let Tenures { present, previous } = cell.tenures();
         let known = self.open.get(&unit).map(|s| s.tenure);
         if known != Some(present) {
@@ -62,6 +66,7 @@
             let share = Share {
                 tenure: present,
                 missing: if journal.is_some() { None } else { previous },
+                opened: now,
                 journal: journal.unwrap_or_else(|| Journal::open(cell.since_unix())),
                 ended: Rc::default(),
             };
@@ -70,6 +75,12 @@
         self.open.get_mut(&unit).expect("the share was just opened")
     }
 
+    /// Whether the journal of the tenure before is likely on its way here.
+    pub(super) fn expects_journal(&self, now: Time, unit: UnitId) -> bool {
+        let share = self.open.get(&unit);
+        share.is_some_and(|s| s.missing.is_some() && now.since(s.opened) < ARRIVAL_PATIENCE)
+    }
+
     /// The share's journal as it stands.
     pub(super) fn get(&mut self, unit: UnitId) -> Option<&mut Share> {
         self.open.get_mut(&unit)
