Make the frozen-holder test reach its guard

Cause: with the holder's lease checks disabled the test still passed: callers had moved to other entries by the time the lease lapsed, so the frozen daemon was idle. Change: callers pinned to the frozen daemon and to another one, targets slow enough to fill slots.

--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Callers that use one address and never ask.
+    #[must_use]
+    pub fn pinned(addr: SocketAddr) -> Self {
+        let finder = Self::new(vec![addr], "");
+        finder.known.borrow_mut().1 = Instant::now() + Duration::from_hours(1);
+        finder
+    }
+
     /// An address to use, asking anew when the last answer has expired.
     pub async fn address(&self, turn: usize) -> Option<SocketAddr> {
         let (list, until) = self.known.borrow().clone();
--- a/crates/demo/tests/promises.rs
+++ b/crates/demo/tests/promises.rs
@@ -218,24 +218,34 @@
     });
 }
 
-/// A daemon whose control is starved loses its units to others and must stop using them.
+/// A daemon whose control is starved loses its units to others and must stop using them, also
+/// for callers that still use it as their entry.
 #[test]
 fn a_frozen_holder_stops_when_its_lease_lapses() {
     on_bed(6, async |bed| {
-        let finder = Finder::new(bed.entries(), "east");
-        let time = Duration::from_secs(10);
-        let running = actix_rt::spawn(run(finder, stream("search", 150.0), time, 17));
+        for target in &bed.targets {
+            target.state.set_slow(8.0);
+        }
+        let time = Duration::from_secs(13);
+        let near = Finder::pinned(bed.slots[0].addresses.http);
+        let far = Finder::pinned(bed.slots[3].addresses.http);
+        let near = actix_rt::spawn(run(near, stream("search", 80.0), time, 17));
+        let far = actix_rt::spawn(run(far, stream("search", 80.0), time, 18));
         sleep(Duration::from_secs(1)).await;
         let frozen = bed.slots[0].daemon.as_ref().unwrap();
-        frozen.freeze(Duration::from_secs(8));
-        let seen = running.await.unwrap();
+        frozen.freeze(time);
+        let (near, far) = (near.await.unwrap(), far.await.unwrap());
         let totals = totals(&bed.targets);
         assert_eq!(
             (totals.oversubscribed, totals.refused_connections),
             (0, 0),
             "{totals:?}"
         );
-        assert_eq!((seen.wrong, seen.broken), (0, 0), "{seen:?}");
+        assert_eq!(
+            (near.wrong, far.wrong, near.broken, far.broken),
+            (0, 0, 0, 0)
+        );
+        assert!(near.total() > 0 && far.full > 0);
     });
 }
 
