Serve the stand-ins alone, for daemons run as processes

Cause: the two programs had only been built, not run against anything, outside of tests. Change: the demonstration's scenario "serve" runs targets and platform only.

--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -25,7 +25,8 @@
         cmd demo {
             /// Which deployment: board or nilavu. Default: board.
             optional --deployment name: String
-            /// What happens: centre, steady, slow, lost, cold, versions or overload. Default: centre.
+            /// What happens: centre, steady, slow, lost, cold, versions, overload, or serve
+            /// (only the stand-ins, for daemons run by hand). Default: centre.
             optional --scenario name: String
             /// Number of daemons. Default: 8.
             optional --daemons count: usize
@@ -93,6 +94,9 @@
         "shares" => Holding::Shares,
         other => bail!("--holding {other}: use leased or shares"),
     };
+    if flags.scenario.as_deref() == Some("serve") {
+        return serve(options, Duration::from_secs(flags.seconds.unwrap_or(600))).await;
+    }
     let start = Instant::now();
     let mut bed = Bed::spawn(options).await?;
     println!(
@@ -106,6 +110,19 @@
     Ok(good)
 }
 
+/// Runs only the stand-ins, for daemons that run as processes of their own.
+async fn serve(options: Options, time: Duration) -> eyre::Result<bool> {
+    let bed = Bed::spawn_targets(options)?;
+    let version = bed.put_tables();
+    println!(
+        "platform at {}, tables at version {version}",
+        bed.platform_addr
+    );
+    actix_rt::time::sleep(time).await;
+    bed.end();
+    Ok(true)
+}
+
 async fn scenario(flags: &flags::Demo, bed: &mut Bed) -> eyre::Result<bool> {
     let time = Duration::from_secs(flags.seconds.unwrap_or(8));
     let rate = flags.rate.unwrap_or(40.0);
