Start non-idempotent calls only while their answer can still arrive

Cause: at 10x load requests were told "unknown" because their calls started shortly before the deadline and the answer came after it. Change: such a call has to start at the target within 70% of the time left; a later one is refused, truly, as not run.

--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -37,6 +37,8 @@
 const JOURNAL_PAUSE: Duration = Duration::from_millis(10);
 /// Time beyond the deadline in which the keeper's answer may still arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// Share of the time left in which a call has to be started at the target.
+const START_SHARE: f64 = 0.7;
 /// Targets tried for one request.
 const MAX_TRIES: usize = 3;
 
@@ -195,8 +197,10 @@
         let Some(addr) = self.routing.load().targets.get(&target).map(|t| t.addr) else {
             return CallResult::of(0, CallOutcome::NoHolder);
         };
+        // A call that starts late would have its answer cut off by the deadline.
+        let now = clock::now();
         let call = HolderCall {
-            deadline: request.deadline,
+            deadline: now + request.deadline.since(now).mul_f64(START_SHARE),
             priority: request.priority,
             body: request.body.clone(),
             once: Some(request.id.clone()),
