--- /dev/null
+++ b/crates/core/src/gather/plan.rs
@@ -0,0 +1,162 @@
+//! What a query is given, what it asks for and what comes of it.
+
+use {
+    crate::{Time, hedge::Budget},
+    std::{collections::BTreeMap, fmt, time::Duration},
+};
+
+/// Number of an attempt within its query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u32);
+
+/// Why a service is missing from an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Missing {
+    /// No answer came in time.
+    Deadline,
+    /// Its targets were busy.
+    Busy,
+    /// Its targets could not be reached or leave.
+    Unreachable,
+    /// No daemon holds its targets.
+    NoHolder,
+    /// Its targets cannot serve the snapshot.
+    Snapshot,
+    /// Its targets failed.
+    Failed,
+    /// All its targets are in data centres that were taken out.
+    Out,
+}
+
+impl Missing {
+    /// The reason in the words of the answer.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Busy => "busy",
+            Self::Unreachable => "unreachable",
+            Self::NoHolder => "no-holder",
+            Self::Snapshot => "snapshot",
+            Self::Failed => "failed",
+            Self::Out => "out",
+        }
+    }
+}
+
+impl fmt::Display for Missing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The target answered from `snapshot`.
+    Done {
+        /// Index version that the answer was made from.
+        snapshot: u64,
+        /// The partial answer.
+        body: Vec<u8>,
+    },
+    /// The target cannot serve the snapshot; nothing ran.
+    WrongSnapshot,
+    /// The call was not run.
+    NotRun(Missing),
+    /// The call may have run and its answer is lost.
+    Failed,
+}
+
+/// What a query may do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Targets of each service in the order to try them, leaving out those taken out.
+    pub services: Vec<Vec<usize>>,
+    /// Time after which each service's call counts as late.
+    pub late: Vec<Duration>,
+    /// Time by which the answer must be given.
+    pub deadline: Time,
+    /// Index version to ask for; [`crate::snapshot::ANY`] lets the first answer settle it.
+    pub snapshot: u64,
+    /// Whether late calls are hedged.
+    pub hedging: bool,
+}
+
+/// What the embedding program has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a call.
+    Call {
+        /// Number of the attempt.
+        attempt: AttemptId,
+        /// Index of the service in the plan.
+        service: usize,
+        /// Target to call.
+        target: usize,
+        /// Index version to ask for.
+        snapshot: u64,
+    },
+    /// Cancel a call.
+    Cancel(AttemptId),
+    /// The answer is final; take it with [`super::Gather::parts`].
+    Finish,
+}
+
+/// Budgets that all queries of one thread share: together at most a tenth of the first attempts.
+#[derive(Clone, Copy, Debug)]
+pub struct Budgets {
+    /// For hedges.
+    pub hedge: Budget,
+    /// For calls repeated after a refusal or failure.
+    pub retry: Budget,
+}
+
+impl Default for Budgets {
+    fn default() -> Self {
+        Self {
+            hedge: Budget::new(0.07, 10.0),
+            retry: Budget::new(0.03, 10.0),
+        }
+    }
+}
+
+/// Calls that a query made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// First attempts.
+    pub first: u32,
+    /// Hedges.
+    pub hedges: u32,
+    /// Repeats after a refusal or failure.
+    pub retries: u32,
+    /// Times the query was asked again on another snapshot.
+    pub restarts: u32,
+}
+
+/// One service's place in an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Its partial answer.
+    Covered(Vec<u8>),
+    /// It is missing.
+    Missing(Missing),
+}
+
+/// Counts the reasons of missing parts, for metrics and logs.
+///
+/// ```
+/// use rattanturn_core::gather::{Missing, Part, reasons};
+/// let parts = [Part::Missing(Missing::Busy), Part::Covered(vec![])];
+/// assert_eq!(reasons(&parts)[&Missing::Busy], 1);
+/// ```
+#[must_use]
+pub fn reasons(parts: &[Part]) -> BTreeMap<Missing, usize> {
+    let mut out = BTreeMap::new();
+    for part in parts {
+        if let Part::Missing(reason) = part {
+            *out.entry(*reason).or_default() += 1;
+        }
+    }
+    out
+}
