--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -15,7 +15,7 @@
 /// Estimate for a target that could not be used.
 const UNUSABLE: Duration = Duration::from_millis(250);
 /// Expected time of a call to a target not heard of yet.
-const UNKNOWN: Duration = Duration::from_millis(5);
+pub const USUAL: Duration = Duration::from_millis(5);
 /// Each call of this thread that is under way adds this much.
 const OPEN_CALL: Duration = Duration::from_millis(1);
 /// Estimates within this factor count as equal.
@@ -70,18 +70,23 @@
         word.open = word.open.saturating_sub(1);
     }
 
+    /// Forgets a target that will not be called again.
+    pub fn forget(&mut self, target: usize) {
+        self.words.remove(&target);
+    }
+
     /// Rank of a target; lower ones are tried first, equal ones in turn.
     #[must_use]
     pub fn rank(&self, now: Time, target: usize) -> u32 {
         let expected = match self.words.get(&target) {
-            None => UNKNOWN,
+            None => USUAL,
             Some(word) => {
                 let halvings = now.since(word.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
                 let excess = word
                     .time
-                    .saturating_sub(UNKNOWN)
+                    .saturating_sub(USUAL)
                     .mul_f64(0.5_f64.powf(halvings));
-                UNKNOWN.min(word.time) + excess + OPEN_CALL * word.open
+                USUAL.min(word.time) + excess + OPEN_CALL * word.open
             }
         };
         let micros = expected.as_secs_f64() * 1e6;
@@ -117,7 +122,7 @@
 
     fn word(&mut self, target: usize) -> &mut Word {
         let blank = Word {
-            time: UNKNOWN,
+            time: USUAL,
             at: Time::ZERO,
             open: 0,
         };
--- /dev/null
+++ b/crates/core/src/cold.rs
@@ -0,0 +1,54 @@
+//! How many requests a cold target gets from this daemon.
+//!
+//! The rate that a cold target bears holds for all daemons together, also while they cannot talk
+//! to each other, so each daemon takes a fixed share. Where the share is less than one request a
+//! second, a daemon sends none unless it is among those that rank first for the target.
+
+use {
+    crate::{NodeId, Time, rank},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Span over which the rate is counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// Requests that one daemon may send to a cold target in any second.
+///
+/// `daemons` are all daemons that may send, `me` is one of them.
+///
+/// ```
+/// use rattanturn_core::{NodeId, cold::share};
+/// let daemons: Vec<NodeId> = (0..8).map(NodeId).collect();
+/// let total: u32 = daemons.iter().map(|d| share(10.0, &daemons, *d, "i-1")).sum();
+/// assert_eq!(total, 10);
+/// ```
+#[must_use]
+pub fn share(rate: f64, daemons: &[NodeId], me: NodeId, target: &str) -> u32 {
+    // Rates are small and not negative.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = rate.max(0.0) as usize;
+    let count = daemons.len().max(1);
+    let extra = rank::top(daemons.iter().copied(), rank::key(target), whole % count);
+    let share = whole / count + usize::from(extra.contains(&me));
+    u32::try_from(share).unwrap_or(u32::MAX)
+}
+
+/// Requests sent to one target within the last second.
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    sent: VecDeque<Time>,
+}
+
+impl Gate {
+    /// Counts a request if fewer than `share` were sent in the last second.
+    pub fn admit(&mut self, now: Time, share: u32) -> bool {
+        while self.sent.front().is_some_and(|t| now.since(*t) > SPAN) {
+            self.sent.pop_front();
+        }
+        let admitted = self.sent.len() < share as usize;
+        if admitted {
+            self.sent.push_back(now);
+        }
+        admitted
+    }
+}
--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -16,14 +16,16 @@
     std::time::Duration,
 };
 
-pub use plan::{Action, AttemptId, Budgets, Counts, Missing, Part, Plan, Reply, reasons};
+pub use plan::{
+    Action, AttemptId, Budgets, Counts, Cutoff, Missing, Pair, Part, Plan, Reply, reasons,
+};
 
 /// Times that a query is asked again on another snapshot.
 const MAX_RESTARTS: u32 = 2;
 /// Pause before a service is asked again after all its targets refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// Attempts for one service on one snapshot.
-const MAX_ATTEMPTS: usize = 6;
+/// Attempts for one service on one snapshot, unless the route says otherwise.
+pub const MAX_ATTEMPTS: usize = 6;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AttemptState {
@@ -67,6 +69,10 @@
 ///     deadline: Time::from_millis(100),
 ///     snapshot: 7,
 ///     hedging: true,
+///     repeatable: true,
+///     attempts: MAX_ATTEMPTS,
+///     cutoff: None,
+///     budgets: vec![],
 /// };
 /// let mut budgets = Budgets::default();
 /// let (mut gather, actions) = Gather::start(Time::ZERO, plan, &mut budgets);
@@ -115,6 +121,7 @@
         let Some(service) = self.close(attempt) else {
             return out;
         };
+        let failed = reply == Reply::Failed;
         match reply {
             Reply::Done { snapshot, body } => self.done_part(service, snapshot, body, &mut out),
             Reply::WrongSnapshot => self.slots[service].reason = Some(Missing::Snapshot),
@@ -122,7 +129,10 @@
             Reply::Failed => self.slots[service].reason = Some(Missing::Failed),
         }
         if self.slots[service].body.is_none() {
-            self.missed(now, service, newest, budgets, &mut out);
+            self.missed(now, service, newest, failed, budgets, &mut out);
+        }
+        if self.cut_off(now) && !self.done {
+            self.finish(&mut out);
         }
         self.settle(&mut out);
         out
@@ -134,7 +144,7 @@
         if self.done {
             return out;
         }
-        if now >= self.plan.deadline {
+        if now >= self.plan.deadline || self.cut_off(now) {
             self.finish(&mut out);
             return out;
         }
@@ -155,6 +165,12 @@
     #[must_use]
     pub fn next_tick(&self) -> Time {
         let mut next = self.plan.deadline;
+        // With too few parts yet, the reply that makes them enough looks at the cutoff again.
+        if let Some(cutoff) = self.plan.cutoff
+            && self.covered() >= cutoff.enough
+        {
+            next = next.min(cutoff.at);
+        }
         for slot in &self.slots {
             next = next.min(slot.retry_at.unwrap_or(Time::NEVER));
         }
@@ -239,11 +255,12 @@
         now: Time,
         service: usize,
         newest: u64,
+        failed: bool,
         budgets: &mut Budgets,
         out: &mut Vec<Action>,
     ) {
         let slot = &self.slots[service];
-        if slot.open > 0 || slot.retry_at.is_some() {
+        if slot.open > 0 || slot.retry_at.is_some() || (failed && !self.plan.repeatable) {
             return;
         }
         let stale = slot.reason == Some(Missing::Snapshot);
@@ -251,10 +268,11 @@
             self.restart(now, newest, budgets, out);
             return;
         }
+        let allowed = slot.tried < self.plan.attempts;
         let untried = slot.tried < self.plan.services[service].len();
-        if untried {
+        if untried && allowed {
             self.repeat(now, service, budgets, out);
-        } else if !stale && now + RETRY_PAUSE < self.plan.deadline && slot.tried < MAX_ATTEMPTS {
+        } else if !stale && now + RETRY_PAUSE < self.plan.deadline && allowed {
             self.slots[service].retry_at = Some(now + RETRY_PAUSE);
         }
     }
@@ -275,17 +293,21 @@
                 self.slots[service].reason = Some(Missing::Out);
                 continue;
             }
-            budgets.hedge.earn();
-            budgets.retry.earn();
+            let pair = budgets.pair(self.budget(service));
+            pair.hedge.earn();
+            pair.retry.earn();
             self.counts.first += 1;
             self.call(now, service, out);
         }
     }
 
     fn repeat(&mut self, now: Time, service: usize, budgets: &mut Budgets, out: &mut Vec<Action>) {
-        // Nothing ran where nobody held the target, so the repeat adds no load to targets.
-        let free = self.slots[service].reason == Some(Missing::NoHolder);
-        if free || budgets.retry.take() {
+        // Nothing reached a target, so the repeat adds no load to targets.
+        let free = matches!(
+            self.slots[service].reason,
+            Some(Missing::NoHolder | Missing::Unreachable)
+        );
+        if free || budgets.pair(self.budget(service)).retry.take() {
             self.counts.retries += 1;
             self.call(now, service, out);
         }
@@ -304,7 +326,7 @@
                 continue;
             }
             self.slots[service].hedged = true;
-            if budgets.hedge.take() {
+            if budgets.pair(self.budget(service)).hedge.take() {
                 self.counts.hedges += 1;
                 self.call(now, service, out);
             }
@@ -313,7 +335,17 @@
 
     fn may_hedge(&self, service: usize) -> bool {
         let slot = &self.slots[service];
-        !slot.hedged && slot.open == 1
+        !slot.hedged && slot.open == 1 && slot.tried < self.plan.attempts
+    }
+
+    fn budget(&self, service: usize) -> usize {
+        self.plan.budgets.get(service).copied().unwrap_or(0)
+    }
+
+    /// Enough parts are in and waiting for the others would cost more than they are worth.
+    fn cut_off(&self, now: Time) -> bool {
+        let cutoff = self.plan.cutoff;
+        cutoff.is_some_and(|c| now >= c.at && self.covered() >= c.enough)
     }
 
     fn call(&mut self, now: Time, service: usize, out: &mut Vec<Action>) {
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -81,6 +81,23 @@
     pub snapshot: u64,
     /// Whether late calls are hedged.
     pub hedging: bool,
+    /// Whether a call that may have run may be repeated.
+    pub repeatable: bool,
+    /// Calls for one service on one snapshot, at most.
+    pub attempts: usize,
+    /// When an answer with enough parts is given without the others.
+    pub cutoff: Option<Cutoff>,
+    /// Budget that each service draws on; an empty list is one budget for all.
+    pub budgets: Vec<usize>,
+}
+
+/// When an incomplete answer is worth more than a later whole one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cutoff {
+    /// When.
+    pub at: Time,
+    /// Least number of services that it must cover.
+    pub enough: usize,
 }
 
 /// What the embedding program has to do.
@@ -103,16 +120,17 @@
     Finish,
 }
 
-/// Budgets that all queries of one thread share: together at most a tenth of the first attempts.
+/// Budgets of calls beyond the first attempts.
 #[derive(Clone, Copy, Debug)]
-pub struct Budgets {
+pub struct Pair {
     /// For hedges.
     pub hedge: Budget,
     /// For calls repeated after a refusal or failure.
     pub retry: Budget,
 }
 
-impl Default for Budgets {
+impl Default for Pair {
+    /// Together at most a tenth of the first attempts.
     fn default() -> Self {
         Self {
             hedge: Budget::new(0.07, 10.0),
@@ -121,6 +139,44 @@
     }
 }
 
+/// Budgets that all queries of one thread share, by the numbers that plans name.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    pairs: Vec<Pair>,
+    blank: Pair,
+}
+
+impl Default for Budgets {
+    fn default() -> Self {
+        Self::new(Pair::default())
+    }
+}
+
+impl Budgets {
+    /// Each number begins with `blank`.
+    #[must_use]
+    pub fn new(blank: Pair) -> Self {
+        Self {
+            pairs: vec![blank],
+            blank,
+        }
+    }
+
+    /// The budgets of one number.
+    pub fn pair(&mut self, number: usize) -> &mut Pair {
+        if number >= self.pairs.len() {
+            self.pairs.resize(number + 1, self.blank);
+        }
+        &mut self.pairs[number]
+    }
+
+    /// The first budgets, for recording.
+    #[must_use]
+    pub fn first(&self) -> Pair {
+        self.pairs[0]
+    }
+}
+
 /// Calls that a query made.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -19,7 +19,7 @@
 //! An `expect` line states the outcome at its place in the trace.
 
 use {
-    super::{Action, AttemptId, Budgets, Counts, Gather, Missing, Part, Plan, Reply},
+    super::{Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, Missing, Part, Plan, Reply},
     crate::Time,
     std::{collections::HashMap, fmt::Write, time::Duration},
 };
@@ -119,8 +119,8 @@
 fn budget_words(budgets: &Budgets) -> String {
     format!(
         "budgets={:.3},{:.3}",
-        budgets.hedge.tokens(),
-        budgets.retry.tokens()
+        budgets.first().hedge.tokens(),
+        budgets.first().retry.tokens()
     )
 }
 
@@ -164,8 +164,8 @@
             .and_then(|(h, r)| Some((h.parse().ok()?, r.parse().ok()?)));
         let (hedge, retry) =
             parsed.ok_or_else(|| format!("`budgets={text}` is not two numbers"))?;
-        budgets.hedge.set_tokens(hedge);
-        budgets.retry.set_tokens(retry);
+        budgets.pair(0).hedge.set_tokens(hedge);
+        budgets.pair(0).retry.set_tokens(retry);
         Ok(())
     }
 
@@ -257,6 +257,10 @@
         deadline: Time::from_micros(line.number("deadline")?),
         snapshot: line.number("snapshot")?,
         hedging: line.flag("hedging"),
+        repeatable: true,
+        attempts: MAX_ATTEMPTS,
+        cutoff: None,
+        budgets: Vec::new(),
     };
     let mut budgets = Budgets::default();
     line.set_budgets(&mut budgets)?;
--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -26,25 +26,33 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Late {
     delay: f64,
+    quantile: f64,
 }
 
 impl Default for Late {
     fn default() -> Self {
+        Self::at(QUANTILE)
+    }
+}
+
+impl Late {
+    /// Estimates the time within which this share of calls answers.
+    #[must_use]
+    pub fn at(quantile: f64) -> Self {
         Self {
             delay: INITIAL_DELAY_US,
+            quantile,
         }
     }
-}
 
-impl Late {
     /// Records how long an answer took.
     pub fn record(&mut self, took: Duration) {
         let took = took.as_secs_f64() * 1e6;
         let step = self.delay * STEP;
         if took > self.delay {
-            self.delay += step * QUANTILE;
+            self.delay += step * self.quantile;
         } else {
-            self.delay -= step * (1.0 - QUANTILE);
+            self.delay -= step * (1.0 - self.quantile);
         }
         self.delay = self.delay.max(MIN_DELAY_US);
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,11 @@
 //! - [`gather`]: one query: replicas, hedges, snapshot, coverage and the final answer.
 //! - [`hedge`]: when a call is late and whether the budget allows another.
 //! - [`admission`]: which requests start under overload.
+//! - [`catalog`]: operators' routes and services, joined by name.
+//! - [`cold`]: how many requests a cold target gets.
+//! - [`merge`]: the records of a query's parts.
+//! - [`split`]: requests of a route divided among services by weight.
+//! - [`fleet`]: which targets there are, from the entries that they write.
 //! - [`journal`]: outcomes of non-idempotent requests by request id.
 //! - [`snapshot`]: which index version a query asks for.
 //! - [`store`]: shared objects and the patches that bring others up to date.
@@ -20,18 +25,23 @@
 
 pub mod addresses;
 pub mod admission;
+pub mod catalog;
 pub mod choice;
+pub mod cold;
+pub mod fleet;
 pub mod gather;
 pub mod hedge;
 pub mod journal;
 pub mod lease;
 pub mod membership;
+pub mod merge;
 pub mod panels;
 mod priority;
 pub mod queue;
 pub mod rank;
 pub mod register;
 pub mod snapshot;
+pub mod split;
 pub mod store;
 mod time;
 
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -4,7 +4,9 @@
     proptest::{prelude::*, test_runner::RngSeed},
     rattanturn_core::{
         Time,
-        gather::{Action, AttemptId, Budgets, Gather, Missing, Part, Plan, Reply, trace},
+        gather::{
+            Action, AttemptId, Budgets, Gather, MAX_ATTEMPTS, Missing, Part, Plan, Reply, trace,
+        },
     },
     std::{collections::BTreeMap, fs, path::Path, time::Duration},
 };
@@ -78,6 +80,10 @@
             deadline,
             snapshot: if pinned { 7 } else { 0 },
             hedging: true,
+            repeatable: true,
+            attempts: MAX_ATTEMPTS,
+            cutoff: None,
+            budgets: Vec::new(),
         };
         let mut budgets = Budgets::default();
         let mut now = Time::from_micros(1);
@@ -151,6 +157,10 @@
             deadline: start + Duration::from_millis(200),
             snapshot: 7,
             hedging: true,
+            repeatable: true,
+            attempts: MAX_ATTEMPTS,
+            cutoff: None,
+            budgets: Vec::new(),
         };
         let (mut gather, _) = Gather::start(start, plan, &mut budgets);
         gather.tick(start + Duration::from_millis(5), &mut budgets);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,7 +3,7 @@
 mod cost;
 mod dump;
 mod leases;
-mod objects;
+pub(crate) mod objects;
 mod registrar;
 mod shutdown;
 
@@ -29,7 +29,7 @@
         rank,
         register::{Offer, Register},
     },
-    rattanturn_platform::{Platform, TABLES_KEY},
+    rattanturn_objects::{Platform, TABLES_KEY},
     rattanturn_tables::{Holding, Settings, Tables, TablesObject},
     rattanturn_wire::{Datagram, decode, encode},
     std::{
@@ -46,7 +46,7 @@
 /// Interval of the control loop.
 const TICK: Duration = Duration::from_millis(25);
 /// Largest datagram.
-const MAX_DATAGRAM: usize = 8_192;
+pub(crate) const MAX_DATAGRAM: usize = 8_192;
 
 /// What reaches the control thread from its own tasks and from outside.
 pub(crate) enum Event {
@@ -178,7 +178,7 @@
         for key in [TABLES_KEY, PANELS_KEY] {
             let (platform, events) = (self.platform.clone(), self.events.clone());
             actix_rt::spawn(async move {
-                if let rattanturn_platform::Read::Found(o) = platform.read(key).await {
+                if let rattanturn_objects::Read::Found(o) = platform.read(key).await {
                     let found = Found {
                         key,
                         version: o.version,
--- a/crates/daemon/src/control/objects.rs
+++ b/crates/daemon/src/control/objects.rs
@@ -11,7 +11,7 @@
         traffic::rpc::{Objects, Peers},
     },
     rattanturn_core::{Time, rank, store::Newer},
-    rattanturn_platform::{Platform, Read},
+    rattanturn_objects::{Platform, Read},
     std::{net::SocketAddr, sync::PoisonError, time::Duration},
     tokio::sync::mpsc::UnboundedSender,
 };
--- a/crates/daemon/src/control/registrar.rs
+++ b/crates/daemon/src/control/registrar.rs
@@ -11,7 +11,7 @@
         panels::{Panels, Peer},
         rank,
     },
-    rattanturn_platform::{Platform, Read, Write},
+    rattanturn_objects::{Platform, Read, Write},
     std::time::Duration,
     tokio::sync::mpsc::UnboundedSender,
 };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod control;
 mod routing;
+mod tier;
 mod traffic;
 
 use {
@@ -28,6 +29,8 @@
     tokio::sync::{mpsc, oneshot},
 };
 
+pub use tier::Tier;
+
 /// A running daemon.
 pub struct Daemon {
     addresses: Addresses,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,9 +2,9 @@
 
 use {
     eyre::{Context, bail},
-    rattanturn_daemon::Daemon,
+    rattanturn_daemon::{Daemon, Tier},
     rattanturn_tables::{LogFormat, Settings},
-    std::{path::Path, process::ExitCode},
+    std::{io::IsTerminal, path::Path, process::ExitCode},
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
@@ -67,7 +67,8 @@
     let filter = tracing_subscriber::EnvFilter::new(&settings.log_level);
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+        .with_ansi(std::io::stdout().is_terminal())
+        .with_writer(std::io::stdout);
     match settings.log_format {
         LogFormat::Text => builder.init(),
         LogFormat::Json => builder.json().init(),
@@ -77,6 +78,14 @@
 async fn run(settings: Settings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    if let Some(tier) = settings.tier {
+        let tier = Tier::spawn(settings, tier)?;
+        tracing::info!(callers = %tier.front(), "serving");
+        asked_to_stop(&mut terminate, &mut interrupt).await;
+        let left = tier.stop().await;
+        tracing::info!(%left, "graceful shutdown ended");
+        return Ok(());
+    }
     let daemon = Daemon::spawn(settings)?;
     let at = daemon.addresses();
     tracing::info!(callers = %at.http, operators = %at.admin, gossip = %at.gossip, "serving");
--- /dev/null
+++ b/crates/daemon/src/tier/directory.rs
@@ -0,0 +1,41 @@
+//! Tells callers which addresses to use, and the platform whether this daemon takes callers.
+
+use {
+    crate::tier::view::Shared,
+    actix_http::{Request, Response, body::BoxBody},
+    rattanturn_core::{addresses, rank},
+    rattanturn_http::{Limits, Server, parameter, response, spawn},
+    rattanturn_platform::http::{READY_PATH, RESOLVE_CENTRE, RESOLVE_PATH, resolved},
+    std::{io, net::TcpListener, time::Duration},
+};
+
+/// How long callers may use an answer: the platform counts at most five seconds, and a shorter
+/// one takes a daemon that stops out of use sooner.
+const LIFETIME: Duration = Duration::from_secs(2);
+
+/// Serves both questions on one listener.
+pub(crate) fn serve(listener: TcpListener, shared: Shared) -> io::Result<Server> {
+    spawn(listener, Limits::default(), move |request| {
+        let answer = answer(&request, &shared);
+        async move { answer }
+    })
+}
+
+fn answer(request: &Request, shared: &Shared) -> Response<BoxBody> {
+    let view = shared.load();
+    match request.path() {
+        READY_PATH if view.ready() => response(200, &[], ""),
+        READY_PATH => response(503, &[], "not ready\n"),
+        RESOLVE_PATH => {
+            let centre = parameter(request, RESOLVE_CENTRE).unwrap_or("");
+            let spread = rank::key(&format!("{:?}", request.peer_addr()));
+            let addrs = addresses::pick(&view.entries, centre, spread);
+            if addrs.is_empty() {
+                return response(503, &[], "no daemon takes callers\n");
+            }
+            let json = ("content-type", "application/json".to_owned());
+            response(200, &[json], resolved(&addrs, LIFETIME))
+        }
+        _ => response(404, &[], "no such path\n"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tier/fan.rs
@@ -0,0 +1,268 @@
+//! Runs one request against one or many services: calls, repeats, hedges and the cutoff.
+//!
+//! The decisions are those of [`rattanturn_core::gather`]; this module only carries them out.
+//! Calls that lost against a hedge and calls still open at the end go on in the background until
+//! their targets answer, because ending them would cost the connection; all of them end at once
+//! when the caller leaves.
+
+use {
+    crate::{
+        clock,
+        tier::{
+            link::{Call, Link, Outcome},
+            traffic::Traffic,
+            wire::Answer,
+        },
+    },
+    futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
+    rattanturn_core::{
+        Time,
+        catalog::Route,
+        gather::{Action, AttemptId, Counts, Cutoff, Gather, Missing, Part, Plan, Reply},
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// All targets of a service are of one version here: the catalog names it.
+const ONE_SNAPSHOT: u64 = 1;
+/// A call is hedged after this multiple of its route's usual slow time.
+const HEDGE_FACTOR: f64 = 1.4;
+/// Expected time, relative to the usual, of a target whose call is late.
+const STALLED_PACE: f64 = 6.0;
+
+/// A request to run.
+pub(crate) struct Fan<'a> {
+    pub(crate) route: &'a Route,
+    pub(crate) services: &'a [String],
+    pub(crate) call: Call,
+    pub(crate) cutoff: Option<Cutoff>,
+}
+
+/// What came of it.
+pub(crate) struct Fanned {
+    /// The answers in the order of the services.
+    pub(crate) answers: Vec<Option<Answer>>,
+    /// Why each service without an answer has none.
+    pub(crate) missing: Vec<Missing>,
+    /// A target's own failure, if that is all that came.
+    pub(crate) failure: Option<Answer>,
+    /// Whether a call may have run.
+    pub(crate) ran: bool,
+    pub(crate) counts: Counts,
+}
+
+struct Ended {
+    attempt: AttemptId,
+    link: Option<Rc<Link>>,
+    index: usize,
+    sent: Time,
+    outcome: Outcome,
+}
+
+type Calls = FuturesUnordered<LocalBoxFuture<'static, Ended>>;
+
+struct Run<'a> {
+    traffic: &'a Rc<Traffic>,
+    fan: Fan<'a>,
+    calls: Calls,
+    /// Link of each attempt, to mark it when its call is late.
+    attempts: Vec<(usize, usize)>,
+    done: Fanned,
+    finished: bool,
+}
+
+/// Runs a request until its answer is final.
+pub(crate) async fn run(traffic: &Rc<Traffic>, fan: Fan<'_>) -> Fanned {
+    let count = fan.services.len();
+    let plan = plan(traffic, &fan);
+    let mut run = Run {
+        traffic,
+        fan,
+        calls: FuturesUnordered::new(),
+        attempts: Vec::with_capacity(count),
+        done: Fanned {
+            answers: vec![None; count],
+            missing: Vec::new(),
+            failure: None,
+            ran: false,
+            counts: Counts::default(),
+        },
+        finished: false,
+    };
+    let now = clock::now();
+    let (mut gather, actions) = Gather::start(now, plan, &mut traffic.budgets.borrow_mut());
+    run.act(actions);
+    while !run.finished {
+        let actions = tokio::select! {
+            biased;
+            Some(ended) = run.calls.next() => run.ended(&mut gather, ended),
+            () = clock::sleep_until(gather.next_tick()) => {
+                gather.tick(clock::now(), &mut traffic.budgets.borrow_mut())
+            }
+        };
+        run.act(actions);
+    }
+    run.finish(gather)
+}
+
+fn plan(traffic: &Rc<Traffic>, fan: &Fan<'_>) -> Plan {
+    let now = clock::now();
+    let route = fan.route;
+    let late = traffic.late(&route.name).mul_f64(HEDGE_FACTOR);
+    Plan {
+        services: fan.services.iter().map(|s| traffic.order(now, s)).collect(),
+        late: vec![late; fan.services.len()],
+        deadline: fan.call.deadline,
+        snapshot: ONE_SNAPSHOT,
+        hedging: route.idempotent && route.attempts > 1,
+        repeatable: route.idempotent,
+        attempts: route.attempts as usize,
+        cutoff: fan.cutoff,
+        budgets: fan.services.iter().map(|s| traffic.budget(s)).collect(),
+    }
+}
+
+impl Run<'_> {
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call {
+                    attempt,
+                    service,
+                    target,
+                    ..
+                } => self.call(attempt, service, target),
+                // The call goes on in the background.
+                Action::Cancel(_) => {}
+                Action::Finish => self.finished = true,
+            }
+        }
+    }
+
+    fn call(&mut self, attempt: AttemptId, service: usize, index: usize) {
+        let now = clock::now();
+        // A second call to a service means that the first one is late.
+        for (other, late) in &self.attempts {
+            if *other == service {
+                self.traffic.record_pace(now, *late, STALLED_PACE);
+            }
+        }
+        self.attempts.push((service, index));
+        let Some(link) = self.traffic.link(index) else {
+            let ended = Ended {
+                attempt,
+                link: None,
+                index,
+                sent: now,
+                outcome: Outcome::NotRun(Missing::Unreachable),
+            };
+            self.calls.push(Box::pin(async move { ended }));
+            return;
+        };
+        self.traffic.choice.borrow_mut().begin(index);
+        let call = self.fan.call.clone();
+        let traffic = self.traffic.clone();
+        self.calls.push(Box::pin(async move {
+            let open = Open(&traffic, index);
+            let outcome = link.call(call).await;
+            drop(open);
+            Ended {
+                attempt,
+                link: Some(link),
+                index,
+                sent: now,
+                outcome,
+            }
+        }));
+    }
+
+    fn ended(&mut self, gather: &mut Gather, ended: Ended) -> Vec<Action> {
+        let now = clock::now();
+        let took = now.since(ended.sent);
+        let mut answer = None;
+        let reply = match ended.outcome {
+            Outcome::Answered(a) if (200..300).contains(&a.status) => {
+                if let Some(link) = &ended.link {
+                    let route = &self.fan.route.name;
+                    self.traffic
+                        .answered(now, route, link, ended.index, took, &a);
+                }
+                answer = Some(a);
+                Reply::Done {
+                    snapshot: ONE_SNAPSHOT,
+                    body: Vec::new(),
+                }
+            }
+            Outcome::Answered(a) => {
+                self.done.ran = true;
+                self.done.failure = Some(a);
+                Reply::Failed
+            }
+            Outcome::NotRun(why) => {
+                if why == Missing::Unreachable {
+                    self.traffic.choice.borrow_mut().failed(now, ended.index);
+                } else if why == Missing::Busy {
+                    self.traffic.record_pace(now, ended.index, STALLED_PACE);
+                }
+                Reply::NotRun(why)
+            }
+            Outcome::Lost(why) => {
+                self.done.ran = true;
+                self.traffic
+                    .lost(now, ended.index, ended.link.as_deref(), &why);
+                Reply::Failed
+            }
+        };
+        let covered = gather.covered();
+        let service = self.attempts.get(ended.attempt.0 as usize).map(|a| a.0);
+        let budgets = &mut self.traffic.budgets.borrow_mut();
+        let actions = gather.reply(now, ended.attempt, reply, ONE_SNAPSHOT, budgets);
+        if gather.covered() > covered
+            && let Some(service) = service
+        {
+            self.done.ran = true;
+            self.done.answers[service] = answer;
+        }
+        actions
+    }
+
+    fn finish(mut self, gather: Gather) -> Fanned {
+        self.done.counts = gather.counts();
+        let open = !self.calls.is_empty();
+        self.done.ran |= open;
+        self.done.missing = gather
+            .parts()
+            .into_iter()
+            .filter_map(|p| match p {
+                Part::Missing(why) => Some(why),
+                Part::Covered(_) => None,
+            })
+            .collect();
+        if open {
+            let mut calls = self.calls;
+            let traffic = self.traffic.clone();
+            actix_rt::spawn(async move {
+                while let Some(ended) = calls.next().await {
+                    if let Outcome::Lost(why) = ended.outcome {
+                        traffic.lost(clock::now(), ended.index, ended.link.as_deref(), &why);
+                    }
+                }
+            });
+        }
+        self.done
+    }
+}
+
+/// Counts a call as open until it ends or is dropped.
+struct Open<'a>(&'a Rc<Traffic>, usize);
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.choice.borrow_mut().end(self.1);
+    }
+}
+
+/// Time by which a request must have its final answer.
+pub(crate) fn deadline(route: &Route, arrived: Time, patience: Option<Duration>) -> Time {
+    arrived + patience.map_or(route.timeout, |p| p.min(route.timeout))
+}
--- /dev/null
+++ b/crates/daemon/src/tier/link.rs
@@ -0,0 +1,209 @@
+//! One target as this daemon sees it: its connections, its cold start and what calls become.
+
+use {
+    crate::{
+        clock,
+        tier::wire::{Answer, Wire},
+    },
+    actix_http::{RequestHead, RequestHeadType},
+    bytes::Bytes,
+    rattanturn_core::{Time, cold::Gate, fleet::Target, gather::Missing},
+    rattanturn_platform::http::call_headers,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::timeout},
+};
+
+/// A call is given up this long after the time that its target was told.
+const OVERTIME: Duration = Duration::from_millis(150);
+/// Least time worth sending a call with.
+const LEAST_TIME: Duration = Duration::from_millis(2);
+/// Connections to a target whose service names no bound.
+const DEFAULT_CONNECTIONS: u32 = 16;
+
+/// What became of a call.
+pub(crate) enum Outcome {
+    /// A whole answer to this request.
+    Answered(Answer),
+    /// It has not run, and why.
+    NotRun(Missing),
+    /// It may have run.
+    Lost(String),
+}
+
+/// What is sent to a target.
+#[derive(Clone)]
+pub(crate) struct Call {
+    pub(crate) head: Rc<RequestHead>,
+    pub(crate) body: Bytes,
+    pub(crate) id: Option<Rc<str>>,
+    pub(crate) deadline: Time,
+    /// Runs at most once, so it never goes on a connection that may be closing.
+    pub(crate) once: bool,
+}
+
+/// A target with this thread's connections to it.
+pub(crate) struct Link {
+    pub(crate) target: RefCell<Arc<Target>>,
+    /// Requests a second while cold, from this daemon; `None` is unlimited.
+    pub(crate) cold_share: Cell<Option<u32>>,
+    pub(crate) cold_until: Cell<Time>,
+    /// Expected time of a call relative to its route's usual time.
+    pub(crate) pace: Cell<f64>,
+    /// False once the target is leaving, gone or in a data centre that was taken out.
+    pub(crate) usable: Cell<bool>,
+    limit: Cell<u32>,
+    in_use: Cell<u32>,
+    freed: Notify,
+    idle: RefCell<Vec<Wire>>,
+    gate: RefCell<Gate>,
+}
+
+/// Returns a connection's place when a call ends in any way.
+struct Place<'a>(&'a Link);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.in_use.set(self.0.in_use.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
+impl Link {
+    pub(crate) fn open(target: Arc<Target>) -> Self {
+        Self {
+            target: RefCell::new(target),
+            cold_share: Cell::new(None),
+            cold_until: Cell::new(Time::ZERO),
+            pace: Cell::new(1.0),
+            usable: Cell::new(true),
+            limit: Cell::new(1),
+            in_use: Cell::new(0),
+            freed: Notify::new(),
+            idle: RefCell::default(),
+            gate: RefCell::default(),
+        }
+    }
+
+    /// Takes this daemon's part of the connections that the target accepts.
+    pub(crate) fn set_limit(&self, connections: Option<u32>, daemons: u32) {
+        let all = connections.map_or(DEFAULT_CONNECTIONS, |c| c / daemons.max(1));
+        self.limit.set(all.max(1));
+    }
+
+    /// Closes connections that will not be used again.
+    pub(crate) fn close_idle(&self, now: Time) {
+        let mut idle = self.idle.borrow_mut();
+        if self.usable.get() {
+            idle.retain(|w| w.is_fresh(now));
+        } else {
+            idle.clear();
+        }
+    }
+
+    /// Opens a connection ahead of need.
+    pub(crate) async fn warm(&self) {
+        if !self.idle.borrow().is_empty() || self.in_use.get() >= self.limit.get() {
+            return;
+        }
+        let _place = self.place().await;
+        let addr = self.target.borrow().addr;
+        // A target that cannot be reached is found out by the next call.
+        if let Ok(wire) = Wire::open(addr).await {
+            self.idle.borrow_mut().push(wire);
+        }
+    }
+
+    /// Connections open now.
+    pub(crate) fn connections(&self) -> usize {
+        self.idle.borrow().len() + self.in_use.get() as usize
+    }
+
+    /// Sends a call once and waits for its answer.
+    pub(crate) async fn call(&self, call: Call) -> Outcome {
+        let remaining = call.deadline.since(clock::now());
+        match timeout(remaining + OVERTIME, self.send(&call)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::Lost("no answer in time".into()),
+        }
+    }
+
+    async fn send(&self, call: &Call) -> Outcome {
+        let _place = self.place().await;
+        let mut wire = match self.connection(call.once).await {
+            Ok(wire) => wire,
+            Err(why) => return Outcome::NotRun(why),
+        };
+        // The wait for a connection may have outlasted what allowed the call.
+        let now = clock::now();
+        let remaining = call.deadline.since(now);
+        if !self.usable.get() {
+            return Outcome::NotRun(Missing::Unreachable);
+        }
+        if remaining < LEAST_TIME {
+            return Outcome::NotRun(Missing::Deadline);
+        }
+        if !self.admit(now) {
+            self.idle.borrow_mut().push(wire);
+            return Outcome::NotRun(Missing::Busy);
+        }
+        let id = self.target.borrow().id.clone();
+        let extra = call_headers(&id, remaining);
+        let head = RequestHeadType::Rc(call.head.clone(), Some(extra));
+        match wire.exchange(head, &call.body, call.id.as_deref()).await {
+            Ok(answer) => {
+                if wire.is_fresh(clock::now()) && self.usable.get() {
+                    self.idle.borrow_mut().push(wire);
+                }
+                self.judge(answer)
+            }
+            Err(error) => Outcome::Lost(error.to_string()),
+        }
+    }
+
+    fn judge(&self, answer: Answer) -> Outcome {
+        if answer.head.other_target {
+            // Another target has the address now: this one is gone.
+            self.usable.set(false);
+            return Outcome::NotRun(Missing::Unreachable);
+        }
+        if answer.head.not_run {
+            return Outcome::NotRun(Missing::Busy);
+        }
+        let success = (200..300).contains(&answer.status);
+        if answer.head.seal.is_none() || (success && answer.head.encoded) {
+            return Outcome::Lost("the answer is not the target's own".into());
+        }
+        Outcome::Answered(answer)
+    }
+
+    fn admit(&self, now: Time) -> bool {
+        match self.cold_share.get() {
+            Some(share) if now < self.cold_until.get() => self.gate.borrow_mut().admit(now, share),
+            _ => true,
+        }
+    }
+
+    async fn place(&self) -> Place<'_> {
+        while self.in_use.get() >= self.limit.get() {
+            self.freed.notified().await;
+        }
+        self.in_use.set(self.in_use.get() + 1);
+        Place(self)
+    }
+
+    async fn connection(&self, once: bool) -> Result<Wire, Missing> {
+        let now = clock::now();
+        while let Some(wire) = self.idle.borrow_mut().pop() {
+            if !once && wire.is_fresh(now) {
+                return Ok(wire);
+            }
+        }
+        let addr = self.target.borrow().addr;
+        Wire::open(addr).await.map_err(|_| Missing::Unreachable)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tier/mod.rs
@@ -0,0 +1,148 @@
+//! The tier on the users' platform: callers' requests go straight from any daemon to targets.
+//!
+//! One control thread reads the store, follows its peers and answers the directory; one traffic
+//! thread serves callers. Nothing is kept on a VM and no daemon owns anything, so any set of
+//! daemons serves as soon as it has read the store or heard a peer.
+
+mod control;
+mod directory;
+mod fan;
+mod front;
+mod link;
+mod peers;
+mod query;
+mod sources;
+mod traffic;
+mod view;
+mod wire;
+
+use {
+    crate::{clock, control::Event},
+    actix_rt::Arbiter,
+    eyre::Context,
+    rattanturn_core::membership::Place,
+    rattanturn_tables::{Settings, TierSettings},
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::sync::{mpsc, oneshot},
+    view::{Gauges, Shared, View},
+};
+
+/// How often the traffic thread tells control what it holds.
+const TELL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running daemon of the tier.
+pub struct Tier {
+    control: Arbiter,
+    traffic: Arbiter,
+    events: mpsc::UnboundedSender<Event>,
+    front: SocketAddr,
+}
+
+impl Tier {
+    /// Binds the listeners and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// A listener cannot be bound; the error names it and its address.
+    pub fn spawn(settings: Settings, tier: TierSettings) -> eyre::Result<Self> {
+        let on = |port| SocketAddr::new(settings.ip, port);
+        let front = crate::listen("callers", tier.front)?;
+        let ready = crate::listen("readiness", tier.ready)?;
+        let directory = crate::listen("the directory", tier.directory)?;
+        let admin = crate::listen("operators", on(settings.admin_port))?;
+        let rpc = crate::listen("daemons", on(settings.rpc_port))?;
+        let gossip_at = on(settings.gossip_port);
+        let gossip = UdpSocket::bind(gossip_at)
+            .wrap_err_with(|| format!("gossip-port: cannot bind UDP {gossip_at}"))?;
+        let place = Place {
+            name: settings.name.clone(),
+            centre: settings.centre.clone(),
+            gossip: gossip.local_addr()?,
+            http: front.local_addr()?.port(),
+            admin: admin.local_addr()?.port(),
+            rpc: rpc.local_addr()?.port(),
+            threads: 1,
+        };
+        let me = crate::identity(&settings.name, place.gossip);
+        let shared: Shared = Arc::new(arc_swap::ArcSwap::from_pointee(View::default()));
+        let gauges: Arc<Gauges> = Arc::default();
+        let (events, inbox) = mpsc::unbounded_channel();
+        let front_at = front.local_addr()?;
+        let start = control::Start {
+            settings,
+            tier,
+            me,
+            place,
+            gossip,
+            rpc,
+            admin,
+            ready,
+            directory,
+            shared: shared.clone(),
+            events: events.clone(),
+            gauges: gauges.clone(),
+        };
+        let control = Arbiter::new();
+        control.spawn_fn(move || {
+            actix_rt::spawn(async move {
+                if let Err(error) = control::run(start, inbox).await {
+                    tracing::error!(%error, "control ended");
+                }
+            });
+        });
+        let traffic = Arbiter::new();
+        traffic.spawn_fn(move || {
+            let traffic = traffic::Traffic::open(shared);
+            let counted = traffic.clone();
+            actix_rt::spawn(async move {
+                loop {
+                    counted.tell(&gauges);
+                    clock::sleep_until(clock::now() + TELL_INTERVAL).await;
+                }
+            });
+            actix_rt::spawn(async move {
+                if let Err(error) = front::serve(front, traffic).await {
+                    tracing::error!(%error, "callers are not served");
+                }
+            });
+        });
+        Ok(Self {
+            control,
+            traffic,
+            events,
+            front: front_at,
+        })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub fn front(&self) -> SocketAddr {
+        self.front
+    }
+
+    /// Stops gracefully: withdrawn, drained, gone. Returns what was left undone.
+    pub async fn stop(self) -> String {
+        let (send, receive) = oneshot::channel();
+        // A control thread that has ended has nothing left to do.
+        let _ = self.events.send(Event::Stop(send));
+        let left = receive.await.unwrap_or_else(|_| "control had ended".into());
+        self.end();
+        left
+    }
+
+    /// Ends at once without a word to anyone, as a killed process would.
+    pub fn kill(self) {
+        // A control thread that has ended has nothing left to end.
+        let _ = self.events.send(Event::Kill);
+        self.end();
+    }
+
+    fn end(self) {
+        self.control.stop();
+        self.traffic.stop();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tier/peers.rs
@@ -0,0 +1,62 @@
+//! Gives other daemons what this one read from the store.
+//!
+//! A daemon that the store turns away, or that starts while the store is down, takes the
+//! configuration and the targets from a peer that knows a newer version.
+
+use {
+    crate::traffic::rpc::{self, Objects},
+    capnp::capability::Rc as ObjectRef,
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
+    rattanturn_core::fleet::Target,
+    rattanturn_wire::peer_capnp::peer,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Key of the configuration as the operators wrote it.
+pub(crate) const CATALOG_KEY: &str = "catalog";
+/// Key of the targets and the data centres taken out.
+pub(crate) const FLEET_KEY: &str = "fleet";
+/// Pause after an accept failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The targets and the data centres taken out, as one daemon read them.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct FleetObject {
+    pub(crate) out: Vec<String>,
+    pub(crate) targets: Vec<Target>,
+}
+
+struct Server(Objects);
+
+impl peer::Server for Server {
+    async fn object(
+        self: ObjectRef<Self>,
+        params: peer::ObjectParams,
+        results: peer::ObjectResults,
+    ) -> Result<(), capnp::Error> {
+        rpc::give_object(&self.0, &params, results)
+    }
+}
+
+/// Serves shared objects on `listener` until the thread ends.
+pub(crate) async fn serve(
+    listener: std::net::TcpListener,
+    objects: Objects,
+) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let client: peer::Client = capnp_rpc::new_client(Server(objects.clone()));
+        let network = rpc::network(stream, Side::Server);
+        let system = RpcSystem::new(Box::new(network), Some(client.client));
+        actix_rt::spawn(async move {
+            // The end of a connection is no news: the asker connects again.
+            let _ = system.await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tier/traffic.rs
@@ -0,0 +1,272 @@
+//! State of the traffic thread: links to targets, estimates and budgets.
+
+use {
+    crate::{
+        clock,
+        tier::{
+            link::Link,
+            view::{Gauges, Shared, View},
+            wire::Answer,
+        },
+    },
+    rattanturn_core::{
+        Time,
+        choice::{Choice, USUAL},
+        cold,
+        gather::{Budgets, Pair},
+        hedge::{Budget, Late},
+        split::Split,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+};
+
+/// Extra calls for each first one, of the 0.2 that the platform's pages allow at a service; the
+/// rest covers what other daemons count differently.
+const HEDGE_RATIO: f64 = 0.10;
+const RETRY_RATIO: f64 = 0.06;
+/// Extra calls saved up by each daemon for hedges and for repeats of one service: 8 daemons stay
+/// below the slack of 52 calls that the pages allow.
+const HEDGE_BURST: f64 = 3.0;
+const RETRY_BURST: f64 = 3.0;
+/// Share of calls that answer within a route's usual slow time.
+const LATE_QUANTILE: f64 = 0.9;
+/// Weight of the newest answer in a target's pace.
+const PACE_WEIGHT: f64 = 0.25;
+/// Slowest pace that one answer can tell.
+const MAX_PACE: f64 = 8.0;
+/// Interval of closing connections that will not be used again.
+const TIDY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What one traffic thread knows and counts.
+pub(crate) struct Traffic {
+    shared: Shared,
+    view: RefCell<Arc<View>>,
+    /// Links by number; a number is never used again, so it cannot come to mean another target.
+    links: RefCell<HashMap<usize, Rc<Link>>>,
+    next_link: Cell<usize>,
+    by_id: RefCell<HashMap<String, usize>>,
+    by_service: RefCell<HashMap<String, Vec<usize>>>,
+    lates: RefCell<HashMap<String, Late>>,
+    budget_numbers: RefCell<HashMap<String, usize>>,
+    splits: RefCell<HashMap<String, Split>>,
+    spread: Cell<u64>,
+    pub(crate) choice: RefCell<Choice>,
+    pub(crate) budgets: RefCell<Budgets>,
+    /// Requests that are being served.
+    pub(crate) open: Cell<usize>,
+}
+
+impl Traffic {
+    pub(crate) fn open(shared: Shared) -> Rc<Self> {
+        let blank = Pair {
+            hedge: Budget::new(HEDGE_RATIO, HEDGE_BURST),
+            retry: Budget::new(RETRY_RATIO, RETRY_BURST),
+        };
+        let traffic = Rc::new(Self {
+            view: RefCell::new(shared.load_full()),
+            shared,
+            links: RefCell::default(),
+            next_link: Cell::new(0),
+            by_id: RefCell::default(),
+            by_service: RefCell::default(),
+            lates: RefCell::default(),
+            budget_numbers: RefCell::default(),
+            splits: RefCell::default(),
+            spread: Cell::new(0),
+            choice: RefCell::default(),
+            budgets: RefCell::new(Budgets::new(blank)),
+            open: Cell::new(0),
+        });
+        actix_rt::spawn(tidy(traffic.clone()));
+        traffic
+    }
+
+    /// The view in force; links follow it.
+    pub(crate) fn view(self: &Rc<Self>) -> Arc<View> {
+        let newest = self.shared.load();
+        if !Arc::ptr_eq(&newest, &self.view.borrow()) {
+            let newest = newest.clone();
+            self.follow(&newest);
+            *self.view.borrow_mut() = newest;
+        }
+        self.view.borrow().clone()
+    }
+
+    /// Opens, updates and ends links as the view names targets.
+    fn follow(self: &Rc<Self>, view: &View) {
+        let now = clock::now();
+        let mut by_id = HashMap::new();
+        let mut by_service: HashMap<String, Vec<usize>> = HashMap::new();
+        let mut links = self.links.borrow_mut();
+        let old = self.by_id.take();
+        for (service, targets) in &view.services {
+            let known = view.catalog.as_ref().and_then(|c| c.service(service));
+            for target in targets {
+                let same = old.get(&target.id).copied().filter(|i| {
+                    let at = links[i].target.borrow();
+                    at.born == target.born && at.addr == target.addr
+                });
+                let index = same.unwrap_or_else(|| {
+                    let index = self.next_link.get();
+                    self.next_link.set(index + 1);
+                    links.insert(index, Rc::new(Link::open(target.clone())));
+                    index
+                });
+                let link = &links[&index];
+                *link.target.borrow_mut() = target.clone();
+                let daemons = u32::try_from(view.daemons.len()).unwrap_or(u32::MAX);
+                link.set_limit(known.and_then(|s| s.connections), daemons);
+                let rate = known.and_then(|s| s.cold_rate);
+                link.cold_share
+                    .set(rate.map(|r| cold::share(r, &view.daemons, view.me, &target.id)));
+                if !target.cold_left.is_zero() {
+                    link.cold_until.set(now + target.cold_left);
+                }
+                if same.is_none() {
+                    let link = link.clone();
+                    actix_rt::spawn(async move { link.warm().await });
+                }
+                by_id.insert(target.id.clone(), index);
+                by_service.entry(service.clone()).or_default().push(index);
+            }
+        }
+        for index in old.into_values() {
+            let kept = links
+                .get(&index)
+                .is_some_and(|l| by_id.get(&l.target.borrow().id) == Some(&index));
+            if !kept && let Some(link) = links.remove(&index) {
+                link.usable.set(false);
+                self.choice.borrow_mut().forget(index);
+            }
+        }
+        *self.by_id.borrow_mut() = by_id;
+        *self.by_service.borrow_mut() = by_service;
+    }
+
+    pub(crate) fn link(&self, index: usize) -> Option<Rc<Link>> {
+        self.links.borrow().get(&index).cloned()
+    }
+
+    /// Targets of a service in the order to try them.
+    pub(crate) fn order(&self, now: Time, service: &str) -> Vec<usize> {
+        let links = self.links.borrow();
+        let by_service = self.by_service.borrow();
+        let Some(all) = by_service.get(service) else {
+            return Vec::new();
+        };
+        let usable = all.iter().copied().filter(|i| links[i].usable.get());
+        self.spread.set(self.spread.get().wrapping_add(1));
+        self.choice
+            .borrow()
+            .order(now, usable.collect(), self.spread.get())
+    }
+
+    /// Whether a service has a target that can be called.
+    pub(crate) fn reachable(&self, service: &str) -> bool {
+        let links = self.links.borrow();
+        let by_service = self.by_service.borrow();
+        by_service
+            .get(service)
+            .is_some_and(|all| all.iter().any(|i| links[i].usable.get()))
+    }
+
+    /// Number of a service's budgets.
+    pub(crate) fn budget(&self, service: &str) -> usize {
+        let mut numbers = self.budget_numbers.borrow_mut();
+        if let Some(number) = numbers.get(service) {
+            return *number;
+        }
+        let number = numbers.len();
+        numbers.insert(service.into(), number);
+        number
+    }
+
+    /// Usual slow time of a route's calls.
+    pub(crate) fn late(&self, route: &str) -> Duration {
+        let lates = self.lates.borrow();
+        lates
+            .get(route)
+            .map_or(Late::at(LATE_QUANTILE).delay(), Late::delay)
+    }
+
+    /// Service for the next request of a split route.
+    pub(crate) fn split(
+        &self,
+        route: &str,
+        shares: &[rattanturn_core::catalog::Share],
+    ) -> Option<String> {
+        let mut splits = self.splits.borrow_mut();
+        let split = splits.entry(route.into()).or_default();
+        split.next(shares).map(ToOwned::to_owned)
+    }
+
+    /// Takes in how long an answer took and what it says of its target.
+    pub(crate) fn answered(
+        &self,
+        now: Time,
+        route: &str,
+        link: &Link,
+        index: usize,
+        took: Duration,
+        answer: &Answer,
+    ) {
+        let usual = {
+            let mut lates = self.lates.borrow_mut();
+            let late = lates
+                .entry(route.into())
+                .or_insert_with(|| Late::at(LATE_QUANTILE));
+            late.record(took);
+            late.delay()
+        };
+        let pace = (took.as_secs_f64() / usual.as_secs_f64()).min(MAX_PACE);
+        link.pace
+            .set(link.pace.get() * (1.0 - PACE_WEIGHT) + pace * PACE_WEIGHT);
+        let queue = answer
+            .head
+            .load
+            .map_or(0.0, |l| f64::from(l.waiting) / f64::from(l.slots.max(1)));
+        self.record_pace(now, index, link.pace.get() + queue);
+    }
+
+    pub(crate) fn record_pace(&self, now: Time, index: usize, pace: f64) {
+        let mut choice = self.choice.borrow_mut();
+        choice.record(now, index, USUAL.mul_f64(pace));
+    }
+
+    /// A call was lost: its target is avoided for a while.
+    pub(crate) fn lost(&self, now: Time, index: usize, link: Option<&Link>, why: &str) {
+        self.choice.borrow_mut().failed(now, index);
+        metrics::counter!("rattanturn_calls_lost_total").increment(1);
+        if let Some(link) = link {
+            let target = link.target.borrow();
+            tracing::debug!(to = %target.id, service = %target.service, why, "a call was lost");
+        }
+    }
+
+    /// Tells control what this thread holds.
+    pub(crate) fn tell(&self, gauges: &Gauges) {
+        let links = self.links.borrow();
+        let connections: usize = links.values().map(|l| l.connections()).sum();
+        gauges.open.store(self.open.get(), Ordering::Release);
+        gauges.links.store(links.len(), Ordering::Relaxed);
+        gauges.connections.store(connections, Ordering::Relaxed);
+    }
+}
+
+async fn tidy(traffic: Rc<Traffic>) {
+    loop {
+        actix_rt::time::sleep(TIDY_INTERVAL).await;
+        traffic.view();
+        let links: Vec<Rc<Link>> = traffic.links.borrow().values().cloned().collect();
+        let now = clock::now();
+        for link in &links {
+            link.close_idle(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/tier/view.rs
@@ -0,0 +1,59 @@
+//! What control hands to traffic: one immutable value after another.
+
+use {
+    arc_swap::ArcSwap,
+    rattanturn_core::{NodeId, addresses::Entry, catalog::Catalog, fleet::Target},
+    std::{
+        collections::HashMap,
+        sync::{Arc, atomic::AtomicUsize},
+    },
+};
+
+/// The view in force, shared between threads.
+pub(crate) type Shared = Arc<ArcSwap<View>>;
+
+/// Life of a daemon, as traffic must know it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// Takes callers.
+    #[default]
+    Serving,
+    /// Withdrawn from the directory; still takes requests and ends kept connections with them.
+    Leaving,
+    /// Takes no request any more and finishes those that run.
+    Closing,
+}
+
+/// Configuration, targets and daemons at one moment.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    /// The configuration; `None` until one is known.
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    /// Usable targets by service.
+    pub(crate) services: HashMap<String, Vec<Arc<Target>>>,
+    /// Daemons that callers may be sent to.
+    pub(crate) entries: Vec<Entry>,
+    /// All daemons that may call targets.
+    pub(crate) daemons: Vec<NodeId>,
+    /// This daemon.
+    pub(crate) me: NodeId,
+    pub(crate) phase: Phase,
+}
+
+impl View {
+    /// Whether callers can be served.
+    pub(crate) fn ready(&self) -> bool {
+        self.phase == Phase::Serving && self.catalog.is_some() && !self.services.is_empty()
+    }
+}
+
+/// What the traffic thread holds, readable from any thread.
+#[derive(Debug, Default)]
+pub(crate) struct Gauges {
+    /// Requests that are being served.
+    pub(crate) open: AtomicUsize,
+    /// Targets that it calls.
+    pub(crate) links: AtomicUsize,
+    /// Connections to them.
+    pub(crate) connections: AtomicUsize,
+}
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -12,7 +12,8 @@
     rattanturn_core::{
         Priority, Time,
         gather::{
-            Action, AttemptId, Budgets, Counts, Gather, Missing, Part, Plan, Reply, trace::Recorder,
+            Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, Missing, Part, Plan, Reply,
+            trace::Recorder,
         },
         hedge::Late,
         snapshot::Book,
@@ -177,6 +178,10 @@
             deadline: query.deadline - ANSWER_MARGIN,
             snapshot,
             hedging: query.route.hedging,
+            repeatable: true,
+            attempts: MAX_ATTEMPTS,
+            cutoff: None,
+            budgets: Vec::new(),
         }
     }
 
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -61,7 +61,7 @@
     }
 }
 
-fn network(
+pub(crate) fn network(
     stream: TcpStream,
     side: Side,
 ) -> VatNetwork<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>> {
@@ -144,19 +144,28 @@
     async fn object(
         self: ObjectRef<Self>,
         params: peer::ObjectParams,
-        mut results: peer::ObjectResults,
+        results: peer::ObjectResults,
     ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(newer) = objects.newer(params.get_key()?.to_str()?, params.get_known()) {
-            let mut out = results.get();
-            out.set_version(newer.version);
-            out.set_body(&newer.data);
-            out.set_base(newer.base);
-            out.set_digest(newer.digest);
-        }
-        Ok(())
+        give_object(&self.objects, &params, results)
+    }
+}
+
+/// Answers a peer that asks for a newer version of a shared object.
+pub(crate) fn give_object(
+    objects: &Objects,
+    params: &peer::ObjectParams,
+    mut results: peer::ObjectResults,
+) -> Result<(), capnp::Error> {
+    let params = params.get()?;
+    let objects = objects.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(newer) = objects.newer(params.get_key()?.to_str()?, params.get_known()) {
+        let mut out = results.get();
+        out.set_version(newer.version);
+        out.set_body(&newer.data);
+        out.set_base(newer.base);
+        out.set_digest(newer.digest);
     }
+    Ok(())
 }
 
 /// Collects results that come in one turn of the event loop and sends them together.
--- a/crates/demo/src/bed.rs
+++ b/crates/demo/src/bed.rs
@@ -4,7 +4,7 @@
     actix_rt::Arbiter,
     eyre::{Context, ContextCompat, ensure},
     rattanturn_daemon::{Addresses, Daemon},
-    rattanturn_platform::TABLES_KEY,
+    rattanturn_objects::TABLES_KEY,
     rattanturn_standins::{platform, target},
     rattanturn_tables::{Holding, LogFormat, Settings, Tables, TablesObject, tables},
     std::{
@@ -215,6 +215,8 @@
             holding: self.options.holding,
             peer_delay: self.options.distance * 2,
             shares: u32::try_from(self.options.daemons).wrap_err("too many daemons")?,
+            peer_port: None,
+            tier: None,
         };
         let daemon = Daemon::spawn(settings)?;
         let addresses = daemon.addresses();
--- a/crates/demo/tests/platform.rs
+++ b/crates/demo/tests/platform.rs
@@ -2,7 +2,7 @@
 
 use {
     actix_rt::System,
-    rattanturn_platform::{Object, Platform, Read, Write},
+    rattanturn_objects::{Object, Platform, Read, Write},
     rattanturn_standins::platform::{self, Mode},
 };
 
--- a/crates/platform/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -164,5 +164,5 @@
 }
 
 fn count(kind: &'static str) {
-    metrics::counter!("rattanturn_platform_calls_total", "kind" => kind).increment(1);
+    metrics::counter!("rattanturn_objects_calls_total", "kind" => kind).increment(1);
 }
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -19,6 +19,6 @@
 pub use {
     finding::{Finding, Findings, Severity},
     object::TablesObject,
-    settings::{Holding, LogFormat, Settings},
+    settings::{Holding, LogFormat, Settings, TierSettings},
     tables::{DataCentre, Kind, Pool, Route, Service, Tables, Target, tables},
 };
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -65,6 +65,21 @@
     pub peer_delay: Duration,
     /// Daemons that share a target under `holding = shares`.
     pub shares: u32,
+    /// Port of every peer's gossip listener, if `peers` name another one.
+    pub peer_port: Option<u16>,
+    /// Listeners of the tier on the users' platform; without them the daemon serves its tables.
+    pub tier: Option<TierSettings>,
+}
+
+/// Listeners of the tier on the users' platform, section `[tier]`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TierSettings {
+    /// For callers' requests.
+    pub front: SocketAddr,
+    /// For the platform's question whether this daemon takes callers.
+    pub ready: SocketAddr,
+    /// For callers that ask which addresses to use.
+    pub directory: SocketAddr,
 }
 
 impl Settings {
@@ -83,7 +98,7 @@
     /// ```
     pub fn parse(file: &str, text: &str) -> Result<(Self, Findings), Findings> {
         let reader = Reader::open(file, text)?;
-        reader.unknown_sections(&["daemon", "platform", "log"]);
+        reader.unknown_sections(&["daemon", "platform", "log", "tier"]);
         let settings = read(&reader);
         let findings = reader.into_findings();
         match settings {
@@ -138,7 +153,23 @@
         ),
         peer_delay: daemon.duration("peer-delay", Duration::ZERO),
         shares: daemon.count("shares", 8),
+        peer_port: None,
+        tier: None,
     };
+    if daemon.text("peer-port").is_some() {
+        settings.peer_port = Some(daemon.parse("peer-port", 0, "a port"));
+    }
+    if let Some(tier) = reader.sections("tier").first() {
+        for key in ["front", "ready", "directory"] {
+            tier.required(key);
+        }
+        settings.tier = Some(TierSettings {
+            front: tier.parse("front", unset, "IP:PORT"),
+            ready: tier.parse("ready", unset, "IP:PORT"),
+            directory: tier.parse("directory", unset, "IP:PORT"),
+        });
+        tier.unknown_keys();
+    }
     for peer in daemon
         .text("peers")
         .unwrap_or("")
