Keep one client for the platform's store

Cause: two clients spoke to the platform, one of them a protocol that the platform does not have.

The stand-in speaks the store's protocol: kinds, one revision counter, pages, watches, 410, conditional writes, refusal of some callers. A call that is turned away with 503 has done nothing, so its outcome is "refused"; the old test of an outage keeps its outcome "ambiguous" with an outage that gives no answer, and a test for the refusal is new.

Ruled out: keeping the body of own objects as bytes; the store holds JSON.

Conclusion: own interface and tables go on working over the platform's store.

--- a/crates/cli/src/tables.rs
+++ b/crates/cli/src/tables.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{Failed, Failure, Outcome, flags},
-    rattanturn_objects::{Platform, Read, TABLES_KEY, Write},
+    rattanturn_platform::own::{Platform, Read, TABLES_KEY, Write},
     rattanturn_tables::{Severity, TablesObject},
     similar::{ChangeTag, TextDiff},
     std::{
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -29,7 +29,7 @@
         rank,
         register::{Offer, Register},
     },
-    rattanturn_objects::{Platform, TABLES_KEY},
+    rattanturn_platform::own::{Platform, TABLES_KEY},
     rattanturn_tables::{Holding, Settings, Tables, TablesObject},
     rattanturn_wire::{Datagram, decode, encode},
     std::{
@@ -178,7 +178,7 @@
         for key in [TABLES_KEY, PANELS_KEY] {
             let (platform, events) = (self.platform.clone(), self.events.clone());
             actix_rt::spawn(async move {
-                if let rattanturn_objects::Read::Found(o) = platform.read(key).await {
+                if let rattanturn_platform::own::Read::Found(o) = platform.read(key).await {
                     let found = Found {
                         key,
                         version: o.version,
--- a/crates/daemon/src/control/objects.rs
+++ b/crates/daemon/src/control/objects.rs
@@ -11,7 +11,7 @@
         traffic::rpc::{Objects, Peers},
     },
     rattanturn_core::{Time, rank, store::Newer},
-    rattanturn_objects::{Platform, Read},
+    rattanturn_platform::own::{Platform, Read},
     std::{net::SocketAddr, sync::PoisonError, time::Duration},
     tokio::sync::mpsc::UnboundedSender,
 };
--- a/crates/daemon/src/control/registrar.rs
+++ b/crates/daemon/src/control/registrar.rs
@@ -11,7 +11,7 @@
         panels::{Panels, Peer},
         rank,
     },
-    rattanturn_objects::{Platform, Read, Write},
+    rattanturn_platform::own::{Platform, Read, Write},
     std::time::Duration,
     tokio::sync::mpsc::UnboundedSender,
 };
@@ -55,7 +55,9 @@
         (version, Some(panels)) => (version, panels.step(version, &peers)?),
         (_, None) => (0, Panels::create(&peers)),
     };
-    Some((version, serde_json::to_vec(&next).ok()?))
+    // The form in which the platform's client reads it back, so that patches fit.
+    let value = serde_json::to_value(&next).ok()?;
+    Some((version, serde_json::to_vec_pretty(&value).ok()?))
 }
 
 /// Writes panels; whatever the platform then holds is taken from it.
@@ -65,7 +67,7 @@
     body: Vec<u8>,
     events: UnboundedSender<Event>,
 ) {
-    let found = match platform.write(PANELS_KEY, version, body.clone()).await {
+    let found = match platform.write(PANELS_KEY, version, &body).await {
         Write::Done(version) => Found {
             key: PANELS_KEY,
             version,
--- a/crates/demo/tests/platform.rs
+++ b/crates/demo/tests/platform.rs
@@ -2,7 +2,7 @@
 
 use {
     actix_rt::System,
-    rattanturn_objects::{Object, Platform, Read, Write},
+    rattanturn_platform::own::{Object, Platform, Read, Write},
     rattanturn_standins::platform::{self, Mode},
 };
 
@@ -21,15 +21,18 @@
 #[test]
 fn of_two_racing_operators_one_gets_a_conflict() {
     with_platform(async |state, client| {
-        state.put(KEY, b"first");
-        assert_eq!(client.write_settled(KEY, 1, b"mine").await, Write::Done(2));
+        state.put(KEY, br#""first""#);
         assert_eq!(
-            client.write_settled(KEY, 1, b"yours").await,
+            client.write_settled(KEY, 1, br#""mine""#).await,
+            Write::Done(2)
+        );
+        assert_eq!(
+            client.write_settled(KEY, 1, br#""yours""#).await,
             Write::Conflict
         );
         let newest = Object {
             version: 2,
-            body: b"mine".into(),
+            body: br#""mine""#.into(),
         };
         assert_eq!(client.read(KEY).await, Read::Found(newest));
     });
@@ -38,26 +41,32 @@
 #[test]
 fn a_lost_answer_is_settled_by_reading_back() {
     with_platform(async |state, client| {
-        state.put(KEY, b"first");
+        state.put(KEY, br#""first""#);
         state.set_mode(Mode::LoseAnswers);
-        assert_eq!(client.write_settled(KEY, 1, b"mine").await, Write::Done(2));
-        assert_eq!(client.write_settled(KEY, 1, b"late").await, Write::Conflict);
-        assert_eq!(state.get(KEY), Some((2, b"mine".into())));
+        assert_eq!(
+            client.write_settled(KEY, 1, br#""mine""#).await,
+            Write::Done(2)
+        );
+        assert_eq!(
+            client.write_settled(KEY, 1, br#""late""#).await,
+            Write::Conflict
+        );
+        assert_eq!(state.get(KEY), Some((2, br#""mine""#.into())));
     });
 }
 
 #[test]
 fn an_outage_leaves_the_outcome_open_and_says_so() {
     with_platform(async |state, client| {
-        state.put(KEY, b"first");
+        state.put(KEY, br#""first""#);
         state.set_mode(Mode::Down);
         assert_eq!(
-            client.write_settled(KEY, 1, b"mine").await,
+            client.write_settled(KEY, 1, br#""mine""#).await,
             Write::Ambiguous
         );
         assert_eq!(client.read(KEY).await, Read::Down);
         state.set_mode(Mode::Up);
-        assert_eq!(state.get(KEY), Some((1, b"first".into())));
+        assert_eq!(state.get(KEY), Some((1, br#""first""#.into())));
     });
 }
 
@@ -65,14 +74,26 @@
 fn a_watch_ends_with_the_newer_version_or_unchanged() {
     with_platform(async |state, client| {
         let wait = std::time::Duration::from_millis(50);
-        state.put(KEY, b"first");
+        state.put(KEY, br#""first""#);
         assert_eq!(client.watch(KEY, 1, wait).await, Read::Unchanged);
-        state.put(KEY, b"second");
+        state.put(KEY, br#""second""#);
         let newest = Object {
             version: 2,
-            body: b"second".into(),
+            body: br#""second""#.into(),
         };
         assert_eq!(client.watch(KEY, 1, wait).await, Read::Found(newest));
         assert_eq!(state.calls()["watch"], 2);
     });
 }
+
+#[test]
+fn a_call_that_is_turned_away_has_done_nothing() {
+    with_platform(async |state, client| {
+        state.put(KEY, br#""first""#);
+        state.set_mode(Mode::Busy);
+        let write = client.write_settled(KEY, 1, br#""mine""#).await;
+        assert!(matches!(write, Write::Refused(_)), "{write:?}");
+        state.set_mode(Mode::Up);
+        assert_eq!(state.get(KEY), Some((1, br#""first""#.into())));
+    });
+}
--- a/crates/demo/tests/promises.rs
+++ b/crates/demo/tests/promises.rs
@@ -11,7 +11,7 @@
         load::{Finder, Seen, Stream, run, unix_ms},
         report::{false_not_run, totals},
     },
-    rattanturn_objects::TABLES_KEY,
+    rattanturn_platform::own::TABLES_KEY,
     rattanturn_standins::{platform::Mode, target},
     std::{
         collections::BTreeMap,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,13 +1,18 @@
-//! Stand-in for the platform's object API.
+//! Stand-in for the platform's object store.
+//!
+//! Protocol: objects of `/v1/objects/KIND` with one revision counter; lists in pages, watches
+//! from a revision, conditional writes. It can be down, slow, behind or lose its answers, and it
+//! can drop its history.
 
 use {
     actix_http::{Method, Request, Response, body::BoxBody},
     actix_rt::time::sleep,
-    rattanturn_http::{Limits, Server, header, parameter, read_body, response, spawn},
+    rattanturn_http::{Limits, Server, parameter, read_body, response, spawn},
+    serde_json::{Value, json},
     std::{
         collections::BTreeMap,
         io,
-        net::{SocketAddr, TcpListener},
+        net::{IpAddr, SocketAddr, TcpListener},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -15,14 +20,20 @@
 
 const MAX_OBJECT: usize = 1 << 20;
 const WATCH_POLL: Duration = Duration::from_millis(10);
+/// Objects on a page of a list.
+const PAGE: usize = 50;
+/// Kind of the product's own objects.
+const OWN_KIND: &str = "rattanturn";
 
 /// How the platform behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
     /// It answers.
     Up,
-    /// It answers nothing of use.
+    /// It answers nothing of use, and nothing is done.
     Down,
+    /// It turns every call away and says so.
+    Busy,
     /// It answers after this time.
     Slow(Duration),
     /// Writes take effect but their answers are lost.
@@ -37,23 +48,87 @@
     inner: Mutex<Inner>,
 }
 
+#[derive(Clone, Debug)]
+struct Version {
+    revision: u64,
+    /// `None` if this change removed the object.
+    spec: Option<Value>,
+}
+
 #[derive(Debug)]
 struct Inner {
     mode: Mode,
-    objects: BTreeMap<String, Vec<Vec<u8>>>,
-    vms: Vec<SocketAddr>,
+    refused: Vec<IpAddr>,
+    revision: u64,
+    /// Changes up to this revision are no longer told.
+    floor: u64,
+    objects: BTreeMap<(String, String), Vec<Version>>,
     calls: BTreeMap<&'static str, u64>,
 }
 
+impl Inner {
+    fn write(&mut self, kind: &str, name: &str, spec: Option<Value>) -> u64 {
+        self.revision += 1;
+        let revision = self.revision;
+        let versions = self.objects.entry((kind.into(), name.into())).or_default();
+        versions.push(Version { revision, spec });
+        revision
+    }
+
+    /// The object as this mode shows it.
+    fn read(&self, kind: &str, name: &str) -> Option<Version> {
+        let versions = self.objects.get(&(kind.into(), name.into()))?;
+        let past = usize::from(self.mode == Mode::Past);
+        let index = versions.len().saturating_sub(past).max(1) - 1;
+        versions.get(index).filter(|v| v.spec.is_some()).cloned()
+    }
+
+    fn newest(&self, kind: &str, name: &str) -> Option<&Version> {
+        let versions = self.objects.get(&(kind.into(), name.into()))?;
+        versions.last().filter(|v| v.spec.is_some())
+    }
+
+    fn names(&self, kind: &str) -> Vec<String> {
+        let of_kind = self.objects.keys().filter(|(k, _)| k == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
+    /// Changes of a kind after a revision, in order.
+    fn changes(&self, kind: &str, after: u64) -> Vec<Value> {
+        let mut out: Vec<(u64, Value)> = Vec::new();
+        for ((k, name), versions) in &self.objects {
+            for v in versions.iter().filter(|v| k == kind && v.revision > after) {
+                let event = json!({"deleted": v.spec.is_none(), "object": shown(name, v)});
+                out.push((v.revision, event));
+            }
+        }
+        out.sort_by_key(|e| e.0);
+        out.into_iter().map(|e| e.1).collect()
+    }
+}
+
+fn shown(name: &str, version: &Version) -> Value {
+    json!({
+        "meta": {"name": name, "revision": version.revision, "finalizers": [], "deleting": false},
+        "spec": version.spec,
+        "status": null,
+    })
+}
+
 impl State {
     /// Changes how the platform behaves.
     pub fn set_mode(&self, mode: Mode) {
         self.with(|i| i.mode = mode);
     }
 
-    /// Sets the VM list.
-    pub fn set_vms(&self, vms: Vec<SocketAddr>) {
-        self.with(|i| i.vms = vms);
+    /// Turns callers from these addresses away and serves the others.
+    pub fn refuse(&self, addrs: Vec<IpAddr>) {
+        self.with(|i| i.refused = addrs);
+    }
+
+    /// Drops the history, so that watches have to begin anew.
+    pub fn compact(&self) {
+        self.with(|i| i.floor = i.revision);
     }
 
     /// Calls so far, by kind.
@@ -62,21 +137,33 @@
         self.with(|i| i.calls.clone())
     }
 
-    /// Replaces an object as another operator would; returns its version.
+    /// Writes an object as operators and targets do; returns its revision.
+    pub fn write(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        self.with(|i| i.write(kind, name, Some(spec)))
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.with(|i| i.write(kind, name, None));
+    }
+
+    /// Replaces one of the product's own objects as another operator would; returns its version.
+    ///
+    /// # Panics
+    ///
+    /// The body is not JSON.
     pub fn put(&self, key: &str, body: &[u8]) -> u64 {
-        self.with(|i| {
-            let versions = i.objects.entry(key.into()).or_default();
-            versions.push(body.to_vec());
-            versions.len() as u64
-        })
+        let spec = serde_json::from_slice(body).expect("own objects are JSON");
+        self.write(OWN_KIND, key, spec)
     }
 
-    /// An object's version and body.
+    /// Version and body of one of the product's own objects.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<(u64, Vec<u8>)> {
         self.with(|i| {
-            let versions = i.objects.get(key)?;
-            Some((versions.len() as u64, versions.last()?.clone()))
+            let newest = i.newest(OWN_KIND, key)?;
+            let body = serde_json::to_vec_pretty(newest.spec.as_ref()?).ok()?;
+            Some((newest.revision, body))
         })
     }
 
@@ -104,8 +191,10 @@
     pub fn spawn() -> io::Result<Self> {
         let inner = Inner {
             mode: Mode::Up,
+            refused: Vec::new(),
+            revision: 0,
+            floor: 0,
             objects: BTreeMap::new(),
-            vms: Vec::new(),
             calls: BTreeMap::new(),
         };
         let state = Arc::new(State {
@@ -134,75 +223,153 @@
 
 async fn handle(state: Arc<State>, mut request: Request) -> Response<BoxBody> {
     let mode = state.with(|i| i.mode);
-    match mode {
-        Mode::Down => return response(503, &[], "down"),
-        Mode::Slow(d) => sleep(d).await,
-        _ => {}
+    if let Mode::Slow(time) = mode {
+        sleep(time).await;
+    }
+    let from = request.peer_addr().map(|a| a.ip());
+    let refused = state.with(|i| from.is_some_and(|ip| i.refused.contains(&ip)));
+    if mode == Mode::Down {
+        return lost();
+    }
+    if mode == Mode::Busy || refused {
+        return response(503, &[], "busy");
     }
     let path = request.path().to_owned();
-    if path == "/vms" {
-        state.count("vms");
-        let vms = state
-            .with(|i| serde_json::to_string(&i.vms))
-            .unwrap_or_default();
-        return response(200, &[("etag", "0".into())], vms);
-    }
-    let Some(key) = path.strip_prefix("/objects/") else {
+    let Some(path) = path.strip_prefix("/v1/objects/") else {
         return response(404, &[], "no such path");
     };
-    if *request.method() == Method::PUT {
-        return write(&state, mode, key, &mut request).await;
+    let (kind, name) = match path.split_once('/') {
+        Some((kind, name)) => (kind, Some(name)),
+        None => (path, None),
+    };
+    match (request.method().clone(), name) {
+        (Method::GET, Some(name)) => read(&state, kind, name),
+        (Method::GET, None) if parameter(&request, "watch").is_some() => {
+            watch(&state, kind, &request).await
+        }
+        (Method::GET, None) => list(&state, kind, &request),
+        (Method::POST | Method::PUT, name) => {
+            let name = name.map(ToOwned::to_owned);
+            let answer = write(&state, kind, name, &mut request).await;
+            lose(mode, answer)
+        }
+        (Method::DELETE, Some(name)) => {
+            state.count("remove");
+            let gone = state.with(|i| {
+                let present = i.newest(kind, name).is_some();
+                present.then(|| i.write(kind, name, None))
+            });
+            let status = if gone.is_some() { 200 } else { 404 };
+            lose(mode, response(status, &[], "{}"))
+        }
+        _ => response(405, &[], "no such call"),
+    }
+}
+
+fn lose(mode: Mode, answer: Response<BoxBody>) -> Response<BoxBody> {
+    if mode == Mode::LoseAnswers {
+        return lost();
     }
-    read(&state, key, &request).await
+    answer
+}
+
+/// An answer that cannot be read stands for one that never comes.
+fn lost() -> Response<BoxBody> {
+    response(200, &[], "lost")
 }
 
-async fn read(state: &State, key: &str, request: &Request) -> Response<BoxBody> {
+fn answer(status: u16, body: &Value) -> Response<BoxBody> {
+    let json = ("content-type", "application/json".to_owned());
+    response(status, &[json], body.to_string())
+}
+
+fn read(state: &State, kind: &str, name: &str) -> Response<BoxBody> {
+    state.count("read");
+    match state.with(|i| i.read(kind, name)) {
+        Some(version) => answer(200, &shown(name, &version)),
+        None => answer(404, &json!({"error": "no such object"})),
+    }
+}
+
+fn list(state: &State, kind: &str, request: &Request) -> Response<BoxBody> {
+    state.count("list");
+    let after = parameter(request, "after").unwrap_or("");
+    let (items, more, revision) = state.with(|i| {
+        let names = i.names(kind);
+        let later = names.iter().filter(|n| n.as_str() > after);
+        let found: Vec<Value> = later
+            .filter_map(|n| Some(shown(n, &i.read(kind, n)?)))
+            .collect();
+        let more = found.len() > PAGE;
+        let page: Vec<Value> = found.into_iter().take(PAGE).collect();
+        (page, more, i.revision)
+    });
+    let body = json!({"items": items, "hasMore": more, "storeRevision": revision});
+    answer(200, &body)
+}
+
+async fn watch(state: &State, kind: &str, request: &Request) -> Response<BoxBody> {
+    state.count("watch");
     let number = |name| parameter(request, name).and_then(|v| v.parse::<u64>().ok());
-    let after = number("after");
-    state.count(if after.is_some() { "watch" } else { "read" });
-    let end = Instant::now() + Duration::from_millis(number("wait-ms").unwrap_or(0));
+    let after = number("watch").unwrap_or(0);
+    let end = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
     loop {
-        let mode = state.with(|i| i.mode);
+        let (mode, floor, revision, events) =
+            state.with(|i| (i.mode, i.floor, i.revision, i.changes(kind, after)));
         if mode == Mode::Down {
-            return response(503, &[], "down");
+            return lost();
         }
-        let past = usize::from(mode == Mode::Past);
-        let found = state.with(|i| {
-            let versions = i.objects.get(key)?;
-            let version = versions.len().saturating_sub(past).max(1);
-            Some((version as u64, versions[version - 1].clone()))
-        });
-        match (found, after) {
-            (Some((version, body)), after) if after.is_none_or(|a| version > a) => {
-                return response(200, &[("etag", version.to_string())], body);
-            }
-            (None, None) => return response(404, &[], "no such object"),
-            _ if Instant::now() >= end => return response(304, &[], ""),
-            _ => sleep(WATCH_POLL).await,
+        if after < floor {
+            return response(410, &[], "this history is gone");
+        }
+        if !(events.is_empty() || mode == Mode::Past) || Instant::now() >= end {
+            let events = if mode == Mode::Past {
+                Vec::new()
+            } else {
+                events
+            };
+            let told = if mode == Mode::Past { after } else { revision };
+            return answer(200, &json!({"events": events, "storeRevision": told}));
         }
+        sleep(WATCH_POLL).await;
     }
 }
 
-async fn write(state: &State, mode: Mode, key: &str, request: &mut Request) -> Response<BoxBody> {
+async fn write(
+    state: &State,
+    kind: &str,
+    name: Option<String>,
+    request: &mut Request,
+) -> Response<BoxBody> {
     state.count("write");
-    let Some(expected) = header(request, "if-match").and_then(|v| v.parse::<u64>().ok()) else {
-        return response(428, &[], "if-match is missing");
-    };
     let Ok(body) = read_body(request, MAX_OBJECT).await else {
         return response(413, &[], "too large");
     };
-    let done = state.with(|i| {
-        let versions = i.objects.entry(key.into()).or_default();
-        if versions.len() as u64 == expected {
-            versions.push(body);
-            Ok(versions.len())
-        } else {
-            Err(versions.len())
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
+        return response(400, &[], "not JSON");
+    };
+    let create = name.is_none();
+    let named = body.pointer("/meta/name").and_then(Value::as_str);
+    let Some(name) = name.or_else(|| named.map(ToOwned::to_owned)) else {
+        return response(400, &[], "no name");
+    };
+    let expected = body.pointer("/meta/revision").and_then(Value::as_u64);
+    state.with(|i| {
+        let present = i.newest(kind, &name).cloned();
+        match (&present, create, expected) {
+            (Some(v), true, _) => return answer(409, &shown(&name, v)),
+            (None, false, _) => return answer(404, &json!({"error": "no such object"})),
+            (Some(v), false, Some(e)) if e != v.revision => return answer(409, &shown(&name, v)),
+            _ => {}
         }
-    });
-    match done {
-        _ if mode == Mode::LoseAnswers => response(500, &[], "lost"),
-        Ok(version) => response(200, &[("etag", version.to_string())], ""),
-        Err(version) => response(409, &[("etag", version.to_string())], ""),
-    }
+        let spec = body.get("spec").cloned();
+        if present.as_ref().is_none_or(|v| v.spec != spec) {
+            i.write(kind, &name, Some(spec.unwrap_or(Value::Null)));
+        }
+        let newest = i.newest(kind, &name).cloned();
+        newest.map_or_else(
+            || response(500, &[], ""),
+            |v| answer(200, &shown(&name, &v)),
+        )
+    })
 }
