--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -15,7 +15,7 @@
 /// Estimate for a target that could not be used.
 const UNUSABLE: Duration = Duration::from_millis(250);
 /// Expected time of a call to a target not heard of yet.
-pub const USUAL: Duration = Duration::from_millis(5);
+const USUAL: Duration = Duration::from_millis(5);
 /// Each call of this thread that is under way adds this much.
 const OPEN_CALL: Duration = Duration::from_millis(1);
 /// Estimates within this factor count as equal.
@@ -54,6 +54,25 @@
         (word.time, word.at) = (time, now);
     }
 
+    /// Records how long calls to a target take relative to its peers; 1 is usual.
+    ///
+    /// The usual pace lies in the middle of the times that count as equal, so that small
+    /// differences do not starve a target, also one not heard of yet.
+    ///
+    /// ```
+    /// use rattanturn_core::{Time, choice::Choice};
+    /// let mut choice = Choice::default();
+    /// let now = Time::from_millis(1);
+    /// choice.record_pace(now, 0, 0.9);
+    /// choice.record_pace(now, 1, 1.1);
+    /// assert_eq!(choice.rank(now, 0), choice.rank(now, 1));
+    /// assert_eq!(choice.rank(now, 0), choice.rank(now, 2));
+    /// ```
+    pub fn record_pace(&mut self, now: Time, target: usize, pace: f64) {
+        let usual = USUAL.mul_f64(EQUAL_FACTOR.sqrt());
+        self.record(now, target, usual.mul_f64(pace));
+    }
+
     /// Records that a call could not be brought to the target or was lost.
     pub fn failed(&mut self, now: Time, target: usize) {
         self.record(now, target, UNUSABLE);
--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -64,6 +64,52 @@
     }
 }
 
+/// Weight of the newest call in the usual time.
+const USUAL_WEIGHT: f64 = 0.02;
+
+/// Usual and late times of the calls of one kind.
+///
+/// ```
+/// use {rattanturn_core::hedge::CallTimes, std::time::Duration};
+/// let mut times = CallTimes::at(0.9);
+/// (0..500).for_each(|_| {
+///     times.record(Duration::from_millis(10));
+/// });
+/// let ratio = times.record(Duration::from_millis(20));
+/// assert!(ratio > 1.8 && ratio < 2.2);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct CallTimes {
+    late: Late,
+    usual: Option<f64>,
+}
+
+impl CallTimes {
+    /// Counts a call as late if it takes longer than this share of the calls.
+    #[must_use]
+    pub fn at(quantile: f64) -> Self {
+        Self {
+            late: Late::at(quantile),
+            usual: None,
+        }
+    }
+
+    /// Records how long a call took; returns that relative to the usual time.
+    pub fn record(&mut self, took: Duration) -> f64 {
+        self.late.record(took);
+        let took = took.as_secs_f64().max(MIN_DELAY_US / 1e6);
+        let usual = self.usual.map_or(took, |u| u + (took - u) * USUAL_WEIGHT);
+        self.usual = Some(usual);
+        took / usual
+    }
+
+    /// Time after which a call counts as late.
+    #[must_use]
+    pub fn late(&self) -> Duration {
+        self.late.delay()
+    }
+}
+
 /// Budget for calls beyond the first attempts.
 ///
 /// ```
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,7 +29,7 @@
     tokio::sync::{mpsc, oneshot},
 };
 
-pub use tier::Tier;
+pub use tier::{Tier, TierAddresses};
 
 /// A running daemon.
 pub struct Daemon {
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -115,12 +115,11 @@
     for (kind, interval) in kinds {
         actix_rt::spawn(follow(store.clone(), kind, interval, sender.clone()));
     }
-    let gossip_port = start.place.gossip.port();
     let seeds = start
         .settings
         .peers
         .iter()
-        .map(|p| SocketAddr::new(p.ip(), start.settings.peer_port.unwrap_or(gossip_port)));
+        .map(|p| SocketAddr::new(p.ip(), start.settings.peer_port.unwrap_or(p.port())));
     let mut control = Control {
         membership: Membership::new(start.me, start.place, seeds.collect(), start.me.0),
         settings: start.settings,
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -39,7 +39,22 @@
     control: Arbiter,
     traffic: Arbiter,
     events: mpsc::UnboundedSender<Event>,
-    front: SocketAddr,
+    addresses: TierAddresses,
+}
+
+/// Addresses that a daemon of the tier listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct TierAddresses {
+    /// For callers.
+    pub front: SocketAddr,
+    /// For the platform's question whether it takes callers.
+    pub ready: SocketAddr,
+    /// For callers that ask which addresses to use.
+    pub directory: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For other daemons.
+    pub gossip: SocketAddr,
 }
 
 impl Tier {
@@ -71,7 +86,13 @@
         let shared: Shared = Arc::new(arc_swap::ArcSwap::from_pointee(View::default()));
         let gauges: Arc<Gauges> = Arc::default();
         let (events, inbox) = mpsc::unbounded_channel();
-        let front_at = front.local_addr()?;
+        let addresses = TierAddresses {
+            front: front.local_addr()?,
+            ready: ready.local_addr()?,
+            directory: directory.local_addr()?,
+            admin: admin.local_addr()?,
+            gossip: place.gossip,
+        };
         let start = control::Start {
             settings,
             tier,
@@ -114,14 +135,21 @@
             control,
             traffic,
             events,
-            front: front_at,
+            addresses,
         })
     }
 
-    /// Address for callers.
+    /// Addresses that it listens on.
     #[must_use]
-    pub fn front(&self) -> SocketAddr {
-        self.front
+    pub fn addresses(&self) -> TierAddresses {
+        self.addresses
+    }
+
+    /// Dump of its state; `None` if it has ended.
+    pub async fn state(&self) -> Option<serde_json::Value> {
+        let (send, receive) = oneshot::channel();
+        self.events.send(Event::Dump(send)).ok()?;
+        receive.await.ok()
     }
 
     /// Stops gracefully: withdrawn, drained, gone. Returns what was left undone.
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -11,10 +11,10 @@
     },
     rattanturn_core::{
         Time,
-        choice::{Choice, USUAL},
+        choice::Choice,
         cold,
         gather::{Budgets, Pair},
-        hedge::{Budget, Late},
+        hedge::{Budget, CallTimes},
         split::Split,
     },
     std::{
@@ -52,7 +52,7 @@
     next_link: Cell<usize>,
     by_id: RefCell<HashMap<String, usize>>,
     by_service: RefCell<HashMap<String, Vec<usize>>>,
-    lates: RefCell<HashMap<String, Late>>,
+    times: RefCell<HashMap<String, CallTimes>>,
     budget_numbers: RefCell<HashMap<String, usize>>,
     splits: RefCell<HashMap<String, Split>>,
     spread: Cell<u64>,
@@ -75,7 +75,7 @@
             next_link: Cell::new(0),
             by_id: RefCell::default(),
             by_service: RefCell::default(),
-            lates: RefCell::default(),
+            times: RefCell::default(),
             budget_numbers: RefCell::default(),
             splits: RefCell::default(),
             spread: Cell::new(0),
@@ -189,10 +189,10 @@
 
     /// Usual slow time of a route's calls.
     pub(crate) fn late(&self, route: &str) -> Duration {
-        let lates = self.lates.borrow();
-        lates
+        let times = self.times.borrow();
+        times
             .get(route)
-            .map_or(Late::at(LATE_QUANTILE).delay(), Late::delay)
+            .map_or_else(|| CallTimes::at(LATE_QUANTILE).late(), CallTimes::late)
     }
 
     /// Service for the next request of a split route.
@@ -216,15 +216,13 @@
         took: Duration,
         answer: &Answer,
     ) {
-        let usual = {
-            let mut lates = self.lates.borrow_mut();
-            let late = lates
+        let pace = {
+            let mut times = self.times.borrow_mut();
+            let times = times
                 .entry(route.into())
-                .or_insert_with(|| Late::at(LATE_QUANTILE));
-            late.record(took);
-            late.delay()
+                .or_insert_with(|| CallTimes::at(LATE_QUANTILE));
+            times.record(took).min(MAX_PACE)
         };
-        let pace = (took.as_secs_f64() / usual.as_secs_f64()).min(MAX_PACE);
         link.pace
             .set(link.pace.get() * (1.0 - PACE_WEIGHT) + pace * PACE_WEIGHT);
         let queue = answer
@@ -235,8 +233,7 @@
     }
 
     pub(crate) fn record_pace(&self, now: Time, index: usize, pace: f64) {
-        let mut choice = self.choice.borrow_mut();
-        choice.record(now, index, USUAL.mul_f64(pace));
+        self.choice.borrow_mut().record_pace(now, index, pace);
     }
 
     /// A call was lost: its target is avoided for a while.
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod bed;
 pub mod load;
 pub mod report;
+pub mod tier_bed;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,7 @@
 //! more than they bear, non-idempotent requests run twice.
 
 pub mod gossip;
+pub mod operator;
 pub mod platform;
+pub mod shard;
 pub mod target;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -12,7 +12,7 @@
     std::{
         collections::BTreeMap,
         io,
-        net::{IpAddr, SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -58,7 +58,6 @@
 #[derive(Debug)]
 struct Inner {
     mode: Mode,
-    refused: Vec<IpAddr>,
     revision: u64,
     /// Changes up to this revision are no longer told.
     floor: u64,
@@ -121,11 +120,6 @@
         self.with(|i| i.mode = mode);
     }
 
-    /// Turns callers from these addresses away and serves the others.
-    pub fn refuse(&self, addrs: Vec<IpAddr>) {
-        self.with(|i| i.refused = addrs);
-    }
-
     /// Drops the history, so that watches have to begin anew.
     pub fn compact(&self) {
         self.with(|i| i.floor = i.revision);
@@ -191,7 +185,6 @@
     pub fn spawn() -> io::Result<Self> {
         let inner = Inner {
             mode: Mode::Up,
-            refused: Vec::new(),
             revision: 0,
             floor: 0,
             objects: BTreeMap::new(),
@@ -226,12 +219,10 @@
     if let Mode::Slow(time) = mode {
         sleep(time).await;
     }
-    let from = request.peer_addr().map(|a| a.ip());
-    let refused = state.with(|i| from.is_some_and(|ip| i.refused.contains(&ip)));
     if mode == Mode::Down {
         return lost();
     }
-    if mode == Mode::Busy || refused {
+    if mode == Mode::Busy {
         return response(503, &[], "busy");
     }
     let path = request.path().to_owned();
