Divide saved-up repeats by the daemons that live

Cause: a daemon saved up three hedges and three repeats for each service whatever the number of daemons; at 90 daemons that is 540 calls against a slack of 220.

Ruled out: a counter in the store (a write a repeat) and shares leased from peers (they lapse when cut off).

Figures: at 8 daemons the burst is 2.45 hedges and 2.45 repeats a service, 39 calls of 56 in all.

--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -170,6 +170,14 @@
         &mut self.pairs[number]
     }
 
+    /// Sets how many calls beyond the first may be saved up for hedges and for repeats.
+    pub fn set_bursts(&mut self, hedge: f64, retry: f64) {
+        for pair in self.pairs.iter_mut().chain([&mut self.blank]) {
+            pair.hedge.set_burst(hedge);
+            pair.retry.set_burst(retry);
+        }
+    }
+
     /// The first budgets, for recording.
     #[must_use]
     pub fn first(&self) -> Pair {
--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -149,6 +149,12 @@
         self.tokens = tokens;
     }
 
+    /// Changes how many may be saved up; what is beyond is lost.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.burst);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -117,7 +117,7 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::open(shared);
+            let traffic = traffic::Traffic::open(shared, &tier);
             let counted = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -17,6 +17,7 @@
         hedge::{Budget, CallTimes},
         split::Split,
     },
+    rattanturn_tables::TierSettings,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -26,14 +27,13 @@
     },
 };
 
-/// Extra calls for each first one, of the 0.2 that the platform's pages allow at a service; the
-/// rest covers what other daemons count differently.
-const HEDGE_RATIO: f64 = 0.10;
-const RETRY_RATIO: f64 = 0.06;
-/// Extra calls saved up by each daemon for hedges and for repeats of one service: 8 daemons stay
-/// below the slack of 52 calls that the pages allow.
-const HEDGE_BURST: f64 = 3.0;
-const RETRY_BURST: f64 = 3.0;
+/// Shares of the allowed ratio of extra calls; the rest covers what other daemons count
+/// differently, such as a request that one of them began and another repeats.
+const HEDGE_RATIO_SHARE: f64 = 0.5;
+const RETRY_RATIO_SHARE: f64 = 0.3;
+/// Shares of the allowed slack that all daemons together may save up.
+const HEDGE_SLACK_SHARE: f64 = 0.35;
+const RETRY_SLACK_SHARE: f64 = 0.35;
 /// Share of calls that answer within a route's usual slow time.
 const LATE_QUANTILE: f64 = 0.9;
 /// Weight of the newest answer in a target's pace.
@@ -58,15 +58,17 @@
     spread: Cell<u64>,
     pub(crate) choice: RefCell<Choice>,
     pub(crate) budgets: RefCell<Budgets>,
+    slack: f64,
     /// Requests that are being served.
     pub(crate) open: Cell<usize>,
 }
 
 impl Traffic {
-    pub(crate) fn open(shared: Shared) -> Rc<Self> {
+    pub(crate) fn open(shared: Shared, tier: &TierSettings) -> Rc<Self> {
+        let ratio = tier.repeat_ratio;
         let blank = Pair {
-            hedge: Budget::new(HEDGE_RATIO, HEDGE_BURST),
-            retry: Budget::new(RETRY_RATIO, RETRY_BURST),
+            hedge: Budget::new(ratio * HEDGE_RATIO_SHARE, 0.0),
+            retry: Budget::new(ratio * RETRY_RATIO_SHARE, 0.0),
         };
         let traffic = Rc::new(Self {
             view: RefCell::new(shared.load_full()),
@@ -81,6 +83,7 @@
             spread: Cell::new(0),
             choice: RefCell::default(),
             budgets: RefCell::new(Budgets::new(blank)),
+            slack: tier.repeat_slack,
             open: Cell::new(0),
         });
         actix_rt::spawn(tidy(traffic.clone()));
@@ -101,6 +104,7 @@
     /// Opens, updates and ends links as the view names targets.
     fn follow(self: &Rc<Self>, view: &View) {
         let now = clock::now();
+        self.share_slack(view);
         let mut by_id = HashMap::new();
         let mut by_service: HashMap<String, Vec<usize>> = HashMap::new();
         let mut links = self.links.borrow_mut();
@@ -149,6 +153,16 @@
         *self.by_service.borrow_mut() = by_service;
     }
 
+    /// Takes this daemon's part of the extra calls that all daemons may save up.
+    fn share_slack(&self, view: &View) {
+        let daemons = u32::try_from(view.daemons.len()).unwrap_or(u32::MAX);
+        let part = self.slack / f64::from(daemons.max(1));
+        let mut budgets = self.budgets.borrow_mut();
+        // Less than one call could never be spent, and all saved calls are earned first.
+        let burst = |share: f64| (part * share).max(1.0);
+        budgets.set_bursts(burst(HEDGE_SLACK_SHARE), burst(RETRY_SLACK_SHARE));
+    }
+
     pub(crate) fn link(&self, index: usize) -> Option<Rc<Link>> {
         self.links.borrow().get(&index).cloned()
     }
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -71,8 +71,13 @@
     pub tier: Option<TierSettings>,
 }
 
-/// Listeners of the tier on the users' platform, section `[tier]`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Calls beyond the first for each request, if the settings name no ratio.
+const DEFAULT_REPEAT_RATIO: f64 = 0.1;
+/// Calls beyond the first besides, if the settings name no slack.
+const DEFAULT_REPEAT_SLACK: f64 = 10.0;
+
+/// The tier on the users' platform, section `[tier]`.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TierSettings {
     /// For callers' requests.
     pub front: SocketAddr,
@@ -80,6 +85,10 @@
     pub ready: SocketAddr,
     /// For callers that ask which addresses to use.
     pub directory: SocketAddr,
+    /// Calls beyond the first that a service may get, for each request for it.
+    pub repeat_ratio: f64,
+    /// Such calls that it may get besides, from all daemons together within some seconds.
+    pub repeat_slack: f64,
 }
 
 impl Settings {
@@ -167,6 +176,8 @@
             front: tier.parse("front", unset, "IP:PORT"),
             ready: tier.parse("ready", unset, "IP:PORT"),
             directory: tier.parse("directory", unset, "IP:PORT"),
+            repeat_ratio: tier.parse("repeat-ratio", DEFAULT_REPEAT_RATIO, "a number"),
+            repeat_slack: tier.parse("repeat-slack", DEFAULT_REPEAT_SLACK, "a number"),
         });
         tier.unknown_keys();
     }
