Hedge calls by a time that slow targets cannot move; let repeats use hedges' budget

The late time was the 90th percentile; with 19 of 91 targets ten times slower it followed them. From 16 s to 20 s, 40% of answers are lost and repeats ran into their budget while that for hedges lay idle.

Change: the late time is 1.6 times the 75th percentile and at most 0.4 of the route's goal; a repeat may take from the hedges' budget; shares of the allowed ratio are 0.65 and 0.30.

Ruled out: slow learning of slow targets (their pace stays for 8 s).

--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -307,7 +307,7 @@
             self.slots[service].reason,
             Some(Missing::NoHolder | Missing::Unreachable)
         );
-        if free || budgets.pair(self.budget(service)).retry.take() {
+        if free || budgets.pair(self.budget(service)).take_retry() {
             self.counts.retries += 1;
             self.call(now, service, out);
         }
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -139,6 +139,13 @@
     }
 }
 
+impl Pair {
+    /// Takes a repeat; it may use what is saved up for hedges, because it is surely needed.
+    pub(super) fn take_retry(&mut self) -> bool {
+        self.retry.take() || self.hedge.take()
+    }
+}
+
 /// Budgets that all queries of one thread share, by the numbers that plans name.
 #[derive(Clone, Debug)]
 pub struct Budgets {
--- a/crates/daemon/src/tier/fan.rs
+++ b/crates/daemon/src/tier/fan.rs
@@ -25,8 +25,11 @@
 
 /// All targets of a service are of one version here: the catalog names it.
 const ONE_SNAPSHOT: u64 = 1;
-/// A call is hedged after this multiple of its route's usual slow time.
-const HEDGE_FACTOR: f64 = 1.4;
+/// A call is hedged after this multiple of its route's usual slow time: about twice the median.
+const HEDGE_FACTOR: f64 = 1.6;
+/// A call is hedged after this share of its route's goal at the latest, so that the second call
+/// can still answer in time.
+const HEDGE_GOAL_SHARE: f64 = 0.4;
 /// Expected time, relative to the usual, of a target whose call is late.
 const STALLED_PACE: f64 = 6.0;
 
@@ -109,6 +112,9 @@
     let now = clock::now();
     let route = fan.route;
     let late = traffic.late(&route.name).mul_f64(HEDGE_FACTOR);
+    let late = route
+        .goal
+        .map_or(late, |goal| late.min(goal.mul_f64(HEDGE_GOAL_SHARE)));
     Plan {
         services: fan.services.iter().map(|s| traffic.order(now, s)).collect(),
         late: vec![late; fan.services.len()],
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -29,13 +29,14 @@
 
 /// Shares of the allowed ratio of extra calls; the rest covers what other daemons count
 /// differently, such as a request that one of them began and another repeats.
-const HEDGE_RATIO_SHARE: f64 = 0.5;
+const HEDGE_RATIO_SHARE: f64 = 0.65;
 const RETRY_RATIO_SHARE: f64 = 0.3;
 /// Shares of the allowed slack that all daemons together may save up.
 const HEDGE_SLACK_SHARE: f64 = 0.35;
 const RETRY_SLACK_SHARE: f64 = 0.35;
-/// Share of calls that answer within a route's usual slow time.
-const LATE_QUANTILE: f64 = 0.9;
+/// Share of calls that answer within a route's usual slow time. A higher one would follow the
+/// slow targets when a sixth of them are slow at once, and their calls would not count as late.
+const LATE_QUANTILE: f64 = 0.75;
 /// Weight of the newest answer in a target's pace.
 const PACE_WEIGHT: f64 = 0.25;
 /// Slowest pace that one answer can tell.
