Let a few daemons read the store and tell the others

Change: two daemons read, by rank; a change that matters is announced to all at once, and the others fetch it from the peer that has it; a daemon whose knowledge is stale for 1.6 s reads for a while; while nobody can read, tries do not grow with the fleet (core::readers, tested in virtual time). The control module is split into knowledge, exchange and control. Targets are passed on a line each, so patches are small, and unchanged versions share their bytes.

A daemon starts with its burst of repeats saved up; without it the first failures after a start were final (two whole-path tests failed).

Ruled out: patches against the store's history (each daemon would still call).

Conclusion: planned_stops_cut_off_nothing failed in some runs of this tree and is being traced.

--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -179,10 +179,13 @@
 
     /// Sets how many calls beyond the first may be saved up for hedges and for repeats.
     pub fn set_bursts(&mut self, hedge: f64, retry: f64) {
-        for pair in self.pairs.iter_mut().chain([&mut self.blank]) {
+        for pair in &mut self.pairs {
             pair.hedge.set_burst(hedge);
             pair.retry.set_burst(retry);
         }
+        // A number that is new begins with all of it saved up.
+        self.blank.hedge = self.blank.hedge.with_burst(hedge);
+        self.blank.retry = self.blank.retry.with_burst(retry);
     }
 
     /// The first budgets, for recording.
--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -155,6 +155,12 @@
         self.tokens = self.tokens.min(burst);
     }
 
+    /// A fresh budget of the same ratio with another burst, all of it saved up.
+    #[must_use]
+    pub fn with_burst(&self, burst: f64) -> Self {
+        Self::new(self.ratio, burst)
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.burst);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`catalog`]: operators' routes and services, joined by name.
 //! - [`cold`]: how many requests a cold target gets.
 //! - [`merge`]: the records of a query's parts.
+//! - [`readers`]: which daemons read the store.
 //! - [`split`]: requests of a route divided among services by weight.
 //! - [`fleet`]: which targets there are, from the entries that they write.
 //! - [`journal`]: outcomes of non-idempotent requests by request id.
@@ -39,6 +40,7 @@
 mod priority;
 pub mod queue;
 pub mod rank;
+pub mod readers;
 pub mod register;
 pub mod snapshot;
 pub mod split;
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -72,6 +72,11 @@
     Sync(bool),
 }
 
+impl Purpose {
+    /// Only tells the sender's versions: probes are numbered from 1, so it answers none.
+    pub const ANNOUNCE: Self = Self::Ack(0);
+}
+
 /// A message between members.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -206,6 +206,18 @@
             .collect()
     }
 
+    /// Tells every other member at once which versions this daemon knows.
+    pub fn announce(&mut self) -> Vec<Send> {
+        let message = self.message(Purpose::ANNOUNCE);
+        let to: Vec<SocketAddr> = self.others().map(|m| m.fact.place.gossip).collect();
+        to.into_iter()
+            .map(|to| Send {
+                to,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
     /// Advances time: probes, suspicions and full exchanges.
     pub fn tick(&mut self, now: Time) -> Vec<Send> {
         let paused = self.last_tick.is_some_and(|t| now.since(t) > PAUSE);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -7,7 +7,10 @@
 use {
     crate::rank,
     diffy::{Patch, apply_bytes, create_patch_bytes},
-    std::collections::{HashMap, VecDeque},
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::Arc,
+    },
 };
 
 /// Older versions of an object that patches can start from.
@@ -17,7 +20,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Version {
     number: u64,
-    body: Vec<u8>,
+    /// Shared with the version before if nothing changed between them.
+    body: Arc<[u8]>,
 }
 
 /// A newer version for a daemon that asked.
@@ -38,9 +42,9 @@
 /// ```
 /// use rattanturn_core::store::Store;
 /// let (mut ours, mut theirs) = (Store::default(), Store::default());
-/// ours.put("tables", 1, b"a\nb\n".to_vec());
-/// theirs.put("tables", 1, b"a\nb\n".to_vec());
-/// ours.put("tables", 2, b"a\nc\n".to_vec());
+/// ours.put("tables", 1, b"a\nb\n");
+/// theirs.put("tables", 1, b"a\nb\n");
+/// ours.put("tables", 2, b"a\nc\n");
 /// let newer = ours.newer("tables", 1).unwrap();
 /// assert_eq!(theirs.whole("tables", &newer).unwrap(), b"a\nc\n");
 /// ```
@@ -51,8 +55,10 @@
 
 impl Store {
     /// Adds a newer version.
-    pub fn put(&mut self, key: &str, number: u64, body: Vec<u8>) {
+    pub fn put(&mut self, key: &str, number: u64, body: &[u8]) {
         let versions = self.objects.entry(key.into()).or_default();
+        let same = versions.front().filter(|v| *v.body == *body);
+        let body = same.map_or_else(|| Arc::from(body), |v| v.body.clone());
         versions.push_front(Version { number, body });
         versions.truncate(OLDER_KEPT + 1);
     }
@@ -78,7 +84,7 @@
         Some(Newer {
             version,
             base: 0,
-            data: newest.body.clone(),
+            data: newest.body.to_vec(),
             digest,
         })
     }
--- a/crates/core/tests/store.rs
+++ b/crates/core/tests/store.rs
@@ -19,7 +19,7 @@
 /// A store that has seen every version up to `newest`.
 fn store(newest: usize) -> Store {
     let mut store = Store::default();
-    (1..=newest).for_each(|v| store.put(KEY, v as u64, body(2_000, v)));
+    (1..=newest).for_each(|v| store.put(KEY, v as u64, &body(2_000, v)));
     store
 }
 
@@ -49,7 +49,7 @@
 fn a_patch_that_does_not_come_out_is_refused() {
     let newer = store(6).newer(KEY, 3).unwrap();
     let mut other = Store::default();
-    other.put(KEY, 3, body(2_000, 1));
+    other.put(KEY, 3, &body(2_000, 1));
     assert_eq!(other.whole(KEY, &newer), None);
     let garbled = Newer {
         digest: newer.digest ^ 1,
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -241,7 +241,7 @@
 
     fn event(&mut self, event: Event) {
         match event {
-            Event::Found(found) => self.found(found),
+            Event::Found(found) => self.found(&found),
             Event::FetchFailed(key) => {
                 self.fetching[usize::from(key == PANELS_KEY)].until = Time::ZERO;
             }
@@ -254,12 +254,12 @@
         }
     }
 
-    fn found(&mut self, found: Found) {
+    fn found(&mut self, found: &Found) {
         self.fetching[usize::from(found.key == PANELS_KEY)].until = Time::ZERO;
         let taken = if found.key == PANELS_KEY {
-            self.take_panels(&found)
+            self.take_panels(found)
         } else {
-            self.take_tables(&found)
+            self.take_tables(found)
         };
         if !taken {
             return;
@@ -270,7 +270,7 @@
             "a newer version is in force"
         );
         let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
-        objects.put(found.key, found.version, found.body);
+        objects.put(found.key, found.version, &found.body);
         drop(objects);
         self.membership.set_versions(Versions {
             tables: self.tables.version(),
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -1,53 +1,51 @@
 //! Control of the tier: what the store and the peers tell becomes the view for traffic.
 //!
-//! Every daemon reads the store by itself and tells its peers which versions it knows. A daemon
-//! that knows an older version fetches the newer one from the peer that has it.
+//! A few daemons read the store and tell the others at once when something changed that matters;
+//! these fetch it from the peer that has it. Which ones read is decided by
+//! [`rattanturn_core::readers`].
 
 use {
     crate::{
         admin, clock,
-        control::{self, Event, objects},
+        control::{self, Event},
         tier::{
             directory,
-            peers::{self, CATALOG_KEY, FLEET_KEY, FleetObject},
-            sources::{News, follow},
+            exchange::Exchange,
+            knowledge::Knowledge,
+            peers::{self, CATALOG_KEY, FLEET_KEY},
+            sources::{News, session},
             view::{Gauges, Phase, Shared, View},
         },
-        traffic::rpc::{Objects, Peers},
+        traffic::rpc::Objects,
     },
     rattanturn_core::{
         NodeId, Time,
         addresses::Entry,
-        catalog::Catalog,
-        fleet::{Fleet, Target},
-        membership::{Membership, Message, Place, Send, State, Versions},
+        fleet::Target,
+        membership::{Membership, Message, Place, Purpose, Send, State, Versions},
+        readers::{self, Reading},
     },
-    rattanturn_platform::{Object, Store, entries},
+    rattanturn_platform::Store,
     rattanturn_tables::{Settings, TierSettings},
     rattanturn_wire::{Datagram, decode, encode},
     serde_json::{Value, json},
     std::{
         collections::{BTreeSet, HashMap},
         net::{SocketAddr, TcpListener},
-        sync::{Arc, PoisonError, atomic::Ordering},
+        sync::{Arc, atomic::Ordering},
         time::Duration,
     },
     tokio::{
         net::UdpSocket,
         sync::{mpsc, oneshot},
+        task::JoinHandle,
     },
 };
 
 /// Interval of the control loop.
 const TICK: Duration = Duration::from_millis(50);
-/// Least time between two reads of the targets; a leaving target must get nothing after 3 s.
-const TARGETS_INTERVAL: Duration = Duration::from_millis(700);
-/// Least time between two reads of what operators write.
-const OPERATORS_INTERVAL: Duration = Duration::from_millis(50);
-/// A peer's targets are fetched once this daemon's own are this old.
-const STALE: Duration = Duration::from_millis(1_600);
-/// Time before a failed fetch from a peer is repeated.
-const FETCH_PAUSE: Duration = Duration::from_millis(500);
+/// What a peer read is fetched at this age even if nothing that matters has changed.
+const REFRESH: Duration = Duration::from_millis(800);
 /// A stopping daemon closes its listeners this long before its time is up.
 const CLOSE_BEFORE_END: Duration = Duration::from_secs(2);
 /// A stopping daemon ends this long before its time is up, whatever still runs.
@@ -76,23 +74,31 @@
     me: NodeId,
     front: SocketAddr,
     membership: Membership,
-    catalog: Option<Arc<Catalog>>,
-    fleet: Fleet,
-    fleet_revision: u64,
-    fleet_read: Time,
-    out: BTreeSet<String>,
-    away: HashMap<&'static str, u64>,
+    knowledge: Knowledge,
+    exchange: Exchange,
+    reading: Reading,
+    place: readers::Place,
+    placed: u64,
+    store: Store,
+    news: mpsc::UnboundedSender<News>,
+    session: Option<JoinHandle<()>>,
     phase: Phase,
     stopping: Option<(Time, oneshot::Sender<String>)>,
-    published: (u64, u64, u64, BTreeSet<String>, Phase),
+    published: Published,
     shared: Shared,
-    objects: Objects,
-    peers: Peers,
-    fetching: HashMap<&'static str, Time>,
-    events: mpsc::UnboundedSender<Event>,
     gauges: Arc<Gauges>,
 }
 
+/// What the view in force was made of.
+#[derive(Default, PartialEq)]
+struct Published {
+    version: u64,
+    fleet: u64,
+    members: u64,
+    out: BTreeSet<String>,
+    phase: Phase,
+}
+
 /// Runs control until the daemon stops.
 pub(crate) async fn run(
     start: Start,
@@ -106,39 +112,34 @@
     let _directory = directory::serve(start.directory, start.shared.clone())?;
     actix_rt::spawn(peers::serve(start.rpc, objects.clone()));
     let (sender, mut news) = mpsc::unbounded_channel();
-    let store = Store::open(start.settings.platform);
-    let kinds = [
-        (entries::CATALOG.0, OPERATORS_INTERVAL),
-        (entries::OUTAGES, OPERATORS_INTERVAL),
-        (entries::TARGETS, TARGETS_INTERVAL),
-    ];
-    for (kind, interval) in kinds {
-        actix_rt::spawn(follow(store.clone(), kind, interval, sender.clone()));
-    }
-    let seeds = start
-        .settings
-        .peers
-        .iter()
-        .map(|p| SocketAddr::new(p.ip(), start.settings.peer_port.unwrap_or(p.port())));
+    let port = start.settings.peer_port;
+    let peers = start.settings.peers.iter();
+    let seeds: Vec<SocketAddr> = peers
+        .map(|p| SocketAddr::new(p.ip(), port.unwrap_or(p.port())))
+        .collect();
+    let first = seeds.is_empty() || seeds.contains(&start.place.gossip);
+    let now = clock::now();
     let mut control = Control {
-        membership: Membership::new(start.me, start.place, seeds.collect(), start.me.0),
-        settings: start.settings,
+        membership: Membership::new(start.me, start.place, seeds, start.me.0),
         me: start.me,
         front: start.tier.front,
-        catalog: None,
-        fleet: Fleet::default(),
-        fleet_revision: 0,
-        fleet_read: Time::ZERO,
-        out: BTreeSet::new(),
-        away: HashMap::new(),
+        knowledge: Knowledge::default(),
+        exchange: Exchange::open(objects, start.events),
+        reading: Reading::new(now, first),
+        place: readers::Place {
+            ranked: true,
+            alive: 1,
+            spread: rand::random(),
+        },
+        placed: 0,
+        store: Store::open(start.settings.platform),
+        news: sender,
+        session: None,
+        settings: start.settings,
         phase: Phase::Serving,
         stopping: None,
-        published: (0, 0, 0, BTreeSet::new(), Phase::Serving),
+        published: Published::default(),
         shared: start.shared,
-        objects,
-        peers: Peers::new(std::rc::Rc::new(|_| {}), Duration::ZERO),
-        fetching: HashMap::new(),
-        events: start.events,
         gauges: start.gauges,
     };
     let mut buffer = vec![0; control::MAX_DATAGRAM];
@@ -152,10 +153,10 @@
                     control.gossip(&socket, from, &message).await;
                 }
             }
-            Some(item) = news.recv() => control.news(item),
+            Some(item) = news.recv() => control.news(&socket, item).await,
             Some(event) = inbox.recv() => match event {
                 Event::Kill => return Ok(()),
-                event => control.event(event),
+                event => control.event(&socket, event).await,
             },
             () = clock::sleep_until(next) => {
                 next = clock::now() + TICK;
@@ -171,48 +172,59 @@
     async fn gossip(&mut self, socket: &UdpSocket, from: SocketAddr, message: &Message) {
         let now = clock::now();
         let out = self.membership.receive(now, from, message);
-        self.compare(now, message.from, message.versions);
+        self.compare(now, message);
         send(socket, out).await;
     }
 
-    /// Fetches what a peer knows in a newer version.
-    fn compare(&mut self, now: Time, from: NodeId, theirs: Versions) {
-        let Some(member) = self.membership.get(from) else {
+    /// Notes what a peer knows in a newer version.
+    fn compare(&mut self, now: Time, message: &Message) {
+        let Some(member) = self.membership.get(message.from) else {
             return;
         };
         let place = &member.fact.place;
         let rpc = SocketAddr::new(place.gossip.ip(), place.rpc);
-        let version = self.catalog.as_ref().map_or(0, |c| c.version());
-        let stale = now.since(self.fleet_read) > STALE || self.fleet_read == Time::ZERO;
-        let wanted = [
-            (CATALOG_KEY, theirs.tables > version, version),
-            (
-                FLEET_KEY,
-                stale && theirs.panels > self.fleet_revision,
-                self.fleet_revision,
-            ),
-        ];
-        for (key, wanted, known) in wanted {
-            let free = self.fetching.get(key).is_none_or(|until| now >= *until);
-            if wanted && free {
-                self.fetching.insert(key, now + FETCH_PAUSE);
-                let (peers, events) = (self.peers.clone(), self.events.clone());
-                let objects = self.objects.clone();
-                actix_rt::spawn(objects::fetch(peers, rpc, key, known, objects, events));
-            }
+        let theirs = message.versions;
+        if theirs.tables > self.knowledge.version() {
+            self.exchange.want(CATALOG_KEY, rpc, theirs.tables);
         }
+        let due = message.purpose == Purpose::ANNOUNCE
+            || self.knowledge.read == Time::ZERO
+            || now.since(self.knowledge.read) > REFRESH;
+        if due && theirs.panels > self.knowledge.revision {
+            self.exchange.want(FLEET_KEY, rpc, theirs.panels);
+        }
+        self.fetch();
     }
 
-    fn event(&mut self, event: Event) {
+    fn fetch(&mut self) {
+        let (version, revision) = (self.knowledge.version(), self.knowledge.revision);
+        self.exchange.fetch(|key| match key {
+            CATALOG_KEY => version,
+            _ => revision,
+        });
+    }
+
+    async fn event(&mut self, socket: &UdpSocket, event: Event) {
         match event {
-            Event::Found(found) if found.key == CATALOG_KEY => {
-                match serde_json::from_slice(&found.body) {
-                    Ok(spec) => self.take_catalog(&spec, "peer"),
-                    Err(error) => tracing::warn!(%error, "a peer's configuration cannot be read"),
+            Event::Found(found) => {
+                self.exchange.fetched(found.key);
+                if found.key == CATALOG_KEY {
+                    match serde_json::from_slice(&found.body) {
+                        Ok(spec) => self.knowledge.take_catalog(&spec, "peer"),
+                        Err(error) => {
+                            tracing::warn!(%error, "a peer's configuration cannot be read");
+                        }
+                    }
+                } else {
+                    let now = clock::now();
+                    self.knowledge.take_fleet(now, found.version, &found.body);
                 }
+                self.spread(socket, false).await;
+            }
+            Event::FetchFailed(key) => {
+                tracing::debug!(key, "a peer did not give what it has");
+                self.exchange.failed(key);
             }
-            Event::Found(found) => self.take_fleet(found.version, &found.body),
-            Event::FetchFailed(key) => tracing::debug!(key, "a peer did not give what it has"),
             Event::Dump(send) => {
                 // The asker may have left.
                 let _ = send.send(self.dump());
@@ -223,158 +235,52 @@
         }
     }
 
-    fn news(&mut self, news: News) {
+    async fn news(&mut self, socket: &UdpSocket, news: News) {
         let now = clock::now();
-        match news {
-            News::Listed(kind, list) => {
-                self.regained(kind);
-                self.listed(now, kind, list.objects);
-                self.read(now, kind, list.revision);
-            }
-            News::Changed(kind, changes) => {
-                self.regained(kind);
-                for event in changes.events {
-                    self.changed(now, kind, &event.object, event.removed);
-                }
-                self.read(now, kind, changes.revision);
-            }
-            News::Away(kind, error) => {
-                let count = self.away.entry(kind).or_default();
-                *count += 1;
-                if *count == 1 {
-                    tracing::warn!(kind, %error, "the store is lost");
-                }
-                if kind == entries::TARGETS && now.since(self.fleet_read) > STALE {
-                    self.fleet.store_away(now);
-                }
-            }
-        }
-    }
-
-    fn regained(&mut self, kind: &'static str) {
-        if let Some(failures) = self.away.remove(kind) {
-            tracing::info!(kind, failures, "the store is regained");
-        }
-    }
-
-    fn listed(&mut self, now: Time, kind: &str, objects: Vec<Object>) {
-        if kind == entries::TARGETS {
-            self.fleet.store_back(now);
-            let targets = objects
-                .iter()
-                .filter_map(|o| entries::target(&o.name, &o.spec));
-            self.fleet.listed(now, targets.collect());
-        } else if kind == entries::OUTAGES {
-            self.take_out(objects.into_iter().map(|o| o.name).collect());
-        } else {
-            for object in &objects {
-                self.changed(now, kind, object, false);
-            }
-        }
-    }
-
-    fn changed(&mut self, now: Time, kind: &str, object: &Object, removed: bool) {
-        if kind == entries::TARGETS {
-            self.fleet.store_back(now);
-            if removed {
-                self.fleet.lost(now, &object.name);
-            } else if let Some(target) = entries::target(&object.name, &object.spec) {
-                self.fleet.heard(now, target);
-            } else {
-                tracing::debug!(entry = %object.name, "an entry names no target to use");
-            }
-        } else if kind == entries::OUTAGES {
-            let mut out = self.out.clone();
-            if removed {
-                out.remove(&object.name);
-            } else {
-                out.insert(object.name.clone());
-            }
-            self.take_out(out);
-        } else if object.name == entries::CATALOG.1 && !removed {
-            self.take_catalog(&object.spec, "store");
-        }
-    }
-
-    fn take_out(&mut self, out: BTreeSet<String>) {
-        if out != self.out {
-            tracing::info!(?out, "data centres taken out");
-            self.out = out;
-        }
-    }
-
-    /// Notes that a kind was read, and offers peers what was read.
-    fn read(&mut self, now: Time, kind: &str, revision: u64) {
-        if kind != entries::TARGETS {
+        if matches!(news, News::Ended) {
+            self.session = None;
+            self.reading.ended(now, self.place);
             return;
         }
-        self.fleet.store_back(now);
-        self.fleet_read = now;
-        if revision > self.fleet_revision {
-            self.fleet_revision = revision;
-            self.offer_fleet();
-        }
-    }
-
-    fn offer_fleet(&mut self) {
-        let object = FleetObject {
-            out: self.out.iter().cloned().collect(),
-            targets: self.fleet.targets().cloned().collect(),
-        };
-        match serde_json::to_vec(&object) {
-            Ok(body) => self.offer(FLEET_KEY, self.fleet_revision, body),
-            Err(error) => tracing::error!(%error, "the targets cannot be written"),
-        }
+        self.knowledge.news(now, news);
+        self.spread(socket, true).await;
     }
 
-    fn offer(&mut self, key: &str, version: u64, body: Vec<u8>) {
-        let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
-        objects.put(key, version, body);
-        drop(objects);
+    /// Offers peers what is known and, if this daemon read it, tells them of a change.
+    async fn spread(&mut self, socket: &UdpSocket, own: bool) {
+        let (version, revision) = (self.knowledge.version(), self.knowledge.revision);
+        self.exchange
+            .offer(CATALOG_KEY, version, &self.knowledge.spec);
+        self.exchange
+            .offer(FLEET_KEY, revision, self.knowledge.fleet_object());
         self.membership.set_versions(Versions {
-            tables: self.catalog.as_ref().map_or(0, |c| c.version()),
-            panels: self.fleet_revision,
+            tables: version,
+            panels: revision,
         });
-    }
-
-    /// Takes a newer configuration; an older one never replaces it.
-    fn take_catalog(&mut self, spec: &Value, from: &str) {
-        let catalog = match entries::catalog(spec) {
-            Ok(catalog) => catalog,
-            Err(error) => {
-                tracing::error!(%error, from, "a configuration cannot be read; the old one stays");
-                return;
-            }
-        };
-        let version = catalog.version();
-        if self
-            .catalog
-            .as_ref()
-            .is_some_and(|c| c.version() >= version)
-        {
-            return;
+        if self.publish() && own {
+            let out = self.membership.announce();
+            send(socket, out).await;
         }
-        tracing::info!(version, from, "a newer configuration is in force");
-        self.catalog = Some(Arc::new(catalog));
-        self.offer(CATALOG_KEY, version, spec.to_string().into_bytes());
-        self.publish();
     }
 
-    fn take_fleet(&mut self, version: u64, body: &[u8]) {
-        let now = clock::now();
-        let stale = now.since(self.fleet_read) > STALE || self.fleet_read == Time::ZERO;
-        if version <= self.fleet_revision || !stale {
-            return;
+    /// Begins or ends reading the store.
+    fn decide_reading(&mut self, now: Time) {
+        if self.placed != self.membership.changes() {
+            self.placed = self.membership.changes();
+            let alive = || {
+                let all = self.membership.present();
+                all.filter(|m| m.fact.state == State::Alive)
+                    .map(|m| m.fact.id)
+            };
+            self.place.ranked = readers::ranked(self.me, alive());
+            self.place.alive = alive().count();
         }
-        match serde_json::from_slice::<FleetObject>(body) {
-            Ok(object) => {
-                self.fleet.store_back(now);
-                self.fleet.listed(now, object.targets);
-                self.take_out(object.out.into_iter().collect());
-                self.fleet_revision = version;
-                self.offer(FLEET_KEY, version, body.to_vec());
-            }
-            Err(error) => tracing::warn!(%error, "a peer's targets cannot be read"),
+        let wanted = self.reading.wanted(now, self.place, self.knowledge.read);
+        if wanted && self.session.is_none() {
+            let run = session(self.store.clone(), self.news.clone());
+            self.session = Some(actix_rt::spawn(run));
+        } else if !wanted && let Some(session) = self.session.take() {
+            session.abort();
         }
     }
 
@@ -382,27 +288,32 @@
         let now = clock::now();
         let out = self.membership.tick(now);
         send(socket, out).await;
-        self.fleet.tick(now);
+        self.decide_reading(now);
+        self.knowledge.fleet.tick(now);
+        self.fetch();
         self.publish();
         self.advance(now, socket).await
     }
 
-    /// Hands traffic a new view if something changed.
-    fn publish(&mut self) {
-        let key = (
-            self.catalog.as_ref().map_or(0, |c| c.version()),
-            self.fleet.changes(),
-            self.membership.changes(),
-            self.out.clone(),
-            self.phase,
-        );
-        if key == self.published {
-            return;
+    /// Hands traffic a new view; true if configuration, targets or outages changed.
+    fn publish(&mut self) -> bool {
+        let fresh = Published {
+            version: self.knowledge.version(),
+            fleet: self.knowledge.fleet.changes(),
+            members: self.membership.changes(),
+            out: self.knowledge.out.clone(),
+            phase: self.phase,
+        };
+        if fresh == self.published {
+            return false;
         }
-        self.published = key;
+        let old = std::mem::replace(&mut self.published, fresh);
+        let fresh = &self.published;
+        let matters =
+            (old.version, old.fleet, &old.out) != (fresh.version, fresh.fleet, &fresh.out);
         let mut services: HashMap<String, Vec<Arc<Target>>> = HashMap::new();
-        for target in self.fleet.targets() {
-            if !target.leaving && !self.out.contains(&target.centre) {
+        for target in self.knowledge.fleet.targets() {
+            if !target.leaving && !self.knowledge.out.contains(&target.centre) {
                 let list = services.entry(target.service.clone()).or_default();
                 list.push(Arc::new(target.clone()));
             }
@@ -421,7 +332,7 @@
                 && (m.fact.id != self.me || self.phase == Phase::Serving),
         });
         let view = View {
-            catalog: self.catalog.clone(),
+            catalog: self.knowledge.catalog.clone(),
             services,
             entries: entries.collect(),
             daemons,
@@ -429,6 +340,7 @@
             phase: self.phase,
         };
         self.shared.store(Arc::new(view));
+        matters
     }
 
     /// Begins a planned stop.
@@ -478,12 +390,13 @@
             "name": self.settings.name,
             "front": self.front,
             "phase": format!("{:?}", self.phase),
-            "catalog": self.catalog.as_ref().map(|c| c.version()),
-            "fleet_revision": self.fleet_revision,
-            "targets": self.fleet.targets().count(),
-            "out": self.out,
+            "catalog": self.knowledge.version(),
+            "fleet_revision": self.knowledge.revision,
+            "reads_store": self.session.is_some(),
+            "targets": self.knowledge.fleet.targets().count(),
+            "out": self.knowledge.out,
             "members": members,
-            "store_failures": self.away,
+            "store_failures": self.knowledge.failures,
             "open_requests": self.gauges.open.load(Ordering::Relaxed),
             "links": self.gauges.links.load(Ordering::Relaxed),
             "connections": self.gauges.connections.load(Ordering::Relaxed),
--- /dev/null
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -0,0 +1,185 @@
+//! What this daemon knows of configuration, targets and data centres taken out, and since when.
+
+use {
+    crate::tier::{peers::FleetObject, sources::News},
+    rattanturn_core::{Time, catalog::Catalog, fleet::Fleet, readers::STALE},
+    rattanturn_platform::{Object, entries},
+    serde_json::Value,
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
+};
+
+/// Everything that the store tells, from the store itself or by way of a peer.
+#[derive(Default)]
+pub(crate) struct Knowledge {
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    /// The configuration as the operators wrote it, for peers.
+    pub(crate) spec: Vec<u8>,
+    pub(crate) fleet: Fleet,
+    pub(crate) out: BTreeSet<String>,
+    /// Store's revision up to which targets and outages are known.
+    pub(crate) revision: u64,
+    /// When they were last read, by this daemon or a peer.
+    pub(crate) read: Time,
+    /// Failed calls in a row by kind.
+    pub(crate) failures: HashMap<&'static str, u64>,
+    fleet_object: (u64, BTreeSet<String>, Vec<u8>),
+}
+
+impl Knowledge {
+    /// Version of the configuration; 0 if none is known.
+    pub(crate) fn version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |c| c.version())
+    }
+
+    /// Whether what is known of targets is too old to go by.
+    pub(crate) fn stale(&self, now: Time) -> bool {
+        self.read == Time::ZERO || now.since(self.read) > STALE
+    }
+
+    /// Takes in what the store told.
+    pub(crate) fn news(&mut self, now: Time, news: News) {
+        match news {
+            News::Listed(kind, list) => {
+                self.regained(kind);
+                self.listed(now, kind, list.objects);
+                self.read_to(now, kind, list.revision);
+            }
+            News::Changed(kind, changes) => {
+                self.regained(kind);
+                for event in changes.events {
+                    self.changed(now, kind, &event.object, event.removed);
+                }
+                self.read_to(now, kind, changes.revision);
+            }
+            News::Failed(kind, error) => {
+                let count = self.failures.entry(kind).or_default();
+                *count += 1;
+                if *count == 1 {
+                    tracing::warn!(kind, %error, "the store is lost");
+                }
+                if self.stale(now) {
+                    self.fleet.store_away(now);
+                }
+            }
+            News::Ended => {}
+        }
+    }
+
+    fn regained(&mut self, kind: &'static str) {
+        if let Some(failures) = self.failures.remove(kind) {
+            tracing::info!(kind, failures, "the store is regained");
+        }
+    }
+
+    fn listed(&mut self, now: Time, kind: &str, objects: Vec<Object>) {
+        if kind == entries::TARGETS {
+            self.fleet.store_back(now);
+            let targets = objects
+                .iter()
+                .filter_map(|o| entries::target(&o.name, &o.spec));
+            self.fleet.listed(now, targets.collect());
+        } else if kind == entries::OUTAGES {
+            self.take_out(objects.into_iter().map(|o| o.name).collect());
+        } else {
+            for object in &objects {
+                self.changed(now, kind, object, false);
+            }
+        }
+    }
+
+    fn changed(&mut self, now: Time, kind: &str, object: &Object, removed: bool) {
+        if kind == entries::TARGETS {
+            self.fleet.store_back(now);
+            if removed {
+                self.fleet.lost(now, &object.name);
+            } else if let Some(target) = entries::target(&object.name, &object.spec) {
+                self.fleet.heard(now, target);
+            } else {
+                tracing::debug!(entry = %object.name, "an entry names no target to use");
+            }
+        } else if kind == entries::OUTAGES {
+            let mut out = self.out.clone();
+            if removed {
+                out.remove(&object.name);
+            } else {
+                out.insert(object.name.clone());
+            }
+            self.take_out(out);
+        } else if object.name == entries::CATALOG.1 && !removed {
+            self.take_catalog(&object.spec, "store");
+        }
+    }
+
+    fn take_out(&mut self, out: BTreeSet<String>) {
+        if out != self.out {
+            tracing::info!(?out, "data centres taken out");
+            self.out = out;
+        }
+    }
+
+    fn read_to(&mut self, now: Time, kind: &str, revision: u64) {
+        if kind == entries::TARGETS {
+            self.fleet.store_back(now);
+            self.read = now;
+            self.revision = self.revision.max(revision);
+        }
+    }
+
+    /// Takes a newer configuration; an older one never replaces it.
+    pub(crate) fn take_catalog(&mut self, spec: &Value, from: &str) {
+        let catalog = match entries::catalog(spec) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                tracing::error!(%error, from, "a configuration cannot be read; the old one stays");
+                return;
+            }
+        };
+        let version = catalog.version();
+        if version <= self.version() {
+            return;
+        }
+        tracing::info!(version, from, "a newer configuration is in force");
+        self.catalog = Some(Arc::new(catalog));
+        self.spec = spec.to_string().into_bytes();
+    }
+
+    /// Takes in what a peer read; false if that is no newer.
+    pub(crate) fn take_fleet(&mut self, now: Time, revision: u64, body: &[u8]) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        match serde_json::from_slice::<FleetObject>(body) {
+            Ok(object) => {
+                self.fleet.store_back(now);
+                self.fleet.listed(now, object.targets);
+                self.take_out(object.out.into_iter().collect());
+                self.revision = revision;
+                self.read = now;
+                true
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a peer's targets cannot be read");
+                false
+            }
+        }
+    }
+
+    /// Targets and outages for peers; the same bytes until something changes that matters.
+    pub(crate) fn fleet_object(&mut self) -> &[u8] {
+        let (changes, out, _) = &self.fleet_object;
+        if *changes != self.fleet.changes() || *out != self.out || self.fleet_object.2.is_empty() {
+            let object = FleetObject {
+                out: self.out.iter().cloned().collect(),
+                targets: self.fleet.targets().cloned().collect(),
+            };
+            match object.lines() {
+                Ok(body) => self.fleet_object = (self.fleet.changes(), self.out.clone(), body),
+                Err(error) => tracing::error!(%error, "the targets cannot be written"),
+            }
+        }
+        &self.fleet_object.2
+    }
+}
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -6,8 +6,10 @@
 
 mod control;
 mod directory;
+mod exchange;
 mod fan;
 mod front;
+mod knowledge;
 mod link;
 mod peers;
 mod query;
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -27,6 +27,16 @@
     pub(crate) targets: Vec<Target>,
 }
 
+impl FleetObject {
+    /// The object as JSON with a line for each target, so that patches by lines are small.
+    pub(crate) fn lines(&self) -> serde_json::Result<Vec<u8>> {
+        let targets: Result<Vec<String>, _> =
+            self.targets.iter().map(serde_json::to_string).collect();
+        let (out, targets) = (serde_json::to_string(&self.out)?, targets?.join(",\n"));
+        Ok(format!("{{\"out\":{out},\"targets\":[\n{targets}\n]}}").into_bytes())
+    }
+}
+
 struct Server(Objects);
 
 impl peer::Server for Server {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -68,8 +68,8 @@
     pub(crate) fn open(shared: Shared, tier: &TierSettings) -> Rc<Self> {
         let ratio = tier.repeat_ratio;
         let blank = Pair {
-            hedge: Budget::new(ratio * HEDGE_RATIO_SHARE, 0.0),
-            retry: Budget::new(ratio * RETRY_RATIO_SHARE, 0.0),
+            hedge: Budget::new(ratio * HEDGE_RATIO_SHARE, 1.0),
+            retry: Budget::new(ratio * RETRY_RATIO_SHARE, 1.0),
         };
         let traffic = Rc::new(Self {
             view: RefCell::new(shared.load_full()),
@@ -159,7 +159,7 @@
         let daemons = u32::try_from(view.daemons.len()).unwrap_or(u32::MAX);
         let part = self.slack / f64::from(daemons.max(1));
         let mut budgets = self.budgets.borrow_mut();
-        // Less than one call could never be spent, and all saved calls are earned first.
+        // Less than one call could never be spent.
         let burst = |share: f64| (part * share).max(1.0);
         budgets.set_bursts(burst(HEDGE_SLACK_SHARE), burst(RETRY_SLACK_SHARE));
     }
--- a/crates/demo/tests/platform.rs
+++ b/crates/demo/tests/platform.rs
@@ -86,6 +86,19 @@
     });
 }
 
+#[test]
+fn a_change_of_another_object_does_not_end_a_watch() {
+    with_platform(async |state, client| {
+        let wait = std::time::Duration::from_millis(80);
+        let version = state.put(KEY, br#""mine""#);
+        state.put("panels", br#""other""#);
+        let begun = std::time::Instant::now();
+        assert_eq!(client.watch(KEY, version, wait).await, Read::Unchanged);
+        assert!(begun.elapsed() >= wait, "the watch ended early");
+        assert!(state.calls()["watch"] <= 3, "{:?}", state.calls());
+    });
+}
+
 #[test]
 fn a_call_that_is_turned_away_has_done_nothing() {
     with_platform(async |state, client| {
