Readers confirm what others know instead of giving it new versions

Change: the version of targets and outages is the revision of their last change that matters; a reader tells everyone at least each 0.9 s that it reads, which confirms what they know without a fetch.

Ruled out: a longer time to staleness (a leaving target must get nothing after 3 s).

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -44,8 +44,8 @@
 
 /// Interval of the control loop.
 const TICK: Duration = Duration::from_millis(50);
-/// What a peer read is fetched at this age even if nothing that matters has changed.
-const REFRESH: Duration = Duration::from_millis(800);
+/// A reader tells the others at least this often that it reads: less than what counts as stale.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
 /// A stopping daemon closes its listeners this long before its time is up.
 const CLOSE_BEFORE_END: Duration = Duration::from_secs(2);
 /// A stopping daemon ends this long before its time is up, whatever still runs.
@@ -79,6 +79,7 @@
     reading: Reading,
     place: readers::Place,
     placed: u64,
+    announced: Time,
     store: Store,
     news: mpsc::UnboundedSender<News>,
     session: Option<JoinHandle<()>>,
@@ -132,6 +133,7 @@
             spread: rand::random(),
         },
         placed: 0,
+        announced: Time::ZERO,
         store: Store::open(start.settings.platform),
         news: sender,
         session: None,
@@ -156,7 +158,7 @@
             Some(item) = news.recv() => control.news(&socket, item).await,
             Some(event) = inbox.recv() => match event {
                 Event::Kill => return Ok(()),
-                event => control.event(&socket, event).await,
+                event => control.event(event),
             },
             () = clock::sleep_until(next) => {
                 next = clock::now() + TICK;
@@ -187,11 +189,10 @@
         if theirs.tables > self.knowledge.version() {
             self.exchange.want(CATALOG_KEY, rpc, theirs.tables);
         }
-        let due = message.purpose == Purpose::ANNOUNCE
-            || self.knowledge.read == Time::ZERO
-            || now.since(self.knowledge.read) > REFRESH;
-        if due && theirs.panels > self.knowledge.revision {
+        if theirs.panels > self.knowledge.revision {
             self.exchange.want(FLEET_KEY, rpc, theirs.panels);
+        } else if message.purpose == Purpose::ANNOUNCE && self.knowledge.revision > 0 {
+            self.knowledge.confirmed(now);
         }
         self.fetch();
     }
@@ -204,7 +205,7 @@
         });
     }
 
-    async fn event(&mut self, socket: &UdpSocket, event: Event) {
+    fn event(&mut self, event: Event) {
         match event {
             Event::Found(found) => {
                 self.exchange.fetched(found.key);
@@ -219,7 +220,7 @@
                     let now = clock::now();
                     self.knowledge.take_fleet(now, found.version, &found.body);
                 }
-                self.spread(socket, false).await;
+                self.spread();
             }
             Event::FetchFailed(key) => {
                 tracing::debug!(key, "a peer did not give what it has");
@@ -242,12 +243,21 @@
             self.reading.ended(now, self.place);
             return;
         }
+        let read = self.knowledge.read;
         self.knowledge.news(now, news);
-        self.spread(socket, true).await;
+        let version = self.published.version;
+        let changed = self.spread() || self.knowledge.version() != version;
+        let due = now.since(self.announced) >= ANNOUNCE_INTERVAL && self.knowledge.read > read;
+        if changed || due {
+            self.announced = now;
+            let out = self.membership.announce();
+            send(socket, out).await;
+        }
     }
 
-    /// Offers peers what is known and, if this daemon read it, tells them of a change.
-    async fn spread(&mut self, socket: &UdpSocket, own: bool) {
+    /// Offers peers what is known; true if targets or outages changed.
+    fn spread(&mut self) -> bool {
+        let changed = self.knowledge.version_fleet();
         let (version, revision) = (self.knowledge.version(), self.knowledge.revision);
         self.exchange
             .offer(CATALOG_KEY, version, &self.knowledge.spec);
@@ -257,10 +267,8 @@
             tables: version,
             panels: revision,
         });
-        if self.publish() && own {
-            let out = self.membership.announce();
-            send(socket, out).await;
-        }
+        self.publish();
+        changed
     }
 
     /// Begins or ends reading the store.
@@ -291,12 +299,12 @@
         self.decide_reading(now);
         self.knowledge.fleet.tick(now);
         self.fetch();
-        self.publish();
+        self.spread();
         self.advance(now, socket).await
     }
 
-    /// Hands traffic a new view; true if configuration, targets or outages changed.
-    fn publish(&mut self) -> bool {
+    /// Hands traffic a new view if something changed.
+    fn publish(&mut self) {
         let fresh = Published {
             version: self.knowledge.version(),
             fleet: self.knowledge.fleet.changes(),
@@ -305,12 +313,9 @@
             phase: self.phase,
         };
         if fresh == self.published {
-            return false;
+            return;
         }
-        let old = std::mem::replace(&mut self.published, fresh);
-        let fresh = &self.published;
-        let matters =
-            (old.version, old.fleet, &old.out) != (fresh.version, fresh.fleet, &fresh.out);
+        self.published = fresh;
         let mut services: HashMap<String, Vec<Arc<Target>>> = HashMap::new();
         for target in self.knowledge.fleet.targets() {
             if !target.leaving && !self.knowledge.out.contains(&target.centre) {
@@ -340,7 +345,6 @@
             phase: self.phase,
         };
         self.shared.store(Arc::new(view));
-        matters
     }
 
     /// Begins a planned stop.
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -19,13 +19,18 @@
     pub(crate) spec: Vec<u8>,
     pub(crate) fleet: Fleet,
     pub(crate) out: BTreeSet<String>,
-    /// Store's revision up to which targets and outages are known.
+    /// Version of targets and outages: the store's revision at which their last change was seen.
     pub(crate) revision: u64,
+    /// Store's revision up to which this daemon has read.
+    seen: u64,
     /// When they were last read, by this daemon or a peer.
     pub(crate) read: Time,
     /// Failed calls in a row by kind.
     pub(crate) failures: HashMap<&'static str, u64>,
-    fleet_object: (u64, BTreeSet<String>, Vec<u8>),
+    /// State that `revision` stands for.
+    versioned: (u64, BTreeSet<String>),
+    /// That state as peers get it.
+    fleet_object: Vec<u8>,
 }
 
 impl Knowledge {
@@ -124,10 +129,28 @@
         if kind == entries::TARGETS {
             self.fleet.store_back(now);
             self.read = now;
-            self.revision = self.revision.max(revision);
+            self.seen = self.seen.max(revision);
         }
     }
 
+    /// A reader has just read the store and found nothing newer than what is known here.
+    pub(crate) fn confirmed(&mut self, now: Time) {
+        self.fleet.store_back(now);
+        self.read = now;
+    }
+
+    /// Gives targets and outages a new version if they changed; true if they did.
+    pub(crate) fn version_fleet(&mut self) -> bool {
+        let state = (self.fleet.changes(), self.out.clone());
+        if state == self.versioned {
+            return false;
+        }
+        self.versioned = state;
+        self.revision = self.seen.max(self.revision + 1);
+        self.write_object();
+        true
+    }
+
     /// Takes a newer configuration; an older one never replaces it.
     pub(crate) fn take_catalog(&mut self, spec: &Value, from: &str) {
         let catalog = match entries::catalog(spec) {
@@ -158,6 +181,8 @@
                 self.take_out(object.out.into_iter().collect());
                 self.revision = revision;
                 self.read = now;
+                self.versioned = (self.fleet.changes(), self.out.clone());
+                self.write_object();
                 true
             }
             Err(error) => {
@@ -167,19 +192,19 @@
         }
     }
 
-    /// Targets and outages for peers; the same bytes until something changes that matters.
-    pub(crate) fn fleet_object(&mut self) -> &[u8] {
-        let (changes, out, _) = &self.fleet_object;
-        if *changes != self.fleet.changes() || *out != self.out || self.fleet_object.2.is_empty() {
-            let object = FleetObject {
-                out: self.out.iter().cloned().collect(),
-                targets: self.fleet.targets().cloned().collect(),
-            };
-            match object.lines() {
-                Ok(body) => self.fleet_object = (self.fleet.changes(), self.out.clone(), body),
-                Err(error) => tracing::error!(%error, "the targets cannot be written"),
-            }
+    /// Targets and outages for peers.
+    pub(crate) fn fleet_object(&self) -> &[u8] {
+        &self.fleet_object
+    }
+
+    fn write_object(&mut self) {
+        let object = FleetObject {
+            out: self.out.iter().cloned().collect(),
+            targets: self.fleet.targets().cloned().collect(),
+        };
+        match object.lines() {
+            Ok(body) => self.fleet_object = body,
+            Err(error) => tracing::error!(%error, "the targets cannot be written"),
         }
-        &self.fleet_object.2
     }
 }
