Send callers to the large daemons

Change: each daemon writes its processor share into an entry of its own in the store, which readers pass on; the directory names the daemons with at least half of the greatest share, at least two. These share 0.8 of a target's connections and the slack of repeats; the others open a connection only for what reaches them. Entries without a daemon are removed after a minute.

Ruled out: carrying the share in gossip (the generated schema would have to change, and its compiler is no cargo package).

The test of a planned stop counted a hedged request twice; it now compares the sets of ids.

--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -332,6 +332,7 @@
 
 fn entries(inputs: &Inputs<'_>) -> Vec<addresses::Entry> {
     let entry = |f: &&Fact| addresses::Entry {
+        capacity: 1.0,
         id: f.id,
         addr: SocketAddr::new(f.place.gossip.ip(), f.place.http),
         centre: f.place.centre.clone(),
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -13,6 +13,7 @@
             exchange::Exchange,
             knowledge::Knowledge,
             peers::{self, CATALOG_KEY, FLEET_KEY},
+            register::{self, Absent},
             sources::{News, session},
             view::{Gauges, Phase, Shared, View},
         },
@@ -20,7 +21,7 @@
     },
     rattanturn_core::{
         NodeId, Time,
-        addresses::Entry,
+        addresses::{self, Entry},
         fleet::Target,
         membership::{Membership, Message, Place, Purpose, Send, State, Versions},
         readers::{self, Reading},
@@ -30,7 +31,7 @@
     rattanturn_wire::{Datagram, decode, encode},
     serde_json::{Value, json},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::{SocketAddr, TcpListener},
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -46,6 +47,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// A reader tells the others at least this often that it reads: less than what counts as stale.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
+/// A missing entry of this daemon's own is written again after this time.
+const REGISTER_PAUSE: Duration = Duration::from_secs(6);
 /// A stopping daemon closes its listeners this long before its time is up.
 const CLOSE_BEFORE_END: Duration = Duration::from_secs(2);
 /// A stopping daemon ends this long before its time is up, whatever still runs.
@@ -80,6 +83,9 @@
     place: readers::Place,
     placed: u64,
     announced: Time,
+    absent: Absent,
+    cores: f64,
+    registered: Option<Time>,
     store: Store,
     news: mpsc::UnboundedSender<News>,
     session: Option<JoinHandle<()>>,
@@ -97,6 +103,7 @@
     fleet: u64,
     members: u64,
     out: BTreeSet<String>,
+    daemons: BTreeMap<String, f64>,
     phase: Phase,
 }
 
@@ -134,6 +141,9 @@
         },
         placed: 0,
         announced: Time::ZERO,
+        absent: Absent::default(),
+        cores: start.tier.cores,
+        registered: None,
         store: Store::open(start.settings.platform),
         news: sender,
         session: None,
@@ -271,6 +281,40 @@
         changed
     }
 
+    /// Writes the own entry at the start, and again if it is missing.
+    fn register(&mut self, now: Time) {
+        let name = &self.settings.name;
+        let due = match self.registered {
+            None => true,
+            Some(at) => {
+                let known = self.knowledge.revision > 0;
+                let present = self.knowledge.daemons.contains_key(name);
+                known && !present && now.since(at) > REGISTER_PAUSE
+            }
+        };
+        if due {
+            self.registered = Some(now);
+            let (store, name) = (self.store.clone(), name.clone());
+            actix_rt::spawn(register::register(store, name, self.cores));
+        }
+    }
+
+    /// Removes entries of daemons that are gone; the readers do it for all.
+    fn remove_absent(&mut self, now: Time) {
+        if !self.place.ranked {
+            return;
+        }
+        let alive: BTreeSet<&str> = self
+            .membership
+            .present()
+            .map(|m| m.fact.place.name.as_str())
+            .collect();
+        let entries = self.knowledge.daemons.keys();
+        for name in self.absent.due(now, entries, |n| alive.contains(n)) {
+            actix_rt::spawn(register::remove(self.store.clone(), name));
+        }
+    }
+
     /// Begins or ends reading the store.
     fn decide_reading(&mut self, now: Time) {
         if self.placed != self.membership.changes() {
@@ -297,6 +341,8 @@
         let out = self.membership.tick(now);
         send(socket, out).await;
         self.decide_reading(now);
+        self.register(now);
+        self.remove_absent(now);
         self.knowledge.fleet.tick(now);
         self.fetch();
         self.spread();
@@ -310,6 +356,7 @@
             fleet: self.knowledge.fleet.changes(),
             members: self.membership.changes(),
             out: self.knowledge.out.clone(),
+            daemons: self.knowledge.daemons.clone(),
             phase: self.phase,
         };
         if fresh == self.published {
@@ -329,17 +376,23 @@
             .members()
             .filter(|m| m.fact.state != State::Dead || now.since(m.changed) < COUNT_DEAD);
         let daemons = counted.map(|m| m.fact.id).collect();
+        let cores = &self.knowledge.daemons;
         let entries = self.membership.present().map(|m| Entry {
             id: m.fact.id,
             addr: SocketAddr::new(m.fact.place.gossip.ip(), m.fact.place.http),
             centre: m.fact.place.centre.clone(),
             open: m.fact.state != State::Leaving
                 && (m.fact.id != self.me || self.phase == Phase::Serving),
+            capacity: cores.get(&m.fact.place.name).copied().unwrap_or(0.0),
         });
+        let entries: Vec<Entry> = entries.collect();
+        let named = addresses::named(&entries);
         let view = View {
+            named: named.len(),
+            takes_callers: named.iter().any(|e| e.id == self.me),
             catalog: self.knowledge.catalog.clone(),
             services,
-            entries: entries.collect(),
+            entries,
             daemons,
             me: self.me,
             phase: self.phase,
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -3,14 +3,22 @@
 use {
     crate::tier::{peers::FleetObject, sources::News},
     rattanturn_core::{Time, catalog::Catalog, fleet::Fleet, readers::STALE},
-    rattanturn_platform::{Object, entries},
-    serde_json::Value,
+    rattanturn_platform::{Object, entries, own},
+    serde_json::{Value, json},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
 };
 
+/// What peers must hear of when it changes.
+#[derive(Clone, Default, PartialEq)]
+struct Versioned {
+    fleet: u64,
+    out: BTreeSet<String>,
+    daemons: BTreeMap<String, f64>,
+}
+
 /// Everything that the store tells, from the store itself or by way of a peer.
 #[derive(Default)]
 pub(crate) struct Knowledge {
@@ -19,6 +27,8 @@
     pub(crate) spec: Vec<u8>,
     pub(crate) fleet: Fleet,
     pub(crate) out: BTreeSet<String>,
+    /// Processor share of each daemon by its name.
+    pub(crate) daemons: BTreeMap<String, f64>,
     /// Version of targets and outages: the store's revision at which their last change was seen.
     pub(crate) revision: u64,
     /// Store's revision up to which this daemon has read.
@@ -28,7 +38,7 @@
     /// Failed calls in a row by kind.
     pub(crate) failures: HashMap<&'static str, u64>,
     /// State that `revision` stands for.
-    versioned: (u64, BTreeSet<String>),
+    versioned: Versioned,
     /// That state as peers get it.
     fleet_object: Vec<u8>,
 }
@@ -88,6 +98,11 @@
             self.fleet.listed(now, targets.collect());
         } else if kind == entries::OUTAGES {
             self.take_out(objects.into_iter().map(|o| o.name).collect());
+        } else if kind == own::DAEMONS {
+            let daemons = objects
+                .into_iter()
+                .filter_map(|o| Some((o.name, cores(&o.spec)?)));
+            self.daemons = daemons.collect();
         } else {
             for object in &objects {
                 self.changed(now, kind, object, false);
@@ -113,6 +128,11 @@
                 out.insert(object.name.clone());
             }
             self.take_out(out);
+        } else if kind == own::DAEMONS {
+            match cores(&object.spec).filter(|_| !removed) {
+                Some(cores) => self.daemons.insert(object.name.clone(), cores),
+                None => self.daemons.remove(&object.name),
+            };
         } else if object.name == entries::CATALOG.1 && !removed {
             self.take_catalog(&object.spec, "store");
         }
@@ -141,7 +161,7 @@
 
     /// Gives targets and outages a new version if they changed; true if they did.
     pub(crate) fn version_fleet(&mut self) -> bool {
-        let state = (self.fleet.changes(), self.out.clone());
+        let state = self.state();
         if state == self.versioned {
             return false;
         }
@@ -181,7 +201,8 @@
                 self.take_out(object.out.into_iter().collect());
                 self.revision = revision;
                 self.read = now;
-                self.versioned = (self.fleet.changes(), self.out.clone());
+                self.daemons = object.daemons;
+                self.versioned = self.state();
                 self.write_object();
                 true
             }
@@ -197,9 +218,18 @@
         &self.fleet_object
     }
 
+    fn state(&self) -> Versioned {
+        Versioned {
+            fleet: self.fleet.changes(),
+            out: self.out.clone(),
+            daemons: self.daemons.clone(),
+        }
+    }
+
     fn write_object(&mut self) {
         let object = FleetObject {
             out: self.out.iter().cloned().collect(),
+            daemons: self.daemons.clone(),
             targets: self.fleet.targets().cloned().collect(),
         };
         match object.lines() {
@@ -208,3 +238,12 @@
         }
     }
 }
+
+/// What a daemon says of itself in the store.
+pub(crate) fn own_entry(cores: f64) -> Value {
+    json!({"cores": cores})
+}
+
+fn cores(spec: &Value) -> Option<f64> {
+    spec.get("cores")?.as_f64()
+}
--- a/crates/daemon/src/tier/link.rs
+++ b/crates/daemon/src/tier/link.rs
@@ -22,8 +22,6 @@
 const OVERTIME: Duration = Duration::from_millis(150);
 /// Least time worth sending a call with.
 const LEAST_TIME: Duration = Duration::from_millis(2);
-/// Connections to a target whose service names no bound.
-const DEFAULT_CONNECTIONS: u32 = 16;
 
 /// What became of a call.
 pub(crate) enum Outcome {
@@ -89,10 +87,9 @@
         }
     }
 
-    /// Takes this daemon's part of the connections that the target accepts.
-    pub(crate) fn set_limit(&self, connections: Option<u32>, daemons: u32) {
-        let all = connections.map_or(DEFAULT_CONNECTIONS, |c| c / daemons.max(1));
-        self.limit.set(all.max(1));
+    /// Sets how many connections this daemon may have.
+    pub(crate) fn set_limit(&self, connections: u32) {
+        self.limit.set(connections);
     }
 
     /// Closes connections that will not be used again.
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod peers;
 mod query;
+mod register;
 mod sources;
 mod traffic;
 mod view;
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -10,7 +10,7 @@
     rattanturn_core::fleet::Target,
     rattanturn_wire::peer_capnp::peer,
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Key of the configuration as the operators wrote it.
@@ -20,10 +20,12 @@
 /// Pause after an accept failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The targets and the data centres taken out, as one daemon read them.
+/// The targets, the data centres taken out and the daemons, as one daemon read them.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct FleetObject {
     pub(crate) out: Vec<String>,
+    /// Processor share of each daemon by its name.
+    pub(crate) daemons: BTreeMap<String, f64>,
     pub(crate) targets: Vec<Target>,
 }
 
@@ -33,7 +35,10 @@
         let targets: Result<Vec<String>, _> =
             self.targets.iter().map(serde_json::to_string).collect();
         let (out, targets) = (serde_json::to_string(&self.out)?, targets?.join(",\n"));
-        Ok(format!("{{\"out\":{out},\"targets\":[\n{targets}\n]}}").into_bytes())
+        let daemons = serde_json::to_string(&self.daemons)?;
+        let text =
+            format!("{{\"out\":{out},\n\"daemons\":{daemons},\n\"targets\":[\n{targets}\n]}}");
+        Ok(text.into_bytes())
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/tier/register.rs
@@ -0,0 +1,70 @@
+//! This daemon's own entry in the store, and the removal of entries that nobody stands behind.
+
+use {
+    crate::tier::knowledge::own_entry,
+    rattanturn_core::Time,
+    rattanturn_platform::{Store, StoreError, own::DAEMONS},
+    serde_json::Value,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// An entry without a living daemon is removed after this time: restarts take seconds.
+const KEEP_ABSENT: Duration = Duration::from_mins(1);
+
+/// Writes this daemon's entry; control tries again while it is missing.
+pub(crate) async fn register(store: Store, name: String, cores: f64) {
+    if let Err(error) = write(&store, &name, &own_entry(cores)).await {
+        tracing::info!(%error, "the own entry could not be written");
+    }
+}
+
+async fn write(store: &Store, name: &str, spec: &Value) -> Result<(), StoreError> {
+    match store.create(DAEMONS, name, spec).await {
+        Err(StoreError::Conflict(Some(present))) if present.spec != *spec => {
+            let revision = present.revision;
+            store.replace(DAEMONS, name, revision, spec).await?;
+            Ok(())
+        }
+        Ok(_) | Err(StoreError::Conflict(_)) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Removes an entry; it is written anew if its daemon comes back.
+pub(crate) async fn remove(store: Store, name: String) {
+    match store.remove(DAEMONS, &name).await {
+        Ok(_) | Err(StoreError::Absent) => tracing::info!(daemon = %name, "entry removed"),
+        Err(error) => tracing::debug!(%error, daemon = %name, "entry not removed"),
+    }
+}
+
+/// Entries whose daemons are absent, and since when.
+#[derive(Debug, Default)]
+pub(crate) struct Absent {
+    since: BTreeMap<String, Time>,
+}
+
+impl Absent {
+    /// Names whose entries are to be removed now.
+    pub(crate) fn due<'a>(
+        &mut self,
+        now: Time,
+        entries: impl Iterator<Item = &'a String>,
+        lives: impl Fn(&str) -> bool,
+    ) -> Vec<String> {
+        let mut since = BTreeMap::new();
+        for name in entries.filter(|n| !lives(n)) {
+            let first = self.since.get(name).copied().unwrap_or(now);
+            since.insert(name.clone(), first);
+        }
+        let over = |at: &Time| now.since(*at) >= KEEP_ABSENT;
+        let due: Vec<String> = since
+            .iter()
+            .filter(|(_, at)| over(at))
+            .map(|(name, _)| name.clone())
+            .collect();
+        since.retain(|_, at| !over(at));
+        self.since = since;
+        due
+    }
+}
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -8,7 +8,7 @@
 
 use {
     rand::RngExt,
-    rattanturn_platform::{Changes, Listing, Store, StoreError, entries},
+    rattanturn_platform::{Changes, Listing, Store, StoreError, entries, own},
     std::time::Duration,
     tokio::sync::mpsc::UnboundedSender,
 };
@@ -22,6 +22,8 @@
 const TARGETS_INTERVAL: Duration = Duration::from_millis(700);
 /// Least time between two reads of what operators write.
 const OPERATORS_INTERVAL: Duration = Duration::from_millis(50);
+/// Length of a watch on what daemons say of themselves; nothing depends on it within seconds.
+const DAEMONS_WATCH: Duration = Duration::from_secs(10);
 /// Failures in a row that end a session.
 const MAX_FAILURES: u32 = 3;
 /// Pause after the first failure; it doubles with each further one.
@@ -62,6 +64,12 @@
     interval: TARGETS_INTERVAL,
 };
 
+const DAEMONS: Kind = Kind {
+    name: own::DAEMONS,
+    wait: DAEMONS_WATCH,
+    interval: TARGETS_INTERVAL,
+};
+
 /// Reads all kinds until one of them cannot be read or the task is dropped.
 pub(crate) async fn session(store: Store, news: UnboundedSender<News>) {
     let mut known = None;
@@ -73,6 +81,7 @@
                 () = follow(&store, CATALOG, known, &news) => {}
                 () = follow(&store, OUTAGES, None, &news) => {}
                 () = follow(&store, TARGETS, None, &news) => {}
+                () = follow(&store, DAEMONS, None, &news) => {}
             }
         }
         Err(error) => {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -41,6 +41,10 @@
 const PACE_WEIGHT: f64 = 0.25;
 /// Slowest pace that one answer can tell.
 const MAX_PACE: f64 = 8.0;
+/// Share of a target's connections that the daemons use that callers are sent to.
+const NAMED_SHARE: f64 = 0.8;
+/// Connections to a target whose service names no bound, from all daemons together.
+const DEFAULT_CONNECTIONS: u32 = 64;
 /// Interval of closing connections that will not be used again.
 const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -125,15 +129,14 @@
                 });
                 let link = &links[&index];
                 *link.target.borrow_mut() = target.clone();
-                let daemons = u32::try_from(view.daemons.len()).unwrap_or(u32::MAX);
-                link.set_limit(known.and_then(|s| s.connections), daemons);
+                link.set_limit(connections(view, known.and_then(|s| s.connections)));
                 let rate = known.and_then(|s| s.cold_rate);
                 link.cold_share
                     .set(rate.map(|r| cold::share(r, &view.daemons, view.me, &target.id)));
                 if !target.cold_left.is_zero() {
                     link.cold_until.set(now + target.cold_left);
                 }
-                if same.is_none() {
+                if same.is_none() && view.takes_callers {
                     let link = link.clone();
                     actix_rt::spawn(async move { link.warm().await });
                 }
@@ -156,8 +159,13 @@
 
     /// Takes this daemon's part of the extra calls that all daemons may save up.
     fn share_slack(&self, view: &View) {
-        let daemons = u32::try_from(view.daemons.len()).unwrap_or(u32::MAX);
-        let part = self.slack / f64::from(daemons.max(1));
+        let sharers = if view.takes_callers {
+            view.named
+        } else {
+            view.daemons.len()
+        };
+        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
+        let part = self.slack / f64::from(sharers.max(1));
         let mut budgets = self.budgets.borrow_mut();
         // Less than one call could never be spent.
         let burst = |share: f64| (part * share).max(1.0);
@@ -271,6 +279,21 @@
     }
 }
 
+/// Connections that this daemon may have to a target that accepts `all`.
+///
+/// The daemons that callers are sent to share most of them; any other one gets by with one.
+fn connections(view: &View, all: Option<u32>) -> u32 {
+    if !view.takes_callers {
+        return 1;
+    }
+    let all = f64::from(all.unwrap_or(DEFAULT_CONNECTIONS));
+    let named = u32::try_from(view.named).unwrap_or(u32::MAX);
+    // Counts of connections are small and not negative.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let part = (all * NAMED_SHARE / f64::from(named.max(1))) as u32;
+    part.max(1)
+}
+
 async fn tidy(traffic: Rc<Traffic>) {
     loop {
         actix_rt::time::sleep(TIDY_INTERVAL).await;
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -33,6 +33,10 @@
     pub(crate) services: HashMap<String, Vec<Arc<Target>>>,
     /// Daemons that callers may be sent to.
     pub(crate) entries: Vec<Entry>,
+    /// Number of daemons that callers are sent to.
+    pub(crate) named: usize,
+    /// Whether this daemon is one of them.
+    pub(crate) takes_callers: bool,
     /// All daemons that may call targets.
     pub(crate) daemons: Vec<NodeId>,
     /// This daemon.
--- a/crates/demo/src/tier_bed.rs
+++ b/crates/demo/src/tier_bed.rs
@@ -133,10 +133,16 @@
     ///
     /// A listener could not be bound.
     pub fn start(&mut self, count: usize) -> eyre::Result<()> {
-        for _ in 0..count {
-            self.start_at(self.store_addr)?;
-        }
-        Ok(())
+        self.start_sized(count, 1.0)
+    }
+
+    /// Starts more daemons with a share of a processor each.
+    ///
+    /// # Errors
+    ///
+    /// A listener could not be bound.
+    pub fn start_sized(&mut self, count: usize, cores: f64) -> eyre::Result<()> {
+        (0..count).try_for_each(|_| self.start_at(self.store_addr, cores))
     }
 
     /// Starts a daemon that finds the store at another address.
@@ -144,7 +150,7 @@
     /// # Errors
     ///
     /// A listener could not be bound.
-    pub fn start_at(&mut self, store: SocketAddr) -> eyre::Result<()> {
+    pub fn start_at(&mut self, store: SocketAddr, cores: f64) -> eyre::Result<()> {
         let peers: Vec<String> = self
             .daemons
             .iter()
@@ -157,7 +163,7 @@
              admin-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
              drain-limit = {DRAIN_LIMIT}\n\
              [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
-             [platform]\naddress = {store}\n",
+             cores = {cores}\n[platform]\naddress = {store}\n",
             peers.join(",")
         );
         let (settings, _) = Settings::parse("daemon.ini", &text).map_err(|f| eyre!("{f}"))?;
--- a/crates/demo/tests/tier.rs
+++ b/crates/demo/tests/tier.rs
@@ -303,7 +303,7 @@
     with_bed(2, async |bed| {
         let busy = rattanturn_standins::platform::Platform::spawn().unwrap();
         busy.state().set_mode(Mode::Busy);
-        bed.start_at(busy.addr()).unwrap();
+        bed.start_at(busy.addr(), 1.0).unwrap();
         bed.ready().await.unwrap();
         let answer = request(front(bed, 2), "/all/x", "t1", "").await.unwrap();
         assert_eq!(
@@ -380,7 +380,11 @@
         for caller in callers {
             served += caller.await.unwrap().0;
         }
-        let ran: usize = plain(bed).iter().map(|s| s.tally().runs.len()).sum();
+        // A hedged request runs at both servers and counts once.
+        let ids = plain(bed)
+            .into_iter()
+            .flat_map(|s| s.tally().runs.into_keys());
+        let ran = ids.collect::<std::collections::BTreeSet<_>>().len();
         assert!(served > 100, "served {served}");
         assert_eq!(ran, served, "a request ran and its answer was lost");
     });
@@ -457,3 +461,28 @@
         assert_eq!(first, 30);
     });
 }
+
+#[test]
+fn callers_are_sent_to_the_large_daemons_while_they_live() {
+    with_bed(2, async |bed| {
+        let small: Vec<SocketAddr> = (0..2).map(|i| front(bed, i)).collect();
+        bed.start_sized(2, 4.0).unwrap();
+        bed.ready().await.unwrap();
+        sleep(Duration::from_secs(2)).await;
+        let at = bed.daemons[0].addresses();
+        let named = bed.resolve(at, "a").await.unwrap();
+        assert_eq!(named.len(), 2, "{named:?}");
+        assert!(named.iter().all(|a| !small.contains(a)), "{named:?}");
+        // A small one still serves what reaches it.
+        assert_eq!(ask(bed, "/all/x", "small").await.status, 200);
+        bed.daemons
+            .drain(2..)
+            .for_each(rattanturn_daemon::Tier::kill);
+        sleep(NAMED_DEAD).await;
+        let mut named = bed.resolve(at, "a").await.unwrap();
+        named.sort();
+        let mut left = small.clone();
+        left.sort();
+        assert_eq!(named, left);
+    });
+}
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -85,6 +85,8 @@
     pub ready: SocketAddr,
     /// For callers that ask which addresses to use.
     pub directory: SocketAddr,
+    /// Processor share of this VM, in cores: callers are sent to the larger VMs.
+    pub cores: f64,
     /// Calls beyond the first that a service may get, for each request for it.
     pub repeat_ratio: f64,
     /// Such calls that it may get besides, from all daemons together within some seconds.
@@ -176,6 +178,7 @@
             front: tier.parse("front", unset, "IP:PORT"),
             ready: tier.parse("ready", unset, "IP:PORT"),
             directory: tier.parse("directory", unset, "IP:PORT"),
+            cores: tier.parse("cores", 1.0, "a number"),
             repeat_ratio: tier.parse("repeat-ratio", DEFAULT_REPEAT_RATIO, "a number"),
             repeat_slack: tier.parse("repeat-slack", DEFAULT_REPEAT_SLACK, "a number"),
         });
