Explain a failed request from the logs alone

Cause: a request's line named how many parts were missing but not which calls failed how, nor what the daemon believed; the log was written on the traffic thread and could hold it up.

Ruled out: a line for each call (1,800 a second at today's sites).

--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,140 @@
+//! Tells the story of one request from the log lines of the daemons.
+//!
+//! A request's own line says what became of it and of its calls. Around it stand the lines that
+//! say what the daemon came to believe shortly before: configuration, targets, peers, the store.
+
+use {
+    serde_json::Value,
+    std::{collections::BTreeMap, fmt::Write},
+};
+
+/// Lines from this long before a request began are part of its story, in seconds.
+const BEFORE_S: f64 = 5.0;
+
+/// A line of a daemon's log.
+#[derive(Clone, Debug)]
+struct Line {
+    source: String,
+    /// Seconds since midnight, for the order of lines.
+    time: f64,
+    stamp: String,
+    fields: BTreeMap<String, Value>,
+}
+
+impl Line {
+    fn parse(source: &str, text: &str) -> Option<Self> {
+        // Other programs may have put something before the line.
+        let json: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
+        let stamp = json.get("timestamp")?.as_str()?.to_owned();
+        let fields = json.get("fields")?.as_object()?;
+        Some(Self {
+            source: source.into(),
+            time: seconds(&stamp)?,
+            stamp,
+            fields: fields.clone().into_iter().collect(),
+        })
+    }
+
+    fn text(&self, key: &str) -> &str {
+        self.fields.get(key).and_then(Value::as_str).unwrap_or("")
+    }
+
+    fn number(&self, key: &str) -> u64 {
+        self.fields.get(key).and_then(Value::as_u64).unwrap_or(0)
+    }
+
+    fn is_request(&self) -> bool {
+        self.text("message") == "request"
+    }
+}
+
+/// Seconds since midnight of a time stamp such as `2026-05-04T18:11:12.123341Z`.
+fn seconds(stamp: &str) -> Option<f64> {
+    let time = stamp.split_once('T')?.1.trim_end_matches('Z');
+    let mut parts = time.split(':').map(|p| p.parse::<f64>().ok());
+    let mut next = || parts.next().flatten();
+    Some(next()? * 3600.0 + next()? * 60.0 + next()?)
+}
+
+/// The story of a request from the logs; `None` if no log has a line of it.
+///
+/// Each log is a name and its lines.
+///
+/// ```
+/// use rattanturn_cli::explain::explain;
+/// let line = r#"{"timestamp":"2026-05-04T18:11:12.5Z","fields":{"message":"request",
+///     "request":"r1","route":"sweep","outcome":"partial","status":200,"parts":3,"of":4,
+///     "missing":"deadline:1","tried":"s3 at i-7: open after 170 ms","took_ms":173}}"#;
+/// let story = explain("r1", &[("a1".into(), line.replace('\n', ""))]).unwrap();
+/// assert!(story.contains("3 of 4 parts") && story.contains("s3 at i-7"));
+/// ```
+#[must_use]
+pub fn explain(id: &str, logs: &[(String, String)]) -> Option<String> {
+    let parse = |(source, text): &(String, String)| {
+        let lines = text.lines().filter_map(|l| Line::parse(source, l));
+        lines.collect::<Vec<_>>()
+    };
+    let mut lines: Vec<Line> = logs.iter().flat_map(parse).collect();
+    lines.sort_by(|a, b| a.time.total_cmp(&b.time));
+    let mut out = String::new();
+    for request in lines.iter().filter(|l| l.text("request") == id) {
+        tell(&mut out, request, &lines);
+    }
+    (!out.is_empty()).then_some(out)
+}
+
+fn tell(out: &mut String, request: &Line, lines: &[Line]) {
+    // Writing to a string cannot fail.
+    let took = u32::try_from(request.number("took_ms")).unwrap_or(u32::MAX);
+    let begun = request.time - f64::from(took) / 1e3;
+    let _ = writeln!(
+        out,
+        "request {} on route {} at {}, configuration {}: {}",
+        request.text("request"),
+        request.text("route"),
+        request.source,
+        request.number("version"),
+        verdict(request)
+    );
+    let _ = writeln!(out, "  what the daemon came to believe before:");
+    let near = lines.iter().filter(|l| {
+        let in_time = l.time >= begun - BEFORE_S && l.time <= request.time;
+        l.source == request.source && in_time && !l.is_request()
+    });
+    for line in near {
+        let _ = writeln!(out, "    {} {}", line.stamp, words(line));
+    }
+    let _ = writeln!(
+        out,
+        "  its calls: {} in all, {} beyond the first of each service; targets were read {} ms before",
+        request.number("calls"),
+        request.number("extra"),
+        request.number("read_ms")
+    );
+    for call in request.text("tried").split("; ").filter(|c| !c.is_empty()) {
+        let _ = writeln!(out, "    {call}");
+    }
+    let _ = writeln!(out, "  answered {} after {took} ms", request.stamp);
+}
+
+/// What became of a request, in a sentence.
+fn verdict(request: &Line) -> String {
+    let (parts, of) = (request.number("parts"), request.number("of"));
+    let missing = request.text("missing");
+    let status = request.number("status");
+    match request.text("outcome") {
+        "whole" => format!("answered {status}, all of {of} parts"),
+        "partial" => format!("answered with {parts} of {of} parts; missing for: {missing}"),
+        "not-run" => format!("refused with {status}, nothing has run; reasons: {missing}"),
+        "late" => format!("given up with {status}: {parts} of {of} parts in time; {missing}"),
+        _ => format!("failed with {status}; it may have run; reasons: {missing}"),
+    }
+}
+
+fn words(line: &Line) -> String {
+    let mut out = line.text("message").to_owned();
+    for (key, value) in line.fields.iter().filter(|(k, _)| *k != "message") {
+        let _ = write!(out, " {key}={value}");
+    }
+    out
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,3 @@
+//! Parts of the command-line tool that other programs use too.
+
+pub mod explain;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -79,6 +79,13 @@
                 /// Prints JSON.
                 optional --json
             }
+            /// Tells the story of one request from the daemons' log files.
+            cmd explain {
+                /// Id of the request, as the caller sent it.
+                required id: String
+                /// Log files, one for each daemon.
+                repeated files: PathBuf
+            }
             /// Replays a recorded query trace and checks its stated outcome.
             cmd replay {
                 required trace: PathBuf
@@ -134,6 +141,32 @@
         Cmd::Addresses(c) => ask::addresses(c.daemon, c.centre.as_deref()).await,
         Cmd::State(c) => ask::state(c.admin).await,
         Cmd::Status(c) => ask::status(c.admin, c.json).await,
+        Cmd::Explain(c) => explain(&c),
         Cmd::Replay(c) => ask::replay(&c.trace),
     }
 }
+
+fn explain(flags: &flags::Explain) -> Outcome {
+    let mut logs = Vec::new();
+    for path in &flags.files {
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            let why = format!("cannot read {}: {e}", path.display());
+            Failed(Failure::Refused, why)
+        })?;
+        let name = path.file_stem().unwrap_or(path.as_os_str());
+        logs.push((name.to_string_lossy().into_owned(), text));
+    }
+    match rattanturn_cli::explain::explain(&flags.id, &logs) {
+        Some(story) => {
+            print!("{story}");
+            Ok(())
+        }
+        None => Err(Failed(
+            Failure::Absent,
+            format!(
+                "no line of request {}: only failures and one answer in many are logged",
+                flags.id
+            ),
+        )),
+    }
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -83,16 +83,16 @@
         self.changes
     }
 
-    /// Takes in an entry.
-    pub fn heard(&mut self, now: Time, target: Target) {
+    /// Takes in an entry; true if it changed something that matters to callers.
+    pub fn heard(&mut self, now: Time, target: Target) -> bool {
         self.lapsing.remove(&target.id);
         let removed = self.removed.get(&target.id);
         if removed.is_some_and(|(age, _)| target.age() <= *age) {
-            return;
+            return false;
         }
         let known = self.targets.get(&target.id);
         if known.is_some_and(|k| target.age() < k.age()) {
-            return;
+            return false;
         }
         // A lifetime that said that it leaves does not take that back.
         let leaving = known.is_some_and(|k| k.born == target.born && k.leaving);
@@ -100,12 +100,12 @@
             leaving: target.leaving || leaving,
             ..target
         };
-        if known.is_none_or(|k| k.differs(&target)) {
-            self.changes += 1;
-        }
+        let changed = known.is_none_or(|k| k.differs(&target));
+        self.changes += u64::from(changed);
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMEMBER_REMOVED);
         self.targets.insert(target.id.clone(), target);
+        changed
     }
 
     /// An entry was removed.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,8 +8,10 @@
         io::IsTerminal,
         path::{Path, PathBuf},
         process::ExitCode,
+        time::Duration,
     },
     tokio::signal::unix::{Signal, SignalKind, signal},
+    tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
     tracing_subscriber::{
         EnvFilter, Registry, fmt, layer::SubscriberExt, reload, util::SubscriberInitExt,
     },
@@ -78,23 +80,45 @@
 /// Changes the filter of the log.
 type LogLevel = reload::Handle<EnvFilter, Registry>;
 
-fn start_log(settings: &Settings) -> LogLevel {
+/// Lines that wait for a reader of the log; further ones are dropped and counted.
+const LOG_LINES: usize = 4_096;
+/// How often dropped lines are looked for.
+const DROPPED_INTERVAL: Duration = Duration::from_secs(5);
+
+/// A log that never holds the daemon up.
+struct Log {
+    level: LogLevel,
+    dropped: ErrorCounter,
+    /// Writes what is left when it is dropped.
+    _writer: WorkerGuard,
+}
+
+fn start_log(settings: &Settings) -> Log {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
     let (filter, handle) = reload::Layer::new(EnvFilter::new(&settings.log_level));
     let lines = fmt::layer()
         .with_ansi(std::io::stdout().is_terminal())
-        .with_writer(std::io::stdout);
+        .with_writer(writer);
     let log = tracing_subscriber::registry().with(filter);
     match settings.log_format {
         LogFormat::Text => log.with(lines).init(),
         LogFormat::Json => log.with(lines.json()).init(),
     }
-    handle
+    Log {
+        level: handle,
+        dropped,
+        _writer: guard,
+    }
 }
 
 /// What outlives a change of settings.
 struct Process {
     path: PathBuf,
-    log: LogLevel,
+    log: Log,
 }
 
 impl Process {
@@ -126,14 +150,26 @@
         interrupt: &mut Signal,
         hangup: &mut Signal,
     ) {
+        let mut dropped = 0;
         loop {
             tokio::select! {
                 () = asked_to_stop(terminate, interrupt) => return,
                 _ = hangup.recv() => self.reload(&mut settings),
+                () = tokio::time::sleep(DROPPED_INTERVAL) => self.count_dropped(&mut dropped),
             }
         }
     }
 
+    /// Says how many lines of the log were dropped since it was last said.
+    fn count_dropped(&self, known: &mut usize) {
+        let all = self.log.dropped.dropped_lines();
+        if all > *known {
+            tracing::warn!(lines = all - *known, "lines of the log were dropped");
+            metrics::counter!("rattanturn_log_lines_dropped_total").absolute(all as u64);
+            *known = all;
+        }
+    }
+
     /// Takes in changed settings; settings that do not pass the check change nothing.
     fn reload(&self, settings: &mut Settings) {
         let fresh = match read_settings(&self.path) {
@@ -143,7 +179,7 @@
                 return;
             }
         };
-        if let Err(error) = self.log.reload(EnvFilter::new(&fresh.log_level)) {
+        if let Err(error) = self.log.level.reload(EnvFilter::new(&fresh.log_level)) {
             tracing::error!(%error, "the log level stays");
         }
         settings.log_level.clone_from(&fresh.log_level);
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -82,6 +82,8 @@
     reading: Reading,
     place: readers::Place,
     placed: u64,
+    /// State of each daemon as last logged.
+    states: BTreeMap<String, State>,
     announced: Time,
     absent: Absent,
     cores: f64,
@@ -140,6 +142,7 @@
             spread: rand::random(),
         },
         placed: 0,
+        states: BTreeMap::new(),
         announced: Time::ZERO,
         absent: Absent::default(),
         cores: start.tier.cores,
@@ -281,6 +284,23 @@
         changed
     }
 
+    /// One line for each daemon that is seen in a new state.
+    fn log_members(&mut self) {
+        let mut states = BTreeMap::new();
+        for member in self.membership.members() {
+            let name = &member.fact.place.name;
+            // A daemon that started again has an older run that is dead.
+            let newest: &mut State = states.entry(name.clone()).or_insert(State::Dead);
+            *newest = (*newest).min(member.fact.state);
+        }
+        for (name, state) in &states {
+            if self.states.get(name) != Some(state) {
+                tracing::info!(daemon = %name, state = ?state, "daemon");
+            }
+        }
+        self.states = states;
+    }
+
     /// Writes the own entry at the start, and again if it is missing.
     fn register(&mut self, now: Time) {
         let name = &self.settings.name;
@@ -319,6 +339,7 @@
     fn decide_reading(&mut self, now: Time) {
         if self.placed != self.membership.changes() {
             self.placed = self.membership.changes();
+            self.log_members();
             let alive = || {
                 let all = self.membership.present();
                 all.filter(|m| m.fact.state == State::Alive)
@@ -396,6 +417,7 @@
             daemons,
             me: self.me,
             phase: self.phase,
+            read: self.knowledge.read,
         };
         self.shared.store(Arc::new(view));
     }
--- a/crates/daemon/src/tier/fan.rs
+++ b/crates/daemon/src/tier/fan.rs
@@ -52,6 +52,8 @@
     /// Whether a call may have run.
     pub(crate) ran: bool,
     pub(crate) counts: Counts,
+    /// What became of the calls for services without an answer.
+    pub(crate) tried: String,
 }
 
 struct Ended {
@@ -62,14 +64,24 @@
     outcome: Outcome,
 }
 
+/// A call as the log tells it.
+struct Attempt {
+    service: usize,
+    index: usize,
+    link: Option<Rc<Link>>,
+    sent: Time,
+    /// How it ended and after what time; `None` while it is open.
+    end: Option<(String, Duration)>,
+}
+
 type Calls = FuturesUnordered<LocalBoxFuture<'static, Ended>>;
 
 struct Run<'a> {
     traffic: &'a Rc<Traffic>,
     fan: Fan<'a>,
     calls: Calls,
-    /// Link of each attempt, to mark it when its call is late.
-    attempts: Vec<(usize, usize)>,
+    /// All calls so far.
+    attempts: Vec<Attempt>,
     done: Fanned,
     finished: bool,
 }
@@ -89,6 +101,7 @@
             failure: None,
             ran: false,
             counts: Counts::default(),
+            tried: String::new(),
         },
         finished: false,
     };
@@ -148,13 +161,18 @@
     fn call(&mut self, attempt: AttemptId, service: usize, index: usize) {
         let now = clock::now();
         // A second call to a service means that the first one is late.
-        for (other, late) in &self.attempts {
-            if *other == service {
-                self.traffic.record_pace(now, *late, STALLED_PACE);
-            }
+        for late in self.attempts.iter().filter(|a| a.service == service) {
+            self.traffic.record_pace(now, late.index, STALLED_PACE);
         }
-        self.attempts.push((service, index));
-        let Some(link) = self.traffic.link(index) else {
+        let link = self.traffic.link(index);
+        self.attempts.push(Attempt {
+            service,
+            index,
+            link: link.clone(),
+            sent: now,
+            end: None,
+        });
+        let Some(link) = link else {
             let ended = Ended {
                 attempt,
                 link: None,
@@ -186,6 +204,9 @@
         let now = clock::now();
         let took = now.since(ended.sent);
         let mut answer = None;
+        if let Some(attempt) = self.attempts.get_mut(ended.attempt.0 as usize) {
+            attempt.end = Some((ended.outcome.word(), took));
+        }
         let reply = match ended.outcome {
             Outcome::Answered(a) if (200..300).contains(&a.status) => {
                 if let Some(link) = &ended.link {
@@ -220,7 +241,10 @@
             }
         };
         let covered = gather.covered();
-        let service = self.attempts.get(ended.attempt.0 as usize).map(|a| a.0);
+        let service = self
+            .attempts
+            .get(ended.attempt.0 as usize)
+            .map(|a| a.service);
         let budgets = &mut self.traffic.budgets.borrow_mut();
         let actions = gather.reply(now, ended.attempt, reply, ONE_SNAPSHOT, budgets);
         if gather.covered() > covered
@@ -236,6 +260,7 @@
         self.done.counts = gather.counts();
         let open = !self.calls.is_empty();
         self.done.ran |= open;
+        self.done.tried = self.tried();
         self.done.missing = gather
             .parts()
             .into_iter()
@@ -259,6 +284,33 @@
     }
 }
 
+impl Run<'_> {
+    /// The calls for services without an answer: service, target, end and time.
+    fn tried(&self) -> String {
+        let now = clock::now();
+        let failed = self
+            .attempts
+            .iter()
+            .filter(|a| self.done.answers[a.service].is_none());
+        let words: Vec<String> = failed
+            .map(|a| {
+                let target = a.link.as_ref().map(|l| l.target.borrow().id.clone());
+                let (end, took) = a
+                    .end
+                    .clone()
+                    .unwrap_or_else(|| ("open".into(), now.since(a.sent)));
+                format!(
+                    "{} at {}: {end} after {} ms",
+                    self.fan.services[a.service],
+                    target.unwrap_or_default(),
+                    clock::millis(took)
+                )
+            })
+            .collect();
+        words.join("; ")
+    }
+}
+
 /// Counts a call as open until it ends or is dropped.
 struct Open<'a>(&'a Rc<Traffic>, usize);
 
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -114,9 +114,14 @@
         if kind == entries::TARGETS {
             self.fleet.store_back(now);
             if removed {
+                tracing::info!(target_id = %object.name, revision = object.revision, "target removed");
                 self.fleet.lost(now, &object.name);
             } else if let Some(target) = entries::target(&object.name, &object.spec) {
-                self.fleet.heard(now, target);
+                let (service, leaving) = (target.service.clone(), target.leaving);
+                if self.fleet.heard(now, target) && leaving {
+                    let (target_id, revision) = (&object.name, object.revision);
+                    tracing::info!(%target_id, %service, revision, "target leaves");
+                }
             } else {
                 tracing::debug!(entry = %object.name, "an entry names no target to use");
             }
--- a/crates/daemon/src/tier/link.rs
+++ b/crates/daemon/src/tier/link.rs
@@ -33,6 +33,17 @@
     Lost(String),
 }
 
+impl Outcome {
+    /// The outcome in a few words, for the log.
+    pub(crate) fn word(&self) -> String {
+        match self {
+            Self::Answered(answer) => format!("answered {}", answer.status),
+            Self::NotRun(why) => format!("not run ({why})"),
+            Self::Lost(why) => format!("lost ({why})"),
+        }
+    }
+}
+
 /// What is sent to a target.
 #[derive(Clone)]
 pub(crate) struct Call {
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -88,6 +88,7 @@
     calls: u32,
     extra: u32,
     missing: Vec<Missing>,
+    tried: String,
 }
 
 impl Story {
@@ -99,6 +100,7 @@
             calls: counts.first + counts.hedges + counts.retries,
             extra: counts.hedges + counts.retries,
             missing: done.missing.clone(),
+            tried: done.tried.clone(),
         }
     }
 
@@ -207,6 +209,8 @@
             parts = story.parts,
             of = story.of,
             missing = %story.reasons(),
+            tried = %story.tried,
+            read_ms = clock::millis(clock::now().since(self.view.read)),
             calls = story.calls,
             extra = story.extra,
             took_ms = clock::millis(took),
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -2,7 +2,7 @@
 
 use {
     arc_swap::ArcSwap,
-    rattanturn_core::{NodeId, addresses::Entry, catalog::Catalog, fleet::Target},
+    rattanturn_core::{NodeId, Time, addresses::Entry, catalog::Catalog, fleet::Target},
     std::{
         collections::HashMap,
         sync::{Arc, atomic::AtomicUsize},
@@ -42,6 +42,8 @@
     /// This daemon.
     pub(crate) me: NodeId,
     pub(crate) phase: Phase,
+    /// When the targets were last read or confirmed, as of this view.
+    pub(crate) read: Time,
 }
 
 impl View {
