Drop targets at once that a reading peer no longer knows

Change: a peer's list is adopted as it is; the peer has kept what may have lapsed. Test of the fleet first failed.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -9,7 +9,7 @@
     crate::Time,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -120,8 +120,7 @@
     /// Takes in a whole list, as of now.
     pub fn listed(&mut self, now: Time, list: Vec<Target>) {
         let missing: Vec<String> = {
-            let present: std::collections::HashSet<&str> =
-                list.iter().map(|t| t.id.as_str()).collect();
+            let present: HashSet<&str> = list.iter().map(|t| t.id.as_str()).collect();
             let ids = self.targets.keys();
             ids.filter(|id| !present.contains(id.as_str()))
                 .cloned()
@@ -137,6 +136,23 @@
         }
     }
 
+    /// Takes in the targets as a peer knows them that reads the store.
+    ///
+    /// The peer has already kept those that may have lapsed, so what it leaves out is gone.
+    pub fn adopt(&mut self, now: Time, list: Vec<Target>) {
+        self.away = None;
+        self.lapsing.clear();
+        let present: HashSet<String> = list.iter().map(|t| t.id.clone()).collect();
+        for target in list {
+            self.heard(now, target);
+        }
+        let ids = self.targets.keys();
+        let gone: Vec<String> = ids.filter(|id| !present.contains(*id)).cloned().collect();
+        for id in gone {
+            self.remove(now, &id);
+        }
+    }
+
     /// The store could not be read.
     pub fn store_away(&mut self, now: Time) {
         self.away.get_or_insert(now);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -102,3 +102,15 @@
     }
     assert_eq!(fleet.changes(), changes);
 }
+
+/// A daemon that the store turns away must not keep a removed target longer than the one that read
+/// of its removal: the drain bound counts from the store's word.
+#[test]
+fn what_a_peer_read_counts_at_once() {
+    let mut fleet = Fleet::default();
+    fleet.heard(at(0), target("stays", 1, 1));
+    fleet.heard(at(0), target("gone", 1, 1));
+    fleet.store_away(at(100));
+    fleet.adopt(at(2_000), vec![target("stays", 1, 2)]);
+    assert_eq!(ids(&fleet), ["stays"]);
+}
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -201,8 +201,7 @@
         }
         match serde_json::from_slice::<FleetObject>(body) {
             Ok(object) => {
-                self.fleet.store_back(now);
-                self.fleet.listed(now, object.targets);
+                self.fleet.adopt(now, object.targets);
                 self.take_out(object.out.into_iter().collect());
                 self.revision = revision;
                 self.read = now;
