Share targets' connections by the daemons on record, not by those heard of

A daemon that starts knows only itself and took the part of one daemon, 24 of 31 connections, while the targets still kept those of the lost VMs.

Change: the parts go by the daemons on record in the store if they are more than those heard of, and by 8 while nothing is known; daemons take 0.6 of a target's connections instead of 0.8; a target with a free connection is called first. The same holds for the slack of repeats and the rate of cold targets. Tests: parts of all daemons fit while none has heard of the others (before: 8 x 24 connections at a target of 31, and 8 times the rate of a cold target).

Ruled out: waiting for peers before serving, which costs every start half a second.

--- a/crates/core/src/addresses.rs
+++ b/crates/core/src/addresses.rs
@@ -29,7 +29,7 @@
 }
 
 /// Share of the greatest capacity below which a daemon is named only if too few others are.
-const LEAST_CAPACITY: f64 = 0.5;
+pub(crate) const LEAST_CAPACITY: f64 = 0.5;
 /// Daemons that are named at least, if there are as many, so that the loss of one is borne.
 const LEAST_NAMED: usize = 2;
 
--- a/crates/core/src/cold.rs
+++ b/crates/core/src/cold.rs
@@ -14,21 +14,27 @@
 
 /// Requests that one daemon may send to a cold target in any second.
 ///
-/// `daemons` are all daemons that may send, `me` is one of them.
+/// `daemons` are those that are known to live, `me` is one of them; `sharers` may send in all. A
+/// daemon that knows fewer than these takes no part of the remainder, which needs an agreement.
 ///
 /// ```
 /// use rattanturn_core::{NodeId, cold::share};
 /// let daemons: Vec<NodeId> = (0..8).map(NodeId).collect();
-/// let total: u32 = daemons.iter().map(|d| share(10.0, &daemons, *d, "i-1")).sum();
+/// let total: u32 = daemons.iter().map(|d| share(10.0, &daemons, *d, "i-1", 8)).sum();
 /// assert_eq!(total, 10);
 /// ```
 #[must_use]
-pub fn share(rate: f64, daemons: &[NodeId], me: NodeId, target: &str) -> u32 {
+pub fn share(rate: f64, daemons: &[NodeId], me: NodeId, target: &str, sharers: usize) -> u32 {
     // Rates are small and not negative.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let whole = rate.max(0.0) as usize;
-    let count = daemons.len().max(1);
-    let extra = rank::top(daemons.iter().copied(), rank::key(target), whole % count);
+    let count = daemons.len().max(sharers).max(1);
+    let agreed = if daemons.len() >= sharers {
+        whole % count
+    } else {
+        0
+    };
+    let extra = rank::top(daemons.iter().copied(), rank::key(target), agreed);
     let share = whole / count + usize::from(extra.contains(&me));
     u32::try_from(share).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`catalog`]: operators' routes and services, joined by name.
 //! - [`cold`]: how many requests a cold target gets.
 //! - [`merge`]: the records of a query's parts.
+//! - [`shares`]: a daemon's part of what targets allow to all together.
 //! - [`readers`]: which daemons read the store.
 //! - [`split`]: requests of a route divided among services by weight.
 //! - [`fleet`]: which targets there are, from the entries that they write.
@@ -42,6 +43,7 @@
 pub mod rank;
 pub mod readers;
 pub mod register;
+pub mod shares;
 pub mod snapshot;
 pub mod split;
 pub mod store;
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -25,6 +25,7 @@
         fleet::Target,
         membership::{Membership, Message, Place, Purpose, Send, State, Versions},
         readers::{self, Reading},
+        shares,
     },
     rattanturn_platform::Store,
     rattanturn_tables::{Settings, TierSettings},
@@ -396,7 +397,7 @@
             .membership
             .members()
             .filter(|m| m.fact.state != State::Dead || now.since(m.changed) < COUNT_DEAD);
-        let daemons = counted.map(|m| m.fact.id).collect();
+        let daemons: Vec<NodeId> = counted.map(|m| m.fact.id).collect();
         let cores = &self.knowledge.daemons;
         // A suspect is named only while there is nobody else: its death takes seconds to settle.
         let mut others = self.membership.present().filter(|m| m.fact.id != self.me);
@@ -412,8 +413,10 @@
         });
         let entries: Vec<Entry> = entries.collect();
         let named = addresses::named(&entries);
+        let recorded: Vec<f64> = cores.values().copied().collect();
         let view = View {
-            named: named.len(),
+            sharers: shares::sharers(named.len(), &recorded),
+            users: shares::sharers(daemons.len(), &vec![1.0; recorded.len()]),
             takes_callers: named.iter().any(|e| e.id == self.me),
             catalog: self.knowledge.catalog.clone(),
             services,
--- a/crates/daemon/src/tier/link.rs
+++ b/crates/daemon/src/tier/link.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether a call would get a connection at once.
+    pub(crate) fn has_room(&self) -> bool {
+        self.in_use.get() < self.limit.get()
+    }
+
     /// Sets how many connections this daemon may have.
     pub(crate) fn set_limit(&self, connections: u32) {
         self.limit.set(connections);
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -15,6 +15,7 @@
         cold,
         gather::{Budgets, Pair},
         hedge::{Budget, CallTimes},
+        shares::connections,
         split::Split,
     },
     rattanturn_tables::TierSettings,
@@ -41,8 +42,6 @@
 const PACE_WEIGHT: f64 = 0.25;
 /// Slowest pace that one answer can tell.
 const MAX_PACE: f64 = 8.0;
-/// Share of a target's connections that the daemons use that callers are sent to.
-const NAMED_SHARE: f64 = 0.8;
 /// Connections to a target whose service names no bound, from all daemons together.
 const DEFAULT_CONNECTIONS: u32 = 64;
 /// Interval of closing connections that will not be used again.
@@ -129,10 +128,13 @@
                 });
                 let link = &links[&index];
                 *link.target.borrow_mut() = target.clone();
-                link.set_limit(connections(view, known.and_then(|s| s.connections)));
+                let accepted = known.and_then(|s| s.connections);
+                let accepted = accepted.unwrap_or(DEFAULT_CONNECTIONS);
+                link.set_limit(connections(accepted, view.sharers, view.takes_callers));
                 let rate = known.and_then(|s| s.cold_rate);
-                link.cold_share
-                    .set(rate.map(|r| cold::share(r, &view.daemons, view.me, &target.id)));
+                link.cold_share.set(
+                    rate.map(|r| cold::share(r, &view.daemons, view.me, &target.id, view.users)),
+                );
                 if !target.cold_left.is_zero() {
                     link.cold_until.set(now + target.cold_left);
                 }
@@ -160,7 +162,7 @@
     /// Takes this daemon's part of the extra calls that all daemons may save up.
     fn share_slack(&self, view: &View) {
         let sharers = if view.takes_callers {
-            view.named
+            view.sharers
         } else {
             view.daemons.len()
         };
@@ -185,9 +187,11 @@
         };
         let usable = all.iter().copied().filter(|i| links[i].usable.get());
         self.spread.set(self.spread.get().wrapping_add(1));
-        self.choice
-            .borrow()
-            .order(now, usable.collect(), self.spread.get())
+        let choice = self.choice.borrow();
+        let mut order = choice.order(now, usable.collect(), self.spread.get());
+        // A call that waits for a connection would wait for another call to end.
+        order.sort_by_key(|i| !links[i].has_room());
+        order
     }
 
     /// Whether a service has a target that can be called.
@@ -279,21 +283,6 @@
     }
 }
 
-/// Connections that this daemon may have to a target that accepts `all`.
-///
-/// The daemons that callers are sent to share most of them; any other one gets by with one.
-fn connections(view: &View, all: Option<u32>) -> u32 {
-    if !view.takes_callers {
-        return 1;
-    }
-    let all = f64::from(all.unwrap_or(DEFAULT_CONNECTIONS));
-    let named = u32::try_from(view.named).unwrap_or(u32::MAX);
-    // Counts of connections are small and not negative.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let part = (all * NAMED_SHARE / f64::from(named.max(1))) as u32;
-    part.max(1)
-}
-
 async fn tidy(traffic: Rc<Traffic>) {
     loop {
         actix_rt::time::sleep(TIDY_INTERVAL).await;
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -33,9 +33,11 @@
     pub(crate) services: HashMap<String, Vec<Arc<Target>>>,
     /// Daemons that callers may be sent to.
     pub(crate) entries: Vec<Entry>,
-    /// Number of daemons that callers are sent to.
-    pub(crate) named: usize,
-    /// Whether this daemon is one of them.
+    /// Number of daemons that share what targets allow.
+    pub(crate) sharers: usize,
+    /// Number of daemons that may call a target at all.
+    pub(crate) users: usize,
+    /// Whether callers are sent to this daemon.
     pub(crate) takes_callers: bool,
     /// All daemons that may call targets.
     pub(crate) daemons: Vec<NodeId>,
