--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -366,6 +366,8 @@
         self.register(now);
         self.remove_absent(now);
         self.knowledge.fleet.tick(now);
+        let read = self.knowledge.read.micros();
+        self.gauges.read.store(read, Ordering::Relaxed);
         self.fetch();
         self.spread();
         self.advance(now, socket).await
@@ -424,7 +426,6 @@
             daemons,
             me: self.me,
             phase: self.phase,
-            read: self.knowledge.read,
         };
         self.shared.store(Arc::new(view));
     }
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -120,11 +120,11 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::open(shared, &tier);
+            let traffic = traffic::Traffic::open(shared, gauges, &tier);
             let counted = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
-                    counted.tell(&gauges);
+                    counted.tell();
                     clock::sleep_until(clock::now() + TELL_INTERVAL).await;
                 }
             });
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -210,7 +210,7 @@
             of = story.of,
             missing = %story.reasons(),
             tried = %story.tried,
-            read_ms = clock::millis(clock::now().since(self.view.read)),
+            read_ms = clock::millis(self.traffic.age(clock::now())),
             calls = story.calls,
             extra = story.extra,
             took_ms = clock::millis(took),
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -63,12 +63,13 @@
     pub(crate) choice: RefCell<Choice>,
     pub(crate) budgets: RefCell<Budgets>,
     slack: f64,
+    gauges: Arc<Gauges>,
     /// Requests that are being served.
     pub(crate) open: Cell<usize>,
 }
 
 impl Traffic {
-    pub(crate) fn open(shared: Shared, tier: &TierSettings) -> Rc<Self> {
+    pub(crate) fn open(shared: Shared, gauges: Arc<Gauges>, tier: &TierSettings) -> Rc<Self> {
         let ratio = tier.repeat_ratio;
         let blank = Pair {
             hedge: Budget::new(ratio * HEDGE_RATIO_SHARE, 1.0),
@@ -88,6 +89,7 @@
             choice: RefCell::default(),
             budgets: RefCell::new(Budgets::new(blank)),
             slack: tier.repeat_slack,
+            gauges,
             open: Cell::new(0),
         });
         actix_rt::spawn(tidy(traffic.clone()));
@@ -273,8 +275,14 @@
         }
     }
 
+    /// How long ago targets were read or confirmed.
+    pub(crate) fn age(&self, now: Time) -> Duration {
+        now.since(Time::from_micros(self.gauges.read.load(Ordering::Relaxed)))
+    }
+
     /// Tells control what this thread holds.
-    pub(crate) fn tell(&self, gauges: &Gauges) {
+    pub(crate) fn tell(&self) {
+        let gauges = &self.gauges;
         let links = self.links.borrow();
         let connections: usize = links.values().map(|l| l.connections()).sum();
         gauges.open.store(self.open.get(), Ordering::Release);
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -2,10 +2,13 @@
 
 use {
     arc_swap::ArcSwap,
-    rattanturn_core::{NodeId, Time, addresses::Entry, catalog::Catalog, fleet::Target},
+    rattanturn_core::{NodeId, addresses::Entry, catalog::Catalog, fleet::Target},
     std::{
         collections::HashMap,
-        sync::{Arc, atomic::AtomicUsize},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, AtomicUsize},
+        },
     },
 };
 
@@ -44,8 +47,6 @@
     /// This daemon.
     pub(crate) me: NodeId,
     pub(crate) phase: Phase,
-    /// When the targets were last read or confirmed, as of this view.
-    pub(crate) read: Time,
 }
 
 impl View {
@@ -55,7 +56,7 @@
     }
 }
 
-/// What the traffic thread holds, readable from any thread.
+/// What one thread tells the other, readable from any thread.
 #[derive(Debug, Default)]
 pub(crate) struct Gauges {
     /// Requests that are being served.
@@ -64,4 +65,6 @@
     pub(crate) links: AtomicUsize,
     /// Connections to them.
     pub(crate) connections: AtomicUsize,
+    /// When targets were last read or confirmed, in microseconds of the daemon's clock.
+    pub(crate) read: AtomicU64,
 }
