--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -17,6 +17,8 @@
     },
 };
 
+mod tier;
+
 mod flags {
     #![allow(missing_docs)]
 
@@ -25,8 +27,8 @@
         cmd demo {
             /// Which deployment: board or nilavu. Default: board.
             optional --deployment name: String
-            /// What happens: centre, steady, slow, lost, cold, versions, overload, or serve
-            /// (only the stand-ins, for daemons run by hand). Default: centre.
+            /// What happens: tier (the users' platform), centre, steady, slow, lost, cold, versions,
+            /// overload, or serve (only the stand-ins, for daemons run by hand). Default: centre.
             optional --scenario name: String
             /// Number of daemons. Default: 8.
             optional --daemons count: usize
@@ -80,6 +82,10 @@
 }
 
 async fn demo(flags: &flags::Demo) -> eyre::Result<bool> {
+    if flags.scenario.as_deref() == Some("tier") {
+        let time = Duration::from_secs(flags.seconds.unwrap_or(4));
+        return tier::run(flags.daemons.unwrap_or(8), time).await;
+    }
     let (routes, pools) = match flags.deployment.as_deref().unwrap_or("board") {
         "board" => BOARD,
         "nilavu" => NILAVU,
