Send a hedge to another target than the one that is late

The order tries the best target twice when the second is several times slower, which fits stragglers that are single calls, but not targets that pause.

Change: the tier orders each target once. The whole-path test failed before.

Ruled out: the budget (extra calls were sent).

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -128,9 +128,8 @@
     /// assert_eq!(choice.order(now, vec![0, 1], 7), [1, 1, 0]);
     /// ```
     #[must_use]
-    pub fn order(&self, now: Time, mut targets: Vec<usize>, spread: u64) -> Vec<usize> {
-        targets
-            .sort_by_cached_key(|t| (self.rank(now, *t), rank::score(NodeId(*t as u64), spread)));
+    pub fn order(&self, now: Time, targets: Vec<usize>, spread: u64) -> Vec<usize> {
+        let mut targets = self.each_once(now, targets, spread);
         if let [best, second, ..] = targets[..]
             && self.rank(now, second) >= self.rank(now, best) + MUCH_SLOWER
         {
@@ -139,6 +138,23 @@
         targets
     }
 
+    /// Targets in the order to try them, each once, for targets that stand still as a whole now
+    /// and then: a second call to one that does would wait with the first.
+    ///
+    /// ```
+    /// use {rattanturn_core::{Time, choice::Choice}, std::time::Duration};
+    /// let mut choice = Choice::default();
+    /// let now = Time::from_millis(1);
+    /// choice.record(now, 0, Duration::from_millis(50));
+    /// assert_eq!(choice.each_once(now, vec![0, 1], 7), [1, 0]);
+    /// ```
+    #[must_use]
+    pub fn each_once(&self, now: Time, mut targets: Vec<usize>, spread: u64) -> Vec<usize> {
+        targets
+            .sort_by_cached_key(|t| (self.rank(now, *t), rank::score(NodeId(*t as u64), spread)));
+        targets
+    }
+
     fn word(&mut self, target: usize) -> &mut Word {
         let blank = Word {
             time: USUAL,
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -193,7 +193,7 @@
         let usable = all.iter().copied().filter(|i| links[i].is_up());
         self.spread.set(self.spread.get().wrapping_add(1));
         let choice = self.choice.borrow();
-        let mut order = choice.order(now, usable.collect(), self.spread.get());
+        let mut order = choice.each_once(now, usable.collect(), self.spread.get());
         // A call that waits for a connection would wait for another call to end.
         order.sort_by_key(|i| !links[i].has_room());
         order
--- a/crates/demo/tests/tier.rs
+++ b/crates/demo/tests/tier.rs
@@ -514,3 +514,29 @@
         assert_eq!(ask(bed, "/all/x", "back").await.status, 200);
     });
 }
+
+/// A server that is much slower than its peer is still the better second choice while the peer
+/// stands still.
+#[test]
+fn a_hedge_goes_to_another_server_than_the_one_that_stands_still() {
+    with_bed(1, async |bed| {
+        let servers = shard(bed, 0);
+        servers[1].set_slow(8.0);
+        for i in 0..40 {
+            ask(bed, "/all/x", &format!("w{i}")).await;
+        }
+        servers[0].pause(Duration::from_millis(600));
+        let begun = Instant::now();
+        let answer = ask(bed, "/all/x", "hedged").await;
+        assert_eq!(
+            (answer.status, answer.header("x-missing-shards")),
+            (200, "0")
+        );
+        assert!(
+            begun.elapsed() < Duration::from_millis(200),
+            "{:?}",
+            begun.elapsed()
+        );
+        assert_eq!(runs(&servers[1..], "hedged"), 1);
+    });
+}
