Give incomplete answers a little earlier

Change: the cutoff is 0.82 of the goal less 4 ms.

Ruled out: learning the way from the caller's connection (its round trip is not seen here).

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -29,7 +29,7 @@
 
 /// Share of a route's goal after which a merged answer with enough parts is given; the rest is
 /// for the way to the caller and back, which is some milliseconds.
-const CUTOFF_SHARE: f64 = 0.88;
+const CUTOFF_SHARE: f64 = 0.82;
 /// Part of that way that does not grow with the goal.
 const CUTOFF_MARGIN: Duration = Duration::from_millis(4);
 /// An answer is given this long before the caller stops waiting, so that it arrives.
