Split the tier's control; ask control in one place

Change: entries and states of daemons, and the planned stop, are modules of their own; ask_state and ask_stop serve both kinds of daemon and the operators' listener. No behaviour changes.

Ruled out: a trait over both kinds of daemon, for two functions.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -4,12 +4,12 @@
 //! thread, so it answers also while traffic threads are overloaded.
 
 use {
-    crate::control::Event,
+    crate::control::{self, Event},
     actix_http::{Request, Response, body::BoxBody},
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     rattanturn_http::{Limits, Server, response},
     std::{net::TcpListener, sync::OnceLock},
-    tokio::sync::{mpsc::UnboundedSender, oneshot},
+    tokio::sync::mpsc::UnboundedSender,
 };
 
 /// Operators' connections at once.
@@ -58,15 +58,12 @@
 }
 
 async fn state(events: &UnboundedSender<Event>) -> Response<BoxBody> {
-    let (send, receive) = oneshot::channel();
-    // A failed send drops the sender, which the receiver sees.
-    let _ = events.send(Event::Dump(send));
-    match receive.await {
-        Ok(state) => response(
+    match control::ask_state(events).await {
+        Some(state) => response(
             200,
             &[("content-type", "application/json".into())],
             state.to_string(),
         ),
-        Err(_) => response(503, &[], "control has ended\n"),
+        None => response(503, &[], "control has ended\n"),
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -60,6 +60,21 @@
     Kill,
 }
 
+/// Asks control for a dump of its state; `None` if it has ended.
+pub(crate) async fn ask_state(events: &mpsc::UnboundedSender<Event>) -> Option<serde_json::Value> {
+    let (send, receive) = oneshot::channel();
+    events.send(Event::Dump(send)).ok()?;
+    receive.await.ok()
+}
+
+/// Asks control to stop gracefully; returns what was left undone.
+pub(crate) async fn ask_stop(events: &mpsc::UnboundedSender<Event>) -> String {
+    let (send, receive) = oneshot::channel();
+    // A control thread that has ended has nothing left to do.
+    let _ = events.send(Event::Stop(send));
+    receive.await.unwrap_or_else(|_| "control had ended".into())
+}
+
 /// What the control thread is started with.
 pub(crate) struct Start {
     pub(crate) settings: Settings,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,7 +26,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::mpsc,
 };
 
 pub use tier::{Tier, TierAddresses};
@@ -139,17 +139,12 @@
 
     /// Dump of its state; `None` if it has ended.
     pub async fn state(&self) -> Option<serde_json::Value> {
-        let (send, receive) = oneshot::channel();
-        self.events.send(Event::Dump(send)).ok()?;
-        receive.await.ok()
+        control::ask_state(&self.events).await
     }
 
     /// Stops gracefully: withdrawn, drained, gone. Returns what was left undone.
     pub async fn stop(self) -> String {
-        let (send, receive) = oneshot::channel();
-        // A control thread that has ended has nothing left to do.
-        let _ = self.events.send(Event::Stop(send));
-        let left = receive.await.unwrap_or_else(|_| "control had ended".into());
+        let left = control::ask_stop(&self.events).await;
         self.end();
         left
     }
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -4,6 +4,9 @@
 //! these fetch it from the peer that has it. Which ones read is decided by
 //! [`rattanturn_core::readers`].
 
+mod members;
+mod shutdown;
+
 use {
     crate::{
         admin, clock,
@@ -13,7 +16,7 @@
             exchange::Exchange,
             knowledge::Knowledge,
             peers::{self, CATALOG_KEY, FLEET_KEY},
-            register::{self, Absent},
+            register::Absent,
             sources::{News, session},
             view::{Gauges, Phase, Shared, View},
         },
@@ -48,12 +51,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// A reader tells the others at least this often that it reads: less than what counts as stale.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
-/// A missing entry of this daemon's own is written again after this time.
-const REGISTER_PAUSE: Duration = Duration::from_secs(6);
-/// A stopping daemon closes its listeners this long before its time is up.
-const CLOSE_BEFORE_END: Duration = Duration::from_secs(2);
-/// A stopping daemon ends this long before its time is up, whatever still runs.
-const END_BEFORE_KILL: Duration = Duration::from_millis(400);
 /// A dead daemon still counts as a user of targets' connections and rates for this time.
 const COUNT_DEAD: Duration = Duration::from_secs(20);
 
@@ -285,57 +282,6 @@
         changed
     }
 
-    /// One line for each daemon that is seen in a new state.
-    fn log_members(&mut self) {
-        let mut states = BTreeMap::new();
-        for member in self.membership.members() {
-            let name = &member.fact.place.name;
-            // A daemon that started again has an older run that is dead.
-            let newest: &mut State = states.entry(name.clone()).or_insert(State::Dead);
-            *newest = (*newest).min(member.fact.state);
-        }
-        for (name, state) in &states {
-            if self.states.get(name) != Some(state) {
-                tracing::info!(daemon = %name, state = ?state, "daemon");
-            }
-        }
-        self.states = states;
-    }
-
-    /// Writes the own entry at the start, and again if it is missing.
-    fn register(&mut self, now: Time) {
-        let name = &self.settings.name;
-        let due = match self.registered {
-            None => true,
-            Some(at) => {
-                let known = self.knowledge.revision > 0;
-                let present = self.knowledge.daemons.contains_key(name);
-                known && !present && now.since(at) > REGISTER_PAUSE
-            }
-        };
-        if due {
-            self.registered = Some(now);
-            let (store, name) = (self.store.clone(), name.clone());
-            actix_rt::spawn(register::register(store, name, self.cores));
-        }
-    }
-
-    /// Removes entries of daemons that are gone; the readers do it for all.
-    fn remove_absent(&mut self, now: Time) {
-        if !self.place.ranked {
-            return;
-        }
-        let alive: BTreeSet<&str> = self
-            .membership
-            .present()
-            .map(|m| m.fact.place.name.as_str())
-            .collect();
-        let entries = self.knowledge.daemons.keys();
-        for name in self.absent.due(now, entries, |n| alive.contains(n)) {
-            actix_rt::spawn(register::remove(self.store.clone(), name));
-        }
-    }
-
     /// Begins or ends reading the store.
     fn decide_reading(&mut self, now: Time) {
         if self.placed != self.membership.changes() {
@@ -430,43 +376,6 @@
         self.shared.store(Arc::new(view));
     }
 
-    /// Begins a planned stop.
-    fn withdraw(&mut self, done: oneshot::Sender<String>) {
-        let now = clock::now();
-        tracing::info!("withdrawn: no new caller is sent here");
-        self.phase = Phase::Leaving;
-        self.stopping = Some((now, done));
-        self.membership.leave(now);
-        self.publish();
-    }
-
-    /// Carries a planned stop on; true when the daemon may end.
-    async fn advance(&mut self, now: Time, socket: &UdpSocket) -> bool {
-        let Some((since, _)) = &self.stopping else {
-            return false;
-        };
-        let limit = self.settings.drain_limit;
-        let spent = now.since(*since);
-        if spent >= limit.saturating_sub(CLOSE_BEFORE_END) && self.phase < Phase::Closing {
-            self.phase = Phase::Closing;
-            self.publish();
-        }
-        let open = self.gauges.open.load(Ordering::Acquire);
-        let over = spent >= limit.saturating_sub(END_BEFORE_KILL);
-        let done = self.phase == Phase::Closing && open == 0;
-        let long_closed = spent >= limit.saturating_sub(CLOSE_BEFORE_END) + TICK * 10;
-        if !(over || done && long_closed) {
-            return false;
-        }
-        let farewell = self.membership.farewell(now);
-        send(socket, farewell).await;
-        if let Some((_, done)) = self.stopping.take() {
-            // The program that asked for the stop may be gone.
-            let _ = done.send(format!("{open} requests left open"));
-        }
-        true
-    }
-
     fn dump(&self) -> Value {
         let members: Vec<Value> = self
             .membership
