Tell an unreadable file from a faulty one by the exit code; make the folder of show

Change: code 5 for files that cannot be read or written, also for explain; show makes its folder.

Ruled out: one code a cause of the operating system.

The daemon is untouched.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,7 @@
 mod ask;
 mod tables;
 
-use std::process::ExitCode;
+use std::{path::Path, process::ExitCode};
 
 mod flags {
     #![allow(missing_docs)] // the macro's items are documented by its own texts
@@ -15,7 +15,7 @@
         ///
         /// Exit codes: 0 done, 1 refused or not found, 2 wrong usage, 3 another edit came first,
         /// 4 the platform or daemon did not answer or it is not known whether the edit took
-        /// effect.
+        /// effect, 5 a file cannot be read or written.
         cmd rattanturn {
             /// Checks both tables and prints every finding.
             cmd check {
@@ -98,6 +98,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
     Refused,
+    Unreadable,
     Absent,
     Conflict,
     Unanswered,
@@ -110,6 +111,7 @@
             Self::Refused | Self::Absent => 1,
             Self::Conflict => 3,
             Self::Unanswered => 4,
+            Self::Unreadable => 5,
         }
     }
 }
@@ -149,10 +151,7 @@
 fn explain(flags: &flags::Explain) -> Outcome {
     let mut logs = Vec::new();
     for path in &flags.files {
-        let text = std::fs::read_to_string(path).map_err(|e| {
-            let why = format!("cannot read {}: {e}", path.display());
-            Failed(Failure::Refused, why)
-        })?;
+        let text = read_file(path)?;
         let name = path.file_stem().unwrap_or(path.as_os_str());
         logs.push((name.to_string_lossy().into_owned(), text));
     }
@@ -170,3 +169,11 @@
         )),
     }
 }
+
+/// Text of a file that the operator named.
+pub(crate) fn read_file(path: &Path) -> Result<String, Failed> {
+    std::fs::read_to_string(path).map_err(|e| {
+        let why = format!("cannot read {}: {e}", path.display());
+        Failed(Failure::Unreadable, why)
+    })
+}
--- a/crates/cli/src/tables.rs
+++ b/crates/cli/src/tables.rs
@@ -4,7 +4,7 @@
 //! came first and what changed; a lost answer is settled by reading back.
 
 use {
-    crate::{Failed, Failure, Outcome, flags},
+    crate::{Failed, Failure, Outcome, flags, read_file},
     rattanturn_platform::own::{Platform, Read, TABLES_KEY, Write},
     rattanturn_tables::{Severity, TablesObject},
     similar::{ChangeTag, TextDiff},
@@ -39,14 +39,10 @@
         println!("; pools.ini\n{}", object.pools);
         return Ok(());
     };
+    std::fs::create_dir_all(folder).map_err(|e| unwritable(folder, &e))?;
     for (name, text) in [("routes.ini", &object.routes), ("pools.ini", &object.pools)] {
         let path = folder.join(name);
-        std::fs::write(&path, text).map_err(|e| {
-            Failed(
-                Failure::Refused,
-                format!("cannot write {}: {e}", path.display()),
-            )
-        })?;
+        std::fs::write(&path, text).map_err(|e| unwritable(&path, &e))?;
     }
     println!(
         "version {version} by {}; pass --base {version} to apply",
@@ -55,6 +51,13 @@
     Ok(())
 }
 
+fn unwritable(path: &Path, error: &std::io::Error) -> Failed {
+    Failed(
+        Failure::Unreadable,
+        format!("cannot write {}: {error}", path.display()),
+    )
+}
+
 pub(crate) async fn diff(routes: &Path, pools: &Path, platform: SocketAddr) -> Outcome {
     let texts = read_files(routes, pools)?;
     let (version, object) = fetch(&Platform::open(platform)).await?;
@@ -112,17 +115,9 @@
 }
 
 fn read_files(routes: &Path, pools: &Path) -> Result<Texts, Failed> {
-    let read = |path: &Path| {
-        std::fs::read_to_string(path).map_err(|e| {
-            Failed(
-                Failure::Refused,
-                format!("cannot read {}: {e}", path.display()),
-            )
-        })
-    };
     Ok(Texts {
-        routes: read(routes)?,
-        pools: read(pools)?,
+        routes: read_file(routes)?,
+        pools: read_file(pools)?,
     })
 }
 
