Let the large daemons read the store

Each of 88 daemons fetches some 100 KB from the reader, and a small VM's link of 20 Mbit/s needs 3.5 s for that.

Change: readers are chosen among the daemons that callers are sent to, whose links are ten times as wide; where all are alike, nothing changes.

Conclusion: at 2,200 daemons even a wide link is not enough; a tree is needed there.

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -79,7 +79,8 @@
     exchange: Exchange,
     reading: Reading,
     place: readers::Place,
-    placed: u64,
+    /// Members and entries that `place` was made of.
+    placed: (u64, usize),
     /// State of each daemon as last logged.
     states: BTreeMap<String, State>,
     announced: Time,
@@ -107,6 +108,13 @@
     phase: Phase,
 }
 
+impl Published {
+    /// What a daemon's place in the fleet depends on.
+    fn placed(&self) -> (u64, usize) {
+        (self.members, self.daemons.len())
+    }
+}
+
 /// Runs control until the daemon stops.
 pub(crate) async fn run(
     start: Start,
@@ -139,7 +147,7 @@
             alive: 1,
             spread: rand::random(),
         },
-        placed: 0,
+        placed: (0, 0),
         states: BTreeMap::new(),
         announced: Time::ZERO,
         absent: Absent::default(),
@@ -284,16 +292,15 @@
 
     /// Begins or ends reading the store.
     fn decide_reading(&mut self, now: Time) {
-        if self.placed != self.membership.changes() {
-            self.placed = self.membership.changes();
+        if self.placed != self.published.placed() {
+            self.placed = self.published.placed();
             self.log_members();
-            let alive = || {
-                let all = self.membership.present();
-                all.filter(|m| m.fact.state == State::Alive)
-                    .map(|m| m.fact.id)
-            };
-            self.place.ranked = readers::ranked(self.me, alive());
-            self.place.alive = alive().count();
+            let entries = self.entries();
+            let alive = entries.iter().filter(|e| e.open);
+            self.place.alive = alive.count();
+            // The large ones, because each reader gives every change to all the others.
+            let large = addresses::named(&entries);
+            self.place.ranked = readers::ranked(self.me, large.iter().map(|e| e.id));
         }
         let wanted = self.reading.wanted(now, self.place, self.knowledge.read);
         if wanted && self.session.is_none() {
@@ -319,6 +326,24 @@
         self.advance(now, socket).await
     }
 
+    /// Daemons that callers may be sent to.
+    fn entries(&self) -> Vec<Entry> {
+        let cores = &self.knowledge.daemons;
+        // A suspect is named only while there is nobody else: its death takes seconds to settle.
+        let mut others = self.membership.present().filter(|m| m.fact.id != self.me);
+        let alive = others.any(|m| m.fact.state == State::Alive) || self.phase == Phase::Serving;
+        let takes_callers = |state| state == State::Alive || (state == State::Suspect && !alive);
+        let entries = self.membership.present().map(|m| Entry {
+            id: m.fact.id,
+            addr: SocketAddr::new(m.fact.place.gossip.ip(), m.fact.place.http),
+            centre: m.fact.place.centre.clone(),
+            open: takes_callers(m.fact.state)
+                && (m.fact.id != self.me || self.phase == Phase::Serving),
+            capacity: cores.get(&m.fact.place.name).copied().unwrap_or(0.0),
+        });
+        entries.collect()
+    }
+
     /// Hands traffic a new view if something changed.
     fn publish(&mut self) {
         let fresh = Published {
@@ -346,22 +371,9 @@
             .members()
             .filter(|m| m.fact.state != State::Dead || now.since(m.changed) < COUNT_DEAD);
         let daemons: Vec<NodeId> = counted.map(|m| m.fact.id).collect();
-        let cores = &self.knowledge.daemons;
-        // A suspect is named only while there is nobody else: its death takes seconds to settle.
-        let mut others = self.membership.present().filter(|m| m.fact.id != self.me);
-        let alive = others.any(|m| m.fact.state == State::Alive) || self.phase == Phase::Serving;
-        let takes_callers = |state| state == State::Alive || (state == State::Suspect && !alive);
-        let entries = self.membership.present().map(|m| Entry {
-            id: m.fact.id,
-            addr: SocketAddr::new(m.fact.place.gossip.ip(), m.fact.place.http),
-            centre: m.fact.place.centre.clone(),
-            open: takes_callers(m.fact.state)
-                && (m.fact.id != self.me || self.phase == Phase::Serving),
-            capacity: cores.get(&m.fact.place.name).copied().unwrap_or(0.0),
-        });
-        let entries: Vec<Entry> = entries.collect();
+        let entries = self.entries();
         let named = addresses::named(&entries);
-        let recorded: Vec<f64> = cores.values().copied().collect();
+        let recorded: Vec<f64> = self.knowledge.daemons.values().copied().collect();
         let view = View {
             sharers: shares::sharers(named.len(), &recorded),
             users: shares::sharers(daemons.len(), &vec![1.0; recorded.len()]),
--- a/crates/demo/tests/tier.rs
+++ b/crates/demo/tests/tier.rs
@@ -540,3 +540,20 @@
         assert_eq!(runs(&servers[1..], "hedged"), 1);
     });
 }
+
+/// A reader gives each change to all others, which takes a small VM's link or processor too long.
+#[test]
+fn the_large_daemons_read_the_store() {
+    with_bed(2, async |bed| {
+        bed.start_sized(2, 4.0).unwrap();
+        bed.ready().await.unwrap();
+        // A daemon that began to read because it was stale does so for five seconds.
+        sleep(Duration::from_secs(8)).await;
+        let mut reads = Vec::new();
+        for daemon in &bed.daemons {
+            let state = daemon.state().await.unwrap();
+            reads.push(state["reads_store"] == true);
+        }
+        assert_eq!(reads, [false, false, true, true]);
+    });
+}
