Follow the first view also if it was published before traffic started

The traffic thread took the view in force at its start as one that it had already followed. If control had published before, as on a busy machine, it had no links to targets until the next change.

Change: the thread starts with no view.

Ruled out: connections that could not be made under load (nothing was tried).

--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -78,7 +78,8 @@
             retry: Budget::new(ratio * RETRY_RATIO_SHARE, 1.0),
         };
         let traffic = Rc::new(Self {
-            view: RefCell::new(shared.load_full()),
+            // The first view is followed like any other, also if it is there already.
+            view: RefCell::default(),
             shared,
             links: RefCell::default(),
             next_link: Cell::new(0),
--- a/crates/demo/tests/tier.rs
+++ b/crates/demo/tests/tier.rs
@@ -557,3 +557,35 @@
         assert_eq!(reads, [false, false, true, true]);
     });
 }
+
+/// On a busy machine the traffic thread may start after control has published its first view;
+/// that view counts all the same.
+#[test]
+fn a_daemon_that_starts_on_a_busy_machine_serves_as_soon_as_it_is_ready() {
+    let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let busy: Vec<_> = (0..24)
+        .map(|_| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    std::hint::spin_loop();
+                }
+            })
+        })
+        .collect();
+    with_bed(1, async |bed| {
+        for i in 0..30 {
+            bed.daemons
+                .drain(..)
+                .for_each(rattanturn_daemon::Tier::kill);
+            bed.start(1).unwrap();
+            bed.ready().await.unwrap();
+            let answer = ask(bed, "/one/x", &format!("b{i}")).await;
+            assert_eq!(answer.status, 200, "start {i}");
+        }
+    });
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    for thread in busy {
+        thread.join().unwrap();
+    }
+}
