Tell members directly of a join or a leave

Requests wait 500 ms for a keeper. Change: a leaving or joining daemon tells up to 64 members directly, a datagram each; gossip goes on from there. A newcomer's first probe is answered with the whole list. Also: the load tool counts the reasons of requests told "not run".

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -14,7 +14,7 @@
 use {
     crate::{NodeId, Time},
     message::fact_digest,
-    rand::{RngExt, SeedableRng},
+    rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, VecDeque},
@@ -41,6 +41,11 @@
 const FACT_SENDS: u32 = 1;
 /// Least time between two full exchanges with differing digests.
 const SYNC_INTERVAL: Duration = Duration::from_secs(5);
+/// Members that a daemon tells directly that it joined or leaves; gossip tells the others. One
+/// datagram each, so the burst stays near 10 kB.
+pub const DIRECT_NEWS: usize = 64;
+/// A daemon younger than this tells the members that it learns of that it joined.
+const JOIN_TIME: Duration = Duration::from_secs(2);
 /// Facts in one part of a full exchange.
 const SYNC_FACTS: usize = 12;
 /// Dead members are kept this long, to refuse late news of them.
@@ -86,6 +91,11 @@
     versions: Versions,
     digest: u64,
     news: Vec<News>,
+    /// Members to be told directly of this daemon's own fact.
+    untold: Vec<NodeId>,
+    /// Members that were told directly that this daemon joined.
+    told: usize,
+    first_tick: Option<Time>,
     order: VecDeque<NodeId>,
     probe: Option<Probe>,
     relays: Vec<Relay>,
@@ -120,6 +130,9 @@
             versions: Versions::default(),
             digest,
             news: Vec::new(),
+            untold: Vec::new(),
+            told: 0,
+            first_tick: None,
             order: VecDeque::new(),
             probe: None,
             relays: Vec::new(),
@@ -187,6 +200,10 @@
         fact.state = State::Leaving;
         fact.incarnation += 1;
         self.set(now, fact);
+        let mut others: Vec<NodeId> = self.others().map(|m| m.fact.id).collect();
+        others.shuffle(&mut self.rng);
+        others.truncate(DIRECT_NEWS);
+        self.untold = others;
     }
 
     /// Last words before the process ends: the receivers need not detect the death.
@@ -225,7 +242,8 @@
         if paused {
             self.forgive(now);
         }
-        let mut out = Vec::new();
+        self.first_tick.get_or_insert(now);
+        let mut out = self.tell_directly();
         self.relays.retain(|r| now.since(r.sent) < PROBE_INTERVAL);
         self.ask_helpers(now, &mut out);
         if now >= self.next_probe {
@@ -239,6 +257,9 @@
 
     /// Takes in a message from `from_addr`.
     pub fn receive(&mut self, now: Time, from_addr: SocketAddr, message: &Message) -> Vec<Send> {
+        // A newcomer introduces itself in its first probe and needs the list at once.
+        let probed = matches!(message.purpose, Purpose::Probe(_));
+        let newcomer = probed && !self.members.contains_key(&message.from);
         for fact in &message.facts {
             self.learn(now, fact);
         }
@@ -257,7 +278,7 @@
                 }
             }
         }
-        let stranger = !self.members.contains_key(&message.from);
+        let stranger = newcomer || !self.members.contains_key(&message.from);
         if stranger || (differs && now.since(self.last_sync) > SYNC_INTERVAL) {
             self.last_sync = now;
             self.sync(from_addr, true, &mut out);
@@ -265,6 +286,20 @@
         out
     }
 
+    /// Own news to members that should not have to wait for gossip.
+    fn tell_directly(&mut self) -> Vec<Send> {
+        let mut message = self.message(Purpose::Sync(false));
+        message.facts = vec![self.members[&self.me].fact.clone()];
+        let untold = std::mem::take(&mut self.untold);
+        let known = untold.iter().filter_map(|id| self.members.get(id));
+        known
+            .map(|m| Send {
+                to: m.fact.place.gossip,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
     fn others(&self) -> impl Iterator<Item = &Member> {
         self.present().filter(|m| m.fact.id != self.me)
     }
@@ -332,9 +367,7 @@
             }
         }
         let mut round: Vec<NodeId> = self.others().map(|m| m.fact.id).collect();
-        for i in (1..round.len()).rev() {
-            round.swap(i, self.rng.random_range(0..=i));
-        }
+        round.shuffle(&mut self.rng);
         self.order = round.into();
         self.order.pop_front()
     }
@@ -455,6 +488,12 @@
         if !newer {
             return;
         }
+        let young = self.first_tick.is_none_or(|t| now.since(t) < JOIN_TIME);
+        let unknown = fact.state != State::Dead && !self.members.contains_key(&fact.id);
+        if young && unknown && self.told < DIRECT_NEWS {
+            self.told += 1;
+            self.untold.push(fact.id);
+        }
         self.set(now, fact.clone());
         if fact.state != State::Dead {
             self.replace_old_run(now, fact);
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -52,7 +52,7 @@
     pub calls: [u64; 4],
     /// Answers that mixed snapshots, belonged to another request or claimed false coverage.
     pub wrong: u64,
-    /// Reasons of missing services.
+    /// Reasons of missing services and of requests told "not run".
     pub reasons: BTreeMap<String, u64>,
     /// Ids of requests told "not run".
     pub told_not_run: BTreeSet<String>,
@@ -295,6 +295,8 @@
             (_, Some("not-run")) => {
                 self.not_run += 1;
                 self.told_not_run.insert(id.into());
+                let reason = body["reason"].as_str().unwrap_or("").to_owned();
+                *self.reasons.entry(reason).or_default() += 1;
             }
             _ => self.unknown += 1,
         }
--- a/crates/standins/tests/membership.rs
+++ b/crates/standins/tests/membership.rs
@@ -1,6 +1,10 @@
 //! Membership under deaths, pauses, loss, partitions and replacement, in virtual time.
 
-use {rattanturn_core::membership::State, rattanturn_standins::gossip::Net, std::time::Duration};
+use {
+    rattanturn_core::membership::{DIRECT_NEWS, State},
+    rattanturn_standins::gossip::Net,
+    std::time::Duration,
+};
 
 const SEED: u64 = 5;
 const LONG: Duration = Duration::from_mins(2);
@@ -101,6 +105,54 @@
     assert!(took < Duration::from_secs(5), "{took:?}");
 }
 
+/// A request for a journal waits 500 ms for daemons to agree on its keeper, so half of that is left
+/// for them to learn who left or joined.
+const AGREEMENT: Duration = Duration::from_millis(250);
+
+#[test]
+fn all_learn_at_once_who_leaves() {
+    for count in [9, 60] {
+        let mut net = settled(count);
+        let now = net.now;
+        net.nodes[2].membership.leave(now);
+        net.nodes[5].membership.leave(now);
+        let known = |net: &Net| {
+            (0..count).all(|o| {
+                [2, 5]
+                    .iter()
+                    .all(|m| net.state(o, *m) == Some(State::Leaving))
+            })
+        };
+        let took = net.run_until(LONG, known).expect("the leave was not heard");
+        assert!(took <= AGREEMENT, "{count} members: {took:?}");
+    }
+}
+
+#[test]
+fn all_learn_at_once_who_joins() {
+    for count in [9, 60] {
+        let mut net = settled(count);
+        net.join(count, SEED);
+        let took = net
+            .run_until(LONG, Net::agreed)
+            .expect("the newcomer was not heard");
+        assert!(took <= AGREEMENT, "{count} members: {took:?}");
+    }
+}
+
+/// News told directly is bounded, whatever the fleet's size.
+#[test]
+fn a_leaving_member_of_many_sends_a_bounded_number_of_messages() {
+    let mut net = settled(300);
+    net.reset_counts();
+    let now = net.now;
+    net.nodes[2].membership.leave(now);
+    net.run(AGREEMENT);
+    // Beside the news, a probe and a few answers.
+    let most = DIRECT_NEWS as u64 + 8;
+    assert!(net.nodes[2].messages <= most, "{}", net.nodes[2].messages);
+}
+
 #[test]
 fn every_member_replaced_one_after_another() {
     let mut net = settled(8);
