Say why a service cannot be served; report all findings of a file; complete commands

Cause: `status` told versions but not why a service has no target; the first line that is not INI hid all other findings; an answer that covered nothing claimed `ran`; no example of all settings, no completions; `status` could not ask daemons of the tier, whose dump lacked addresses. Change: `problems` in the state dump of both kinds of daemon, printed by `status`; broken lines become findings and the rest is read on; the outcome of an answer without any part is `unknown`; examples/settings.ini; `rattanturn completions` made from the tool's own help. Tests: tables/tests/findings.rs (two), cli/tests/files.rs, demo/tests/status.rs; none passed before.

--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -6,6 +6,7 @@
     rattanturn_core::gather::trace,
     serde_json::Value,
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         path::Path,
         time::{Duration, SystemTime, UNIX_EPOCH},
@@ -61,16 +62,28 @@
 pub(crate) async fn status(admin: SocketAddr, json: bool) -> Outcome {
     let first = get(admin, "/state").await?;
     let mut rows = Vec::new();
+    let mut problems: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for member in first["members"].as_array().into_iter().flatten() {
         let addr = member["admin"].as_str().and_then(|a| a.parse().ok());
         let state = match addr {
             Some(addr) if member["state"] != "Dead" => get(addr, "/state").await.ok(),
             _ => None,
         };
+        let name = member["name"].as_str().unwrap_or("");
+        let own = state.iter().filter_map(|s| s["problems"].as_array());
+        for problem in own.flatten().filter_map(Value::as_str) {
+            problems
+                .entry(problem.into())
+                .or_default()
+                .push(name.into());
+        }
         rows.push(row(member, state.as_ref()));
     }
     if json {
-        println!("{:#}", Value::Array(rows));
+        println!(
+            "{:#}",
+            serde_json::json!({"daemons": rows, "problems": problems})
+        );
         return Ok(());
     }
     println!(
@@ -94,6 +107,9 @@
             text("requests")
         );
     }
+    for (problem, names) in problems {
+        println!("{problem} (says {})", names.join(", "));
+    }
     Ok(())
 }
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `rattanturn`: the operators' command-line tool.
 
 mod ask;
+mod completions;
 mod tables;
 
 use std::{
@@ -78,7 +79,7 @@
                 /// Address of the daemon for operators.
                 required --admin addr: SocketAddr
             }
-            /// Prints a line for each daemon: state and versions in force.
+            /// Prints a line for each daemon, and why services cannot be served.
             cmd status {
                 /// Address of any daemon for operators.
                 required --admin addr: SocketAddr
@@ -99,12 +100,18 @@
                 /// Log files, one for each daemon.
                 repeated files: PathBuf
             }
+            /// Prints a completion script for bash.
+            cmd completions {
+            }
             /// Replays a recorded query trace and checks its stated outcome.
             cmd replay {
                 required trace: PathBuf
             }
         }
     }
+
+    /// The tool's help.
+    pub(crate) const HELP: &str = Rattanturn::HELP_;
 }
 
 /// Why a command did not succeed.
@@ -158,6 +165,10 @@
         Cmd::Status(c) => ask::status(c.admin, c.json).await,
         Cmd::Explain(c) => explain(&c),
         Cmd::Worst(c) => worst(&c),
+        Cmd::Completions(_) => {
+            print!("{}", completions::bash(flags::HELP));
+            Ok(())
+        }
         Cmd::Replay(c) => ask::replay(&c.trace),
     }
 }
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -48,3 +48,12 @@
     assert_eq!(unreadable.status.code(), Some(5));
     fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn completions_know_all_commands_and_their_options() {
+    let script = String::from_utf8(run(&["completions"]).stdout).unwrap();
+    let commands = "check show diff apply query addresses state status explain worst";
+    assert!(script.contains(commands), "{script}");
+    let apply = "apply) words=\"--platform --base --editor --allow-unknown\"";
+    assert!(script.contains(apply), "{script}");
+}
--- a/crates/daemon/src/control/dump.rs
+++ b/crates/daemon/src/control/dump.rs
@@ -54,6 +54,30 @@
             "members": self.membership.members().map(member).collect::<Vec<_>>(),
             "units": routing.units.iter().map(unit).collect::<Vec<_>>(),
             "threads": threads,
+            "problems": self.problems(&routing),
         })
     }
+
+    /// A line for each reason why something cannot be served now.
+    fn problems(&self, routing: &routing::Routing) -> Vec<String> {
+        if self.tables.version() == 0 {
+            return vec!["no tables are known yet: the platform has not been read".into()];
+        }
+        let mut out = Vec::new();
+        for (pool, services) in &routing.services {
+            let names = routing.tables.pools.get(pool).map(|p| &p.services);
+            for (service, targets) in names.into_iter().flatten().zip(services) {
+                let held = |t: &usize| routing.unit_of(*t).is_some_and(|u| u.holder.is_some());
+                let why = if targets.is_empty() {
+                    "all its targets are in data centres taken out"
+                } else if !targets.iter().any(held) {
+                    "no daemon is near its targets to hold them"
+                } else {
+                    continue;
+                };
+                out.push(format!("service {pool}/{}: {why}", service.name));
+            }
+        }
+        out
+    }
 }
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -5,6 +5,7 @@
 //! [`rattanturn_core::readers`].
 
 mod members;
+mod problems;
 mod shutdown;
 
 use {
@@ -416,20 +417,32 @@
         let members: Vec<Value> = self
             .membership
             .members()
-            .map(|m| json!({"name": m.fact.place.name, "state": format!("{:?}", m.fact.state)}))
+            .map(|m| {
+                let place = &m.fact.place;
+                json!({
+                    "name": place.name,
+                    "centre": place.centre,
+                    "admin": SocketAddr::new(place.gossip.ip(), place.admin),
+                    "state": format!("{:?}", m.fact.state),
+                    "tables": m.versions.tables,
+                    "panels": m.versions.panels,
+                })
+            })
             .collect();
         json!({
             "name": self.settings.name,
             "front": self.front,
             "phase": format!("{:?}", self.phase),
-            "catalog": self.knowledge.version(),
+            "centre": self.settings.centre,
+            "tables": self.knowledge.version(),
             "fleet_revision": self.knowledge.revision,
             "reads_store": self.session.is_some(),
             "targets": self.knowledge.fleet.targets().count(),
             "out": self.knowledge.out,
             "members": members,
+            "problems": self.problems(),
             "store_failures": self.knowledge.failures,
-            "open_requests": self.gauges.open.load(Ordering::Relaxed),
+            "requests": self.gauges.open.load(Ordering::Relaxed),
             "links": self.gauges.links.load(Ordering::Relaxed),
             "connections": self.gauges.connections.load(Ordering::Relaxed),
         })
--- /dev/null
+++ b/crates/daemon/src/tier/control/problems.rs
@@ -0,0 +1,66 @@
+//! Why a service cannot be served, in words for operators.
+
+use {
+    crate::tier::control::Control,
+    rattanturn_core::catalog::{Catalog, Destination, Route},
+    std::collections::BTreeMap,
+};
+
+impl Control {
+    /// A line for each reason why something cannot be served now.
+    pub(super) fn problems(&self) -> Vec<String> {
+        let Some(catalog) = &self.knowledge.catalog else {
+            return vec!["no configuration is known yet: the store has not been read".into()];
+        };
+        let mut out: Vec<String> = self.knowledge.failures.iter().map(store_lost).collect();
+        let routes = routes_by_service(catalog);
+        out.extend(routes.iter().filter_map(|(service, names)| {
+            let why = self.unserved(service)?;
+            Some(format!("service {service} of {}: {why}", names.join(", ")))
+        }));
+        out
+    }
+
+    /// Why no target of a service may be called; `None` if one may.
+    fn unserved(&self, service: &str) -> Option<String> {
+        let targets = self.knowledge.fleet.targets();
+        let all: Vec<_> = targets.filter(|t| t.service == service).collect();
+        let out = |centre: &str| self.knowledge.out.contains(centre);
+        let leaving = all.iter().filter(|t| t.leaving).count();
+        let taken = all.iter().filter(|t| !t.leaving && out(&t.centre)).count();
+        if leaving + taken < all.len() {
+            return None;
+        }
+        Some(if all.is_empty() {
+            "no target is registered".into()
+        } else {
+            format!(
+                "of {} targets {leaving} leave and {taken} are in data centres taken out",
+                all.len()
+            )
+        })
+    }
+}
+
+fn store_lost((kind, failures): (&&'static str, &u64)) -> String {
+    format!("the store is lost: {failures} calls for `{kind}` failed in a row")
+}
+
+/// Names of the routes that need each service.
+fn routes_by_service(catalog: &Catalog) -> BTreeMap<&str, Vec<&str>> {
+    let mut out: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for route in catalog.routes() {
+        for service in services(route) {
+            out.entry(service).or_default().push(&route.name);
+        }
+    }
+    out
+}
+
+fn services(route: &Route) -> Vec<&str> {
+    match &route.destination {
+        Destination::One(service) => vec![service],
+        Destination::Split(shares) => shares.iter().map(|s| s.service.as_str()).collect(),
+        Destination::Gather(gather) => gather.services.iter().map(String::as_str).collect(),
+    }
+}
--- a/crates/daemon/src/traffic/entry.rs
+++ b/crates/daemon/src/traffic/entry.rs
@@ -442,7 +442,8 @@
         _ => 504,
     };
     let merged = Merged {
-        outcome: "ran",
+        // Calls without an answer may have run.
+        outcome: if answered > 0 { "ran" } else { "unknown" },
         route: &query.route.name,
         snapshot: answer.snapshot,
         tables: answer.tables,
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -54,6 +54,8 @@
     pub wrong: u64,
     /// Reasons of missing services and of requests told "not run".
     pub reasons: BTreeMap<String, u64>,
+    /// Outcomes that answers name.
+    pub outcomes: BTreeMap<String, u64>,
     /// Ids of requests told "not run".
     pub told_not_run: BTreeSet<String>,
 }
@@ -72,6 +74,7 @@
             calls: [0; 4],
             wrong: 0,
             reasons: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
             told_not_run: BTreeSet::new(),
         }
     }
@@ -251,7 +254,9 @@
 
 impl Seen {
     fn count(&mut self, status: u16, body: &serde_json::Value, id: &str, took: u64) {
-        if body["outcome"] != "ran" {
+        let outcome = body["outcome"].as_str().unwrap_or("").to_owned();
+        *self.outcomes.entry(outcome).or_default() += 1;
+        if body["outcome"] == "not-run" {
             self.not_run += 1;
             return;
         }
--- /dev/null
+++ b/crates/demo/tests/status.rs
@@ -0,0 +1,63 @@
+//! What operators and callers are told when something cannot be served.
+
+use {
+    actix_rt::{System, time::sleep},
+    rattanturn_demo::{
+        bed::{Bed, Options},
+        load::{Finder, Stream, run},
+        tier_bed::{self, PLAIN, TierBed},
+    },
+    rattanturn_standins::operator::withdraw,
+    std::time::Duration,
+};
+
+const ROUTES: &str = "[route search]\nkind = fan-out\npool = p\ndeadline = 300ms\n";
+const POOLS: &str = "[data-centre east]\nregion = r\nstate = in\n\
+    [pool p]\nslots = 3\nconnections = 30\n\
+    [service p/one]\ntargets = east@127.0.0.1:9001\n";
+
+#[test]
+fn the_tier_says_why_a_service_cannot_be_served() {
+    System::new().block_on(async {
+        let options = tier_bed::Options {
+            shards: 2,
+            daemons: 1,
+        };
+        let bed = TierBed::spawn(options).await.unwrap();
+        let state = bed.daemons[0].state().await.unwrap();
+        assert_eq!(state["problems"], serde_json::json!([]), "{state:#}");
+        for server in bed.servers.iter().filter(|s| s.shape().service == PLAIN) {
+            withdraw(&bed.store, server);
+        }
+        sleep(Duration::from_secs(2)).await;
+        let state = bed.daemons[0].state().await.unwrap();
+        let problems = state["problems"].to_string();
+        assert!(problems.contains("no target is registered"), "{problems}");
+        assert!(problems.contains(PLAIN), "{problems}");
+    });
+}
+
+#[test]
+fn an_answer_that_covers_nothing_does_not_claim_that_it_ran() {
+    System::new().block_on(async {
+        let mut options = Options::new(ROUTES, POOLS);
+        options.daemons = 2;
+        options.distance = Duration::ZERO;
+        let bed = Bed::spawn(options).await.unwrap();
+        bed.ready().await.unwrap();
+        for target in &bed.targets {
+            target.state.set_leaving(true);
+        }
+        let stream = Stream {
+            route: "search".into(),
+            rate: 20.0,
+            idempotent: true,
+        };
+        let finder = Finder::new(bed.entries(), "east");
+        let seen = run(finder, stream, Duration::from_secs(1), 3).await;
+        assert_eq!((seen.full, seen.partial, seen.wrong), (0, 0, 0), "{seen:?}");
+        assert!(seen.outcomes.contains_key("unknown"), "{seen:?}");
+        assert!(!seen.outcomes.contains_key("ran"), "{seen:?}");
+        bed.end();
+    });
+}
--- a/crates/tables/src/reader.rs
+++ b/crates/tables/src/reader.rs
@@ -35,27 +35,21 @@
 }
 
 impl<'a> Reader<'a> {
-    /// Parses `text`; a syntax error becomes the only finding.
+    /// Parses `text`; lines that are not INI become findings, and the rest is read on.
     pub(crate) fn open(file: &'a str, text: &str) -> Result<Self, Findings> {
-        let option = ParseOption {
-            enabled_escape: false,
-            ..ParseOption::default()
+        let mut findings = Findings::default();
+        let ini = match parse(text) {
+            Ok(ini) => ini,
+            Err(_) => parse(&without_broken_lines(file, text, &mut findings)).map_err(|e| {
+                findings.list.push(not_ini(file, e.line, &e.msg));
+                findings.clone()
+            })?,
         };
-        let ini = Ini::load_from_str_opt(text, option).map_err(|e| Findings {
-            list: vec![Finding {
-                file: file.into(),
-                line: e.line,
-                section: String::new(),
-                problem: format!("not INI: {}", e.msg),
-                remedy: "write [section] headings and key = value lines".into(),
-                severity: Severity::Error,
-            }],
-        })?;
         Ok(Self {
             file,
             ini,
             heads: heads(text),
-            findings: RefCell::default(),
+            findings: RefCell::new(findings),
         })
     }
 
@@ -245,6 +239,45 @@
     }
 }
 
+fn parse(text: &str) -> Result<Ini, ini::ParseError> {
+    let option = ParseOption {
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    Ini::load_from_str_opt(text, option)
+}
+
+/// The text with an empty line in place of each that is no heading, key or comment.
+fn without_broken_lines(file: &str, text: &str, findings: &mut Findings) -> String {
+    let mut out = String::with_capacity(text.len());
+    for (i, raw) in text.lines().enumerate() {
+        let line = raw.trim();
+        let whole = if line.starts_with('[') {
+            line.contains(']')
+        } else {
+            line.is_empty() || line.starts_with([';', '#']) || line.contains(['=', ':'])
+        };
+        if whole {
+            out.push_str(raw);
+        } else {
+            findings.list.push(not_ini(file, i + 1, line));
+        }
+        out.push('\n');
+    }
+    out
+}
+
+fn not_ini(file: &str, line: usize, why: &str) -> Finding {
+    Finding {
+        file: file.into(),
+        line,
+        section: String::new(),
+        problem: format!("not INI: {why}"),
+        remedy: "write [section] headings and key = value lines".into(),
+        severity: Severity::Error,
+    }
+}
+
 /// Reads a duration with its unit.
 fn duration(text: &str) -> Result<Duration, &'static str> {
     let end = text
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -98,3 +98,65 @@
     assert_eq!(lines.len(), 4, "{findings}");
     assert!(lines.contains(&3) && lines.contains(&4) && lines.contains(&6));
 }
+
+/// Lines that are not INI at all do not hide what is wrong with the others.
+#[test]
+fn a_line_that_is_not_ini_hides_no_other_finding() {
+    let pools = "[data-centre a]\nregion = r\nstray words\n[pool p]\nslots = 0\n[broken\n";
+    let findings = tables(ROUTES, pools).unwrap_err();
+    let at = |line: usize| {
+        let found = findings
+            .list
+            .iter()
+            .find(|f| f.file == "pools.ini" && f.line == line);
+        found.map(|f| f.problem.clone()).unwrap_or_default()
+    };
+    assert!(at(3).starts_with("not INI"), "{findings}");
+    assert!(at(5).contains("zero"), "{findings}");
+    assert!(at(6).starts_with("not INI"), "{findings}");
+    assert!(
+        findings.list.iter().any(|f| f.file == "routes.ini"),
+        "{findings}"
+    );
+}
+
+/// The example names every setting, so that a new one cannot be left out of it.
+#[test]
+fn the_example_of_all_settings_is_whole() {
+    let text = include_str!("../../../examples/settings.ini");
+    let (settings, findings) = Settings::parse("settings.ini", text).unwrap();
+    assert!(findings.list.is_empty(), "{findings}");
+    assert!(settings.tier.is_some() && settings.peer_port.is_some());
+    for key in KEYS {
+        let named = text.lines().any(|l| l.split(" =").next() == Some(key));
+        assert!(named, "`{key}` is missing in the example");
+    }
+}
+
+/// All keys of a daemon's settings.
+const KEYS: [&str; 24] = [
+    "name",
+    "data-centre",
+    "ip",
+    "http-port",
+    "admin-port",
+    "rpc-port",
+    "gossip-port",
+    "peers",
+    "peer-port",
+    "threads",
+    "drain-limit",
+    "max-body",
+    "holding",
+    "shares",
+    "peer-delay",
+    "front",
+    "ready",
+    "directory",
+    "cores",
+    "repeat-ratio",
+    "repeat-slack",
+    "address",
+    "level",
+    "format",
+];
