Turn logs into an HTML page with plots

Change: `rattanturn report`, drawn with plotters as SVG inside one page; log lines of whole answers say how many requests they stand for; lines carry their date, so a log over midnight stays in order. Test: cli/tests/files.rs, a_report_draws_what_the_logs_hold.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -4,63 +4,13 @@
 //! say what the daemon came to believe shortly before: configuration, targets, peers, the store.
 
 use {
-    serde_json::Value,
-    std::{collections::BTreeMap, fmt::Write},
+    crate::lines::{Line, read},
+    std::fmt::Write,
 };
 
 /// Lines from this long before a request began are part of its story, in seconds.
 const BEFORE_S: f64 = 5.0;
 
-/// A line of a daemon's log.
-#[derive(Clone, Debug)]
-struct Line {
-    source: String,
-    /// Seconds since midnight, for the order of lines.
-    time: f64,
-    stamp: String,
-    fields: BTreeMap<String, Value>,
-}
-
-impl Line {
-    fn parse(source: &str, text: &str) -> Option<Self> {
-        // Other programs may have put something before the line.
-        let json: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
-        let stamp = json.get("timestamp")?.as_str()?.to_owned();
-        let fields = json.get("fields")?.as_object()?;
-        Some(Self {
-            source: source.into(),
-            time: seconds(&stamp)?,
-            stamp,
-            fields: fields.clone().into_iter().collect(),
-        })
-    }
-
-    fn text(&self, key: &str) -> &str {
-        self.fields.get(key).and_then(Value::as_str).unwrap_or("")
-    }
-
-    fn number(&self, key: &str) -> u64 {
-        self.fields.get(key).and_then(Value::as_u64).unwrap_or(0)
-    }
-
-    fn is_request(&self) -> bool {
-        self.text("message") == "request"
-    }
-
-    /// Whether the request was refused before it had a route.
-    fn is_refusal(&self) -> bool {
-        self.text("message") == "request refused"
-    }
-}
-
-/// Seconds since midnight of a time stamp such as `2026-05-04T18:11:12.123341Z`.
-fn seconds(stamp: &str) -> Option<f64> {
-    let time = stamp.split_once('T')?.1.trim_end_matches('Z');
-    let mut parts = time.split(':').map(|p| p.parse::<f64>().ok());
-    let mut next = || parts.next().flatten();
-    Some(next()? * 3600.0 + next()? * 60.0 + next()?)
-}
-
 /// The story of a request from the logs; `None` if no log has a line of it.
 ///
 /// Each log is a name and its lines.
@@ -126,17 +76,6 @@
     (rank, answered)
 }
 
-/// All lines of all logs in order of time.
-fn read(logs: &[(String, String)]) -> Vec<Line> {
-    let parse = |(source, text): &(String, String)| {
-        let lines = text.lines().filter_map(|l| Line::parse(source, l));
-        lines.collect::<Vec<_>>()
-    };
-    let mut lines: Vec<Line> = logs.iter().flat_map(parse).collect();
-    lines.sort_by(|a, b| a.time.total_cmp(&b.time));
-    lines
-}
-
 fn tell(out: &mut String, request: &Line, lines: &[Line]) {
     // Writing to a string cannot fail.
     if request.is_refusal() {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -100,6 +100,13 @@
                 /// Log files, one for each daemon.
                 repeated files: PathBuf
             }
+            /// Turns the daemons' log files into one HTML page with plots.
+            cmd report {
+                /// File that gets the page.
+                required --into file: PathBuf
+                /// Log files, one for each daemon.
+                repeated files: PathBuf
+            }
             /// Prints a completion script for bash.
             cmd completions {
             }
@@ -165,6 +172,7 @@
         Cmd::Status(c) => ask::status(c.admin, c.json).await,
         Cmd::Explain(c) => explain(&c),
         Cmd::Worst(c) => worst(&c),
+        Cmd::Report(c) => report(&c),
         Cmd::Completions(_) => {
             print!("{}", completions::bash(flags::HELP));
             Ok(())
@@ -202,6 +210,15 @@
     Ok(())
 }
 
+fn report(flags: &flags::Report) -> Outcome {
+    let logs = read_logs(&flags.files)?;
+    let Some(page) = rattanturn_cli::report::report(&logs) else {
+        let why = "these files hold no line of a daemon that logs JSON".into();
+        return Err(Failed(Failure::Absent, why));
+    };
+    std::fs::write(&flags.into, page).map_err(|e| tables::unwritable(&flags.into, &e))
+}
+
 /// Log files by name, and what they hold.
 fn read_logs(files: &[PathBuf]) -> Result<Vec<(String, String)>, Failed> {
     let read = |path: &PathBuf| {
--- a/crates/cli/src/tables.rs
+++ b/crates/cli/src/tables.rs
@@ -51,7 +51,7 @@
     Ok(())
 }
 
-fn unwritable(path: &Path, error: &std::io::Error) -> Failed {
+pub(crate) fn unwritable(path: &Path, error: &std::io::Error) -> Failed {
     Failed(
         Failure::Unreadable,
         format!("cannot write {}: {error}", path.display()),
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -19,7 +19,7 @@
     path
 }
 
-fn text(path: &Path) -> &str {
+fn text_of(path: &Path) -> &str {
     path.to_str().unwrap()
 }
 
@@ -27,12 +27,12 @@
 fn a_faulty_file_and_an_unreadable_one_have_different_codes() {
     let folder = folder("codes");
     let (routes, pools) = (folder.join("routes.ini"), folder.join("pools.ini"));
-    let missing = run(&["check", text(&routes), text(&pools)]);
+    let missing = run(&["check", text_of(&routes), text_of(&pools)]);
     assert_eq!(missing.status.code(), Some(5));
     assert!(String::from_utf8_lossy(&missing.stderr).contains("routes.ini"));
     fs::write(&routes, "[route:a]\npool = nowhere\n").unwrap();
     fs::write(&pools, "").unwrap();
-    let faulty = run(&["check", text(&routes), text(&pools)]);
+    let faulty = run(&["check", text_of(&routes), text_of(&pools)]);
     assert_eq!(faulty.status.code(), Some(1));
     fs::remove_dir_all(folder).unwrap();
 }
@@ -42,9 +42,9 @@
     let folder = folder("explain");
     let log = folder.join("a1.log");
     fs::write(&log, "not JSON\n{\"timestamp\":\"x\"}\n").unwrap();
-    let absent = run(&["explain", "r1", text(&log)]);
+    let absent = run(&["explain", "r1", text_of(&log)]);
     assert_eq!(absent.status.code(), Some(1));
-    let unreadable = run(&["explain", "r1", text(&folder.join("none.log"))]);
+    let unreadable = run(&["explain", "r1", text_of(&folder.join("none.log"))]);
     assert_eq!(unreadable.status.code(), Some(5));
     fs::remove_dir_all(folder).unwrap();
 }
@@ -57,3 +57,28 @@
     let apply = "apply) words=\"--platform --base --editor --allow-unknown\"";
     assert!(script.contains(apply), "{script}");
 }
+
+#[test]
+fn a_report_draws_what_the_logs_hold() {
+    let folder = folder("report");
+    let (log, page) = (folder.join("a1.log"), folder.join("page.html"));
+    let line = |second: usize, outcome: &str, parts: usize| {
+        format!(
+            "{{\"timestamp\":\"2026-05-04T23:59:{second:02}.5Z\",\"fields\":{{\"message\":\"request\",\
+             \"request\":\"r{second}\",\"route\":\"sweep<&>\",\"outcome\":\"{outcome}\",\
+             \"parts\":{parts},\"of\":4,\"extra\":1,\"took_ms\":{second},\"stands_for\":1}}}}\n"
+        )
+    };
+    let mut text = String::from("not a line of a daemon\n");
+    text.extend((10..40).map(|s| line(s, "partial", 3)));
+    text += &line(41, "not-run", 0);
+    fs::write(&log, text).unwrap();
+    let made = run(&["report", "--into", text_of(&page), text_of(&log)]);
+    assert!(made.status.success(), "{made:?}");
+    let html = fs::read_to_string(&page).unwrap();
+    assert_eq!(html.matches("<svg").count(), 4, "no change was taken in");
+    assert!(html.contains("<td>sweep&lt;&amp;&gt;<td>1<td>30"), "{html}");
+    let empty = run(&["report", "--into", text_of(&page), text_of(&page)]);
+    assert_eq!(empty.status.code(), Some(1));
+    fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -260,6 +260,7 @@
             calls = story.calls,
             extra = story.extra,
             took_ms = clock::millis(took),
+            stands_for = if ending == Ending::Whole { LOG_ONE_IN } else { 1 },
             "request"
         );
     }
