Serve metrics on a port that the deploy file can name

A datagram that cannot be read gets a debug line in the tier as it has elsewhere. Test: demo/tests/metrics.rs, a_taken_port_for_metrics_does_not_keep_a_daemon_from_serving.

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -67,6 +67,7 @@
     pub(crate) gossip: std::net::UdpSocket,
     pub(crate) rpc: TcpListener,
     pub(crate) admin: TcpListener,
+    pub(crate) metrics: Option<TcpListener>,
     pub(crate) ready: TcpListener,
     pub(crate) directory: TcpListener,
     pub(crate) shared: Shared,
@@ -130,6 +131,8 @@
     let socket = UdpSocket::from_std(start.gossip)?;
     let objects = Objects::default();
     let _admin = admin::spawn(start.admin, start.events.clone())?;
+    let metrics = start.metrics.map(|m| admin::spawn(m, start.events.clone()));
+    let _metrics = metrics.transpose()?;
     let _ready = directory::serve(start.ready, start.shared.clone())?;
     let _directory = directory::serve(start.directory, start.shared.clone())?;
     actix_rt::spawn(peers::serve(start.rpc, objects.clone()));
@@ -175,10 +178,12 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
-                if let Ok((len, from)) = received
-                    && let Ok(Datagram::Gossip(message)) = decode(&buffer[..len])
-                {
-                    control.gossip(&socket, from, &message).await;
+                if let Ok((len, from)) = received {
+                    if let Ok(Datagram::Gossip(message)) = decode(&buffer[..len]) {
+                        control.gossip(&socket, from, &message).await;
+                    } else {
+                        tracing::debug!(%from, "dropped a datagram that cannot be read");
+                    }
                 }
             }
             Some(item) = news.recv() => control.news(&socket, item).await,
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -57,6 +57,8 @@
     pub directory: SocketAddr,
     /// For operators.
     pub admin: SocketAddr,
+    /// For monitoring, if the settings name a port and it was free.
+    pub metrics: Option<SocketAddr>,
     /// For other daemons.
     pub gossip: SocketAddr,
 }
@@ -73,6 +75,11 @@
         let ready = crate::listen("readiness", tier.ready)?;
         let directory = crate::listen("the directory", tier.directory)?;
         let admin = crate::listen("operators", on(settings.admin_port))?;
+        let metrics = settings.metrics_port.and_then(|port| {
+            let bound = crate::listen("monitoring", on(port));
+            let warn = |error| tracing::warn!(%error, "metrics are served on admin-port only");
+            bound.map_err(warn).ok()
+        });
         let rpc = crate::listen("daemons", on(settings.rpc_port))?;
         let gossip_at = on(settings.gossip_port);
         let gossip = UdpSocket::bind(gossip_at)
@@ -95,6 +102,7 @@
             ready: ready.local_addr()?,
             directory: directory.local_addr()?,
             admin: admin.local_addr()?,
+            metrics: metrics.as_ref().and_then(|m| m.local_addr().ok()),
             gossip: place.gossip,
         };
         let start = control::Start {
@@ -105,6 +113,7 @@
             gossip,
             rpc,
             admin,
+            metrics,
             ready,
             directory,
             shared: shared.clone(),
--- a/crates/demo/src/bed.rs
+++ b/crates/demo/src/bed.rs
@@ -203,6 +203,7 @@
             ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
             http_port: 0,
             admin_port: 0,
+            metrics_port: None,
             rpc_port: 0,
             gossip_port: 0,
             platform: self.platform_addr,
--- a/crates/demo/src/tier_bed.rs
+++ b/crates/demo/src/tier_bed.rs
@@ -160,7 +160,7 @@
         let (number, centre) = (self.started, CENTRES[self.started % CENTRES.len()]);
         let text = format!(
             "[daemon]\nname = d{number}\ndata-centre = {centre}\nip = 127.0.0.1\n\
-             admin-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
+             admin-port = 0\nmetrics-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
              drain-limit = {DRAIN_LIMIT}\n\
              [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
              cores = {cores}\n[platform]\naddress = {store}\n",
--- a/crates/demo/tests/metrics.rs
+++ b/crates/demo/tests/metrics.rs
@@ -2,9 +2,11 @@
 
 use {
     actix_rt::{System, time::sleep},
+    rattanturn_daemon::Tier,
     rattanturn_demo::tier_bed::{Options, PLAIN, TierBed, get, request},
     rattanturn_standins::shard::Fault,
-    std::time::Duration,
+    rattanturn_tables::Settings,
+    std::{net::TcpListener, time::Duration},
 };
 
 /// Value of a series; its labels may come in any order.
@@ -17,6 +19,29 @@
     values.sum()
 }
 
+/// A port that is taken costs the metrics there, not the daemon.
+#[test]
+fn a_taken_port_for_metrics_does_not_keep_a_daemon_from_serving() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = taken.local_addr().unwrap().port();
+    let text = format!(
+        "[daemon]\nname = d0\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\n\
+         metrics-port = {port}\nrpc-port = 0\ngossip-port = 0\n\
+         [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
+         [platform]\naddress = 127.0.0.1:1\n"
+    );
+    System::new().block_on(async {
+        let (settings, _) = Settings::parse("daemon.ini", &text).unwrap();
+        let tier = settings.tier.unwrap();
+        let daemon = Tier::spawn(settings, tier).unwrap();
+        let at = daemon.addresses();
+        assert_eq!(at.metrics, None);
+        let answer = get(&format!("http://{}/metrics", at.admin)).await.unwrap();
+        assert_eq!(answer.status, 200);
+        daemon.kill();
+    });
+}
+
 #[test]
 fn metrics_tell_requests_calls_refusals_store_and_age() {
     System::new().block_on(async {
@@ -48,7 +73,9 @@
         );
         // Gauges are set each second.
         sleep(Duration::from_millis(1_500)).await;
-        let answer = get(&format!("http://{}/metrics", at.admin)).await.unwrap();
+        let answer = get(&format!("http://{}/metrics", at.metrics.unwrap()))
+            .await
+            .unwrap();
         let text = String::from_utf8(answer.body).unwrap();
 
         let requests = |outcome| value(&text, "rattanturn_requests_total", &["route=", outcome]);
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -40,6 +40,9 @@
     pub http_port: u16,
     /// Port for operators: metrics and state dump (HTTP); 0 takes a free one.
     pub admin_port: u16,
+    /// One more port for the same, which monitoring knows beforehand; the daemon serves without it
+    /// if it is taken.
+    pub metrics_port: Option<u16>,
     /// First port for other daemons (RPC); each traffic thread takes the next one.
     pub rpc_port: u16,
     /// Port for membership and leases (UDP).
@@ -148,6 +151,7 @@
         ip: daemon.parse("ip", IpAddr::V4(Ipv4Addr::LOCALHOST), "an IP address"),
         http_port: daemon.parse("http-port", 8080, "a port"),
         admin_port: daemon.parse("admin-port", 8081, "a port"),
+        metrics_port: None,
         rpc_port: daemon.parse("rpc-port", 8090, "a port"),
         gossip_port: daemon.parse("gossip-port", 8082, "a port"),
         platform: platform.parse("address", unset, "IP:PORT"),
@@ -167,9 +171,9 @@
         peer_port: None,
         tier: None,
     };
-    if daemon.text("peer-port").is_some() {
-        settings.peer_port = Some(daemon.parse("peer-port", 0, "a port"));
-    }
+    let port = |key| daemon.text(key).map(|_| daemon.parse(key, 0, "a port"));
+    settings.metrics_port = port("metrics-port");
+    settings.peer_port = port("peer-port");
     if let Some(tier) = reader.sections("tier").first() {
         for key in ["front", "ready", "directory"] {
             tier.required(key);
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -134,12 +134,13 @@
 }
 
 /// All keys of a daemon's settings.
-const KEYS: [&str; 24] = [
+const KEYS: [&str; 25] = [
     "name",
     "data-centre",
     "ip",
     "http-port",
     "admin-port",
+    "metrics-port",
     "rpc-port",
     "gossip-port",
     "peers",
