Add a randomized soak that runs real daemons as processes

Change: crates/soak: daemons as processes on loopback addresses of their own, stand-ins of store and targets behind proxies that delay, silence, cut one way or reset; signals that pause, kill, stop and reload; store modes, edits, drains, data centres taken out. Faults are drawn from a seed and overlap; callers keep connections until the process is gone.

--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,91 @@
+//! `rattanturn-soak`: plays seeds against a daemon's program and tells what broke.
+
+use {
+    eyre::{WrapErr, bail},
+    rattanturn_soak::{Options, run},
+    std::{path::PathBuf, process::ExitCode, time::Duration},
+};
+
+mod flags {
+    #![allow(missing_docs)] // the macro's items are documented by its own texts
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Plays randomized faults against real daemons and checks what callers and targets see.
+        ///
+        /// Exit codes: 0 all held, 1 something broke, 2 wrong usage or nothing could be started.
+        cmd rattanturn-soak {
+            /// The daemon's program; the one beside this program if not given.
+            optional --program file: PathBuf
+            /// First seed.
+            optional --first seed: u64
+            /// Number of seeds; 1 if not given.
+            optional --count count: u64
+            /// Daemons.
+            optional --daemons count: u8
+            /// Callers at once.
+            optional --callers count: usize
+            /// Seconds in which faults begin.
+            optional --seconds time: u64
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::RattanturnSoak::from_env_or_exit();
+    match play(&flags) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn play(flags: &flags::RattanturnSoak) -> eyre::Result<bool> {
+    let program = match &flags.program {
+        Some(program) => program.clone(),
+        None => beside()?,
+    };
+    let mut options = Options::new(&program);
+    options.daemons = flags.daemons.unwrap_or(options.daemons);
+    options.callers = flags.callers.unwrap_or(options.callers);
+    options.time = flags.seconds.map_or(options.time, Duration::from_secs);
+    let first = flags.first.unwrap_or(1);
+    let mut held = true;
+    for seed in first..first + flags.count.unwrap_or(1) {
+        let report = run(seed, &options)?;
+        let ends: Vec<String> = report
+            .ends
+            .iter()
+            .map(|(e, n)| format!("{e}: {n}"))
+            .collect();
+        println!(
+            "seed {seed}: {} faults, {} requests ({}), {} broken",
+            report.faults,
+            report.requests,
+            ends.join(", "),
+            report.broken.len()
+        );
+        for broken in &report.broken {
+            println!("  {broken}");
+        }
+        if !report.broken.is_empty() {
+            println!("  logs in {}", report.folder.display());
+            held = false;
+        }
+    }
+    Ok(held)
+}
+
+/// The daemon's program beside this one.
+fn beside() -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe().wrap_err("the own path is not known")?;
+    let program = own.with_file_name("rattanturnd");
+    if !program.exists() {
+        bail!("no rattanturnd beside this program; name one with --program");
+    }
+    Ok(program)
+}
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,494 @@
+//! Plays the faults of a seed while callers ask, then waits for everything to be served again.
+
+use {
+    crate::{
+        CATCH_UP, Options, RECOVERY, Report,
+        caller::{Connection, Ended},
+        checks::{Checks, Edit, Kind, Sent},
+        daemons::{DRAIN, Daemon, Shape},
+        plan::{self, Event, Fault},
+        proxy::{Link, Proxy},
+        world::{CENTRES, World},
+    },
+    actix_rt::time::sleep,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    rattanturn_standins::{
+        operator::{HOST, take_out},
+        platform::Mode,
+        shard,
+    },
+    rustix::process::Signal,
+    std::{
+        cell::{Cell, RefCell},
+        fmt::Write,
+        fs,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// A caller's pause between two requests, in milliseconds.
+const THINK_MS: u64 = 60;
+/// Time beyond a route's limit in which a final answer may still arrive: the way back and a busy
+/// machine.
+const SLACK: Duration = Duration::from_secs(1);
+/// A slow target takes this many times as long.
+const SLOW: f64 = 30.0;
+/// Rounds of good answers from each daemon that show recovery.
+const GOOD_ROUNDS: usize = 5;
+/// Time of the directory's answer.
+const LIFETIME: Duration = Duration::from_secs(2);
+/// A daemon that is gone may be named this long: the platform's rules for 60 VMs or fewer.
+const NAMED_DEAD: Duration = Duration::from_secs(7);
+/// A stopping daemon may take this long beyond its limit.
+const STOP_SLACK: Duration = Duration::from_secs(2);
+
+struct Play {
+    world: RefCell<World>,
+    daemons: RefCell<Vec<Daemon>>,
+    /// Before the store, by daemon.
+    proxies: Vec<Proxy>,
+    checks: RefCell<Checks>,
+    edits: Cell<usize>,
+    /// Faults of the store or the way to it that are under way, and until when they count.
+    store_faults: Cell<usize>,
+    next_id: Cell<u64>,
+    over: Cell<bool>,
+    log: RefCell<String>,
+    begun: Instant,
+}
+
+/// Plays one seed.
+pub(crate) async fn play(seed: u64, options: &Options) -> eyre::Result<Report> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let folder = options
+        .folder
+        .join(format!("soak-{}-{seed}", std::process::id()));
+    fs::create_dir_all(&folder)?;
+    let world = World::spawn().await?;
+    let bytes = std::process::id().to_le_bytes();
+    let shape = Shape {
+        program: &options.program,
+        folder: &folder,
+        net: (64 + bytes[1] % 64 + bytes[2] % 128, bytes[0]),
+    };
+    let (mut daemons, mut proxies) = (Vec::new(), Vec::new());
+    for number in 0..options.daemons {
+        let proxy = world.store_proxy().await?;
+        let centre = CENTRES[usize::from(number) % CENTRES.len()];
+        daemons.push(Daemon::create(&shape, number, centre, proxy.addr)?);
+        proxies.push(proxy);
+    }
+    let targets = world.targets.len();
+    let faults = plan::draw(&mut rng, options.time, daemons.len(), targets);
+    let play = Rc::new(Play {
+        world: RefCell::new(world),
+        daemons: RefCell::new(daemons),
+        proxies,
+        checks: RefCell::default(),
+        edits: Cell::new(0),
+        store_faults: Cell::new(0),
+        next_id: Cell::new(0),
+        over: Cell::new(false),
+        log: RefCell::default(),
+        begun: Instant::now(),
+    });
+    play.checks.borrow_mut().edits.push(Edit {
+        at: Instant::now(),
+        disturbed: false,
+    });
+    play.start_all()?;
+    play.recovered().await;
+    let callers: Vec<_> = (0..options.callers)
+        .map(|_| actix_rt::spawn(play.clone().call(ChaCha8Rng::seed_from_u64(rng.random()))))
+        .collect();
+    let watch = actix_rt::spawn(play.clone().watch());
+    play.clone().disturb(&faults).await;
+    play.recovered().await;
+    play.over.set(true);
+    for caller in callers {
+        caller.await?;
+    }
+    watch.await?;
+    sleep(SLACK).await;
+    play.checks.borrow_mut().judge_targets(&play.world.borrow());
+    play.daemons.borrow_mut().iter_mut().for_each(Daemon::kill);
+    let checks = play.checks.take();
+    let report = Report {
+        seed,
+        requests: checks.requests(),
+        ends: checks.ends.into_iter().collect(),
+        faults: faults.len(),
+        broken: checks.broken,
+        folder: folder.clone(),
+    };
+    if report.broken.is_empty() {
+        fs::remove_dir_all(&folder)?;
+    } else {
+        let text = format!("{}\n{}", play.log.borrow(), report.broken.join("\n"));
+        fs::write(folder.join("run.txt"), text)?;
+    }
+    Ok(report)
+}
+
+impl Play {
+    fn start_all(&self) -> eyre::Result<()> {
+        let mut all = self.daemons.borrow_mut();
+        all.iter_mut()
+            .filter(|d| !d.runs())
+            .try_for_each(Daemon::start)
+    }
+
+    fn note(&self, text: &str) {
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            self.log.borrow_mut(),
+            "{:7.3} s  {text}",
+            self.begun.elapsed().as_secs_f64()
+        );
+    }
+
+    /// Plays all faults and returns when the last one is undone.
+    async fn disturb(self: Rc<Self>, faults: &[Fault]) {
+        let begun = Instant::now();
+        let mut running = Vec::new();
+        for fault in faults {
+            sleep(fault.at.saturating_sub(begun.elapsed())).await;
+            running.push(actix_rt::spawn(self.clone().one(*fault)));
+        }
+        for fault in running {
+            // A task ends with the process only.
+            let _ = fault.await;
+        }
+    }
+
+    async fn one(self: Rc<Self>, fault: Fault) {
+        self.note(&format!("{:?} for {:?}", fault.event, fault.lasts));
+        match fault.event {
+            Event::Pause(i) => self.pause(i, fault.lasts).await,
+            Event::Kill(i) => self.kill(&[i], fault.lasts).await,
+            Event::KillAll => {
+                let all: Vec<usize> = (0..self.daemons.borrow().len()).collect();
+                self.kill(&all, fault.lasts).await;
+            }
+            Event::Stop(i) => self.stop(i).await,
+            Event::Reload(i) => self.daemons.borrow_mut()[i].signal(Signal::HUP),
+            Event::Compact => self.world.borrow().store.compact(),
+            Event::Configure => self.configure(),
+            Event::Store(mode) => {
+                self.store_fault();
+                self.world.borrow().store.set_mode(mode);
+                sleep(fault.lasts).await;
+                self.world.borrow().store.set_mode(Mode::Up);
+                self.store_healed();
+            }
+            Event::StoreLink(i, link) => {
+                self.store_fault();
+                self.proxies[i].set(link);
+                sleep(fault.lasts).await;
+                self.proxies[i].set(Link::Open);
+                self.store_healed();
+            }
+            event => self.surround(event, fault.lasts).await,
+        }
+    }
+
+    /// Faults of targets and data centres.
+    async fn surround(&self, event: Event, lasts: Duration) {
+        self.set(event, true);
+        sleep(lasts).await;
+        self.set(event, false);
+    }
+
+    fn set(&self, event: Event, on: bool) {
+        let mut world = self.world.borrow_mut();
+        match event {
+            Event::Target(i, fault) => {
+                let fault = if on { fault } else { shard::Fault::None };
+                world.targets[i].state.set_fault(fault);
+            }
+            Event::Slow(i) => world.targets[i].state.set_slow(if on { SLOW } else { 1.0 }),
+            Event::TargetLink(i, link) => {
+                world.targets[i]
+                    .proxy
+                    .set(if on { link } else { Link::Open });
+            }
+            Event::Withdraw(i) if on => world.withdraw(i),
+            Event::Drain(i) if on => world.announce(i, "draining"),
+            Event::Withdraw(i) | Event::Drain(i) => world.announce(i, "ready"),
+            Event::TakeOut(i) => take_out(&world.store, CENTRES[i], on),
+            _ => {}
+        }
+    }
+
+    fn configure(&self) {
+        let next = self.edits.get() + 1;
+        self.edits.set(next);
+        self.world.borrow_mut().configure(next);
+        self.checks.borrow_mut().edits.push(Edit {
+            at: Instant::now(),
+            disturbed: self.store_faults.get() > 0,
+        });
+    }
+
+    fn store_fault(&self) {
+        self.store_faults.set(self.store_faults.get() + 1);
+        let now = Instant::now();
+        let mut checks = self.checks.borrow_mut();
+        let recent = |e: &&mut Edit| now < e.at + CATCH_UP;
+        checks
+            .edits
+            .iter_mut()
+            .filter(recent)
+            .for_each(|e| e.disturbed = true);
+    }
+
+    fn store_healed(self: &Rc<Self>) {
+        let play = self.clone();
+        actix_rt::spawn(async move {
+            sleep(CATCH_UP).await;
+            play.store_faults.set(play.store_faults.get() - 1);
+        });
+    }
+
+    async fn pause(&self, i: usize, lasts: Duration) {
+        if !self.daemons.borrow()[i].serves() {
+            return;
+        }
+        let life = self.daemons.borrow()[i].life;
+        self.daemons.borrow_mut()[i].signal(Signal::STOP);
+        sleep(lasts).await;
+        if self.daemons.borrow()[i].life == life {
+            self.daemons.borrow_mut()[i].signal(Signal::CONT);
+        }
+    }
+
+    async fn kill(&self, list: &[usize], lasts: Duration) {
+        for i in list {
+            self.daemons.borrow_mut()[*i].kill();
+        }
+        sleep(lasts).await;
+        let mut daemons = self.daemons.borrow_mut();
+        for i in list {
+            if !daemons[*i].runs()
+                && let Err(error) = daemons[*i].start()
+            {
+                self.checks.borrow_mut().fail(error.to_string());
+            }
+        }
+    }
+
+    /// Asks a daemon to stop and starts it again once it has ended.
+    async fn stop(&self, i: usize) {
+        if !self.daemons.borrow()[i].serves() {
+            return;
+        }
+        let (life, begun) = (self.daemons.borrow()[i].life, Instant::now());
+        self.daemons.borrow_mut()[i].signal(Signal::TERM);
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            let mut daemons = self.daemons.borrow_mut();
+            let daemon = &mut daemons[i];
+            if daemon.life != life {
+                return;
+            }
+            if !daemon.runs() {
+                if let Err(error) = daemon.start() {
+                    self.checks.borrow_mut().fail(error.to_string());
+                }
+                return;
+            }
+            if begun.elapsed() > DRAIN + STOP_SLACK && !daemon.disturbed(begun, Instant::now()) {
+                let text = format!("{} did not stop in time", daemon.name);
+                self.checks.borrow_mut().fail(text);
+                daemon.kill();
+            }
+        }
+    }
+
+    /// Notes daemons that end by themselves.
+    async fn watch(self: Rc<Self>) {
+        while !self.over.get() {
+            sleep(Duration::from_millis(20)).await;
+            for daemon in self.daemons.borrow_mut().iter_mut() {
+                let Some(status) = daemon.ended() else {
+                    continue;
+                };
+                if daemon.stopping.is_none() || !status.success() {
+                    let text = format!("{} ended by itself: {status}", daemon.name);
+                    self.checks.borrow_mut().fail(text);
+                }
+            }
+        }
+    }
+
+    /// One caller until the run is over.
+    async fn call(self: Rc<Self>, mut rng: ChaCha8Rng) {
+        let mut connection = Connection::default();
+        let (mut addresses, mut known) = (Vec::new(), Instant::now());
+        while !self.over.get() {
+            sleep(Duration::from_millis(rng.random_range(1..THINK_MS))).await;
+            if addresses.is_empty() || known.elapsed() > LIFETIME {
+                addresses = self.resolve(&mut rng).await;
+                known = Instant::now();
+            }
+            if addresses.is_empty() {
+                continue;
+            }
+            let to = addresses[rng.random_range(0..addresses.len())];
+            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+            if let Some(daemon) = self.at(to) {
+                let ended = self.ask(&mut connection, daemon, kind).await;
+                if !matches!(ended, Some(status) if status < 500) {
+                    addresses.retain(|a| *a != to);
+                }
+            }
+        }
+    }
+
+    fn at(&self, front: SocketAddr) -> Option<usize> {
+        self.daemons
+            .borrow()
+            .iter()
+            .position(|d| d.front() == front)
+    }
+
+    /// Sends one request and judges its end; the status if there is an answer.
+    async fn ask(&self, connection: &mut Connection, daemon: usize, kind: Kind) -> Option<u16> {
+        let number = self.next_id.get();
+        self.next_id.set(number + 1);
+        let id = format!("q{number}");
+        let (front, life) = {
+            let daemons = self.daemons.borrow();
+            (daemons[daemon].front(), daemons[daemon].life)
+        };
+        let begun = Instant::now();
+        let body = if kind == Kind::Once { "once" } else { "" };
+        let limit = kind.limit() + SLACK;
+        let ended = connection.ask(front, kind.path(), &id, body, limit).await;
+        let sent = Sent {
+            id,
+            kind,
+            daemon,
+            life,
+            begun,
+            ended,
+        };
+        let daemons = self.daemons.borrow();
+        let world = self.world.borrow();
+        self.checks
+            .borrow_mut()
+            .judge(&world, &daemons[daemon], &sent);
+        match sent.ended {
+            Ended::Answered(answer) => Some(answer.status),
+            _ => None,
+        }
+    }
+
+    /// Asks some daemon for addresses; those that have long been gone must not be named.
+    async fn resolve(&self, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
+        let from = {
+            let daemons = self.daemons.borrow();
+            let running: Vec<usize> = (0..daemons.len()).filter(|i| daemons[*i].runs()).collect();
+            if running.is_empty() {
+                return Vec::new();
+            }
+            running[rng.random_range(0..running.len())]
+        };
+        let directory = self.daemons.borrow()[from].directory();
+        let centre = CENTRES[rng.random_range(0..CENTRES.len())];
+        let path = format!("/v1/resolve?name={HOST}&zone={centre}");
+        let mut connection = Connection::default();
+        let limit = Duration::from_secs(1);
+        let Ended::Answered(answer) = connection.ask(directory, &path, "resolve", "", limit).await
+        else {
+            return Vec::new();
+        };
+        let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let named: Vec<SocketAddr> =
+            serde_json::from_value(json["addrs"].clone()).unwrap_or_default();
+        self.judge_named(from, &named);
+        named
+    }
+
+    fn judge_named(&self, from: usize, named: &[SocketAddr]) {
+        let now = Instant::now();
+        let Some(long_ago) = now.checked_sub(NAMED_DEAD) else {
+            return;
+        };
+        let daemons = self.daemons.borrow();
+        if daemons[from].disturbed(long_ago, now) {
+            return;
+        }
+        for gone in daemons.iter().filter(|d| d.gone_since(long_ago)) {
+            if named.contains(&gone.front()) {
+                let text = format!("{} names {}, long gone", daemons[from].name, gone.name);
+                self.checks.borrow_mut().fail(text);
+            }
+        }
+    }
+
+    /// Waits until each daemon serves every kind of request whole, several times in a row.
+    async fn recovered(&self) {
+        if let Err(error) = self.start_all() {
+            self.checks.borrow_mut().fail(error.to_string());
+        }
+        let end = Instant::now() + RECOVERY;
+        let mut good = 0;
+        while good < GOOD_ROUNDS {
+            match self.round().await {
+                None => good += 1,
+                Some(why) if Instant::now() > end => {
+                    let text = format!("not served again in time: {why}");
+                    self.checks.borrow_mut().fail(text);
+                    return;
+                }
+                Some(_) => {
+                    good = 0;
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    /// Asks each daemon once for each kind; tells what was not whole.
+    async fn round(&self) -> Option<String> {
+        let fronts: Vec<(String, SocketAddr, SocketAddr)> = {
+            let daemons = self.daemons.borrow();
+            let all = daemons.iter();
+            all.map(|d| (d.name.clone(), d.front(), d.ready()))
+                .collect()
+        };
+        for (name, front, ready) in fronts {
+            let mut connection = Connection::default();
+            let limit = Duration::from_secs(3);
+            match connection.ask(ready, "/v1/ready", "ready", "", limit).await {
+                Ended::Answered(answer) if answer.status == 200 => {}
+                other => return Some(format!("{name} is not ready: {other:?}")),
+            }
+            for kind in Kind::ALL {
+                let number = self.next_id.get();
+                self.next_id.set(number + 1);
+                let id = format!("r{number}");
+                let mut connection = Connection::default();
+                let ended = connection.ask(front, kind.path(), &id, "", limit).await;
+                self.checks.borrow_mut().count(kind);
+                match ended {
+                    Ended::Answered(a) if a.status == 200 && whole(kind, &a) => {}
+                    Ended::Answered(a) => {
+                        let missing = a.header("x-missing-shards");
+                        return Some(format!("{name} {kind:?}: {}, missing {missing}", a.status));
+                    }
+                    other => return Some(format!("{name} {kind:?}: {other:?}")),
+                }
+            }
+        }
+        None
+    }
+}
+
+fn whole(kind: Kind, answer: &crate::caller::Answer) -> bool {
+    kind != Kind::Gather || answer.header("x-missing-shards") == "0"
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,123 @@
+//! What stands around the daemons: the store, the targets, and the proxies before them.
+
+use {
+    crate::proxy::Proxy,
+    rattanturn_standins::{
+        operator::Operator,
+        platform::{self, Platform},
+        shard::{self, Shape},
+    },
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Data centres; each has one replica of each service.
+pub(crate) const CENTRES: [&str; 3] = ["a", "b", "c"];
+/// Shards of the gathered route.
+pub(crate) const SHARDS: usize = 5;
+/// Service of requests that may run once only.
+pub(crate) const ONCE: &str = "once";
+/// Services that the route `/one/` is given one after another.
+pub(crate) const SINGLES: [&str; 5] = ["single-0", "single-1", "single-2", "single-3", "single-4"];
+/// Goal of the gathered route.
+const GOAL_MS: u64 = 250;
+const WORK: Duration = Duration::from_millis(8);
+
+/// A target, the proxy before it, and what the store says of it.
+pub(crate) struct Target {
+    pub(crate) state: Arc<shard::State>,
+    pub(crate) proxy: Proxy,
+    beat: u64,
+}
+
+/// The surroundings.
+pub(crate) struct World {
+    platform: Platform,
+    pub(crate) store: Arc<platform::State>,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) shards: Vec<String>,
+    operator: Operator,
+}
+
+impl World {
+    pub(crate) async fn spawn() -> eyre::Result<Self> {
+        let platform = Platform::spawn()?;
+        let shards: Vec<String> = (0..SHARDS).map(|i| format!("shard-{i}")).collect();
+        let mut targets = Vec::new();
+        let names = shards.iter().map(String::as_str);
+        for service in names.chain([ONCE]).chain(SINGLES) {
+            for centre in CENTRES {
+                let state = shard::spawn(Shape {
+                    id: format!("{service}-{centre}"),
+                    service: service.into(),
+                    centre: centre.into(),
+                    work: WORK,
+                })
+                .await?;
+                let proxy = Proxy::spawn(state.addr()).await?;
+                targets.push(Target {
+                    state,
+                    proxy,
+                    beat: 0,
+                });
+            }
+        }
+        let mut world = Self {
+            store: platform.state(),
+            platform,
+            targets,
+            shards,
+            operator: Operator::default(),
+        };
+        for i in 0..world.targets.len() {
+            world.announce(i, "ready");
+        }
+        world.configure(0);
+        Ok(world)
+    }
+
+    /// Starts a proxy before the store for one daemon.
+    pub(crate) async fn store_proxy(&self) -> eyre::Result<Proxy> {
+        Ok(Proxy::spawn(self.platform.addr()).await?)
+    }
+
+    /// Puts a configuration into the store that gives `/one/` to a service.
+    pub(crate) fn configure(&mut self, single: usize) {
+        let operator = std::mem::take(&mut self.operator).next();
+        self.operator = operator
+            .gather("/all/", &self.shards, GOAL_MS)
+            .single("/one/", SINGLES[single], true)
+            .single("/once/", ONCE, false);
+        self.operator.write(&self.store);
+    }
+
+    /// Writes what a target says of itself.
+    pub(crate) fn announce(&mut self, target: usize, state: &str) {
+        let target = &mut self.targets[target];
+        target.beat += 1;
+        let mut entry = target.state.entry(state, target.beat);
+        entry["address"] = json!(target.proxy.addr);
+        let id = &target.state.shape().id;
+        self.store.write("servers", id, entry);
+    }
+
+    /// Removes a target's entry.
+    pub(crate) fn withdraw(&mut self, target: usize) {
+        let id = &self.targets[target].state.shape().id;
+        self.store.remove("servers", id);
+    }
+
+    /// The targets' records by their id.
+    pub(crate) fn target(&self, id: &str) -> Option<&Arc<shard::State>> {
+        let mut all = self.targets.iter().map(|t| &t.state);
+        all.find(|s| s.shape().id == id)
+    }
+
+    /// How often a request ran at targets whose service begins with `prefix`.
+    pub(crate) fn runs(&self, prefix: &str, id: &str) -> u32 {
+        let of = self.targets.iter().map(|t| &t.state);
+        of.filter(|s| s.shape().service.starts_with(prefix))
+            .map(|s| s.runs(id))
+            .sum()
+    }
+}
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -126,6 +126,18 @@
         self.with(|i| i.tally.clone())
     }
 
+    /// How often a request ran.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> u32 {
+        self.with(|i| i.tally.runs.get(id).copied().unwrap_or(0))
+    }
+
+    /// Its address.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// What it writes into the store about itself.
     #[must_use]
     pub fn entry(&self, state: &str, beat: u64) -> Value {
