Let the soak's store answer with old versions

Cause: the plan drew no stale reads, so a configuration taken back could not come about by the store. Change: the store's mode Past is drawn too.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -102,10 +102,11 @@
 }
 
 fn draw_mode(rng: &mut ChaCha8Rng) -> Mode {
-    match rng.random_range(0..4) {
+    match rng.random_range(0..5) {
         0 => Mode::Down,
         1 => Mode::Busy,
-        2 => Mode::Slow(Duration::from_millis(rng.random_range(50..600))),
+        2 => Mode::Past,
+        3 => Mode::Slow(Duration::from_millis(rng.random_range(50..600))),
         _ => Mode::LoseAnswers,
     }
 }
