Move membership's probes into a module of their own

Change: probing.rs; nothing else changed. The 13 tests of membership in virtual time pass as before.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -10,11 +10,13 @@
 //! of accusing the members that it did not hear.
 
 mod message;
+mod probing;
 
 use {
     crate::{NodeId, Time},
     message::fact_digest,
-    rand::{RngExt, SeedableRng, seq::SliceRandom},
+    probing::{Probe, Relay},
+    rand::{SeedableRng, seq::SliceRandom},
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, VecDeque},
@@ -27,12 +29,6 @@
 
 /// Time between probes.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(400);
-/// Time a direct probe may take before others are asked.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Members asked to probe on behalf.
-const HELPERS: usize = 2;
-/// Suspicion lasts this many intervals, times the logarithm of the member count.
-const SUSPICION_INTERVALS: u32 = 2;
 /// A tick gap above this means that this process itself was paused.
 const PAUSE: Duration = Duration::from_millis(600);
 /// Facts carried by one message.
@@ -48,10 +44,6 @@
 const JOIN_TIME: Duration = Duration::from_secs(2);
 /// Facts in one part of a full exchange.
 const SYNC_FACTS: usize = 12;
-/// Dead members are kept this long, to refuse late news of them.
-const KEEP_DEAD: Duration = Duration::from_hours(1);
-/// One probe in this many goes to a dead member, to find healed partitions.
-const DEAD_PROBE: u64 = 10;
 
 /// What a daemon knows of another.
 #[derive(Clone, Debug)]
@@ -64,20 +56,6 @@
     pub changed: Time,
 }
 
-struct Probe {
-    target: NodeId,
-    number: u32,
-    sent: Time,
-    helped: bool,
-}
-
-struct Relay {
-    asker: SocketAddr,
-    number: u32,
-    mine: u32,
-    sent: Time,
-}
-
 struct News {
     id: NodeId,
     sends: u32,
@@ -304,165 +282,6 @@
         self.present().filter(|m| m.fact.id != self.me)
     }
 
-    /// Drops what this process could not have heard while it was paused.
-    fn forgive(&mut self, now: Time) {
-        self.probe = None;
-        for member in self.members.values_mut() {
-            if member.fact.state == State::Suspect {
-                member.changed = now;
-            }
-        }
-    }
-
-    fn start_probe(&mut self, now: Time, out: &mut Vec<Send>) {
-        let Some(target) = self.next_target() else {
-            for seed in self.seeds.clone() {
-                self.number += 1;
-                out.push(self.send(seed, Purpose::Probe(self.number)));
-            }
-            return;
-        };
-        self.number += 1;
-        let number = self.number;
-        let to = self.members[&target].fact.place.gossip;
-        self.probe = Some(Probe {
-            target,
-            number,
-            sent: now,
-            helped: false,
-        });
-        let mut send = self.send(to, Purpose::Probe(number));
-        // The accused must hear the accusation to refute it.
-        if matches!(
-            self.members[&target].fact.state,
-            State::Suspect | State::Dead
-        ) {
-            send.message.facts.push(self.members[&target].fact.clone());
-        }
-        out.push(send);
-    }
-
-    fn next_target(&mut self) -> Option<NodeId> {
-        if self.rng.random_range(0..DEAD_PROBE) == 0 {
-            let dead: Vec<NodeId> = self
-                .members
-                .values()
-                .filter(|m| m.fact.state == State::Dead)
-                .map(|m| m.fact.id)
-                .collect();
-            if !dead.is_empty() {
-                return Some(dead[self.rng.random_range(0..dead.len())]);
-            }
-        }
-        for _ in 0..=self.order.len() {
-            let Some(id) = self.order.pop_front() else {
-                break;
-            };
-            if self
-                .members
-                .get(&id)
-                .is_some_and(|m| m.fact.state != State::Dead)
-            {
-                return Some(id);
-            }
-        }
-        let mut round: Vec<NodeId> = self.others().map(|m| m.fact.id).collect();
-        round.shuffle(&mut self.rng);
-        self.order = round.into();
-        self.order.pop_front()
-    }
-
-    fn ask_helpers(&mut self, now: Time, out: &mut Vec<Send>) {
-        let Some(probe) = &mut self.probe else { return };
-        if probe.helped || now.since(probe.sent) < PROBE_TIMEOUT {
-            return;
-        }
-        probe.helped = true;
-        let (target, number) = (probe.target, probe.number);
-        let helpers: Vec<SocketAddr> = self
-            .others()
-            .filter(|m| m.fact.id != target && m.fact.state != State::Suspect)
-            .map(|m| m.fact.place.gossip)
-            .collect();
-        for _ in 0..HELPERS.min(helpers.len()) {
-            let to = helpers[self.rng.random_range(0..helpers.len())];
-            out.push(self.send(to, Purpose::Indirect(number, target)));
-        }
-    }
-
-    fn fail_probe(&mut self, now: Time) {
-        let Some(probe) = self.probe.take() else {
-            return;
-        };
-        let Some(member) = self.members.get(&probe.target) else {
-            return;
-        };
-        if matches!(member.fact.state, State::Alive | State::Leaving) {
-            let mut fact = member.fact.clone();
-            fact.state = State::Suspect;
-            self.set(now, fact);
-        }
-    }
-
-    /// Declares suspects dead that did not refute, and forgets the long dead.
-    fn bury(&mut self, now: Time) {
-        let count = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        let patience = PROBE_INTERVAL * SUSPICION_INTERVALS * (count.max(2).ilog2() + 1);
-        let expired: Vec<Fact> = self
-            .members
-            .values()
-            .filter(|m| m.fact.state == State::Suspect && now.since(m.changed) > patience)
-            .map(|m| m.fact.clone())
-            .collect();
-        for mut fact in expired {
-            fact.state = State::Dead;
-            self.set(now, fact);
-        }
-        let gone: Vec<NodeId> = self
-            .members
-            .values()
-            .filter(|m| m.fact.state == State::Dead && now.since(m.changed) > KEEP_DEAD)
-            .map(|m| m.fact.id)
-            .collect();
-        for id in gone {
-            if let Some(member) = self.members.remove(&id) {
-                self.digest ^= fact_digest(&member.fact);
-            }
-        }
-    }
-
-    fn acked(&mut self, number: u32, out: &mut Vec<Send>) {
-        if let Some(i) = self.relays.iter().position(|r| r.mine == number) {
-            let relay = self.relays.swap_remove(i);
-            out.push(self.send(relay.asker, Purpose::Ack(relay.number)));
-        }
-        if self.probe.as_ref().is_none_or(|p| p.number != number) {
-            return;
-        }
-        self.probe = None;
-    }
-
-    fn relay(
-        &mut self,
-        now: Time,
-        asker: SocketAddr,
-        number: u32,
-        id: NodeId,
-        out: &mut Vec<Send>,
-    ) {
-        let Some(to) = self.members.get(&id).map(|m| m.fact.place.gossip) else {
-            return;
-        };
-        self.number += 1;
-        self.relays.push(Relay {
-            asker,
-            number,
-            mine: self.number,
-            sent: now,
-        });
-        out.push(self.send(to, Purpose::Probe(self.number)));
-    }
-
     fn sync(&mut self, to: SocketAddr, wanted: bool, out: &mut Vec<Send>) {
         let all: Vec<Fact> = self.members.values().map(|m| m.fact.clone()).collect();
         for (i, part) in all.chunks(SYNC_FACTS).enumerate() {
