Tell the configuration's age

Cause: the metrics told the age of the list of targets but not of the configuration. Change: rattanturn_configuration_age_seconds, the time since a reader, this daemon or a peer, read it. Test: demo/tests/metrics.rs.

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -223,7 +223,7 @@
         if theirs.panels > self.knowledge.revision {
             self.exchange.want(FLEET_KEY, rpc, theirs.panels);
         } else if message.purpose == Purpose::ANNOUNCE && self.knowledge.revision > 0 {
-            self.knowledge.confirmed(now);
+            self.knowledge.confirmed(now, theirs.tables);
         }
         self.fetch();
     }
@@ -347,6 +347,7 @@
         let alive = peers.filter(|m| m.fact.state == State::Alive && m.fact.id != self.me);
         Levels {
             age: now.since(self.knowledge.read),
+            configured: now.since(self.knowledge.configured),
             version: self.knowledge.version(),
             targets: self.knowledge.fleet.targets().count(),
             peers: alive.count(),
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -35,6 +35,8 @@
     seen: u64,
     /// When they were last read, by this daemon or a peer.
     pub(crate) read: Time,
+    /// When the configuration was last read, by this daemon or a peer.
+    pub(crate) configured: Time,
     /// Failed calls in a row by kind.
     pub(crate) failures: HashMap<&'static str, u64>,
     /// State that `revision` stands for.
@@ -155,13 +157,19 @@
             self.fleet.store_back(now);
             self.read = now;
             self.seen = self.seen.max(revision);
+        } else if kind == entries::CATALOG.0 {
+            self.configured = now;
         }
     }
 
-    /// A reader has just read the store and found nothing newer than what is known here.
-    pub(crate) fn confirmed(&mut self, now: Time) {
+    /// A reader has just read the store and found no targets newer than what is known here; it
+    /// knows version `tables` of the configuration.
+    pub(crate) fn confirmed(&mut self, now: Time, tables: u64) {
         self.fleet.store_back(now);
         self.read = now;
+        if tables <= self.version() {
+            self.configured = now;
+        }
     }
 
     /// Gives targets and outages a new version if they changed; true if they did.
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -145,6 +145,8 @@
 pub(crate) struct Levels {
     /// Time since targets were read or confirmed.
     pub(crate) age: Duration,
+    /// Time since the configuration was read or confirmed.
+    pub(crate) configured: Duration,
     /// Version of the configuration in force.
     pub(crate) version: u64,
     /// Targets known.
@@ -164,6 +166,7 @@
     #[allow(clippy::cast_precision_loss)] // counts stay far below 2^52
     pub(crate) fn export(&self) {
         gauge!("rattanturn_targets_age_seconds").set(self.age.as_secs_f64());
+        gauge!("rattanturn_configuration_age_seconds").set(self.configured.as_secs_f64());
         gauge!("rattanturn_configuration_version").set(self.version as f64);
         gauge!("rattanturn_targets").set(self.targets as f64);
         gauge!("rattanturn_peers").set(self.peers as f64);
--- a/crates/demo/tests/metrics.rs
+++ b/crates/demo/tests/metrics.rs
@@ -107,10 +107,12 @@
             "{text}"
         );
         assert!(value(&text, "rattanturn_targets", &[]) >= 8.0, "{text}");
-        let age = value(&text, "rattanturn_targets_age_seconds", &[]);
-        assert!(
-            age < 3.0 && text.contains("rattanturn_targets_age_seconds"),
-            "{text}"
-        );
+        for series in [
+            "rattanturn_targets_age_seconds",
+            "rattanturn_configuration_age_seconds",
+        ] {
+            assert!(text.contains(series), "{text}");
+            assert!(value(&text, series, &[]) < 3.0, "{text}");
+        }
     });
 }
