Count the soak's repeats in windows of 10 s and slow whole services

Change: requests and arrivals are sampled, each window of 10 s is judged by the platform's rule plus one call under way for each caller; an event slows all targets of a service; the ratio is 0.1.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -21,6 +21,9 @@
 /// platform's rules give.
 const IN_FORCE: Duration = Duration::from_secs(3);
 
+/// Window in which repeats are counted: the platform's rules.
+const WINDOW: Duration = Duration::from_secs(10);
+
 /// Kinds of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Kind {
@@ -75,6 +78,14 @@
     pub(crate) disturbed: bool,
 }
 
+/// Requests and calls up to a moment.
+struct Sample {
+    at: Instant,
+    requests: BTreeMap<Kind, u64>,
+    /// By service.
+    arrivals: BTreeMap<String, u64>,
+}
+
 /// What was found so far.
 #[derive(Default)]
 pub(crate) struct Checks {
@@ -82,6 +93,9 @@
     /// Answers by status, and other ends by name.
     pub(crate) ends: BTreeMap<String, u64>,
     requests: BTreeMap<Kind, u64>,
+    samples: Vec<Sample>,
+    /// Callers at once; each may have a call under way from before a window.
+    pub(crate) callers: u64,
     /// Requests that were told that they have not run.
     refused: Vec<(Kind, String)>,
     once: Vec<String>,
@@ -98,7 +112,6 @@
     /// Judges a request as soon as it has ended.
     pub(crate) fn judge(&mut self, world: &World, daemon: &Daemon, sent: &Sent) {
         let now = Instant::now();
-        *self.requests.entry(sent.kind).or_default() += 1;
         if sent.kind == Kind::Once {
             self.once.push(sent.id.clone());
         }
@@ -200,31 +213,52 @@
                 ));
             }
         }
-        self.judge_budgets(world);
+        self.judge_budgets();
     }
 
-    fn judge_budgets(&mut self, world: &World) {
-        let mut arrivals: BTreeMap<&str, u64> = BTreeMap::new();
+    /// Notes what has been asked and what has arrived so far.
+    pub(crate) fn sample(&mut self, world: &World) {
+        let mut arrivals: BTreeMap<String, u64> = BTreeMap::new();
         for target in &world.targets {
-            let service = target.state.shape().service.as_str();
-            *arrivals.entry(service).or_default() += target.state.tally().arrivals;
+            let service = target.state.shape().service.clone();
+            *arrivals.entry(service).or_default() += target.state.arrivals();
         }
-        for (service, count) in arrivals {
-            let Some(kind) = Kind::ALL
-                .into_iter()
-                .find(|k| service.starts_with(k.prefix()))
-            else {
+        self.samples.push(Sample {
+            at: Instant::now(),
+            requests: self.requests.clone(),
+            arrivals,
+        });
+    }
+
+    /// Judges the calls of each service in all windows.
+    fn judge_budgets(&mut self) {
+        let mut broken = BTreeMap::new();
+        for (i, last) in self.samples.iter().enumerate() {
+            let within = |s: &&Sample| last.at - s.at <= WINDOW;
+            let Some(first) = self.samples[..i].iter().find(within) else {
                 continue;
             };
-            let requests = self.requests.get(&kind).copied().unwrap_or(0);
-            let allowed = number(requests) * (1.0 + crate::REPEAT_RATIO) + crate::REPEAT_SLACK;
-            if number(count) > allowed {
-                self.fail(format!("{service}: {count} calls for {requests} requests"));
+            for (service, count) in &last.arrivals {
+                let kind = Kind::ALL
+                    .into_iter()
+                    .find(|k| service.starts_with(k.prefix()));
+                let Some(kind) = kind else { continue };
+                let calls = count - first.arrivals.get(service).unwrap_or(&0);
+                let asked = |s: &Sample| s.requests.get(&kind).copied().unwrap_or(0);
+                let requests = asked(last) - asked(first);
+                let allowed = number(requests) * (1.0 + crate::REPEAT_RATIO)
+                    + crate::REPEAT_SLACK
+                    + number(self.callers);
+                if number(calls) > allowed {
+                    let text = format!("{service}: {calls} calls for {requests} requests in 10 s");
+                    broken.entry(service.clone()).or_insert(text);
+                }
             }
         }
+        self.broken.extend(broken.into_values());
     }
 
-    /// Counts a request that is not judged.
+    /// Counts a request when it is sent.
     pub(crate) fn count(&mut self, kind: Kind) {
         *self.requests.entry(kind).or_default() += 1;
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,7 +22,7 @@
 };
 
 /// Calls beyond the first that a service may get for each request.
-const REPEAT_RATIO: f64 = 0.2;
+const REPEAT_RATIO: f64 = 0.1;
 /// Such calls that it may get besides.
 const REPEAT_SLACK: f64 = 30.0;
 /// A daemon that was paused works off what it missed within this time: the platform's rules.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -35,7 +35,10 @@
     /// Cuts one daemon from the store.
     StoreLink(usize, Link),
     Target(usize, shard::Fault),
+    /// One target takes much longer.
     Slow(usize),
+    /// All targets of a service take much longer, so that each call to them is late.
+    SlowService(usize),
     TargetLink(usize, Link),
     /// A target leaves the store and comes back.
     Withdraw(usize),
@@ -92,7 +95,8 @@
         13 => Event::Compact,
         14..=16 => Event::StoreLink(daemon, draw_link(rng)),
         17..=19 => Event::Target(target, draw_fault(rng)),
-        20 => Event::Slow(target),
+        20 if rng.random() => Event::Slow(target),
+        20 => Event::SlowService(target),
         21..=23 => Event::TargetLink(target, draw_link(rng)),
         24..=25 => Event::Withdraw(target),
         26 => Event::Drain(target),
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -45,6 +45,9 @@
 /// A stopping daemon may take this long beyond its limit.
 const STOP_SLACK: Duration = Duration::from_secs(2);
 
+/// Interval of counting calls.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
+
 struct Play {
     world: RefCell<World>,
     daemons: RefCell<Vec<Daemon>>,
@@ -99,6 +102,7 @@
         at: Instant::now(),
         disturbed: false,
     });
+    play.checks.borrow_mut().callers = u64::try_from(options.callers).unwrap_or(u64::MAX);
     play.start_all()?;
     play.recovered().await;
     let callers: Vec<_> = (0..options.callers)
@@ -210,6 +214,7 @@
                 world.targets[i].state.set_fault(fault);
             }
             Event::Slow(i) => world.targets[i].state.set_slow(if on { SLOW } else { 1.0 }),
+            Event::SlowService(i) => world.set_slow(i, if on { SLOW } else { 1.0 }),
             Event::TargetLink(i, link) => {
                 world.targets[i]
                     .proxy
@@ -308,10 +313,15 @@
         }
     }
 
-    /// Notes daemons that end by themselves.
+    /// Notes daemons that end by themselves, and how many calls targets get.
     async fn watch(self: Rc<Self>) {
+        let mut sampled = Instant::now();
         while !self.over.get() {
             sleep(Duration::from_millis(20)).await;
+            if sampled.elapsed() > SAMPLE_INTERVAL {
+                sampled = Instant::now();
+                self.checks.borrow_mut().sample(&self.world.borrow());
+            }
             for daemon in self.daemons.borrow_mut().iter_mut() {
                 let Some(status) = daemon.ended() else {
                     continue;
@@ -364,6 +374,7 @@
             let daemons = self.daemons.borrow();
             (daemons[daemon].front(), daemons[daemon].life)
         };
+        self.checks.borrow_mut().count(kind);
         let begun = Instant::now();
         let body = if kind == Kind::Once { "once" } else { "" };
         let limit = kind.limit() + SLACK;
@@ -473,8 +484,8 @@
                 self.next_id.set(number + 1);
                 let id = format!("r{number}");
                 let mut connection = Connection::default();
-                let ended = connection.ask(front, kind.path(), &id, "", limit).await;
                 self.checks.borrow_mut().count(kind);
+                let ended = connection.ask(front, kind.path(), &id, "", limit).await;
                 match ended {
                     Ended::Answered(a) if a.status == 200 && whole(kind, &a) => {}
                     Ended::Answered(a) => {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -107,7 +107,15 @@
         self.store.remove("servers", id);
     }
 
-    /// The targets' records by their id.
+    /// Makes all targets of a target's service take `factor` times as long.
+    pub(crate) fn set_slow(&self, target: usize, factor: f64) {
+        let service = &self.targets[target].state.shape().service;
+        let all = self.targets.iter().map(|t| &t.state);
+        all.filter(|s| s.shape().service == *service)
+            .for_each(|s| s.set_slow(factor));
+    }
+
+    /// A target by its id.
     pub(crate) fn target(&self, id: &str) -> Option<&Arc<shard::State>> {
         let mut all = self.targets.iter().map(|t| &t.state);
         all.find(|s| s.shape().id == id)
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -132,6 +132,12 @@
         self.with(|i| i.tally.runs.get(id).copied().unwrap_or(0))
     }
 
+    /// Requests that arrived, also those refused.
+    #[must_use]
+    pub fn arrivals(&self) -> u64 {
+        self.with(|i| i.tally.arrivals)
+    }
+
     /// Its address.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
