Judge a closed connection by the process that it was opened to

Ruled out: a planned stop that closes too early (0.9 s into it, and the connection was not its). Change: a connection opened before the present process started may be found closed; one opened to it may not, as before.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -48,6 +48,8 @@
 #[derive(Default)]
 pub(crate) struct Connection {
     open: Option<(SocketAddr, TcpStream)>,
+    /// When the connection in use was opened.
+    pub(crate) opened: Option<Instant>,
 }
 
 impl Connection {
@@ -65,7 +67,10 @@
         let mut stream = match kept {
             Some((_, stream)) => stream,
             None => match timeout(CONNECT_LIMIT, TcpStream::connect(to)).await {
-                Ok(Ok(stream)) => stream,
+                Ok(Ok(stream)) => {
+                    self.opened = Some(Instant::now());
+                    stream
+                }
                 _ => return Ended::Unconnected,
             },
         };
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -68,6 +68,8 @@
     pub(crate) daemon: usize,
     pub(crate) life: u32,
     pub(crate) begun: Instant,
+    /// When its connection was opened.
+    pub(crate) opened: Option<Instant>,
     pub(crate) ended: Ended,
 }
 
@@ -131,12 +133,16 @@
             Ended::Answered(_) => {}
             Ended::Unconnected | Ended::Closed if closing => {}
             Ended::Unconnected if daemon.started_since(back(now, START_TIME)) => {}
+            // The connection was kept from a process that is gone.
+            Ended::Closed if sent.opened.is_some_and(|o| daemon.started_since(o)) => {}
             other => self.fail(format!(
-                "{:?} {} at {}: {other:?} after {:?}",
+                "{:?} {} at {}: {other:?} after {:?}, connection opened {:?} before, daemon {}",
                 sent.kind,
                 sent.id,
                 daemon.name,
-                now - sent.begun
+                now - sent.begun,
+                sent.opened.map(|o| now - o),
+                daemon.age()
             )),
         }
         self.judge_truth(world, sent);
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -188,6 +188,13 @@
         self.started.is_some_and(|s| s > at)
     }
 
+    /// How long this life has lasted, and since when it stops.
+    pub(crate) fn age(&self) -> String {
+        let stopping = self.stopping.map(|s| s.elapsed());
+        let started = self.started.map(|s| s.elapsed());
+        format!("started {started:?} before, stopping for {stopping:?}")
+    }
+
     /// Whether its process has been gone since before an instant.
     pub(crate) fn gone_since(&self, at: Instant) -> bool {
         let last = self.disturbances.last();
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -385,6 +385,7 @@
             daemon,
             life,
             begun,
+            opened: connection.opened,
             ended,
         };
         let daemons = self.daemons.borrow();
