--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CATCH_UP, START_TIME,
-        caller::{Answer, Ended},
+        connection::{Answer, Ended},
         daemons::{Daemon, SERVES_ON},
         world::{ONCE, SHARDS, SINGLES, World},
     },
@@ -66,7 +66,7 @@
     pub(crate) id: String,
     pub(crate) kind: Kind,
     pub(crate) daemon: usize,
-    pub(crate) life: u32,
+    pub(crate) incarnation: u32,
     pub(crate) begun: Instant,
     /// When its connection was opened.
     pub(crate) opened: Option<Instant>,
@@ -102,7 +102,7 @@
     refused: Vec<(Kind, String)>,
     once: Vec<String>,
     pub(crate) edits: Vec<Edit>,
-    /// Configurations that each life of a daemon has shown, and when its answers had come.
+    /// Configurations that each incarnation of a daemon has shown, and when its answers had come.
     shown: BTreeMap<(usize, u32), Vec<(Instant, usize)>>,
 }
 
@@ -122,7 +122,7 @@
             other => format!("{other:?}"),
         };
         *self.ends.entry(name).or_default() += 1;
-        if daemon.life != sent.life || daemon.disturbed(sent.begun, now) {
+        if daemon.incarnation != sent.incarnation || daemon.disturbed(sent.begun, now) {
             // Another process would answer now, or this one stood still: nothing is promised but
             // the truth of what did arrive.
             self.judge_truth(world, sent);
@@ -183,7 +183,10 @@
         let Some(used) = SINGLES.iter().position(|s| Some(*s) == service) else {
             return;
         };
-        let shown = self.shown.entry((sent.daemon, sent.life)).or_default();
+        let shown = self
+            .shown
+            .entry((sent.daemon, sent.incarnation))
+            .or_default();
         let before = shown.iter().filter(|(at, _)| *at < sent.begun);
         let newest = before.map(|(_, c)| *c).max().unwrap_or(0);
         if used < newest {
@@ -287,8 +290,7 @@
     world: &'a World,
     answer: &Answer,
 ) -> Option<&'a std::sync::Arc<rattanturn_standins::shard::State>> {
-    let (id, _) = answer.header("x-server-seal").rsplit_once('.')?;
-    world.target(id)
+    world.target(&answer.signed().signer?)
 }
 
 fn wrong_single(world: &World, sent: &Sent, answer: &Answer) -> Option<String> {
@@ -305,20 +307,19 @@
 }
 
 fn wrong_gather(world: &World, answer: &Answer) -> Option<String> {
-    let stamps = answer.header("x-shard-stamps");
-    let ids = stamps.split(',').filter_map(|s| s.trim().rsplit_once('.'));
-    let servers: Option<Vec<_>> = ids.map(|(id, _)| world.target(id)).collect();
+    let signed = answer.signed();
+    let servers: Option<Vec<_>> = signed.signers.iter().map(|id| world.target(id)).collect();
     let Some(servers) = servers else {
-        return Some(format!("unknown signature in {stamps}"));
+        return Some(format!("unknown targets in {:?}", signed.signers));
     };
     let services: BTreeSet<&str> = servers.iter().map(|s| s.shape().service.as_str()).collect();
     if services.len() != servers.len() || services.iter().any(|s| !s.starts_with("shard-")) {
         return Some(format!("parts of {services:?}"));
     }
-    let missing = answer.header("x-missing-shards");
-    if missing.parse() != Ok(SHARDS - servers.len()) {
+    if signed.missing != Some(SHARDS - servers.len()) {
         return Some(format!(
-            "{missing} missing claimed, {} parts",
+            "{:?} missing claimed, {} parts",
+            signed.missing,
             servers.len()
         ));
     }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/connection.rs
@@ -1,6 +1,7 @@
 //! A caller over one kept connection, written by hand so that each way to fail is told apart.
 
 use {
+    rattanturn_platform::caller::{Signed, signed},
     rattanturn_standins::operator::HOST,
     std::{
         collections::BTreeMap,
@@ -34,13 +35,19 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
-    pub(crate) headers: BTreeMap<String, String>,
+    headers: BTreeMap<String, String>,
     pub(crate) body: Vec<u8>,
 }
 
 impl Answer {
-    pub(crate) fn header(&self, name: &str) -> &str {
-        self.headers.get(name).map_or("", String::as_str)
+    /// What it says of the targets behind it.
+    pub(crate) fn signed(&self) -> Signed {
+        signed(|name| self.headers.get(name).map(String::as_str))
+    }
+
+    fn closes(&self) -> bool {
+        let value = self.headers.get("connection");
+        value.is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -87,7 +94,7 @@
         let ended = timeout(left, read(&mut stream)).await;
         let ended = ended.unwrap_or(Ended::Silent);
         if let Ended::Answered(answer) = &ended
-            && !answer.header("connection").eq_ignore_ascii_case("close")
+            && !answer.closes()
         {
             self.open = Some((to, stream));
         }
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -41,7 +41,7 @@
     until: Option<Instant>,
 }
 
-/// One daemon through all its lives.
+/// One daemon through all its incarnations.
 pub(crate) struct Daemon {
     pub(crate) name: String,
     ip: IpAddr,
@@ -50,7 +50,7 @@
     log: PathBuf,
     child: Option<Child>,
     /// Raised at each start.
-    pub(crate) life: u32,
+    pub(crate) incarnation: u32,
     started: Option<Instant>,
     pub(crate) stopping: Option<Instant>,
     pub(crate) paused: bool,
@@ -91,7 +91,7 @@
             program: shape.program.into(),
             settings,
             child: None,
-            life: 0,
+            incarnation: 0,
             started: None,
             stopping: None,
             paused: false,
@@ -130,7 +130,7 @@
             .spawn()
             .wrap_err_with(|| format!("cannot start {}", self.program.display()))?;
         self.child = Some(child);
-        self.life += 1;
+        self.incarnation += 1;
         self.started = Some(Instant::now());
         self.stopping = None;
         self.paused = false;
@@ -188,7 +188,7 @@
         self.started.is_some_and(|s| s > at)
     }
 
-    /// How long this life has lasted, and since when it stops.
+    /// How long this incarnation has lasted, and since when it stops.
     pub(crate) fn age(&self) -> String {
         let stopping = self.stopping.map(|s| s.elapsed());
         let started = self.started.map(|s| s.elapsed());
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,8 +8,9 @@
 //! Daemons have no disk, and their only clocks are those of the machine, which a program without
 //! privileges cannot set; neither is disturbed here.
 
-mod caller;
+mod callers;
 mod checks;
+mod connection;
 mod daemons;
 mod plan;
 mod play;
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         CATCH_UP, Options, RECOVERY, Report,
-        caller::{Connection, Ended},
-        checks::{Checks, Edit, Kind, Sent},
+        checks::{Checks, Edit, Kind},
+        connection::{Connection, Ended},
         daemons::{DRAIN, Daemon, Shape},
         plan::{self, Event, Fault},
         proxy::{Link, Proxy},
@@ -13,11 +13,8 @@
     actix_rt::time::sleep,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    rattanturn_standins::{
-        operator::{HOST, take_out},
-        platform::Mode,
-        shard,
-    },
+    rattanturn_platform::http::READY_PATH,
+    rattanturn_standins::{operator::take_out, platform::Mode, shard},
     rustix::process::Signal,
     std::{
         cell::{Cell, RefCell},
@@ -29,36 +26,29 @@
     },
 };
 
-/// A caller's pause between two requests, in milliseconds.
-const THINK_MS: u64 = 60;
 /// Time beyond a route's limit in which a final answer may still arrive: the way back and a busy
 /// machine.
-const SLACK: Duration = Duration::from_secs(1);
+pub(crate) const SLACK: Duration = Duration::from_secs(1);
 /// A slow target takes this many times as long.
 const SLOW: f64 = 30.0;
 /// Rounds of good answers from each daemon that show recovery.
 const GOOD_ROUNDS: usize = 5;
-/// Time of the directory's answer.
-const LIFETIME: Duration = Duration::from_secs(2);
-/// A daemon that is gone may be named this long: the platform's rules for 60 VMs or fewer.
-const NAMED_DEAD: Duration = Duration::from_secs(7);
 /// A stopping daemon may take this long beyond its limit.
 const STOP_SLACK: Duration = Duration::from_secs(2);
-
 /// Interval of counting calls.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 
-struct Play {
-    world: RefCell<World>,
-    daemons: RefCell<Vec<Daemon>>,
+pub(crate) struct Play {
+    pub(crate) world: RefCell<World>,
+    pub(crate) daemons: RefCell<Vec<Daemon>>,
     /// Before the store, by daemon.
     proxies: Vec<Proxy>,
-    checks: RefCell<Checks>,
+    pub(crate) checks: RefCell<Checks>,
     edits: Cell<usize>,
     /// Faults of the store or the way to it that are under way, and until when they count.
     store_faults: Cell<usize>,
-    next_id: Cell<u64>,
-    over: Cell<bool>,
+    pub(crate) next_id: Cell<u64>,
+    pub(crate) over: Cell<bool>,
     log: RefCell<String>,
     begun: Instant,
 }
@@ -262,10 +252,10 @@
         if !self.daemons.borrow()[i].serves() {
             return;
         }
-        let life = self.daemons.borrow()[i].life;
+        let incarnation = self.daemons.borrow()[i].incarnation;
         self.daemons.borrow_mut()[i].signal(Signal::STOP);
         sleep(lasts).await;
-        if self.daemons.borrow()[i].life == life {
+        if self.daemons.borrow()[i].incarnation == incarnation {
             self.daemons.borrow_mut()[i].signal(Signal::CONT);
         }
     }
@@ -290,13 +280,13 @@
         if !self.daemons.borrow()[i].serves() {
             return;
         }
-        let (life, begun) = (self.daemons.borrow()[i].life, Instant::now());
+        let (incarnation, begun) = (self.daemons.borrow()[i].incarnation, Instant::now());
         self.daemons.borrow_mut()[i].signal(Signal::TERM);
         loop {
             sleep(Duration::from_millis(50)).await;
             let mut daemons = self.daemons.borrow_mut();
             let daemon = &mut daemons[i];
-            if daemon.life != life {
+            if daemon.incarnation != incarnation {
                 return;
             }
             if !daemon.runs() {
@@ -334,114 +324,6 @@
         }
     }
 
-    /// One caller until the run is over.
-    async fn call(self: Rc<Self>, mut rng: ChaCha8Rng) {
-        let mut connection = Connection::default();
-        let (mut addresses, mut known) = (Vec::new(), Instant::now());
-        while !self.over.get() {
-            sleep(Duration::from_millis(rng.random_range(1..THINK_MS))).await;
-            if addresses.is_empty() || known.elapsed() > LIFETIME {
-                addresses = self.resolve(&mut rng).await;
-                known = Instant::now();
-            }
-            if addresses.is_empty() {
-                continue;
-            }
-            let to = addresses[rng.random_range(0..addresses.len())];
-            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
-            if let Some(daemon) = self.at(to) {
-                let ended = self.ask(&mut connection, daemon, kind).await;
-                if !matches!(ended, Some(status) if status < 500) {
-                    addresses.retain(|a| *a != to);
-                }
-            }
-        }
-    }
-
-    fn at(&self, front: SocketAddr) -> Option<usize> {
-        self.daemons
-            .borrow()
-            .iter()
-            .position(|d| d.front() == front)
-    }
-
-    /// Sends one request and judges its end; the status if there is an answer.
-    async fn ask(&self, connection: &mut Connection, daemon: usize, kind: Kind) -> Option<u16> {
-        let number = self.next_id.get();
-        self.next_id.set(number + 1);
-        let id = format!("q{number}");
-        let (front, life) = {
-            let daemons = self.daemons.borrow();
-            (daemons[daemon].front(), daemons[daemon].life)
-        };
-        self.checks.borrow_mut().count(kind);
-        let begun = Instant::now();
-        let body = if kind == Kind::Once { "once" } else { "" };
-        let limit = kind.limit() + SLACK;
-        let ended = connection.ask(front, kind.path(), &id, body, limit).await;
-        let sent = Sent {
-            id,
-            kind,
-            daemon,
-            life,
-            begun,
-            opened: connection.opened,
-            ended,
-        };
-        let daemons = self.daemons.borrow();
-        let world = self.world.borrow();
-        self.checks
-            .borrow_mut()
-            .judge(&world, &daemons[daemon], &sent);
-        match sent.ended {
-            Ended::Answered(answer) => Some(answer.status),
-            _ => None,
-        }
-    }
-
-    /// Asks some daemon for addresses; those that have long been gone must not be named.
-    async fn resolve(&self, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
-        let from = {
-            let daemons = self.daemons.borrow();
-            let running: Vec<usize> = (0..daemons.len()).filter(|i| daemons[*i].runs()).collect();
-            if running.is_empty() {
-                return Vec::new();
-            }
-            running[rng.random_range(0..running.len())]
-        };
-        let directory = self.daemons.borrow()[from].directory();
-        let centre = CENTRES[rng.random_range(0..CENTRES.len())];
-        let path = format!("/v1/resolve?name={HOST}&zone={centre}");
-        let mut connection = Connection::default();
-        let limit = Duration::from_secs(1);
-        let Ended::Answered(answer) = connection.ask(directory, &path, "resolve", "", limit).await
-        else {
-            return Vec::new();
-        };
-        let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-        let named: Vec<SocketAddr> =
-            serde_json::from_value(json["addrs"].clone()).unwrap_or_default();
-        self.judge_named(from, &named);
-        named
-    }
-
-    fn judge_named(&self, from: usize, named: &[SocketAddr]) {
-        let now = Instant::now();
-        let Some(long_ago) = now.checked_sub(NAMED_DEAD) else {
-            return;
-        };
-        let daemons = self.daemons.borrow();
-        if daemons[from].disturbed(long_ago, now) {
-            return;
-        }
-        for gone in daemons.iter().filter(|d| d.gone_since(long_ago)) {
-            if named.contains(&gone.front()) {
-                let text = format!("{} names {}, long gone", daemons[from].name, gone.name);
-                self.checks.borrow_mut().fail(text);
-            }
-        }
-    }
-
     /// Waits until each daemon serves every kind of request whole, several times in a row.
     async fn recovered(&self) {
         if let Err(error) = self.start_all() {
@@ -476,7 +358,7 @@
         for (name, front, ready) in fronts {
             let mut connection = Connection::default();
             let limit = Duration::from_secs(3);
-            match connection.ask(ready, "/v1/ready", "ready", "", limit).await {
+            match connection.ask(ready, READY_PATH, "ready", "", limit).await {
                 Ended::Answered(answer) if answer.status == 200 => {}
                 other => return Some(format!("{name} is not ready: {other:?}")),
             }
@@ -490,8 +372,11 @@
                 match ended {
                     Ended::Answered(a) if a.status == 200 && whole(kind, &a) => {}
                     Ended::Answered(a) => {
-                        let missing = a.header("x-missing-shards");
-                        return Some(format!("{name} {kind:?}: {}, missing {missing}", a.status));
+                        let missing = a.signed().missing;
+                        return Some(format!(
+                            "{name} {kind:?}: {}, missing {missing:?}",
+                            a.status
+                        ));
                     }
                     other => return Some(format!("{name} {kind:?}: {other:?}")),
                 }
@@ -501,6 +386,6 @@
     }
 }
 
-fn whole(kind: Kind, answer: &crate::caller::Answer) -> bool {
-    kind != Kind::Gather || answer.header("x-missing-shards") == "0"
+fn whole(kind: Kind, answer: &crate::connection::Answer) -> bool {
+    kind != Kind::Gather || answer.signed().missing == Some(0)
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,11 +3,10 @@
 use {
     crate::proxy::Proxy,
     rattanturn_standins::{
-        operator::Operator,
+        operator::{Operator, announce_at, withdraw},
         platform::{self, Platform},
         shard::{self, Shape},
     },
-    serde_json::json,
     std::{sync::Arc, time::Duration},
 };
 
@@ -95,16 +94,13 @@
     pub(crate) fn announce(&mut self, target: usize, state: &str) {
         let target = &mut self.targets[target];
         target.beat += 1;
-        let mut entry = target.state.entry(state, target.beat);
-        entry["address"] = json!(target.proxy.addr);
-        let id = &target.state.shape().id;
-        self.store.write("servers", id, entry);
+        let (server, addr) = (&target.state, target.proxy.addr);
+        announce_at(&self.store, server, state, target.beat, addr);
     }
 
     /// Removes a target's entry.
     pub(crate) fn withdraw(&mut self, target: usize) {
-        let id = &self.targets[target].state.shape().id;
-        self.store.remove("servers", id);
+        withdraw(&self.store, &self.targets[target].state);
     }
 
     /// Makes all targets of a target's service take `factor` times as long.
--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -3,7 +3,7 @@
 use {
     crate::platform::State,
     serde_json::{Value, json},
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, net::SocketAddr},
 };
 
 /// Host of all routes.
@@ -113,6 +113,19 @@
     store.write("servers", &server.shape().id, server.entry(state, beat));
 }
 
+/// Writes what a server says of itself, with the address of a proxy before it.
+pub fn announce_at(
+    store: &State,
+    server: &crate::shard::State,
+    state: &str,
+    beat: u64,
+    addr: SocketAddr,
+) {
+    let mut entry = server.entry(state, beat);
+    entry["address"] = json!(addr);
+    store.write("servers", &server.shape().id, entry);
+}
+
 /// Removes a server's entry.
 pub fn withdraw(store: &State, server: &crate::shard::State) {
     store.remove("servers", &server.shape().id);
