Keep the targets that peers fetch stable between relevant changes

Cause: every entry carries a number that each renewal raises, and the object that daemons fetch from readers held the newest numbers. Between two relevant changes each target had renewed its entry, so the patch touched every line and the whole object was sent instead, to every daemon. Change: TargetSet shows a target as in its last entry that changed something callers depend on; the versions of the newest entries, which decide what is old, are kept beside it.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -74,9 +74,15 @@
 }
 
 /// The targets currently in use, kept up to date from the entries in the store.
+///
+/// A target is shown as in its last entry that changed something callers depend on. Targets renew
+/// their entries all the time, and showing each renewal would make the list differ as a whole
+/// between two changes, so that daemons could not pass it on as a small patch.
 #[derive(Debug, Default)]
 pub struct TargetSet {
     targets: BTreeMap<String, Target>,
+    /// Version of the newest entry of each target in `targets`.
+    newest: HashMap<String, (u64, u64)>,
     /// Removed targets, with the version of their last entry and the time of the removal.
     removed: HashMap<String, ((u64, u64), Time)>,
     /// Targets whose entries are gone, with the earliest time at which they may be removed.
@@ -109,22 +115,26 @@
         if removed.is_some_and(|(version, _)| target.version() <= *version) {
             return false;
         }
-        let known = self.targets.get(&target.id);
-        if known.is_some_and(|k| target.version() < k.version()) {
+        let newest = self.newest.get(&target.id);
+        if newest.is_some_and(|n| target.version() < *n) {
             return false;
         }
+        self.newest.insert(target.id.clone(), target.version());
+        let known = self.targets.get(&target.id);
         // Leaving is final for an incarnation: it must not get requests again.
         let leaving = known.is_some_and(|k| k.incarnation == target.incarnation && k.leaving);
         let target = Target {
             leaving: target.leaving || leaving,
             ..target
         };
-        let changed = known.is_none_or(|k| k.differs(&target));
-        self.changes += u64::from(changed);
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMOVAL_RETENTION);
+        if known.is_some_and(|k| !k.differs(&target)) {
+            return false;
+        }
+        self.changes += 1;
         self.targets.insert(target.id.clone(), target);
-        changed
+        true
     }
 
     /// Handles the removal of a target's entry from the store.
@@ -219,9 +229,11 @@
     }
 
     fn remove(&mut self, now: Time, id: &str) {
-        if let Some(target) = self.targets.remove(id) {
+        if self.targets.remove(id).is_some() {
             self.changes += 1;
-            self.removed.insert(id.into(), (target.version(), now));
+        }
+        if let Some(newest) = self.newest.remove(id) {
+            self.removed.insert(id.into(), (newest, now));
         }
     }
 }
--- a/crates/core/tests/discovery.rs
+++ b/crates/core/tests/discovery.rs
@@ -5,6 +5,7 @@
     rattanturn_core::{
         Time,
         discovery::{EXPIRY_GRACE, Target, TargetSet},
+        object_history::ObjectHistory,
     },
     std::time::Duration,
 };
@@ -115,3 +116,42 @@
     set.adopt_from_peer(at(2_000), vec![target("running", 1, 2)]);
     assert_eq!(ids(&set), ["running"]);
 }
+
+/// The targets as daemons pass them on: a line of JSON for each.
+fn lines(set: &TargetSet) -> Vec<u8> {
+    let lines = set.targets().map(|t| serde_json::to_string(t).unwrap());
+    lines.collect::<Vec<_>>().join(",\n").into_bytes()
+}
+
+#[test]
+fn renewed_entries_do_not_enlarge_the_patch_that_peers_get() {
+    let mut set = TargetSet::default();
+    let mut history = ObjectHistory::default();
+    let id = |i| format!("i-{i:04}");
+    for i in 0..500 {
+        set.upsert(at(0), target(&id(i), 1, 1));
+    }
+    history.put("targets", 1, &lines(&set));
+    for sequence in 2..5 {
+        for i in 0..500 {
+            set.upsert(at(sequence), target(&id(i), 1, sequence));
+        }
+    }
+    set.upsert(at(6), leaving(&id(250), 1, 6));
+    history.put("targets", 2, &lines(&set));
+    let update = history.update_since("targets", 1).unwrap();
+    assert_eq!(update.base, 1, "the whole object was sent");
+    assert!(update.data.len() < 2_000, "{} bytes", update.data.len());
+}
+
+#[test]
+fn an_entry_older_than_one_that_changed_nothing_is_ignored() {
+    let mut set = TargetSet::default();
+    set.upsert(at(0), target("t", 1, 5));
+    set.upsert(at(1), target("t", 1, 9));
+    assert!(!set.upsert(at(2), leaving("t", 1, 7)));
+    assert!(set.targets().all(|t| !t.leaving));
+    set.entry_removed(at(3), "t");
+    assert!(!set.upsert(at(4), target("t", 1, 9)));
+    assert_eq!(set.targets().count(), 0);
+}
