Let readers take over in order and run them in different data centres

Cause: both primary readers could run in one data centre, and once they were lost every daemon began to read at a random moment within 1.5 s: each lists the store and announces to all others. Change: readers::reading_order alternates between data centres, the large daemons first; daemons whose data became stale start one after the other.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -1,14 +1,22 @@
 //! Which daemons read the store; the others receive what these have read.
 //!
-//! Two daemons, the primary readers, read all the time; they are chosen by rendezvous hashing. Any
-//! other daemon reads for a few seconds when its data becomes stale. This happens when the primary
-//! readers died, when the store refuses them, or when the network between them and the daemon is
-//! down. While no daemon can read, all of them together retry at a rate that does not grow with
-//! their number.
+//! Two daemons, the primary readers, read all the time; they are chosen by rendezvous hashing, in
+//! two data centres where daemons run in more than one, so that the loss of a data centre leaves a
+//! reader. Any other daemon reads for a few seconds when its data becomes stale. This happens when
+//! the primary readers died, when the store refuses them, or when the network between them and the
+//! daemon is down. Daemons that become stale together start one after the other, in an order that
+//! alternates between data centres, so that the first one that succeeds makes the others' reads
+//! needless: each reader lists the store and announces to all daemons, so many at once cost more
+//! than the outage. While no daemon can read, all of them together retry at a rate that does not
+//! grow with their number.
 
 use {
-    crate::{NodeId, Time, rendezvous},
-    std::time::Duration,
+    crate::{
+        NodeId, Time,
+        addresses::{self, Frontend},
+        rendezvous,
+    },
+    std::{cmp::Reverse, collections::HashMap, time::Duration},
 };
 
 /// Number of daemons that read all the time: two, so that one is left if the other dies.
@@ -21,10 +29,13 @@
 const SETTLE_TIME: Duration = Duration::from_millis(400);
 /// How long a daemon that is not a primary reader reads once its data became stale.
 const FALLBACK_READ_TIME: Duration = Duration::from_secs(5);
-/// Daemons whose data becomes stale at the same time start to read at random times within a period
-/// of this length for each daemon that is alive.
-const FALLBACK_DELAY_PER_DAEMON: Duration = Duration::from_millis(40);
-/// Upper bound of that period.
+/// Daemons whose data becomes stale at the same time start to read this long after each other. A
+/// reader has read and announced the targets within about this time.
+const FALLBACK_STEP: Duration = Duration::from_millis(100);
+/// Number of daemons that start one after the other. If none of them has read by then, the network
+/// or the store is at fault, and the order tells little about who can read.
+const ORDERED_FALLBACKS: usize = 6;
+/// The remaining daemons start at random times until this long after their data became stale.
 const MAX_FALLBACK_DELAY: Duration = Duration::from_millis(1_500);
 /// A primary reader whose session failed waits between one and two times this long, at random.
 const PRIMARY_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -35,19 +46,72 @@
 /// daemons.
 const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Whether `me` is one of the [`PRIMARY_READERS`] daemons among `alive` that read all the time.
+/// A daemon that may read the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Identity of the daemon.
+    pub id: NodeId,
+    /// Data centre that it runs in.
+    pub centre: &'a str,
+}
+
+/// Returns the candidates in the order in which they should read the store.
+///
+/// The first [`PRIMARY_READERS`] read all the time. The order is that of rendezvous hashing, but the
+/// best candidate of every data centre comes before the second best of any. Daemons that know the
+/// same members agree on it.
+///
+/// ```
+/// use rattanturn_core::{NodeId, readers::{Candidate, reading_order}};
+/// let centres = ["a", "a", "a", "b"];
+/// let all = (0..4).map(|i| Candidate { id: NodeId(i), centre: centres[i as usize] });
+/// assert!(reading_order(all)[..2].contains(&NodeId(3)));
+/// ```
+#[must_use]
+pub fn reading_order<'a>(candidates: impl IntoIterator<Item = Candidate<'a>>) -> Vec<NodeId> {
+    let key = rendezvous::key("store");
+    let mut all: Vec<Candidate<'a>> = candidates.into_iter().collect();
+    all.sort_by_key(|c| Reverse((rendezvous::score(c.id, key), c.id)));
+    let mut taken: HashMap<&str, usize> = HashMap::new();
+    let mut ranked: Vec<(usize, NodeId)> = Vec::with_capacity(all.len());
+    for candidate in all {
+        let in_centre = taken.entry(candidate.centre).or_default();
+        ranked.push((*in_centre, candidate.id));
+        *in_centre += 1;
+    }
+    // The sort is stable, so within a round the order stays that of the scores.
+    ranked.sort_by_key(|(round, _)| *round);
+    ranked.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Position of `me` in the order in which the daemons of a deployment should read the store.
 ///
-/// Daemons that know the same members agree on the answer.
+/// The daemons that callers are directed to come first: they are the large ones, and a reader sends
+/// every change to all other daemons. One that does not accept callers comes last.
 #[must_use]
-pub fn is_primary_reader(me: NodeId, alive: impl IntoIterator<Item = NodeId>) -> bool {
-    rendezvous::top(alive, rendezvous::key("store"), PRIMARY_READERS).contains(&me)
+pub fn reading_rank(me: NodeId, frontends: &[Frontend]) -> usize {
+    let large = addresses::advertised(frontends);
+    let small = frontends
+        .iter()
+        .filter(|f| f.accepting && large.iter().all(|l| l.id != f.id));
+    let mut order = reading_order(large.iter().copied().map(candidate));
+    order.extend(reading_order(small.map(candidate)));
+    let rank = order.iter().position(|id| *id == me);
+    rank.unwrap_or(order.len())
+}
+
+fn candidate(frontend: &Frontend) -> Candidate<'_> {
+    Candidate {
+        id: frontend.id,
+        centre: &frontend.centre,
+    }
 }
 
 /// What a daemon's decision to read the store depends on besides time.
 #[derive(Clone, Copy, Debug)]
 pub struct ReaderContext {
-    /// Whether the daemon is a primary reader, see [`is_primary_reader`].
-    pub primary: bool,
+    /// Position of the daemon among all that may read, see [`reading_rank`].
+    pub rank: usize,
     /// Number of daemons that are alive.
     pub alive: usize,
     /// A number from 0 to 1 that each daemon draws at random once; it keeps daemons from acting at
@@ -55,11 +119,19 @@
     pub jitter: f64,
 }
 
+impl ReaderContext {
+    /// Whether the daemon reads all the time.
+    #[must_use]
+    pub fn is_primary(&self) -> bool {
+        self.rank < PRIMARY_READERS
+    }
+}
+
 /// Decides whether one daemon reads the store.
 ///
 /// ```
 /// use rattanturn_core::{Time, readers::{ReaderContext, ReaderRole}};
-/// let alone = ReaderContext { primary: true, alive: 1, jitter: 0.5 };
+/// let alone = ReaderContext { rank: 0, alive: 1, jitter: 0.5 };
 /// let mut role = ReaderRole::new(Time::ZERO, false);
 /// assert!(!role.should_read(Time::from_millis(10), alone, Time::ZERO));
 /// assert!(role.should_read(Time::from_millis(500), alone, Time::ZERO));
@@ -98,7 +170,7 @@
     /// Call it regularly; once it returns false, a running session should end.
     pub fn should_read(&mut self, now: Time, context: ReaderContext, last_read: Time) -> bool {
         let settled = self.seed || now.since(self.started) >= SETTLE_TIME;
-        let primary = settled && context.primary;
+        let primary = settled && context.is_primary();
         if self.reading {
             self.reading = primary || now < self.fallback_end;
         } else if now >= self.next_try {
@@ -115,7 +187,7 @@
     /// attempt.
     pub fn session_failed(&mut self, now: Time, context: ReaderContext) {
         let count = u32::try_from(context.alive).unwrap_or(u32::MAX);
-        let delay = if context.primary {
+        let delay = if context.is_primary() {
             PRIMARY_RETRY_DELAY.mul_f64(1.0 + context.jitter)
         } else {
             let interval = (SHARED_RETRY_INTERVAL * count).max(MIN_RETRY_DELAY);
@@ -126,17 +198,30 @@
         self.next_try = now + delay;
     }
 
-    /// Whether the data has been stale for longer than this daemon's random delay.
+    /// Whether the data has been stale for longer than this daemon waits for others to read.
     fn fallback_due(&mut self, now: Time, context: ReaderContext, last_read: Time) -> bool {
         if now.since(last_read.max(self.started)) <= STALE_AFTER {
             self.fallback_start = None;
             return false;
         }
-        let count = u32::try_from(context.alive).unwrap_or(u32::MAX);
-        let wait = (FALLBACK_DELAY_PER_DAEMON * count)
-            .min(MAX_FALLBACK_DELAY)
-            .mul_f64(context.jitter);
+        let wait = fallback_wait(context);
         let due = *self.fallback_start.get_or_insert(now + wait);
         now >= due
     }
 }
+
+/// How long a daemon whose data became stale waits for others to read.
+///
+/// The primary readers are the reason why the data is stale, so the order starts after them.
+fn fallback_wait(context: ReaderContext) -> Duration {
+    let step = |n: usize| FALLBACK_STEP * u32::try_from(n).unwrap_or(u32::MAX);
+    let position = context.rank.saturating_sub(PRIMARY_READERS);
+    if position < ORDERED_FALLBACKS {
+        return step(position);
+    }
+    let ordered = step(ORDERED_FALLBACKS);
+    ordered
+        + MAX_FALLBACK_DELAY
+            .saturating_sub(ordered)
+            .mul_f64(context.jitter)
+}
--- a/crates/core/tests/readers.rs
+++ b/crates/core/tests/readers.rs
@@ -4,7 +4,7 @@
 use {
     rattanturn_core::{
         NodeId, Time,
-        readers::{ReaderContext, ReaderRole, is_primary_reader},
+        readers::{Candidate, PRIMARY_READERS, ReaderContext, ReaderRole, reading_order},
     },
     std::time::Duration,
 };
@@ -17,30 +17,55 @@
     context: ReaderContext,
     reading: bool,
     attempts: u32,
+    /// When the current read began.
+    reading_since: Time,
+    /// Whether the process has ended.
+    dead: bool,
 }
 
 struct Deployment {
     now: Time,
     nodes: Vec<Node>,
+    /// Time from the start of a daemon's read until all others have what it read.
+    read_time: Duration,
+}
+
+/// Data centre of the daemon with this index.
+fn centre(index: u64) -> &'static str {
+    ["a", "b", "c", "d", "e"][index as usize % 5]
+}
+
+/// Positions of `count` daemons in the order in which they read.
+fn ranks(count: u32) -> Vec<usize> {
+    let candidates = (0..u64::from(count)).map(|i| Candidate {
+        id: NodeId(i),
+        centre: centre(i),
+    });
+    let order = reading_order(candidates);
+    let rank = |i: u32| order.iter().position(|id| id.0 == u64::from(i));
+    (0..count).map(|i| rank(i).unwrap()).collect()
 }
 
 impl Deployment {
     fn new(count: u32) -> Self {
-        let alive = || (0..count).map(|i| NodeId(u64::from(i)));
+        let ranks = ranks(count);
         let node = |i: u32| Node {
             role: ReaderRole::new(Time::from_millis(1), i < 3),
             last_read: Time::ZERO,
             context: ReaderContext {
-                primary: is_primary_reader(NodeId(u64::from(i)), alive()),
+                rank: ranks[i as usize],
                 alive: count as usize,
                 jitter: f64::from(i * 37 % 100) / 100.0,
             },
             reading: false,
             attempts: 0,
+            reading_since: Time::ZERO,
+            dead: false,
         };
         Self {
             now: Time::from_millis(1),
             nodes: (0..count).map(node).collect(),
+            read_time: Duration::ZERO,
         }
     }
 
@@ -51,15 +76,18 @@
         while self.now < end {
             self.now = self.now + STEP;
             let mut read = false;
-            for (i, node) in self.nodes.iter_mut().enumerate() {
+            let running = self.nodes.iter_mut().enumerate().filter(|(_, n)| !n.dead);
+            for (i, node) in running {
                 let should_read = node
                     .role
                     .should_read(self.now, node.context, node.last_read);
-                node.attempts += u32::from(should_read && !node.reading);
+                if should_read && !node.reading {
+                    node.attempts += 1;
+                    node.reading_since = self.now;
+                }
                 node.reading = should_read;
                 if should_read && served(i) {
-                    node.last_read = self.now;
-                    read = true;
+                    read |= self.now.since(node.reading_since) >= self.read_time;
                 } else if should_read {
                     node.role.session_failed(self.now, node.context);
                     node.reading = false;
@@ -136,3 +164,38 @@
     // A target that leaves must get no calls after 3 s, so daemons have to learn of it before that.
     assert!(oldest < Duration::from_millis(2_500), "{oldest:?}");
 }
+
+#[test]
+fn the_primary_readers_run_in_different_data_centres() {
+    for seed in 0..200 {
+        let all = (0..10).map(|i| Candidate {
+            id: NodeId(seed * 10 + i),
+            centre: if i < 9 { "a" } else { "b" },
+        });
+        let order = reading_order(all);
+        let primary = &order[..PRIMARY_READERS];
+        assert!(primary.contains(&NodeId(seed * 10 + 9)), "{seed}");
+    }
+}
+
+/// Each reader lists the store and announces to every other daemon, so when both primary readers die
+/// at once, the number of daemons that take over must not grow with the deployment.
+#[test]
+fn few_daemons_take_over_when_the_primary_readers_die() {
+    for count in [8, 90, 302, 1_000] {
+        let mut deployment = Deployment::new(count);
+        deployment.read_time = Duration::from_millis(150);
+        deployment.run(Duration::from_secs(10), |_| true);
+        let before = deployment.attempts();
+        for node in &mut deployment.nodes {
+            node.dead = node.reading;
+        }
+        deployment.run(Duration::from_secs(4), |_| true);
+        let started = deployment.attempts() - before;
+        assert!(started <= 3, "{started} of {count} daemons started to read");
+        let now = deployment.now;
+        let alive = deployment.nodes.iter().filter(|n| !n.dead);
+        let oldest = alive.map(|n| now.since(n.last_read)).max().unwrap();
+        assert!(oldest < Duration::from_secs(1), "{count}: {oldest:?}");
+    }
+}
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -170,7 +170,7 @@
         peer_sync: PeerSync::new(objects, start.events),
         reader_role: ReaderRole::new(now, is_seed),
         reader_context: readers::ReaderContext {
-            primary: true,
+            rank: 0,
             alive: 1,
             jitter: rand::random(),
         },
@@ -334,11 +334,7 @@
             let frontends = self.frontends();
             let alive = frontends.iter().filter(|e| e.accepting);
             self.reader_context.alive = alive.count();
-            // Readers are chosen among the large daemons, because a reader sends every change to
-            // all other daemons.
-            let large = addresses::advertised(&frontends);
-            self.reader_context.primary =
-                readers::is_primary_reader(self.me, large.iter().map(|e| e.id));
+            self.reader_context.rank = readers::reading_rank(self.me, &frontends);
         }
         let wanted =
             self.reader_role
--- a/crates/daemon/src/tier/control/members.rs
+++ b/crates/daemon/src/tier/control/members.rs
@@ -54,7 +54,7 @@
 
     /// Removes the entries of daemons that are gone. Only primary readers do it.
     pub(super) fn remove_stale_entries(&mut self, now: Time) {
-        if !self.reader_context.primary {
+        if !self.reader_context.is_primary() {
             return;
         }
         let alive: BTreeSet<&str> = self
