Bound what a member sends in lists when many start at once

Cause: each part of a list from a sender that the receiver did not know yet made the receiver request another list, and every seed sent a full list to each member that started. In virtual time one seed of 302 members that start at once sent 50.4 MB in the first second. Change: a part of a list requests nothing, answers to new members carry the sender's own record, a member that starts requests a list only from one that answers, and lists have a budget a second; beyond it a new member gets a few random records. Records of lists are not gossiped by a member that joins. Daemons count their datagrams by kind.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,8 +6,15 @@
 //!
 //! Changed records travel on probes and answers. Each daemon sends a record a bounded number of
 //! times, so in the steady state the cost for each member does not grow with the number of
-//! members. Every message also carries a digest of the sender's full list. Members whose digests
-//! differ exchange their full lists from time to time (anti-entropy), which heals partitions.
+//! members. Every message also carries a digest of the sender's full list. A member whose digest
+//! differs from a sender's exchanges full lists with it from time to time (anti-entropy), which heals
+//! partitions. A member that starts requests one as soon as another member answers it.
+//!
+//! Lists grow with the deployment and the number of members that start at once does too, so each
+//! member sends only a bounded number of records in lists each second. Beyond it, a member that just
+//! started gets a few random records, so that it knows other members to ask, and further requests
+//! are left unanswered. This spreads the load of a common start from the seeds to all members, at
+//! the price of a slower first list.
 //!
 //! A process that was paused notices the gap between its own ticks. It drops its open probe
 //! instead of suspecting a member whose answer it could not receive.
@@ -22,7 +29,10 @@
     crate::{NodeId, Time},
     message::record_digest,
     probing::{Probe, RelayedProbe},
-    rand::{SeedableRng, seq::SliceRandom},
+    rand::{
+        SeedableRng,
+        seq::{IndexedRandom, SliceRandom},
+    },
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, VecDeque},
@@ -42,15 +52,27 @@
 /// Each daemon sends a record this many times the binary logarithm of the member count, which is
 /// about how many rounds gossip takes to reach all members.
 const SENDS_FACTOR: u32 = 1;
-/// Minimum time between two full exchanges that a daemon starts because digests differ.
+/// Minimum time between two lists that a daemon requests because digests differ.
 const SYNC_INTERVAL: Duration = Duration::from_secs(5);
+/// The same during [`JOIN_SYNC_PERIOD`], or if the sender of a message is unknown.
+const JOIN_SYNC_INTERVAL: Duration = Duration::from_millis(400);
+/// For this long after its first tick, a daemon requests lists more often: when many members start
+/// at once, the first lists that it gets are incomplete.
+const JOIN_SYNC_PERIOD: Duration = Duration::from_secs(5);
+/// Records that a daemon sends in lists each second, about 110 kB: a small VM's link carries 2 MB/s,
+/// which callers need as well.
+const LIST_RECORDS_PER_SECOND: f64 = 1_500.0;
+/// Records that may be saved up for lists: a few lists of a large deployment.
+const LIST_RECORDS_BURST: f64 = 500.0;
+/// Records that a daemon sends instead of a list once that budget is spent.
+const SAMPLE_RECORDS: usize = 4;
 /// Maximum number of members that a daemon notifies directly that it joined or leaves. The others
 /// learn it by gossip. Each notice is one datagram, so the burst stays near 10 kB.
 pub const MAX_DIRECT_NOTICES: usize = 64;
 /// For this long after its first tick, a daemon notifies each member that it learns of that it
 /// joined.
 const JOIN_PERIOD: Duration = Duration::from_secs(2);
-/// Maximum number of records in one message of a full exchange.
+/// Maximum number of records in one message of a list.
 const RECORDS_PER_SYNC: usize = 12;
 
 /// What this daemon knows of a member.
@@ -71,6 +93,32 @@
     sends_left: u32,
 }
 
+/// Limits the records that a daemon sends in lists.
+#[derive(Default)]
+struct ListBudget {
+    /// When the budget was last refilled.
+    refilled: Time,
+    /// Records that may still be sent; negative after a list that was longer than what was left.
+    records: f64,
+}
+
+impl ListBudget {
+    /// Withdraws `count` records if the budget is not spent.
+    ///
+    /// A list may overdraw it, so that a list longer than a second's budget can be sent at all.
+    fn try_withdraw(&mut self, now: Time, count: usize) -> bool {
+        let earned = now.since(self.refilled).as_secs_f64() * LIST_RECORDS_PER_SECOND;
+        self.records = (self.records + earned).min(LIST_RECORDS_BURST);
+        self.refilled = now;
+        let allowed = self.records > 0.0;
+        if allowed {
+            // A list has far fewer than 2^32 records.
+            self.records -= f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        }
+        allowed
+    }
+}
+
 /// One daemon's view of all members, and its part in the protocol.
 pub struct Membership {
     me: NodeId,
@@ -92,7 +140,9 @@
     last_number: u32,
     next_probe: Time,
     last_tick: Option<Time>,
-    last_sync: Time,
+    /// When this daemon last requested a list.
+    last_sync: Option<Time>,
+    list_budget: ListBudget,
     changes: u64,
     rng: ChaCha8Rng,
 }
@@ -132,7 +182,8 @@
             last_number: 0,
             next_probe: Time::ZERO,
             last_tick: None,
-            last_sync: Time::ZERO,
+            last_sync: None,
+            list_budget: ListBudget::default(),
             changes: 1,
             rng: ChaCha8Rng::seed_from_u64(seed ^ me.0),
         }
@@ -186,7 +237,7 @@
 
     /// Adds a member that was found by other means than gossip, for example in a list of VMs.
     pub fn introduce(&mut self, now: Time, record: &MemberRecord) {
-        self.apply(now, record);
+        self.apply(now, record, false);
     }
 
     /// Sets this daemon's state to leaving; the next tick notifies up to [`MAX_DIRECT_NOTICES`]
@@ -266,35 +317,80 @@
         from_addr: SocketAddr,
         message: &Message,
     ) -> Vec<Envelope> {
-        // A new member carries its own record in its first probe and needs the full list at once.
-        let probed = matches!(message.kind, MessageKind::Probe(_));
-        let newcomer = probed && !self.members.contains_key(&message.from);
+        let is_new = !self.members.contains_key(&message.from);
+        let is_list = matches!(message.kind, MessageKind::Sync(false));
         for record in &message.records {
-            self.apply(now, record);
+            self.apply(now, record, is_list);
         }
-        let differs = message.digest != self.digest;
         if let Some(member) = self.members.get_mut(&message.from) {
             member.versions = message.versions;
         }
         let mut out = Vec::new();
         match message.kind {
+            // Only a member that just started probes others that do not know it.
+            MessageKind::Probe(n) if is_new => self.welcome(now, from_addr, n, &mut out),
             MessageKind::Probe(n) => out.push(self.envelope(from_addr, MessageKind::Ack(n))),
             MessageKind::Indirect(n, id) => self.relay_probe(now, from_addr, n, id, &mut out),
             MessageKind::Ack(n) => self.handle_ack(n, &mut out),
-            MessageKind::Sync(reply_wanted) => {
-                if reply_wanted {
-                    self.send_list(from_addr, false, &mut out);
-                }
+            MessageKind::Sync(true) => {
+                self.send_list(now, from_addr, &mut out);
             }
+            MessageKind::Sync(false) => {}
         }
-        let needs_list = newcomer || !self.members.contains_key(&message.from);
-        if needs_list || (differs && now.since(self.last_sync) > SYNC_INTERVAL) {
-            self.last_sync = now;
-            self.send_list(from_addr, true, &mut out);
+        if self.needs_list(now, message) {
+            self.last_sync = Some(now);
+            self.request_list(now, from_addr, &mut out);
         }
         out
     }
 
+    /// Requests a member's list. A daemon that knows others sends its own list as well.
+    fn request_list(&mut self, now: Time, to: SocketAddr, out: &mut Vec<Envelope>) {
+        let mut request = self.message(MessageKind::Sync(true));
+        self.add_own_record(&mut request);
+        out.push(Envelope {
+            to,
+            message: request,
+        });
+        if self.uptime(now) >= JOIN_SYNC_PERIOD {
+            self.send_list(now, to, out);
+        }
+    }
+
+    /// Whether to request the list of a message's sender.
+    ///
+    /// A part of a list is no reason to request one: the other parts are on their way.
+    fn needs_list(&self, now: Time, message: &Message) -> bool {
+        let knows_sender = self.members.contains_key(&message.from);
+        if matches!(message.kind, MessageKind::Sync(false)) && knows_sender {
+            return false;
+        }
+        if knows_sender && message.digest == self.digest {
+            return false;
+        }
+        let Some(last) = self.last_sync else {
+            return true;
+        };
+        let joins = !knows_sender || self.uptime(now) < JOIN_SYNC_PERIOD;
+        let interval = if joins {
+            JOIN_SYNC_INTERVAL
+        } else {
+            SYNC_INTERVAL
+        };
+        now.since(last) > interval
+    }
+
+    fn uptime(&self, now: Time) -> Duration {
+        self.first_tick.map_or(Duration::ZERO, |t| now.since(t))
+    }
+
+    /// Adds this daemon's own record to a message for a member that may not know it.
+    fn add_own_record(&self, message: &mut Message) {
+        if message.records.iter().all(|r| r.id != self.me) {
+            message.records.push(self.members[&self.me].record.clone());
+        }
+    }
+
     /// Sends this daemon's own record to the members that should not wait for gossip.
     fn notify_directly(&mut self) -> Vec<Envelope> {
         let mut message = self.message(MessageKind::Sync(false));
@@ -313,21 +409,46 @@
         self.present().filter(|m| m.record.id != self.me)
     }
 
-    /// Adds messages with the full list; the first one asks for the receiver's if `reply_wanted`.
-    fn send_list(&mut self, to: SocketAddr, reply_wanted: bool, out: &mut Vec<Envelope>) {
-        let all: Vec<MemberRecord> = self.members.values().map(|m| m.record.clone()).collect();
-        for (i, part) in all.chunks(RECORDS_PER_SYNC).enumerate() {
-            let mut message = self.message(MessageKind::Sync(reply_wanted && i == 0));
+    /// Answers the probe `number` of a member that just started, with the full list or, once the
+    /// budget for lists is spent, with a few random records.
+    fn welcome(&mut self, now: Time, to: SocketAddr, number: u32, out: &mut Vec<Envelope>) {
+        let mut message = self.message(MessageKind::Ack(number));
+        self.add_own_record(&mut message);
+        let mut list = Vec::new();
+        if !self.send_list(now, to, &mut list) {
+            let others: Vec<NodeId> = self.others().map(|m| m.record.id).collect();
+            let sample = others.sample(&mut self.rng, SAMPLE_RECORDS);
+            let records = sample.map(|id| self.members[id].record.clone());
+            message.records.extend(records);
+        }
+        out.push(Envelope { to, message });
+        out.append(&mut list);
+    }
+
+    /// Adds messages with the full list, unless the budget for lists is spent; whether it did. The
+    /// own record comes first, so that the receiver knows the sender.
+    fn send_list(&mut self, now: Time, to: SocketAddr, out: &mut Vec<Envelope>) -> bool {
+        if !self.list_budget.try_withdraw(now, self.members.len()) {
+            return false;
+        }
+        let mine = self.members[&self.me].record.clone();
+        let others = self.members.values().filter(|m| m.record.id != self.me);
+        let all: Vec<MemberRecord> = std::iter::once(mine)
+            .chain(others.map(|m| m.record.clone()))
+            .collect();
+        for part in all.chunks(RECORDS_PER_SYNC) {
+            let mut message = self.message(MessageKind::Sync(false));
             message.records = part.to_vec();
             out.push(Envelope { to, message });
         }
+        true
     }
 
     /// Stores a record if it is newer than the known one.
     ///
     /// A higher incarnation wins, then the later state. Only a higher incarnation revives a dead
-    /// member.
-    fn apply(&mut self, now: Time, record: &MemberRecord) {
+    /// member. A record of a list is not passed on while this daemon joins, because others know it.
+    fn apply(&mut self, now: Time, record: &MemberRecord, from_list: bool) {
         if record.id == self.me {
             self.refute(now, record);
             return;
@@ -342,13 +463,17 @@
         if !newer {
             return;
         }
-        let joining = self.first_tick.is_none_or(|t| now.since(t) < JOIN_PERIOD);
+        let joining = self.uptime(now) < JOIN_PERIOD;
         let unknown = record.state != State::Dead && !self.members.contains_key(&record.id);
         if joining && unknown && self.join_notices < MAX_DIRECT_NOTICES {
             self.join_notices += 1;
             self.to_notify.push(record.id);
         }
-        self.store_and_gossip(now, record.clone());
+        if joining && from_list {
+            self.store(now, record.clone());
+        } else {
+            self.store_and_gossip(now, record.clone());
+        }
         if record.state != State::Dead {
             self.expire_replaced(now, record);
         }
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -59,6 +59,8 @@
     /// Probes the next member, or all seeds while no other member is known.
     pub(super) fn start_probe(&mut self, now: Time, out: &mut Vec<Envelope>) {
         let Some(target) = self.next_probe_target() else {
+            // A seed that does not know this daemon answers with its list as well.
+            self.last_sync = Some(now);
             for seed in self.seeds.clone() {
                 self.last_number += 1;
                 out.push(self.envelope(seed, MessageKind::Probe(self.last_number)));
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -16,7 +16,7 @@
         tier::{
             directory,
             knowledge::ClusterState,
-            meters::GaugeValues,
+            meters::{self, GaugeValues},
             peer_sync::PeerSync,
             peers::{self, CATALOG_KEY, TARGETS_KEY},
             register::StaleEntries,
@@ -198,6 +198,7 @@
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((len, from)) = received {
                     if let Ok(Datagram::Gossip(message)) = decode(&buffer[..len]) {
+                        meters::count_datagram("received", message.kind, len);
                         control.receive_gossip(&socket, from, &message).await;
                     } else {
                         tracing::debug!(%from, "dropped a gossip datagram that cannot be decoded");
@@ -483,7 +484,9 @@
 
 async fn send(socket: &UdpSocket, list: Vec<Envelope>) {
     for item in list {
+        let kind = item.message.kind;
         let bytes = encode(&Datagram::Gossip(item.message));
+        meters::count_datagram("sent", kind, bytes.len());
         // Membership repeats what a lost datagram carried, so an error needs no handling.
         let _ = socket.send_to(&bytes, item.to).await;
     }
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -7,7 +7,7 @@
 
 use {
     metrics::{Counter, Histogram, counter, gauge, histogram},
-    rattanturn_core::gather::MissingReason,
+    rattanturn_core::{gather::MissingReason, membership::MessageKind},
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
 };
 
@@ -151,6 +151,20 @@
     counter!("rattanturn_refused_total", "reason" => reason).increment(1);
 }
 
+/// Counts a datagram between daemons by what it is for; `direction` is `sent` or `received`.
+pub(crate) fn count_datagram(direction: &'static str, kind: MessageKind, bytes: usize) {
+    let kind = match kind {
+        MessageKind::ANNOUNCE => "announce",
+        MessageKind::Probe(_) | MessageKind::Indirect(..) => "probe",
+        MessageKind::Ack(_) => "ack",
+        MessageKind::Sync(_) => "members",
+    };
+    counter!("rattanturn_peer_datagrams_total", "direction" => direction, "kind" => kind)
+        .increment(1);
+    counter!("rattanturn_peer_datagram_bytes_total", "direction" => direction, "kind" => kind)
+        .increment(bytes as u64);
+}
+
 /// Gauges that the control thread exports.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct GaugeValues {
--- a/crates/standins/src/gossip.rs
+++ b/crates/standins/src/gossip.rs
@@ -11,6 +11,7 @@
     rattanturn_core::{
         NodeId, Time,
         membership::{Endpoints, Envelope, Membership, Message, State, Versions},
+        rendezvous,
     },
     rattanturn_wire::{Datagram, encode},
     std::{
@@ -76,7 +77,8 @@
 /// Identity of the member with this index.
 #[must_use]
 pub fn node_id(index: usize) -> NodeId {
-    NodeId(index as u64 + 1)
+    // Real identities are random, so that the order of the members tells nothing about their age.
+    NodeId(rendezvous::score(NodeId(index as u64), 0))
 }
 
 impl SimNetwork {
--- a/crates/standins/tests/membership.rs
+++ b/crates/standins/tests/membership.rs
@@ -213,3 +213,44 @@
         );
     }
 }
+
+/// When a whole deployment starts at once, every daemon needs a list of all others, and all ask the
+/// few seeds. The list must not cost the seeds' links: 400 kB a second is the aim with 302 daemons,
+/// and 1 MB is half of what the link of a small VM carries.
+#[test]
+fn seeds_of_a_large_network_that_starts_at_once_send_little() {
+    for (count, limit, agreed) in [(302, 400_000, 10), (1_000, 1_000_000, 15)] {
+        let mut net = SimNetwork::new(count, SEED);
+        let mut seconds = 0;
+        while !net.converged() {
+            net.reset_counts();
+            net.run(Duration::from_secs(1));
+            seconds += 1;
+            let most = net.nodes.iter().map(|n| n.bytes).max();
+            let most = most.unwrap_or_default();
+            assert!(
+                most <= limit,
+                "{count} members, second {seconds}: {most} bytes"
+            );
+            assert!(seconds <= agreed, "{count} members did not agree in time");
+        }
+    }
+}
+
+/// Bytes that a member sends while the others of a lost data centre are found to be dead.
+#[test]
+fn a_lost_data_centre_costs_the_other_members_little() {
+    let mut net = converged(302);
+    net.run(Duration::from_secs(30));
+    for node in net.nodes.iter_mut().take(60) {
+        node.dead = true;
+    }
+    for second in 0..15 {
+        net.reset_counts();
+        net.run(Duration::from_secs(1));
+        let alive = net.nodes.iter().filter(|n| !n.dead);
+        let most = alive.map(|n| n.bytes).max().unwrap_or_default();
+        assert!(most <= 400_000, "second {second}: {most} bytes");
+    }
+    assert!(net.converged());
+}
