--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -11,7 +11,11 @@
 //! The price is that a target that really stopped during an outage stays in use for that long.
 
 use {
-    crate::Time,
+    crate::{
+        Time,
+        buckets::{BUCKETS, BucketDigests, bucket},
+        rendezvous,
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -73,6 +77,18 @@
     }
 }
 
+impl Target {
+    /// Digest of what callers depend on, see [`Self::differs`].
+    fn digest(&self) -> u64 {
+        let known = (
+            (&self.id, &self.service, self.addr, &self.centre),
+            (self.slots, self.leaving, self.cold_left.is_zero()),
+            self.incarnation,
+        );
+        rendezvous::key(&format!("{known:?}"))
+    }
+}
+
 /// The targets currently in use, kept up to date from the entries in the store.
 ///
 /// A target is shown as in its last entry that changed something callers depend on. Targets renew
@@ -92,6 +108,7 @@
     /// When the last outage of the store ended; zero before the first.
     outage_end: Time,
     changes: u64,
+    digests: BucketDigests,
 }
 
 impl TargetSet {
@@ -133,7 +150,10 @@
             return false;
         }
         self.changes += 1;
-        self.targets.insert(target.id.clone(), target);
+        self.digests.toggle(&target.id, target.digest());
+        if let Some(old) = self.targets.insert(target.id.clone(), target) {
+            self.digests.toggle(&old.id, old.digest());
+        }
         true
     }
 
@@ -170,24 +190,48 @@
         }
     }
 
-    /// Adopts the targets in use at a peer that reads the store.
+    /// Digests of the targets in each bucket.
+    #[must_use]
+    pub fn digests(&self) -> &BucketDigests {
+        &self.digests
+    }
+
+    /// The targets in these buckets.
+    pub fn in_buckets<'a>(&'a self, indexes: &'a [usize]) -> impl Iterator<Item = &'a Target> {
+        let mut wanted = [false; BUCKETS];
+        for index in indexes.iter().filter(|i| **i < BUCKETS) {
+            wanted[*index] = true;
+        }
+        self.targets().filter(move |t| wanted[bucket(&t.id)])
+    }
+
+    /// Adopts the targets in use at a peer; `list` are all of those in the buckets `indexes`.
     ///
     /// The peer's list still contains targets whose entries may have expired because of an outage,
-    /// so targets that it does not contain are removed at once.
-    pub fn adopt_from_peer(&mut self, now: Time, list: Vec<Target>) {
+    /// so targets of these buckets that it does not contain are removed at once.
+    pub fn adopt_buckets(&mut self, now: Time, indexes: &[usize], list: Vec<Target>) {
         self.outage_start = None;
         self.expiring.clear();
         let present: HashSet<String> = list.iter().map(|t| t.id.clone()).collect();
         for target in list {
             self.upsert(now, target);
         }
-        let ids = self.targets.keys();
-        let absent: Vec<String> = ids.filter(|id| !present.contains(*id)).cloned().collect();
+        let known = self.in_buckets(indexes);
+        let absent: Vec<String> = known
+            .filter(|t| !present.contains(&t.id))
+            .map(|t| t.id.clone())
+            .collect();
         for id in absent {
             self.remove(now, &id);
         }
     }
 
+    /// Adopts all targets in use at a peer, as in [`Self::adopt_buckets`].
+    pub fn adopt_from_peer(&mut self, now: Time, list: Vec<Target>) {
+        let all: Vec<usize> = (0..BUCKETS).collect();
+        self.adopt_buckets(now, &all, list);
+    }
+
     /// Records that a read of the store failed at `now`.
     pub fn store_unavailable(&mut self, now: Time) {
         self.outage_start.get_or_insert(now);
@@ -229,8 +273,9 @@
     }
 
     fn remove(&mut self, now: Time, id: &str) {
-        if self.targets.remove(id).is_some() {
+        if let Some(old) = self.targets.remove(id) {
             self.changes += 1;
+            self.digests.toggle(id, old.digest());
         }
         if let Some(newest) = self.newest.remove(id) {
             self.removed.insert(id.into(), (newest, now));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,15 +44,19 @@
 //! - [`rendezvous`]: rendezvous hashing, by which daemons that know the same members make the same
 //!   choice.
 //! - [`readers`]: which daemons read the store; the others receive what these have read.
+//! - [`dissemination`]: to whom a reader announces what it has read.
+//! - [`buckets`]: digests by which two daemons find out in which targets they differ.
 //! - [`versioned`]: the newest accepted version of a shared object.
 //! - [`object_history`]: recent versions of shared objects, and patches between them.
 
 pub mod addresses;
 pub mod admission;
+pub mod buckets;
 pub mod catalog;
 pub mod cold;
 pub mod dedup;
 pub mod discovery;
+pub mod dissemination;
 pub mod gather;
 pub mod health;
 pub mod hedge;
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -61,6 +61,9 @@
     pub tables: u64,
     /// Version of the voter sets; in the tier, the revision of the discovered targets.
     pub voter_sets: u64,
+    /// In the tier, digest of the discovered targets at that revision: daemons whose digests are
+    /// equal know the same, whatever the revision. 0 if the daemon does not tell it.
+    pub digest: u64,
 }
 
 /// Purpose of a message.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -273,16 +273,10 @@
             .collect()
     }
 
-    /// Returns a message for every other member that carries this daemon's configuration versions.
-    pub fn announce(&mut self) -> Vec<Envelope> {
-        let message = self.message(MessageKind::ANNOUNCE);
-        let to: Vec<SocketAddr> = self.others().map(|m| m.record.endpoints.gossip).collect();
-        to.into_iter()
-            .map(|to| Envelope {
-                to,
-                message: message.clone(),
-            })
-            .collect()
+    /// The message that announces this daemon's configuration versions to any other member.
+    #[must_use]
+    pub fn announcement(&self) -> Message {
+        self.message(MessageKind::ANNOUNCE)
     }
 
     /// Advances time: notifies members, probes, and expires suspects. Returns the messages to send.
--- a/crates/core/src/object_history.rs
+++ b/crates/core/src/object_history.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::rendezvous,
-    diffy::{Patch, apply_bytes, create_patch_bytes},
+    diffy::{DiffOptions, Patch, apply_bytes},
     std::{
         collections::{HashMap, VecDeque},
         sync::Arc,
@@ -73,7 +73,12 @@
         let digest = rendezvous::digest(&newest.body);
         let version = newest.number;
         if let Some(base) = versions.iter().find(|v| v.number == known) {
-            let data = create_patch_bytes(&base.body, &newest.body).to_bytes();
+            // The base is known to be the same, so a patch needs no lines of context.
+            let mut options = DiffOptions::new();
+            let patch = options
+                .set_context_len(0)
+                .create_patch_bytes(&base.body, &newest.body);
+            let data = patch.to_bytes();
             if data.len() < newest.body.len() {
                 return Some(ObjectUpdate {
                     version,
--- a/crates/core/tests/readers.rs
+++ b/crates/core/tests/readers.rs
@@ -31,14 +31,14 @@
 }
 
 /// Data centre of the daemon with this index.
-fn centre(index: u64) -> &'static str {
+fn centre(index: u32) -> &'static str {
     ["a", "b", "c", "d", "e"][index as usize % 5]
 }
 
 /// Positions of `count` daemons in the order in which they read.
 fn ranks(count: u32) -> Vec<usize> {
-    let candidates = (0..u64::from(count)).map(|i| Candidate {
-        id: NodeId(i),
+    let candidates = (0..count).map(|i| Candidate {
+        id: NodeId(u64::from(i)),
         centre: centre(i),
     });
     let order = reading_order(candidates);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -315,6 +315,7 @@
         self.membership.set_versions(Versions {
             tables: self.tables.version(),
             voter_sets: self.voter_sets.version(),
+            digest: 0,
         });
     }
 
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -1,9 +1,10 @@
 //! The control loop of the tier: builds the view for traffic from the store and from peers.
 //!
 //! Only a few daemons read the store; they are chosen by [`rattanturn_core::readers`]. A reader
-//! announces new versions to all other daemons as soon as it reads a relevant change, and these
-//! fetch the new state from it. Every membership message carries the versions too, so a daemon
-//! that misses an announcement catches up with the next message.
+//! announces new versions as soon as it reads a relevant change, to the daemons that
+//! [`rattanturn_core::dissemination`] names, and these fetch what they lack from it. Every membership
+//! message carries the versions too, so a daemon that misses an announcement catches up with the next
+//! message.
 
 mod members;
 mod problems;
@@ -18,7 +19,7 @@
             knowledge::ClusterState,
             meters::{self, GaugeValues},
             peer_sync::PeerSync,
-            peers::{self, CATALOG_KEY, TARGETS_KEY},
+            peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
             register::StaleEntries,
             sources::{StoreEvent, session},
             view::{Gauges, Phase, SharedView, View},
@@ -29,6 +30,7 @@
         NodeId, Time,
         addresses::{self, Frontend},
         discovery::Target,
+        dissemination::{self, Peer},
         membership::{Endpoints, Envelope, Membership, Message, MessageKind, State, Versions},
         quota,
         readers::{self, ReaderRole},
@@ -55,6 +57,14 @@
 /// Longest time between two announcements of a daemon that reads the store. It is shorter than
 /// [`readers::STALE_AFTER`], so that the other daemons do not start to read as well.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
+/// Shortest time between two announcements that a daemon passes on without a change.
+const RELAY_INTERVAL: Duration = Duration::from_millis(300);
+/// A daemon that got an announcement from another data centre within this time passes on what it
+/// fetches to its own data centre. Readers announce more often.
+const RELAY_ROLE_TIME: Duration = Duration::from_secs(2);
+/// How long a daemon that hears of a newer version from another data centre, other than by an
+/// announcement, waits for a daemon of its own data centre to announce it.
+const NEAR_FETCH_WAIT: Duration = Duration::from_millis(400);
 /// Interval of exporting the gauges; scrapes are seconds apart.
 const GAUGES_INTERVAL: Duration = Duration::from_secs(1);
 /// A daemon that died still counts among those that share targets' connections and rates for this
@@ -89,11 +99,14 @@
     reader_role: ReaderRole,
     reader_context: readers::ReaderContext,
     /// [`ViewInputs::reader_inputs`] when `reader_context` was last updated.
-    reader_inputs: (u64, usize),
+    reader_inputs: (u64, u64),
     /// State of each daemon, by its name, as last logged.
     logged_states: BTreeMap<String, State>,
-    /// When this daemon last announced its versions to all other daemons.
+    /// When this daemon last announced what it had read.
     last_announced: Time,
+    /// When this daemon last passed an announcement on, and when it last got one to pass on.
+    last_relayed: Time,
+    relay_since: Option<Time>,
     /// When the gauges were last exported.
     gauges_set: Time,
     stale_entries: StaleEntries,
@@ -124,15 +137,16 @@
     /// Change counter of the members.
     members: u64,
     evacuated: BTreeSet<String>,
-    daemons: BTreeMap<String, f64>,
+    /// Digest of the registered daemons.
+    daemons: u64,
     phase: Phase,
 }
 
 impl ViewInputs {
-    /// Change counter of the members and number of registered daemons: if neither changes, the
+    /// Change counter of the members and digest of the registered daemons: if neither changes, the
     /// choice of readers cannot change either.
-    fn reader_inputs(&self) -> (u64, usize) {
-        (self.members, self.daemons.len())
+    fn reader_inputs(&self) -> (u64, u64) {
+        (self.members, self.daemons)
     }
 }
 
@@ -153,8 +167,8 @@
     let _metrics = metrics.transpose()?;
     let _ready = directory::serve(start.ready, start.shared.clone())?;
     let _directory = directory::serve(start.directory, start.shared.clone())?;
-    actix_rt::spawn(peers::serve(start.rpc, objects.clone()));
     let (sender, mut store_events) = mpsc::unbounded_channel();
+    let (targets, mut targets_events) = mpsc::unbounded_channel();
     let port = start.settings.peer_port;
     let peers = start.settings.peers.iter();
     let seeds: Vec<SocketAddr> = peers
@@ -167,7 +181,7 @@
         me: start.me,
         front: start.tier.front,
         cluster: ClusterState::default(),
-        peer_sync: PeerSync::new(objects, start.events),
+        peer_sync: PeerSync::new(objects.clone(), start.events, targets.clone()),
         reader_role: ReaderRole::new(now, is_seed),
         reader_context: readers::ReaderContext {
             rank: 0,
@@ -177,6 +191,8 @@
         reader_inputs: (0, 0),
         logged_states: BTreeMap::new(),
         last_announced: Time::ZERO,
+        last_relayed: Time::ZERO,
+        relay_since: None,
         gauges_set: Time::ZERO,
         stale_entries: StaleEntries::default(),
         cores: start.tier.cores,
@@ -191,6 +207,7 @@
         shared: start.shared,
         gauges: start.gauges,
     };
+    actix_rt::spawn(peers::serve(start.rpc, objects, targets));
     let mut buffer = vec![0; control::MAX_DATAGRAM_BYTES];
     let mut next = clock::now();
     loop {
@@ -206,9 +223,12 @@
                 }
             }
             Some(event) = store_events.recv() => control.handle_store_event(&socket, event).await,
+            Some(event) = targets_events.recv() => {
+                control.handle_targets_event(&socket, event).await;
+            }
             Some(event) = inbox.recv() => match event {
                 Event::Kill => return Ok(()),
-                event => control.handle_event(event),
+                event => control.handle_event(&socket, event).await,
             },
             () = clock::sleep_until(next) => {
                 next = clock::now() + TICK;
@@ -226,6 +246,65 @@
         let out = self.membership.receive(now, from, message);
         self.compare_versions(now, message);
         send(socket, out).await;
+        if message.kind == MessageKind::ANNOUNCE {
+            self.relay_announcement(socket, now, message.from).await;
+        }
+    }
+
+    /// Passes on an announcement that came from another data centre, if it told nothing new. If it
+    /// did, what is fetched because of it is announced once it is here.
+    async fn relay_announcement(&mut self, socket: &UdpSocket, now: Time, from: NodeId) {
+        if self.is_near(from) {
+            return;
+        }
+        self.relay_since = Some(now);
+        let waits = self.peer_sync.has_newer();
+        if !waits && now.since(self.last_relayed) >= RELAY_INTERVAL {
+            self.relay(socket, now).await;
+        }
+    }
+
+    /// Whether a daemon runs in this daemon's data centre.
+    fn is_near(&self, id: NodeId) -> bool {
+        let member = self.membership.get(id);
+        member.is_some_and(|m| m.record.endpoints.centre == self.settings.centre)
+    }
+
+    /// Announces to this daemon's data centre, in a large deployment.
+    async fn relay(&mut self, socket: &UdpSocket, now: Time) {
+        self.last_relayed = now;
+        let audience = self.audience(dissemination::relay_audience);
+        self.announce(socket, &audience).await;
+    }
+
+    /// Addresses of the daemons that `choose` names among all others.
+    fn audience(&self, choose: fn(&str, &[Peer<'_>]) -> Vec<NodeId>) -> Vec<SocketAddr> {
+        let others = self.membership.present().filter(|m| m.record.id != self.me);
+        let peers = others.map(|m| Peer {
+            id: m.record.id,
+            centre: &m.record.endpoints.centre,
+            alive: m.record.state == State::Alive,
+            capacity: self.capacity(&m.record.endpoints.name),
+        });
+        let chosen = choose(&self.settings.centre, &peers.collect::<Vec<_>>());
+        let members = chosen.iter().filter_map(|id| self.membership.get(*id));
+        members.map(|m| m.record.endpoints.gossip).collect()
+    }
+
+    /// Processor cores of a registered daemon; 0 if unknown.
+    fn capacity(&self, name: &str) -> f64 {
+        self.cluster.daemons.get(name).copied().unwrap_or(0.0)
+    }
+
+    async fn announce(&self, socket: &UdpSocket, audience: &[SocketAddr]) {
+        let message = self.membership.announcement();
+        let kind = message.kind;
+        let bytes = encode(&Datagram::Gossip(message));
+        for to in audience {
+            meters::count_datagram("sent", kind, bytes.len());
+            // A lost announcement is made up for by the next message, so an error needs no handling.
+            let _ = socket.send_to(&bytes, to).await;
+        }
     }
 
     /// Fetches from the sender of a message what it has in a newer version.
@@ -236,14 +315,26 @@
         let endpoints = &member.record.endpoints;
         let rpc = SocketAddr::new(endpoints.gossip.ip(), endpoints.rpc);
         let versions = message.versions;
-        // In the tier, `voter_sets` carries the revision of the targets.
+        let announced = message.kind == MessageKind::ANNOUNCE;
+        let wait = if announced || self.is_near(message.from) {
+            Duration::ZERO
+        } else {
+            NEAR_FETCH_WAIT
+        };
         if versions.tables > self.cluster.config_version() {
-            self.peer_sync.note_newer(CATALOG_KEY, rpc, versions.tables);
+            let version = versions.tables;
+            self.peer_sync.note_newer(CATALOG_KEY, rpc, version, wait);
+        }
+        // In the tier, `voter_sets` carries the revision of the targets.
+        let same = versions.digest != 0 && versions.digest == self.cluster.digest();
+        if same && versions.voter_sets > self.cluster.revision {
+            self.cluster.adopt_revision(versions.voter_sets);
+            self.share_state();
         }
         if versions.voter_sets > self.cluster.revision {
-            self.peer_sync
-                .note_newer(TARGETS_KEY, rpc, versions.voter_sets);
-        } else if message.kind == MessageKind::ANNOUNCE && self.cluster.revision > 0 {
+            let revision = versions.voter_sets;
+            self.peer_sync.note_newer(TARGETS_KEY, rpc, revision, wait);
+        } else if announced && self.cluster.revision > 0 {
             self.cluster.confirm_read(now, versions.tables);
         }
         self.fetch_newer();
@@ -251,29 +342,56 @@
 
     fn fetch_newer(&mut self) {
         let (version, revision) = (self.cluster.config_version(), self.cluster.revision);
-        self.peer_sync.start_fetches(|key| match key {
-            CATALOG_KEY => version,
-            _ => revision,
-        });
+        let known = || KnownTargets {
+            revision,
+            digests: self.cluster.targets.digests().as_slice().to_vec(),
+            daemons: self.cluster.daemons_digest,
+        };
+        self.peer_sync.start_fetches(version, revision, known);
+    }
+
+    /// Answers a peer's request for targets, or applies what this daemon has fetched.
+    async fn handle_targets_event(&mut self, socket: &UdpSocket, event: TargetsEvent) {
+        match event {
+            TargetsEvent::Requested(request) => {
+                let reply = self
+                    .cluster
+                    .reply_to_peer(&request.digests, request.daemons);
+                // Sending fails only if the peer's connection was closed meanwhile.
+                let _ = request.reply.send(reply);
+            }
+            TargetsEvent::Fetched(reply) => {
+                self.peer_sync.fetch_succeeded(TARGETS_KEY);
+                if self.cluster.apply_targets(clock::now(), &reply) {
+                    self.share_fetched(socket).await;
+                }
+            }
+            TargetsEvent::FetchFailed => self.peer_sync.fetch_failed(TARGETS_KEY),
+        }
+    }
+
+    /// Shares what was fetched from a peer, also with the own data centre if the peer announced it
+    /// to this daemon.
+    async fn share_fetched(&mut self, socket: &UdpSocket) {
+        self.share_state();
+        let now = clock::now();
+        if self
+            .relay_since
+            .is_some_and(|at| now.since(at) < RELAY_ROLE_TIME)
+        {
+            self.relay(socket, now).await;
+        }
     }
 
-    fn handle_event(&mut self, event: Event) {
+    async fn handle_event(&mut self, socket: &UdpSocket, event: Event) {
         match event {
             Event::ObjectVersion(object) => {
                 self.peer_sync.fetch_succeeded(object.key);
-                if object.key == CATALOG_KEY {
-                    match serde_json::from_slice(&object.body) {
-                        Ok(spec) => self.cluster.apply_catalog(&spec, "peer"),
-                        Err(error) => {
-                            tracing::warn!(%error, "cannot parse a peer's configuration");
-                        }
-                    }
-                } else {
-                    let now = clock::now();
-                    self.cluster
-                        .apply_targets(now, object.version, &object.body);
+                match serde_json::from_slice(&object.body) {
+                    Ok(spec) => self.cluster.apply_catalog(&spec, "peer"),
+                    Err(error) => tracing::warn!(%error, "cannot parse a peer's configuration"),
                 }
-                self.share_state();
+                self.share_fetched(socket).await;
             }
             Event::FetchFailed(key) => {
                 tracing::debug!(key, "fetching an object from a peer failed");
@@ -305,8 +423,8 @@
             now.since(self.last_announced) >= ANNOUNCE_INTERVAL && self.cluster.targets_read > read;
         if changed || due {
             self.last_announced = now;
-            let out = self.membership.announce();
-            send(socket, out).await;
+            let audience = self.audience(dissemination::reader_audience);
+            self.announce(socket, &audience).await;
         }
     }
 
@@ -317,11 +435,10 @@
         let (version, revision) = (self.cluster.config_version(), self.cluster.revision);
         self.peer_sync
             .publish(CATALOG_KEY, version, &self.cluster.catalog_spec);
-        self.peer_sync
-            .publish(TARGETS_KEY, revision, self.cluster.targets_object());
         self.membership.set_versions(Versions {
             tables: version,
             voter_sets: revision,
+            digest: self.cluster.digest(),
         });
         self.publish_view();
         changed
@@ -385,7 +502,6 @@
 
     /// All present daemons, with whether each accepts callers.
     fn frontends(&self) -> Vec<Frontend> {
-        let cores = &self.cluster.daemons;
         // A suspect daemon is advertised only while no daemon is alive: it takes seconds to
         // confirm that it is dead, and callers would be sent to it meanwhile.
         let mut others = self.membership.present().filter(|m| m.record.id != self.me);
@@ -397,7 +513,7 @@
             centre: m.record.endpoints.centre.clone(),
             accepting: accepts(m.record.state)
                 && (m.record.id != self.me || self.phase == Phase::Serving),
-            capacity: cores.get(&m.record.endpoints.name).copied().unwrap_or(0.0),
+            capacity: self.capacity(&m.record.endpoints.name),
         });
         frontends.collect()
     }
@@ -409,7 +525,7 @@
             targets: self.cluster.targets.changes(),
             members: self.membership.changes(),
             evacuated: self.cluster.evacuated.clone(),
-            daemons: self.cluster.daemons.clone(),
+            daemons: self.cluster.daemons_digest,
             phase: self.phase,
         };
         if inputs == self.view_inputs {
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -2,13 +2,18 @@
 //! and registered daemons.
 //!
 //! It comes from the store, or from a peer that reads the store. The configuration carries the
-//! version that operators gave it; everything else shares one revision, so two numbers suffice to
-//! compare the state of two daemons. In return a change of any part makes peers fetch the whole
-//! object again, though as a patch where possible.
+//! version that operators gave it; everything else shares one revision and one digest. The revision
+//! says whose state is newer, the digest whether two states differ at all: two readers give the same
+//! state different revisions. Peers fetch only the parts that differ.
 
 use {
-    crate::tier::{peers::TargetsObject, sources::StoreEvent},
-    rattanturn_core::{Time, catalog::Catalog, discovery::TargetSet, readers::STALE_AFTER},
+    crate::tier::{
+        peers::{TargetsReply, TargetsUpdate},
+        sources::StoreEvent,
+    },
+    rattanturn_core::{
+        Time, catalog::Catalog, discovery::TargetSet, readers::STALE_AFTER, rendezvous,
+    },
     rattanturn_platform::{Object, entries, objects},
     serde_json::{Value, json},
     std::{
@@ -23,7 +28,8 @@
     /// Change counter of the targets.
     targets: u64,
     evacuated: BTreeSet<String>,
-    daemons: BTreeMap<String, f64>,
+    /// Digest of the registered daemons.
+    daemons: u64,
 }
 
 /// Everything that was read from the store, by this daemon or by a peer.
@@ -38,6 +44,8 @@
     pub(crate) evacuated: BTreeSet<String>,
     /// Processor cores of each registered daemon, by its name.
     pub(crate) daemons: BTreeMap<String, f64>,
+    /// Digest of `daemons`; 0 if there are none.
+    pub(crate) daemons_digest: u64,
     /// Revision of the targets, evacuated data centres and registered daemons together. It is
     /// at least the store's revision up to which a reader had read when it noticed their last
     /// change, and each change raises it; 0 if nothing is known.
@@ -53,8 +61,11 @@
     pub(crate) failures: HashMap<&'static str, u64>,
     /// The state at `revision`.
     shared: SharedState,
-    /// The state at `revision`, encoded for peers.
-    targets_object: Vec<u8>,
+    /// Digest of the state at `revision`; 0 if nothing is known.
+    digest: u64,
+    /// The last reply to a peer, with the digest of what it requested. Many peers request the same
+    /// after a change.
+    last_reply: Option<(u64, TargetsReply)>,
 }
 
 impl ClusterState {
@@ -116,7 +127,7 @@
             let daemons = objects
                 .into_iter()
                 .filter_map(|o| Some((o.name, parse_cores(&o.spec)?)));
-            self.daemons = daemons.collect();
+            self.set_daemons(daemons.collect());
         } else {
             for object in &objects {
                 self.apply_change(now, kind, object, false);
@@ -152,6 +163,7 @@
                 Some(cores) => self.daemons.insert(object.name.clone(), cores),
                 None => self.daemons.remove(&object.name),
             };
+            self.daemons_digest = digest_daemons(&self.daemons);
         } else if object.name == entries::CATALOG.1 && !removed {
             self.apply_catalog(&object.spec, "store");
         }
@@ -190,12 +202,22 @@
         if state == self.shared {
             return false;
         }
-        self.shared = state;
+        self.set_shared(state);
         self.revision = self.seen_revision.max(self.revision + 1);
-        self.encode_targets();
         true
     }
 
+    /// Digest of the targets, evacuated data centres and registered daemons at `revision`.
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes over the higher revision that a peer gave to the same state.
+    pub(crate) fn adopt_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+        self.last_reply = None;
+    }
+
     /// Applies a configuration if its version is newer than the current one's. `from` names its
     /// source in the log.
     pub(crate) fn apply_catalog(&mut self, spec: &Value, from: &str) {
@@ -212,57 +234,94 @@
         }
         tracing::info!(version, from, "applied a newer configuration");
         self.catalog = Some(Arc::new(catalog));
-        self.catalog_spec = spec.to_string().into_bytes();
+        self.catalog_spec = entries::catalog_lines(spec);
     }
 
-    /// Applies a [`TargetsObject`] that was fetched from a peer; false if it is not newer or
-    /// cannot be parsed.
-    pub(crate) fn apply_targets(&mut self, now: Time, revision: u64, body: &[u8]) -> bool {
-        if revision <= self.revision {
+    /// Applies what was fetched from a peer; false if it is not newer or cannot be parsed.
+    pub(crate) fn apply_targets(&mut self, now: Time, reply: &TargetsReply) -> bool {
+        if reply.revision <= self.revision {
             return false;
         }
-        match serde_json::from_slice::<TargetsObject>(body) {
-            Ok(object) => {
-                self.targets.adopt_from_peer(now, object.targets);
-                self.set_evacuated(object.evacuated.into_iter().collect());
-                self.revision = revision;
-                self.targets_read = now;
-                self.daemons = object.daemons;
-                self.shared = self.shared_state();
-                self.encode_targets();
-                true
-            }
+        let update: TargetsUpdate = match serde_json::from_slice(&reply.body) {
+            Ok(update) => update,
             Err(error) => {
                 tracing::warn!(%error, "cannot parse a peer's targets");
-                false
+                return false;
             }
+        };
+        match update.buckets {
+            Some(buckets) => self.targets.adopt_buckets(now, &buckets, update.targets),
+            None => self.targets.adopt_from_peer(now, update.targets),
+        }
+        self.set_evacuated(update.evacuated.into_iter().collect());
+        if let Some(daemons) = update.daemons {
+            self.set_daemons(daemons);
         }
+        self.revision = reply.revision;
+        self.targets_read = now;
+        self.set_shared(self.shared_state());
+        true
     }
 
-    /// The encoded [`TargetsObject`] at `revision`; empty if nothing is known.
-    pub(crate) fn targets_object(&self) -> &[u8] {
-        &self.targets_object
+    /// What a peer lacks whose buckets of targets and whose registered daemons have these digests.
+    /// No digests stand for a peer that knows nothing.
+    pub(crate) fn reply_to_peer(&mut self, digests: &[u64], daemons: u64) -> TargetsReply {
+        let bytes = digests.iter().flat_map(|d| d.to_le_bytes());
+        let bytes: Vec<u8> = bytes.chain(daemons.to_le_bytes()).collect();
+        let request = rendezvous::digest(&bytes);
+        if let Some((key, reply)) = &self.last_reply
+            && *key == request
+        {
+            return reply.clone();
+        }
+        let buckets = self.targets.digests().differing(digests);
+        let targets = self.targets.in_buckets(&buckets).cloned().collect();
+        let update = TargetsUpdate {
+            evacuated: self.evacuated.iter().cloned().collect(),
+            daemons: (digests.is_empty() || daemons != self.daemons_digest)
+                .then(|| self.daemons.clone()),
+            buckets: (!digests.is_empty()).then_some(buckets),
+            targets,
+        };
+        let reply = TargetsReply {
+            revision: self.revision,
+            body: update.encode(),
+        };
+        self.last_reply = Some((request, reply.clone()));
+        reply
+    }
+
+    fn set_daemons(&mut self, daemons: BTreeMap<String, f64>) {
+        self.daemons_digest = digest_daemons(&daemons);
+        self.daemons = daemons;
     }
 
     fn shared_state(&self) -> SharedState {
         SharedState {
             targets: self.targets.changes(),
             evacuated: self.evacuated.clone(),
-            daemons: self.daemons.clone(),
+            daemons: self.daemons_digest,
         }
     }
 
-    fn encode_targets(&mut self) {
-        let object = TargetsObject {
-            evacuated: self.evacuated.iter().cloned().collect(),
-            daemons: self.daemons.clone(),
-            targets: self.targets.targets().cloned().collect(),
-        };
-        match object.to_lines() {
-            Ok(body) => self.targets_object = body,
-            Err(error) => tracing::error!(%error, "cannot encode the targets for peers"),
-        }
+    fn set_shared(&mut self, state: SharedState) {
+        let parts = (
+            self.targets.digests().total(),
+            &state.evacuated,
+            state.daemons,
+        );
+        self.digest = rendezvous::key(&format!("{parts:?}"));
+        self.shared = state;
+        self.last_reply = None;
+    }
+}
+
+/// Digest of the registered daemons; 0 if there are none.
+fn digest_daemons(daemons: &BTreeMap<String, f64>) -> u64 {
+    if daemons.is_empty() {
+        return 0;
     }
+    rendezvous::key(&format!("{daemons:?}"))
 }
 
 /// Content of a daemon's own entry in the store.
--- a/crates/daemon/src/tier/peer_sync.rs
+++ b/crates/daemon/src/tier/peer_sync.rs
@@ -8,7 +8,7 @@
     crate::{
         clock,
         control::{Event, objects},
-        tier::peers::{CATALOG_KEY, TARGETS_KEY},
+        tier::peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
         traffic::rpc::{Peers, SharedObjects},
     },
     rattanturn_core::Time,
@@ -27,6 +27,8 @@
 struct NewerVersion {
     peer: SocketAddr,
     version: u64,
+    /// When to fetch it.
+    due: Time,
 }
 
 /// This daemon's exchange of objects with its peers.
@@ -34,6 +36,7 @@
     objects: SharedObjects,
     peers: Peers,
     events: UnboundedSender<Event>,
+    targets: UnboundedSender<TargetsEvent>,
     /// Newest version announced of each object, until it is here.
     newer: HashMap<&'static str, NewerVersion>,
     /// When the next fetch of each object may start, if it has to wait.
@@ -43,50 +46,83 @@
 }
 
 impl PeerSync {
-    pub(crate) fn new(objects: SharedObjects, events: UnboundedSender<Event>) -> Self {
+    pub(crate) fn new(
+        objects: SharedObjects,
+        events: UnboundedSender<Event>,
+        targets: UnboundedSender<TargetsEvent>,
+    ) -> Self {
         Self {
             objects,
             peers: Peers::new(std::rc::Rc::new(|_| {}), Duration::ZERO),
             events,
+            targets,
             newer: HashMap::new(),
             blocked: HashMap::new(),
             published: HashMap::new(),
         }
     }
 
-    /// Records that a peer has a newer version of an object.
-    pub(crate) fn note_newer(&mut self, key: &'static str, peer: SocketAddr, version: u64) {
-        let replaces = self.newer.get(key).is_none_or(|n| version >= n.version);
-        if replaces {
-            self.newer.insert(key, NewerVersion { peer, version });
+    /// Records that a peer has a newer version of an object, to be fetched after `wait` unless a
+    /// daemon that is known to be nearer announces it before.
+    pub(crate) fn note_newer(
+        &mut self,
+        key: &'static str,
+        peer: SocketAddr,
+        version: u64,
+        wait: Duration,
+    ) {
+        let due = clock::now() + wait;
+        let is_better =
+            |known: &NewerVersion| due < known.due || (wait.is_zero() && version > known.version);
+        if self.newer.get(key).is_none_or(is_better) {
+            self.newer.insert(key, NewerVersion { peer, version, due });
         }
     }
 
-    /// Starts the fetches that are due; `known` returns the version of an object that is here.
-    pub(crate) fn start_fetches(&mut self, known: impl Fn(&str) -> u64) {
-        let now = clock::now();
-        for key in [CATALOG_KEY, TARGETS_KEY] {
-            let Some(newer) = self.newer.get(key).copied() else {
-                continue;
-            };
-            if newer.version <= known(key) {
-                self.newer.remove(key);
-                continue;
-            }
-            if self.blocked.get(key).is_some_and(|until| now < *until) {
-                continue;
-            }
-            self.blocked.insert(key, now + FETCH_BLOCK_TIME);
+    /// Whether a peer has announced a version that is not here yet.
+    pub(crate) fn has_newer(&self) -> bool {
+        !self.newer.is_empty()
+    }
+
+    /// Starts the fetches that are due. `version` is that of the configuration here, `targets`
+    /// returns the targets known here.
+    pub(crate) fn start_fetches(
+        &mut self,
+        version: u64,
+        revision: u64,
+        targets: impl Fn() -> KnownTargets,
+    ) {
+        if let Some(peer) = self.next_fetch(CATALOG_KEY, version) {
             actix_rt::spawn(objects::fetch(
                 self.peers.clone(),
-                newer.peer,
-                key,
+                peer,
+                CATALOG_KEY,
                 // The peer sends a patch of this version, which must be in `objects` here.
-                self.published.get(key).copied().unwrap_or(0),
+                self.published.get(CATALOG_KEY).copied().unwrap_or(0),
                 self.objects.clone(),
                 self.events.clone(),
             ));
         }
+        if let Some(peer) = self.next_fetch(TARGETS_KEY, revision) {
+            let (peers, events) = (self.peers.clone(), self.targets.clone());
+            actix_rt::spawn(peers::fetch_targets(peers, peer, targets(), events));
+        }
+    }
+
+    /// The peer to fetch an object from now, if it has a newer version than `known`.
+    fn next_fetch(&mut self, key: &'static str, known: u64) -> Option<SocketAddr> {
+        let now = clock::now();
+        let newer = self.newer.get(key).copied()?;
+        if newer.version <= known {
+            self.newer.remove(key);
+            return None;
+        }
+        let blocked = self.blocked.get(key).is_some_and(|until| now < *until);
+        if blocked || now < newer.due {
+            return None;
+        }
+        self.blocked.insert(key, now + FETCH_BLOCK_TIME);
+        Some(newer.peer)
     }
 
     /// Allows the next fetch of an object that has arrived.
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -1,70 +1,223 @@
 //! Serves the configuration and the targets to other daemons over RPC.
 //!
 //! Most daemons do not read the store but fetch these objects from a peer that does. So a daemon
-//! that the store refuses, or that starts while the store is down, still gets them.
+//! that the store refuses, or that starts while the store is down, still gets them. The
+//! configuration is passed on as a line-based patch where possible, the targets by buckets, see
+//! [`rattanturn_core::buckets`].
 
 use {
-    crate::traffic::rpc::{self, SharedObjects},
+    crate::traffic::rpc::{self, Peers, SharedObjects},
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
-    rattanturn_core::discovery::Target,
+    rattanturn_core::{discovery::Target, rendezvous},
     rattanturn_wire::peer_capnp::peer,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    tokio::sync::{mpsc::UnboundedSender, oneshot},
 };
 
 /// Key of the configuration, as JSON in the operators' format.
 pub(crate) const CATALOG_KEY: &str = "catalog";
-/// Key of the [`TargetsObject`].
+/// Key of the targets.
 pub(crate) const TARGETS_KEY: &str = "fleet";
+/// Timeout of fetching targets from a peer.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The targets, the evacuated data centres and the registered daemons, as a reader has read them.
+/// The parts of the targets, the evacuated data centres and the registered daemons that a peer
+/// lacks.
 #[derive(Debug, Default, Serialize, Deserialize)]
-pub(crate) struct TargetsObject {
+pub(crate) struct TargetsUpdate {
     /// Names of the evacuated data centres.
     #[serde(rename = "out")]
     pub(crate) evacuated: Vec<String>,
-    /// Processor cores of each registered daemon, by its name.
-    pub(crate) daemons: BTreeMap<String, f64>,
+    /// Processor cores of each registered daemon, by its name; `None` if the peer knows them.
+    pub(crate) daemons: Option<BTreeMap<String, f64>>,
+    /// Indexes of the buckets that the update replaces; `None` replaces all targets. A daemon of the
+    /// previous version ignores it and gets only whole updates.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) buckets: Option<Vec<usize>>,
+    /// All targets of these buckets.
     pub(crate) targets: Vec<Target>,
 }
 
-impl TargetsObject {
-    /// Encodes the object as JSON with one line for each target. Peers send patches by lines, so a
-    /// change of a few targets stays small.
-    pub(crate) fn to_lines(&self) -> serde_json::Result<Vec<u8>> {
-        let targets: Result<Vec<String>, _> =
-            self.targets.iter().map(serde_json::to_string).collect();
-        let (evacuated, targets) = (
-            serde_json::to_string(&self.evacuated)?,
-            targets?.join(",\n"),
-        );
-        let daemons = serde_json::to_string(&self.daemons)?;
-        let text = format!(
-            "{{\"out\":{evacuated},\n\"daemons\":{daemons},\n\"targets\":[\n{targets}\n]}}"
-        );
-        Ok(text.into_bytes())
+impl TargetsUpdate {
+    /// Encodes the update as JSON.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_else(|error| {
+            tracing::error!(%error, "cannot encode the targets for peers");
+            Vec::new()
+        })
     }
 }
 
-struct Server(SharedObjects);
+/// An encoded [`TargetsUpdate`].
+#[derive(Clone, Debug)]
+pub(crate) struct TargetsReply {
+    /// Revision that the update leads to.
+    pub(crate) revision: u64,
+    pub(crate) body: Vec<u8>,
+}
+
+/// A message about targets to the control loop.
+pub(crate) enum TargetsEvent {
+    /// A peer requests what it lacks.
+    Requested(TargetsRequest),
+    /// A peer sent what this daemon lacks.
+    Fetched(TargetsReply),
+    /// Fetching from a peer failed.
+    FetchFailed,
+}
+
+/// A peer's request for the targets that it lacks.
+pub(crate) struct TargetsRequest {
+    /// Digests of its buckets; empty if it knows nothing.
+    pub(crate) digests: Vec<u64>,
+    /// Digest of the daemons that it knows as registered.
+    pub(crate) daemons: u64,
+    pub(crate) reply: oneshot::Sender<TargetsReply>,
+}
+
+struct Server {
+    objects: SharedObjects,
+    targets: UnboundedSender<TargetsEvent>,
+}
+
+impl Server {
+    /// Asks control for the targets that a peer lacks.
+    async fn request_targets(
+        &self,
+        digests: Vec<u64>,
+        daemons: u64,
+    ) -> Result<TargetsReply, capnp::Error> {
+        let (reply, receive) = oneshot::channel();
+        let request = TargetsRequest {
+            digests,
+            daemons,
+            reply,
+        };
+        let ended = || capnp::Error::failed("control has ended".into());
+        let sent = self.targets.send(TargetsEvent::Requested(request));
+        sent.map_err(|_| ended())?;
+        receive.await.map_err(|_| ended())
+    }
+}
 
 impl peer::Server for Server {
+    /// Daemons of the previous version request the targets here as well, as a whole.
     async fn object(
         self: ObjectRef<Self>,
         params: peer::ObjectParams,
-        results: peer::ObjectResults,
+        mut results: peer::ObjectResults,
     ) -> Result<(), capnp::Error> {
-        rpc::serve_object(&self.0, &params, results)
+        let request = params.get()?;
+        if request.get_key()?.to_str()? != TARGETS_KEY {
+            return rpc::serve_object(&self.objects, &params, results);
+        }
+        let reply = self.request_targets(Vec::new(), 0).await?;
+        if reply.revision > request.get_known() {
+            let mut out = results.get();
+            out.set_version(reply.revision);
+            out.set_digest(rendezvous::digest(&reply.body));
+            out.set_body(&reply.body);
+        }
+        Ok(())
     }
+
+    async fn targets(
+        self: ObjectRef<Self>,
+        params: peer::TargetsParams,
+        mut results: peer::TargetsResults,
+    ) -> Result<(), capnp::Error> {
+        let request = params.get()?;
+        let digests = request.get_digests()?.iter().collect();
+        let reply = self.request_targets(digests, request.get_daemons()).await?;
+        let mut out = results.get();
+        out.set_revision(reply.revision);
+        out.set_body(&reply.body);
+        Ok(())
+    }
+}
+
+/// What this daemon has, for a request to a peer.
+pub(crate) struct KnownTargets {
+    pub(crate) revision: u64,
+    pub(crate) digests: Vec<u64>,
+    pub(crate) daemons: u64,
+}
+
+/// Fetches the targets that this daemon lacks from a peer, and reports the result to control.
+pub(crate) async fn fetch_targets(
+    peers: Peers,
+    from: SocketAddr,
+    known: KnownTargets,
+    events: UnboundedSender<TargetsEvent>,
+) {
+    let request = request_update(&peers, from, &known);
+    let event = match tokio::time::timeout(FETCH_TIMEOUT, request).await {
+        Ok(Ok(reply)) if reply.revision > known.revision => TargetsEvent::Fetched(reply),
+        Ok(Ok(_)) => TargetsEvent::FetchFailed,
+        Ok(Err(error)) => {
+            tracing::debug!(%from, %error, "cannot fetch targets from a peer");
+            TargetsEvent::FetchFailed
+        }
+        Err(_) => {
+            tracing::debug!(%from, "cannot fetch targets from a peer in time");
+            TargetsEvent::FetchFailed
+        }
+    };
+    // Sending fails only if the control thread has ended.
+    let _ = events.send(event);
+}
+
+async fn request_update(
+    peers: &Peers,
+    from: SocketAddr,
+    known: &KnownTargets,
+) -> eyre::Result<TargetsReply> {
+    let client = peers.client(from).await?;
+    let mut request = client.targets_request();
+    request.get().set_digests(&known.digests[..])?;
+    request.get().set_daemons(known.daemons);
+    let reply = match request.send().promise.await {
+        Ok(response) => {
+            let message = response.get()?;
+            TargetsReply {
+                revision: message.get_revision(),
+                body: message.get_body()?.to_vec(),
+            }
+        }
+        Err(error) if error.kind == capnp::ErrorKind::Unimplemented => {
+            request_whole(&client).await?
+        }
+        Err(error) => {
+            peers.forget_disconnected(from, Err(error))?;
+            eyre::bail!("the connection was lost");
+        }
+    };
+    metrics::counter!("rattanturn_object_fetched_bytes_total", "key" => TARGETS_KEY)
+        .increment(reply.body.len() as u64);
+    Ok(reply)
+}
+
+/// Requests all targets from a daemon of the previous version.
+async fn request_whole(client: &peer::Client) -> eyre::Result<TargetsReply> {
+    let mut request = client.object_request();
+    request.get().set_key(TARGETS_KEY);
+    let response = request.send().promise.await?;
+    let message = response.get()?;
+    Ok(TargetsReply {
+        revision: message.get_version(),
+        body: message.get_body()?.to_vec(),
+    })
 }
 
 /// Serves `objects` to peers on `listener` until the thread ends.
 pub(crate) async fn serve(
     listener: std::net::TcpListener,
     objects: SharedObjects,
+    targets: UnboundedSender<TargetsEvent>,
 ) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
@@ -73,7 +226,11 @@
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let client: peer::Client = capnp_rpc::new_client(Server(objects.clone()));
+        let server = Server {
+            objects: objects.clone(),
+            targets: targets.clone(),
+        };
+        let client: peer::Client = capnp_rpc::new_client(server);
         let network = rpc::vat_network(stream, Side::Server);
         let system = RpcSystem::new(Box::new(network), Some(client.client));
         actix_rt::spawn(async move {
--- a/crates/standins/src/gossip.rs
+++ b/crates/standins/src/gossip.rs
@@ -196,6 +196,7 @@
         node.membership.set_versions(Versions {
             tables: version,
             voter_sets: 1,
+            digest: 0,
         });
     }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -22,6 +22,9 @@
       -> (version :UInt64, body :Data, base :UInt64, digest :UInt64);
   # Sends the deduplication table of a unit to the daemon that takes over the unit.
   handOver @4 (journal :Journal) -> ();
+  # Returns the targets of those buckets whose digests differ from the caller's, with what else
+  # readers share. The body is JSON.
+  targets @5 (digests :List(UInt64), daemons :UInt64) -> (revision :UInt64, body :Data);
 }
 
 interface Sink {
@@ -120,6 +123,7 @@
     sync @8 :Bool;        # carries a part of the member list; true asks for the receiver's
   }
   facts @9 :List(Fact);   # member records
+  targetsDigest @10 :UInt64;  # digest of the known targets in the tier; 0: not told
 }
 
 struct Fact {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -138,6 +138,7 @@
     out.set_digest(m.digest);
     out.set_tables(m.versions.tables);
     out.set_panels(m.versions.voter_sets);
+    out.set_targets_digest(m.versions.digest);
     match m.kind {
         MessageKind::Probe(n) => {
             out.set_number(n);
@@ -189,6 +190,7 @@
         versions: Versions {
             tables: m.get_tables(),
             voter_sets: m.get_panels(),
+            digest: m.get_targets_digest(),
         },
         records: records?,
     })
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -18,6 +18,8 @@
     pub type ObjectResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::object_results::Owned>;
     pub type HandOverParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::hand_over_params::Owned>;
     pub type HandOverResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::hand_over_results::Owned>;
+    pub type TargetsParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::targets_params::Owned>;
+    pub type TargetsResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::targets_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -82,6 +84,9 @@
         pub fn hand_over_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::hand_over_params::Owned,crate::peer_capnp::peer::hand_over_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn targets_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::targets_params::Owned,crate::peer_capnp::peer::targets_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::run not implemented".to_string()))) }
@@ -89,6 +94,7 @@
         fn run_once(self: ::capnp::capability::Rc<Self>, _: RunOnceParams<>, _: RunOnceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::run_once not implemented".to_string()))) }
         fn object(self: ::capnp::capability::Rc<Self>, _: ObjectParams<>, _: ObjectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::object not implemented".to_string()))) }
         fn hand_over(self: ::capnp::capability::Rc<Self>, _: HandOverParams<>, _: HandOverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::hand_over not implemented".to_string()))) }
+        fn targets(self: ::capnp::capability::Rc<Self>, _: TargetsParams<>, _: TargetsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::targets not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -123,6 +129,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run_once(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::object(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hand_over(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::targets(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2268,6 +2275,481 @@
             pub(crate) const TYPE_ID: u64 = 0xe911_6547_9a40_f558;
         }
     }
+
+    pub mod targets_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_digests(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_digests(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_daemons(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_digests(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_digests(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_digests(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_digests(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_daemons(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_daemons(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(137, 245, 56, 207, 187, 144, 135, 196),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 97, 101, 109, 111, 110, 115, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xc487_90bb_cf38_f589;
+        }
+    }
+
+    pub mod targets_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_revision(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(70, 98, 162, 116, 160, 140, 141, 131),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x838d_8ca0_74a2_6246;
+        }
+    }
 }
 
 
@@ -5499,6 +5981,10 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn get_targets_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(18) {
                 0 => {
@@ -5528,7 +6014,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5653,6 +6139,14 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn get_targets_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_targets_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(18) {
                 0 => {
@@ -5689,94 +6183,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 188] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(79, 7, 14, 47, 73, 189, 128, 254),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(66, 154, 227, 183, 197, 240, 166, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
             ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 254, 255, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 252, 255, 64, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5862,6 +6363,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 68),
+            ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5875,6 +6385,7 @@
                 7 => <() as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::fact::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5888,9 +6399,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[5,6,7,8];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,9,0,6,4,3,5,8,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,1,9,0,6,4,3,5,8,2,10];
         pub(crate) const TYPE_ID: u64 = 0xfe80_bd49_2f0e_074f;
     }
     pub enum Which {
