Find the death of the daemons that callers are directed to sooner

Change: every second probe goes to a daemon that callers are directed to, if those are few, and changed records of these are sent to four members at once besides the gossip.

--- a/crates/core/src/addresses.rs
+++ b/crates/core/src/addresses.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{NodeId, rendezvous},
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
 /// How long a caller may use an answer before it asks again.
@@ -54,6 +54,24 @@
     accepting
 }
 
+/// Returns the daemons whose death should be found soon, because callers are directed to them: none
+/// if that is every second daemon or more, where preferring them gains nothing.
+#[must_use]
+pub fn watched(frontends: &[Frontend]) -> BTreeSet<NodeId> {
+    let all: Vec<Frontend> = frontends
+        .iter()
+        .map(|f| Frontend {
+            accepting: true,
+            ..f.clone()
+        })
+        .collect();
+    let large = advertised(&all);
+    if large.len() * 2 > all.len() {
+        return BTreeSet::new();
+    }
+    large.iter().map(|f| f.id).collect()
+}
+
 /// Returns up to four advertised addresses for a caller, those in its data centre `centre` first.
 ///
 /// Within a data centre `tie_break` decides the order. It should differ from caller to caller, so
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -35,7 +35,8 @@
     },
     rand_chacha::ChaCha8Rng,
     std::{
-        collections::{BTreeMap, VecDeque},
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
         time::Duration,
     },
@@ -52,6 +53,9 @@
 /// Each daemon sends a record this many times the binary logarithm of the member count, which is
 /// about how many rounds gossip takes to reach all members.
 const SENDS_FACTOR: u32 = 1;
+/// Number of members that each daemon sends the changed record of a watched member to at once. With
+/// four, the chance that a member is left out is about two in a hundred; gossip reaches it later.
+const URGENT_FANOUT: usize = 4;
 /// Minimum time between two lists that a daemon requests because digests differ.
 const SYNC_INTERVAL: Duration = Duration::from_secs(5);
 /// The same during [`JOIN_SYNC_PERIOD`], or if the sender of a message is unknown.
@@ -134,6 +138,14 @@
     first_tick: Option<Time>,
     /// Members still to be probed in this round, in random order.
     probe_order: VecDeque<NodeId>,
+    /// Members whose death should be found sooner than that of others.
+    watched: BTreeSet<NodeId>,
+    /// Watched members still to be probed in their round, in random order.
+    watched_order: VecDeque<NodeId>,
+    /// Watched members whose changed records are to be sent at the next tick.
+    urgent: BTreeSet<NodeId>,
+    /// Whether the next probe goes to a watched member.
+    watched_turn: bool,
     probe: Option<Probe>,
     relays: Vec<RelayedProbe>,
     /// Number of the last probe sent.
@@ -177,6 +189,10 @@
             join_notices: 0,
             first_tick: None,
             probe_order: VecDeque::new(),
+            watched: BTreeSet::new(),
+            watched_order: VecDeque::new(),
+            urgent: BTreeSet::new(),
+            watched_turn: false,
             probe: None,
             relays: Vec::new(),
             last_number: 0,
@@ -235,6 +251,13 @@
         }
     }
 
+    /// Sets the members whose death should be found sooner than that of others, such as the few that
+    /// callers are directed to. Every second probe goes to one of them, and their changed records
+    /// are sent to a few members at once, besides the gossip.
+    pub fn watch(&mut self, watched: BTreeSet<NodeId>) {
+        self.watched = watched;
+    }
+
     /// Adds a member that was found by other means than gossip, for example in a list of VMs.
     pub fn introduce(&mut self, now: Time, record: &MemberRecord) {
         self.apply(now, record, false);
@@ -293,6 +316,7 @@
         }
         self.first_tick.get_or_insert(now);
         let mut out = self.notify_directly();
+        self.send_urgent(&mut out);
         self.relays.retain(|r| now.since(r.sent) < PROBE_INTERVAL);
         self.request_indirect_probes(now, &mut out);
         if now >= self.next_probe {
@@ -399,6 +423,25 @@
             .collect()
     }
 
+    /// Sends the changed records of watched members to a few members.
+    fn send_urgent(&mut self, out: &mut Vec<Envelope>) {
+        if self.urgent.is_empty() {
+            return;
+        }
+        let urgent = std::mem::take(&mut self.urgent);
+        let mut message = self.message(MessageKind::Sync(false));
+        let known = urgent.iter().filter_map(|id| self.members.get(id));
+        message.records = known.map(|m| m.record.clone()).collect();
+        let present = |m: &&Member| m.record.state < State::Suspect;
+        let others = self.others().filter(present);
+        let others: Vec<SocketAddr> = others.map(|m| m.record.endpoints.gossip).collect();
+        let receivers = others.sample(&mut self.rng, URGENT_FANOUT);
+        out.extend(receivers.map(|to| Envelope {
+            to: *to,
+            message: message.clone(),
+        }));
+    }
+
     fn others(&self) -> impl Iterator<Item = &Member> {
         self.present().filter(|m| m.record.id != self.me)
     }
@@ -503,6 +546,9 @@
     /// Stores a record and queues it for gossip.
     fn store_and_gossip(&mut self, now: Time, record: MemberRecord) {
         let count = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        if self.watched.contains(&record.id) {
+            self.urgent.insert(record.id);
+        }
         let sends_left = SENDS_FACTOR * (count.max(2).ilog2() + 1);
         self.pending.retain(|n| n.id != record.id);
         self.pending.push(PendingGossip {
@@ -537,8 +583,7 @@
     /// Builds a message with the pending gossip records that were sent least often so far.
     fn envelope(&mut self, to: SocketAddr, kind: MessageKind) -> Envelope {
         let mut message = self.message(kind);
-        self.pending
-            .sort_by_key(|n| std::cmp::Reverse(n.sends_left));
+        self.pending.sort_by_key(|n| Reverse(n.sends_left));
         for gossip in self.pending.iter_mut().take(RECORDS_PER_MESSAGE) {
             gossip.sends_left -= 1;
             message
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -2,12 +2,16 @@
 
 use {
     super::{
-        Envelope, MemberRecord, Membership, MessageKind, PROBE_INTERVAL, State,
+        Envelope, Member, MemberRecord, Membership, MessageKind, PROBE_INTERVAL, State,
         message::record_digest,
     },
     crate::{NodeId, Time},
     rand::{RngExt, seq::SliceRandom},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// Time to wait for the answer to a direct probe before asking others for indirect probes.
@@ -90,7 +94,8 @@
         out.push(envelope);
     }
 
-    /// Picks the member to probe: now and then a dead one, else the next in a shuffled round.
+    /// Picks the member to probe: now and then a dead one, else by turns the next in a shuffled round
+    /// of the watched members and of all.
     ///
     /// A round visits every member once, which bounds the time until a failed one is probed.
     pub(super) fn next_probe_target(&mut self) -> Option<NodeId> {
@@ -105,17 +110,14 @@
                 return Some(dead[self.rng.random_range(0..dead.len())]);
             }
         }
-        for _ in 0..=self.probe_order.len() {
-            let Some(id) = self.probe_order.pop_front() else {
-                break;
-            };
-            if self
-                .members
-                .get(&id)
-                .is_some_and(|m| m.record.state != State::Dead)
-            {
-                return Some(id);
-            }
+        self.watched_turn = !self.watched_turn;
+        if self.watched_turn
+            && let Some(id) = self.next_watched()
+        {
+            return Some(id);
+        }
+        if let Some(id) = next_present(&mut self.probe_order, &self.members) {
+            return Some(id);
         }
         let mut round: Vec<NodeId> = self.others().map(|m| m.record.id).collect();
         round.shuffle(&mut self.rng);
@@ -123,6 +125,21 @@
         self.probe_order.pop_front()
     }
 
+    /// The next watched member to probe. One that is already suspected is left to the round of all.
+    fn next_watched(&mut self) -> Option<NodeId> {
+        if let Some(id) = next_present(&mut self.watched_order, &self.members) {
+            return Some(id);
+        }
+        let alive = |id: &NodeId| {
+            let member = self.members.get(id);
+            *id != self.me && member.is_some_and(|m| m.record.state == State::Alive)
+        };
+        let mut round: Vec<NodeId> = self.watched.iter().copied().filter(alive).collect();
+        round.shuffle(&mut self.rng);
+        self.watched_order = round.into();
+        self.watched_order.pop_front()
+    }
+
     /// Asks other members to probe the target once the direct probe timed out.
     pub(super) fn request_indirect_probes(&mut self, now: Time, out: &mut Vec<Envelope>) {
         let Some(probe) = &mut self.probe else { return };
@@ -218,3 +235,19 @@
         out.push(self.envelope(to, MessageKind::Probe(self.last_number)));
     }
 }
+
+/// Takes the next member that is not dead from a round.
+fn next_present(
+    order: &mut VecDeque<NodeId>,
+    members: &BTreeMap<NodeId, Member>,
+) -> Option<NodeId> {
+    while let Some(id) = order.pop_front() {
+        if members
+            .get(&id)
+            .is_some_and(|m| m.record.state != State::Dead)
+        {
+            return Some(id);
+        }
+    }
+    None
+}
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -453,6 +453,7 @@
             let alive = frontends.iter().filter(|e| e.accepting);
             self.reader_context.alive = alive.count();
             self.reader_context.rank = readers::reading_rank(self.me, &frontends);
+            self.membership.watch(addresses::watched(&frontends));
         }
         let wanted =
             self.reader_role
--- a/crates/standins/tests/membership.rs
+++ b/crates/standins/tests/membership.rs
@@ -3,7 +3,7 @@
 
 use {
     rattanturn_core::membership::{MAX_DIRECT_NOTICES, State},
-    rattanturn_standins::gossip::SimNetwork,
+    rattanturn_standins::gossip::{SimNetwork, node_id},
     std::time::Duration,
 };
 
@@ -180,9 +180,7 @@
         // A new VM gets the addresses of running members. The seed dies in the first round, so the
         // new member has to find the others through the one that joined last.
         let peer = new - 1;
-        let record = net.nodes[peer]
-            .membership
-            .get(rattanturn_standins::gossip::node_id(peer));
+        let record = net.nodes[peer].membership.get(node_id(peer));
         let record = record.expect("a member knows itself").record.clone();
         net.nodes[new].membership.introduce(net.now, &record);
         assert!(
@@ -254,3 +252,30 @@
     }
     assert!(net.converged());
 }
+
+/// Callers are directed to a few large daemons. When a data centre is lost, the directory of every
+/// daemon must stop naming those that ran there within about a second, although many other members
+/// died with them.
+#[test]
+fn the_death_of_watched_members_is_known_to_all_within_two_seconds() {
+    let (count, lost) = (302, 60);
+    let mut net = SimNetwork::new(count, SEED);
+    // Every 13th member is large, as in a deployment with 23 large ones.
+    let watched: std::collections::BTreeSet<_> = (0..count).step_by(13).map(node_id).collect();
+    for node in &mut net.nodes {
+        node.membership.watch(watched.clone());
+    }
+    assert!(net.run_until(WAIT_LIMIT, SimNetwork::converged).is_some());
+    net.run(Duration::from_secs(30));
+    for node in net.nodes.iter_mut().take(lost) {
+        node.dead = true;
+    }
+    let detected = |net: &SimNetwork| {
+        let mut gone = (0..lost).step_by(13);
+        gone.all(|d| (lost..count).all(|o| net.state(o, d) != Some(State::Alive)))
+    };
+    let took = net
+        .run_until(WAIT_LIMIT, detected)
+        .expect("not all members found the dead ones");
+    assert!(took <= Duration::from_secs(2), "{took:?}");
+}
