Read the store sooner after a start without peers

Change: it waits a random part of 200 ms, and longer only while a peer has announced data. Result: a_daemon_without_peers_reads_within_200_ms fails with the former rule (400 ms) and passes.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -24,9 +24,10 @@
 /// Data that was read longer ago than this is stale. The primary readers read every 0.7 s and pass
 /// changes on at once.
 pub const STALE_AFTER: Duration = Duration::from_millis(1_600);
-/// Time after its start for which a daemon does not act as a primary reader. Until it knows its
-/// peers, it would always choose itself.
-const SETTLE_TIME: Duration = Duration::from_millis(400);
+/// A daemon that starts waits for a random part of this time before it acts as a primary reader:
+/// until it knows its peers, it would always choose itself. A peer that has the data answers well
+/// within this time; if none does, nobody may have it, and callers already wait.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
 /// How long a daemon that is not a primary reader reads once its data became stale.
 const FALLBACK_READ_TIME: Duration = Duration::from_secs(5);
 /// Daemons whose data becomes stale at the same time start to read this long after each other. A
@@ -114,6 +115,8 @@
     pub rank: usize,
     /// Number of daemons that are alive.
     pub alive: usize,
+    /// Whether a peer has newer data, which is to be fetched from it.
+    pub peer_has_newer: bool,
     /// A number from 0 to 1 that each daemon draws at random once; it keeps daemons from acting at
     /// the same time.
     pub jitter: f64,
@@ -131,10 +134,10 @@
 ///
 /// ```
 /// use rattanturn_core::{Time, readers::{ReaderContext, ReaderRole}};
-/// let alone = ReaderContext { rank: 0, alive: 1, jitter: 0.5 };
+/// let alone = ReaderContext { rank: 0, alive: 1, peer_has_newer: false, jitter: 0.5 };
 /// let mut role = ReaderRole::new(Time::ZERO, false);
-/// assert!(!role.should_read(Time::from_millis(10), alone, Time::ZERO));
-/// assert!(role.should_read(Time::from_millis(500), alone, Time::ZERO));
+/// assert!(!role.should_read(Time::from_millis(50), alone, Time::ZERO));
+/// assert!(role.should_read(Time::from_millis(100), alone, Time::ZERO));
 /// ```
 #[derive(Clone, Debug)]
 pub struct ReaderRole {
@@ -169,8 +172,7 @@
     ///
     /// Call it regularly; once it returns false, a running session should end.
     pub fn should_read(&mut self, now: Time, context: ReaderContext, last_read: Time) -> bool {
-        let settled = self.seed || now.since(self.started) >= SETTLE_TIME;
-        let primary = settled && context.is_primary();
+        let primary = context.is_primary() && self.is_settled(now, context, last_read);
         if self.reading {
             self.reading = primary || now < self.fallback_end;
         } else if now >= self.next_try {
@@ -183,6 +185,13 @@
         self.reading
     }
 
+    /// Whether a daemon may act as a primary reader: it has data, or it can expect none from a peer.
+    fn is_settled(&self, now: Time, context: ReaderContext, last_read: Time) -> bool {
+        let wait = SETTLE_TIME.mul_f64(context.jitter);
+        let waited = now.since(self.started) >= wait && !context.peer_has_newer;
+        self.seed || last_read > Time::ZERO || waited
+    }
+
     /// Records that a session ended because the store could not be read, and schedules the next
     /// attempt.
     pub fn session_failed(&mut self, now: Time, context: ReaderContext) {
--- a/crates/core/tests/readers.rs
+++ b/crates/core/tests/readers.rs
@@ -55,6 +55,7 @@
             context: ReaderContext {
                 rank: ranks[i as usize],
                 alive: count as usize,
+                peer_has_newer: false,
                 jitter: f64::from(i * 37 % 100) / 100.0,
             },
             reading: false,
@@ -199,3 +200,45 @@
         assert!(oldest < Duration::from_secs(1), "{count}: {oldest:?}");
     }
 }
+
+/// All VMs lost power and the seeds come back last: nobody has the data, and callers already wait.
+#[test]
+fn a_daemon_without_peers_reads_within_200_ms() {
+    for jitter in [0.0, 0.5, 0.99] {
+        let context = ReaderContext {
+            rank: 0,
+            alive: 1,
+            peer_has_newer: false,
+            jitter,
+        };
+        let start = Time::from_millis(1);
+        let mut role = ReaderRole::new(start, false);
+        let at = start + Duration::from_millis(200);
+        assert!(role.should_read(at, context, Time::ZERO), "{jitter}");
+    }
+}
+
+/// A daemon that starts chooses itself until it knows its peers, so a whole deployment that starts at
+/// once would read the store. One that hears of a peer with data waits for that.
+#[test]
+fn a_daemon_that_starts_does_not_read_while_a_peer_has_the_data() {
+    let context = ReaderContext {
+        rank: 0,
+        alive: 2,
+        peer_has_newer: true,
+        jitter: 0.3,
+    };
+    let start = Time::from_millis(1);
+    let mut role = ReaderRole::new(start, false);
+    for ms in (0..1_500).step_by(50) {
+        let at = start + Duration::from_millis(ms);
+        assert!(!role.should_read(at, context, Time::ZERO), "{ms} ms");
+    }
+    // The peer cannot be reached.
+    let at = start + Duration::from_millis(3_200);
+    assert!((0..40).any(|i| role.should_read(
+        at + Duration::from_millis(i * 50),
+        context,
+        Time::ZERO
+    )));
+}
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -186,6 +186,7 @@
         reader_context: readers::ReaderContext {
             rank: 0,
             alive: 1,
+            peer_has_newer: false,
             jitter: rand::random(),
         },
         reader_inputs: (0, 0),
@@ -455,6 +456,7 @@
             self.reader_context.rank = readers::reading_rank(self.me, &frontends);
             self.membership.watch(addresses::watched(&frontends));
         }
+        self.reader_context.peer_has_newer = self.peer_sync.has_newer();
         let wanted =
             self.reader_role
                 .should_read(now, self.reader_context, self.cluster.targets_read);
