Give a known peer time to read before a starting daemon reads itself

Change: a daemon that knows a peer waits 0.8 s longer for its data; one that has begun to read goes on when a peer appears. Result: a_daemon_that_knows_a_peer_gives_it_time_to_read and a_peer_that_appears_does_not_end_the_first_read fail with the former rules and pass.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -25,9 +25,12 @@
 /// changes on at once.
 pub const STALE_AFTER: Duration = Duration::from_millis(1_600);
 /// A daemon that starts waits for a random part of this time before it acts as a primary reader:
-/// until it knows its peers, it would always choose itself. A peer that has the data answers well
-/// within this time; if none does, nobody may have it, and callers already wait.
+/// until it knows its peers, it would always choose itself. A running peer answers well within this
+/// time; if none does, nobody else may read for it, and callers already wait.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// The wait is longer by this time once a peer has answered: the first to answer are those by which
+/// daemons find the deployment, and they read without waiting.
+const PEER_WAIT: Duration = Duration::from_millis(800);
 /// How long a daemon that is not a primary reader reads once its data became stale.
 const FALLBACK_READ_TIME: Duration = Duration::from_secs(5);
 /// Daemons whose data becomes stale at the same time start to read this long after each other. A
@@ -174,7 +177,7 @@
     pub fn should_read(&mut self, now: Time, context: ReaderContext, last_read: Time) -> bool {
         let primary = context.is_primary() && self.is_settled(now, context, last_read);
         if self.reading {
-            self.reading = primary || now < self.fallback_end;
+            self.reading = context.is_primary() || now < self.fallback_end;
         } else if now >= self.next_try {
             let stale = self.fallback_due(now, context, last_read);
             if stale {
@@ -187,7 +190,9 @@
 
     /// Whether a daemon may act as a primary reader: it has data, or it can expect none from a peer.
     fn is_settled(&self, now: Time, context: ReaderContext, last_read: Time) -> bool {
-        let wait = SETTLE_TIME.mul_f64(context.jitter);
+        let alone = context.alive <= 1;
+        let wait = if alone { Duration::ZERO } else { PEER_WAIT };
+        let wait = wait + SETTLE_TIME.mul_f64(context.jitter);
         let waited = now.since(self.started) >= wait && !context.peer_has_newer;
         self.seed || last_read > Time::ZERO || waited
     }
--- a/crates/core/tests/readers.rs
+++ b/crates/core/tests/readers.rs
@@ -242,3 +242,41 @@
         Time::ZERO
     )));
 }
+
+/// A deployment that starts at once must not list the store once for each daemon: those that the
+/// others find it through read without waiting, and the others hear of them within milliseconds.
+#[test]
+fn a_daemon_that_knows_a_peer_gives_it_time_to_read() {
+    for jitter in [0.0, 0.5, 0.99] {
+        let context = ReaderContext {
+            rank: 0,
+            alive: 2,
+            peer_has_newer: false,
+            jitter,
+        };
+        let start = Time::from_millis(1);
+        let mut role = ReaderRole::new(start, false);
+        let early = start + Duration::from_millis(700);
+        assert!(!role.should_read(early, context, Time::ZERO), "{jitter}");
+        let late = start + Duration::from_secs(1);
+        assert!(role.should_read(late, context, Time::ZERO), "{jitter}");
+    }
+}
+
+/// Daemons that come back while the seeds are gone find each other soon after the first has begun to
+/// read, which must not end its read.
+#[test]
+fn a_peer_that_appears_does_not_end_the_first_read() {
+    let alone = ReaderContext {
+        rank: 0,
+        alive: 1,
+        peer_has_newer: false,
+        jitter: 0.1,
+    };
+    let start = Time::from_millis(1);
+    let mut role = ReaderRole::new(start, false);
+    let at = |ms| start + Duration::from_millis(ms);
+    assert!(role.should_read(at(50), alone, Time::ZERO));
+    let found = ReaderContext { alive: 2, ..alone };
+    assert!(role.should_read(at(100), found, Time::ZERO));
+}
