Direct callers to more than one data centre

Cause: a caller got the four addresses that were best, those of its own data centre first. Change: two of the four addresses are in different other data centres. The order that alternates between data centres is one function, for readers too.

--- a/crates/core/src/addresses.rs
+++ b/crates/core/src/addresses.rs
@@ -4,7 +4,7 @@
 //! at once, and keeps accepting requests until every answer that contained it has expired.
 
 use {
-    crate::{NodeId, rendezvous},
+    crate::{NodeId, alternate::alternate_centres, rendezvous},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
@@ -12,6 +12,10 @@
 pub const ANSWER_TTL: Duration = Duration::from_secs(5);
 /// Maximum number of addresses in one answer.
 const MAX_ADDRESSES: usize = 4;
+/// Number of these that are in other data centres, if so many accept callers there. A caller keeps an
+/// answer for seconds; if all its addresses were in one data centre, it would be cut off for that
+/// time when the data centre is lost.
+const MIN_ELSEWHERE: usize = 2;
 
 /// A daemon that callers may be directed to.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,7 +76,8 @@
     large.iter().map(|f| f.id).collect()
 }
 
-/// Returns up to four advertised addresses for a caller, those in its data centre `centre` first.
+/// Returns up to four advertised addresses for a caller: those in its data centre `centre` first, and
+/// two in different other data centres, or more if there are not enough in its own.
 ///
 /// Within a data centre `tie_break` decides the order. It should differ from caller to caller, so
 /// that callers are distributed over the daemons.
@@ -92,10 +97,12 @@
 #[must_use]
 pub fn choose(frontends: &[Frontend], centre: &str, tie_break: u64) -> Vec<SocketAddr> {
     let mut candidates = advertised(frontends);
-    candidates.sort_by_key(|f| (f.centre != centre, rendezvous::score(f.id, tie_break)));
-    candidates
-        .iter()
-        .take(MAX_ADDRESSES)
-        .map(|f| f.addr)
-        .collect()
+    candidates.sort_by_key(|f| rendezvous::score(f.id, tie_break));
+    let (own, others): (Vec<&Frontend>, Vec<&Frontend>) =
+        candidates.into_iter().partition(|f| f.centre == centre);
+    let others = alternate_centres(others, |f| &f.centre);
+    let elsewhere = MIN_ELSEWHERE.min(others.len());
+    let near = own.len().min(MAX_ADDRESSES - elsewhere);
+    let chosen = own[..near].iter().chain(&others).chain(&own[near..]);
+    chosen.take(MAX_ADDRESSES).map(|f| f.addr).collect()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,6 +51,7 @@
 
 pub mod addresses;
 pub mod admission;
+mod alternate;
 pub mod buckets;
 pub mod catalog;
 pub mod cold;
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -14,9 +14,10 @@
     crate::{
         NodeId, Time,
         addresses::{self, Frontend},
+        alternate::alternate_centres,
         rendezvous,
     },
-    std::{cmp::Reverse, collections::HashMap, time::Duration},
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// Number of daemons that read all the time: two, so that one is left if the other dies.
@@ -76,16 +77,8 @@
     let key = rendezvous::key("store");
     let mut all: Vec<Candidate<'a>> = candidates.into_iter().collect();
     all.sort_by_key(|c| Reverse((rendezvous::score(c.id, key), c.id)));
-    let mut taken: HashMap<&str, usize> = HashMap::new();
-    let mut ranked: Vec<(usize, NodeId)> = Vec::with_capacity(all.len());
-    for candidate in all {
-        let in_centre = taken.entry(candidate.centre).or_default();
-        ranked.push((*in_centre, candidate.id));
-        *in_centre += 1;
-    }
-    // The sort is stable, so within a round the order stays that of the scores.
-    ranked.sort_by_key(|(round, _)| *round);
-    ranked.into_iter().map(|(_, id)| id).collect()
+    let ordered = alternate_centres(all.iter().copied(), |c| c.centre);
+    ordered.into_iter().map(|c| c.id).collect()
 }
 
 /// Position of `me` in the order in which the daemons of a deployment should read the store.
