Pass an announcement on only if it confirmed the own state

Cause: found by reading: a daemon that got an announcement from a member it did not know passed it on with versions of its own, which receivers take for a confirmation that their targets were just read. Change: only an announcement that confirmed the own state is passed on. Result: no test of its own, the daemon's control loop has none at this level; tests of the tier pass.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -8,7 +8,7 @@
 //! times, so in the steady state the cost for each member does not grow with the number of
 //! members. Every message also carries a digest of the sender's full list. A member whose digest
 //! differs from a sender's exchanges full lists with it from time to time (anti-entropy), which heals
-//! partitions. A member that starts requests one as soon as another member answers it.
+//! partitions. A member that starts gets lists from the seeds that it probes.
 //!
 //! Lists grow with the deployment and the number of members that start at once does too, so each
 //! member sends only a bounded number of records in lists each second. Beyond it, a member that just
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -247,20 +247,19 @@
         let out = self.membership.receive(now, from, message);
         self.compare_versions(now, message);
         send(socket, out).await;
-        if message.kind == MessageKind::ANNOUNCE {
-            self.relay_announcement(socket, now, message.from).await;
+        let known = self.membership.get(message.from).is_some();
+        if message.kind == MessageKind::ANNOUNCE && known && !self.is_near(message.from) {
+            self.relay_announcement(socket, now).await;
         }
     }
 
     /// Passes on an announcement that came from another data centre, if it told nothing new. If it
-    /// did, what is fetched because of it is announced once it is here.
-    async fn relay_announcement(&mut self, socket: &UdpSocket, now: Time, from: NodeId) {
-        if self.is_near(from) {
-            return;
-        }
+    /// did, what is fetched because of it is announced once it is here: an announcement confirms the
+    /// receivers' state, so it must not be sent by a daemon whose own state is older.
+    async fn relay_announcement(&mut self, socket: &UdpSocket, now: Time) {
         self.relay_since = Some(now);
-        let waits = self.peer_sync.has_newer();
-        if !waits && now.since(self.last_relayed) >= RELAY_INTERVAL {
+        let confirmed = self.cluster.targets_read == now && !self.peer_sync.has_newer();
+        if confirmed && now.since(self.last_relayed) >= RELAY_INTERVAL {
             self.relay(socket, now).await;
         }
     }
