Log and count fetches from peers that fail, and show the age of each kind read

Change: a failed fetch is logged with peer, object, version, time and error, and fetches are counted by outcome; a gauge shows how long ago a daemon itself read each kind; a revision of the store that goes back is logged. No decision changes.

--- a/crates/daemon/src/control/objects.rs
+++ b/crates/daemon/src/control/objects.rs
@@ -87,30 +87,58 @@
     objects: SharedObjects,
     events: UnboundedSender<Event>,
 ) {
-    let found = tokio::time::timeout(
-        FETCH_TIMEOUT,
-        fetch_update(&peers, from, key, known, &objects),
-    );
-    let event = match found.await {
-        Ok(Ok(Some(found))) => Event::ObjectVersion(found),
-        _ => Event::FetchFailed(key),
+    let update = fetch_update(&peers, from, key, known, &objects);
+    let event = match observe_fetch(from, key, known, update).await {
+        Some(found) => Event::ObjectVersion(found),
+        None => Event::FetchFailed(key),
     };
     // Sending fails only if the control thread has ended.
     let _ = events.send(event);
 }
 
+/// Waits for a fetch from a peer, but at most [`FETCH_TIMEOUT`]. Counts its outcome and logs a
+/// failure; `known` is the version here.
+pub(crate) async fn observe_fetch<T>(
+    from: SocketAddr,
+    key: &'static str,
+    known: u64,
+    fetch: impl Future<Output = eyre::Result<T>>,
+) -> Option<T> {
+    let started = clock::now();
+    let result = tokio::time::timeout(FETCH_TIMEOUT, fetch).await;
+    let (outcome, error) = match result {
+        Ok(Ok(found)) => {
+            count_fetch(key, "done");
+            return Some(found);
+        }
+        Ok(Err(error)) => ("failed", error),
+        Err(_) => ("timeout", eyre::eyre!("no answer in time")),
+    };
+    count_fetch(key, outcome);
+    let took_ms = clock::millis(clock::now().since(started));
+    tracing::warn!(key, peer = %from, known, took_ms, %error, "cannot fetch from a peer");
+    None
+}
+
+fn count_fetch(key: &'static str, outcome: &'static str) {
+    metrics::counter!("rattanturn_object_fetches_total", "key" => key, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Requests a patch for version `known`, and the whole object if the patch does not apply.
+///
+/// # Errors
+///
+/// The peer cannot be reached, or it has no newer version.
 async fn fetch_update(
     peers: &Peers,
     from: SocketAddr,
     key: &'static str,
     known: u64,
     objects: &SharedObjects,
-) -> eyre::Result<Option<ObjectVersion>> {
+) -> eyre::Result<ObjectVersion> {
     for known in [known, 0] {
-        let Some(update) = request_update(peers, from, key, known).await? else {
-            return Ok(None);
-        };
+        let update = request_update(peers, from, key, known).await?;
         metrics::counter!("rattanturn_object_fetched_bytes_total", "key" => key)
             .increment(update.data.len() as u64);
         let whole = objects
@@ -118,23 +146,27 @@
             .unwrap_or_else(PoisonError::into_inner)
             .reconstruct(key, &update);
         if let Some(body) = whole {
-            return Ok(Some(ObjectVersion {
+            return Ok(ObjectVersion {
                 key,
                 version: update.version,
                 body,
-            }));
+            });
         }
     }
-    Ok(None)
+    eyre::bail!("the object that the peer sent does not match its digest")
 }
 
-/// Requests the newest version of an object from a peer; `None` if it is not newer than `known`.
+/// Requests the newest version of an object from a peer.
+///
+/// # Errors
+///
+/// The peer cannot be reached, or its version is not newer than `known`.
 async fn request_update(
     peers: &Peers,
     from: SocketAddr,
     key: &'static str,
     known: u64,
-) -> eyre::Result<Option<ObjectUpdate>> {
+) -> eyre::Result<ObjectUpdate> {
     let client = peers.client(from).await?;
     let mut request = client.object_request();
     request.get().set_key(key);
@@ -144,7 +176,7 @@
         Ok(response) => response,
         Err(error) => {
             peers.forget_disconnected(from, Err(error))?;
-            return Ok(None);
+            eyre::bail!("the connection was lost");
         }
     };
     let message = response.get()?;
@@ -154,7 +186,8 @@
         data: message.get_body()?.to_vec(),
         digest: message.get_digest(),
     };
-    Ok((update.version > known).then_some(update))
+    eyre::ensure!(update.version > known, "the peer has no newer version");
+    Ok(update)
 }
 
 /// Allows one fetch of an object at a time, so that a version that many peers offer is fetched
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -393,10 +393,7 @@
                 }
                 self.share_fetched(socket).await;
             }
-            Event::FetchFailed(key) => {
-                tracing::debug!(key, "fetching an object from a peer failed");
-                self.peer_sync.fetch_failed(key);
-            }
+            Event::FetchFailed(key) => self.peer_sync.fetch_failed(key),
             Event::Dump(send) => {
                 // Sending fails only if the operator's connection was closed meanwhile.
                 let _ = send.send(self.dump());
@@ -483,6 +480,9 @@
         if now.since(self.gauges_set) >= GAUGES_INTERVAL {
             self.gauges_set = now;
             self.gauge_values(now).export();
+            for (kind, read) in &self.cluster.own_reads {
+                meters::set_read_age(kind, now.since(*read));
+            }
         }
         self.advance_stop(now, socket).await
     }
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -56,6 +56,9 @@
     pub(crate) targets_read: Time,
     /// When the configuration was last read, by this daemon or a peer; zero if never.
     pub(crate) config_read: Time,
+    /// When this daemon itself last read each kind of object from the store; a kind that it never
+    /// read is absent.
+    pub(crate) own_reads: HashMap<&'static str, Time>,
     /// Number of consecutive failed calls to the store, by the kind of object. A kind whose last
     /// call succeeded is absent.
     pub(crate) failures: HashMap<&'static str, u64>,
@@ -176,7 +179,8 @@
         }
     }
 
-    fn record_read(&mut self, now: Time, kind: &str, revision: u64) {
+    fn record_read(&mut self, now: Time, kind: &'static str, revision: u64) {
+        self.own_reads.insert(kind, now);
         if kind == entries::TARGETS {
             self.targets.store_available(now);
             self.targets_read = now;
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -165,6 +165,11 @@
         .increment(bytes as u64);
 }
 
+/// Sets the time since this daemon itself last read a kind of object from the store.
+pub(crate) fn set_read_age(kind: &'static str, age: Duration) {
+    gauge!("rattanturn_store_read_age_seconds", "kind" => kind).set(age.as_secs_f64());
+}
+
 /// Gauges that the control thread exports.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct GaugeValues {
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -6,7 +6,10 @@
 //! [`rattanturn_core::buckets`].
 
 use {
-    crate::traffic::rpc::{self, Peers, SharedObjects},
+    crate::{
+        control::objects,
+        traffic::rpc::{self, Peers, SharedObjects},
+    },
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     rattanturn_core::{discovery::Target, rendezvous},
@@ -20,8 +23,6 @@
 pub(crate) const CATALOG_KEY: &str = "catalog";
 /// Key of the targets.
 pub(crate) const TARGETS_KEY: &str = "fleet";
-/// Timeout of fetching targets from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -154,23 +155,21 @@
     known: KnownTargets,
     events: UnboundedSender<TargetsEvent>,
 ) {
-    let request = request_update(&peers, from, &known);
-    let event = match tokio::time::timeout(FETCH_TIMEOUT, request).await {
-        Ok(Ok(reply)) if reply.revision > known.revision => TargetsEvent::Fetched(reply),
-        Ok(Ok(_)) => TargetsEvent::FetchFailed,
-        Ok(Err(error)) => {
-            tracing::debug!(%from, %error, "cannot fetch targets from a peer");
-            TargetsEvent::FetchFailed
-        }
-        Err(_) => {
-            tracing::debug!(%from, "cannot fetch targets from a peer in time");
-            TargetsEvent::FetchFailed
-        }
+    let revision = known.revision;
+    let update = request_update(&peers, from, &known);
+    let event = match objects::observe_fetch(from, TARGETS_KEY, revision, update).await {
+        Some(reply) => TargetsEvent::Fetched(reply),
+        None => TargetsEvent::FetchFailed,
     };
     // Sending fails only if the control thread has ended.
     let _ = events.send(event);
 }
 
+/// Requests the targets that this daemon lacks.
+///
+/// # Errors
+///
+/// The peer cannot be reached, or its revision is not newer than the known one.
 async fn request_update(
     peers: &Peers,
     from: SocketAddr,
@@ -198,6 +197,10 @@
     };
     metrics::counter!("rattanturn_object_fetched_bytes_total", "key" => TARGETS_KEY)
         .increment(reply.body.len() as u64);
+    eyre::ensure!(
+        reply.revision > known.revision,
+        "the peer has no newer revision"
+    );
     Ok(reply)
 }
 
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -135,6 +135,15 @@
         return Ok(StoreEvent::Listed(kind.name, list));
     };
     let changes = store.watch(kind.name, last, kind.poll_time).await?;
+    if changes.revision < last {
+        let now = changes.revision;
+        tracing::warn!(
+            kind = kind.name,
+            last,
+            now,
+            "the store's revision went back"
+        );
+    }
     *revision = Some(changes.revision.max(last));
     Ok(StoreEvent::Changed(kind.name, changes))
 }
