Reproduce the late configuration: connections between daemons that fell silent

The soak's proxy moves to the stand-ins and can let its open connections fall silent while new ones work; daemons of a test can reach the store and each other through such proxies, for which a daemon can advertise another RPC port than its own.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -75,7 +75,9 @@
             gossip: gossip.local_addr()?,
             http: http.local_addr()?.port(),
             admin: admin.local_addr()?.port(),
-            rpc: rpc[0].local_addr()?.port(),
+            rpc: settings
+                .advertised_rpc_port
+                .unwrap_or(rpc[0].local_addr()?.port()),
             threads: u16::try_from(settings.threads).wrap_err("threads: must be at most 65535")?,
         };
         let addresses = Addresses {
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -64,6 +64,8 @@
     pub metrics: Option<SocketAddr>,
     /// Membership messages of other daemons, over UDP.
     pub gossip: SocketAddr,
+    /// Calls of other daemons (RPC).
+    pub rpc: SocketAddr,
 }
 
 impl Tier {
@@ -94,7 +96,9 @@
             gossip: gossip.local_addr()?,
             http: front.local_addr()?.port(),
             admin: admin.local_addr()?.port(),
-            rpc: rpc.local_addr()?.port(),
+            rpc: settings
+                .advertised_rpc_port
+                .unwrap_or(rpc.local_addr()?.port()),
             threads: 1,
         };
         let me = crate::identity(&settings.name, endpoints.gossip);
@@ -108,6 +112,7 @@
             admin: admin.local_addr()?,
             metrics: metrics.as_ref().and_then(|m| m.local_addr().ok()),
             gossip: endpoints.gossip,
+            rpc: rpc.local_addr()?,
         };
         let start = control::Start {
             settings,
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -215,6 +215,7 @@
             http_port: 0,
             admin_port: 0,
             metrics_port: None,
+            advertised_rpc_port: None,
             rpc_port: 0,
             gossip_port: 0,
             platform: self.platform_addr,
--- a/crates/demo/src/tier_cluster.rs
+++ b/crates/demo/src/tier_cluster.rs
@@ -11,11 +11,13 @@
     rattanturn_daemon::{Tier, TierAddresses},
     rattanturn_standins::{
         operator::{ConfigBuilder, HOST, register_target},
-        platform, shard,
+        platform,
+        proxy::Proxy,
+        shard,
     },
     rattanturn_tables::Settings,
     std::{
-        net::SocketAddr,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{Arc, mpsc},
         time::{Duration, Instant},
     },
@@ -30,6 +32,9 @@
 /// Data centres: each service has a server in both, and daemons are assigned to them in turn.
 pub const CENTRES: [&str; 2] = ["a", "b"];
 
+/// Lets a proxy listen on a free port.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// The size of a cluster.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -53,6 +58,9 @@
     pub config: ConfigBuilder,
     /// Running daemons in the order of their start.
     pub daemons: Vec<Tier>,
+    /// Proxies of the daemons started by [`TierCluster::start_proxied`]: for each of them the one to
+    /// the store, then the one that other daemons reach it through.
+    pub proxies: Vec<Proxy>,
     started: usize,
     _standins: Arbiter,
 }
@@ -119,6 +127,7 @@
             services,
             config,
             daemons: Vec::new(),
+            proxies: Vec::new(),
             started: 0,
             _standins: standins,
         };
@@ -156,6 +165,30 @@
     ///
     /// A listener of the daemon cannot be bound.
     pub fn start_with_store(&mut self, store: SocketAddr, cores: f64) -> eyre::Result<()> {
+        self.start(store, cores, "")
+    }
+
+    /// Starts more daemons that reach the store and each other through [`TierCluster::proxies`].
+    ///
+    /// # Errors
+    ///
+    /// A listener of a daemon or of a proxy cannot be bound.
+    pub async fn start_proxied(&mut self, count: usize) -> eyre::Result<()> {
+        for _ in 0..count {
+            let store = Proxy::bind(ANY_PORT, self.store_addr).await?;
+            let rpc = Proxy::bind(ANY_PORT, ANY_PORT).await?;
+            let setting = format!("advertised-rpc-port = {}\n", rpc.addr.port());
+            self.start(store.addr, 1.0, &setting)?;
+            if let Some(daemon) = self.daemons.last() {
+                rpc.set_server(daemon.addresses().rpc);
+            }
+            self.proxies.extend([store, rpc]);
+        }
+        Ok(())
+    }
+
+    /// Starts a daemon with `extra` lines in the section `[daemon]` of its settings.
+    fn start(&mut self, store: SocketAddr, cores: f64, extra: &str) -> eyre::Result<()> {
         let peers: Vec<String> = self
             .daemons
             .iter()
@@ -166,7 +199,7 @@
         let text = format!(
             "[daemon]\nname = d{number}\ndata-centre = {centre}\nip = 127.0.0.1\n\
              admin-port = 0\nmetrics-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
-             drain-limit = {DRAIN_LIMIT}\n\
+             drain-limit = {DRAIN_LIMIT}\n{extra}\
              [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
              cores = {cores}\n[platform]\naddress = {store}\n",
             peers.join(",")
--- /dev/null
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -0,0 +1,64 @@
+//! A confirmed configuration is in force everywhere within its time, whatever happened to the
+//! connections and to the store before.
+
+use {
+    super::{CONFIG_APPLY_TIME, front_addr, with_cluster},
+    actix_rt::time::sleep,
+    rattanturn_demo::tier_cluster::{TierCluster, request},
+    std::time::Duration,
+};
+
+/// Time after a fault in which the platform holds daemons to no time limit.
+const STABLE_TIME: Duration = Duration::from_secs(4);
+/// Configurations written before a fault, so that each daemon has fetched from several others.
+const EARLIER_CONFIGS: usize = 6;
+
+/// Writes a configuration whose only route has the prefix `/NUMBER/`.
+fn write_route(cluster: &mut TierCluster, number: usize) {
+    let config = cluster.config.clone().clear_routes();
+    let services = cluster.services.clone();
+    cluster.config = config.gather_route(&format!("/{number}/"), &services, 200);
+    cluster.config.write(&cluster.store);
+}
+
+/// Asserts that each daemon serves the route `/NUMBER/`.
+async fn assert_in_force(cluster: &TierCluster, number: usize) {
+    let mut statuses = Vec::new();
+    for daemon in 0..cluster.daemons.len() {
+        let at = front_addr(cluster, daemon);
+        let answer = request(at, &format!("/{number}/x"), &format!("f{daemon}"), "").await;
+        statuses.push(answer.unwrap().status);
+    }
+    assert_eq!(statuses, vec![200; cluster.daemons.len()]);
+}
+
+/// Starts daemons, silences the open connections through the proxies whose index `silenced` accepts,
+/// and asserts that the next configuration is in force in time.
+fn assert_spreads_after_silence(silenced: fn(usize) -> bool) {
+    with_cluster(0, async |cluster| {
+        cluster.start_proxied(6).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        for number in 0..EARLIER_CONFIGS {
+            write_route(cluster, number);
+            sleep(Duration::from_millis(300)).await;
+        }
+        let proxies = cluster.proxies.iter().enumerate();
+        proxies
+            .filter(|(i, _)| silenced(*i))
+            .for_each(|(_, proxy)| proxy.silence_open());
+        sleep(STABLE_TIME).await;
+        write_route(cluster, EARLIER_CONFIGS);
+        sleep(CONFIG_APPLY_TIME).await;
+        assert_in_force(cluster, EARLIER_CONFIGS).await;
+    });
+}
+
+#[test]
+fn a_configuration_spreads_after_connections_between_daemons_fell_silent() {
+    assert_spreads_after_silence(|proxy| proxy % 2 == 1);
+}
+
+#[test]
+fn a_configuration_spreads_after_all_open_connections_fell_silent() {
+    assert_spreads_after_silence(|_| true);
+}
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the tier: callers, daemons, servers and a store in one process on loopback.
 
 mod cluster;
+mod late_configuration;
 
 use {
     actix_rt::{System, time::sleep},
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,13 +4,17 @@
 //! that can inject network faults. Each daemon has a proxy of its own for the store.
 
 use {
-    crate::proxy::Proxy,
     rattanturn_standins::{
         operator::{ConfigBuilder, deregister_target, register_target_at},
         platform::{self, Platform},
+        proxy::Proxy,
         shard::{self, TargetConfig},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Data centres; each has one target of each service.
@@ -27,6 +31,9 @@
 /// Time that a target needs for one request.
 const SERVICE_TIME: Duration = Duration::from_millis(8);
 
+/// Lets a proxy listen on a free port.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// A target and the proxy in front of it.
 pub(crate) struct Target {
     pub(crate) state: Arc<shard::State>,
@@ -62,7 +69,7 @@
                     service_time: SERVICE_TIME,
                 })
                 .await?;
-                let proxy = Proxy::spawn(state.addr()).await?;
+                let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
                 targets.push(Target {
                     state,
                     proxy,
@@ -86,7 +93,7 @@
 
     /// Starts a proxy in front of the store, for one daemon.
     pub(crate) async fn spawn_store_proxy(&self) -> eyre::Result<Proxy> {
-        Ok(Proxy::spawn(self.platform.addr()).await?)
+        Ok(Proxy::bind(ANY_PORT, self.platform.addr()).await?)
     }
 
     /// Writes a configuration into the store; `number` selects the service of the route `/one/`.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,7 +16,6 @@
 mod daemons;
 mod environment;
 mod plan;
-mod proxy;
 mod runner;
 
 use std::{
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,13 +5,10 @@
 //! worth running again: any change to a draw, its range or the order of draws changes all seeds.
 
 use {
-    crate::{
-        environment::{CENTRES, SINGLE_SERVICES},
-        proxy::LinkMode,
-    },
+    crate::environment::{CENTRES, SINGLE_SERVICES},
     rand::RngExt,
     rand_chacha::ChaCha8Rng,
-    rattanturn_standins::{platform::Mode, shard},
+    rattanturn_standins::{platform::Mode, proxy::LinkMode, shard},
     std::time::Duration,
 };
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! They simulate targets (slots, connection limits, cold start, load shedding, draining, index
 //! versions, cancellation), the platform's object store (outages, delays, lost answers, stale
-//! reads) and a network of daemons that gossip. The targets count what daemons must never cause:
+//! reads), a network of daemons that gossip, and links with faults. The targets count what daemons must never cause:
 //! more calls at once than a target has slots, more calls at once than a cold target allows, and a
 //! non-idempotent request that runs twice.
 //!
@@ -14,5 +14,6 @@
 pub mod gossip;
 pub mod operator;
 pub mod platform;
+pub mod proxy;
 pub mod shard;
 pub mod target;
--- a/crates/soak/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,11 +1,11 @@
 //! A TCP proxy on the loopback interface that injects network faults: delay, stalls, stalls in one
-//! direction, and resets.
+//! direction, resets, and connections that fall silent for good.
 //!
 //! It works on the byte stream, so it needs no privileges, but it cannot lose or reorder packets.
 //! Connections are accepted in every mode.
 
 use {
-    std::{io, net::SocketAddr, time::Duration},
+    std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -18,7 +18,8 @@
 
 /// What a proxy does with its connections, those that are open and those to come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LinkMode {
+pub enum LinkMode {
+    /// Everything passes.
     Normal,
     /// Each chunk is held back this long, in both directions.
     Delayed(Duration),
@@ -30,36 +31,70 @@
     Reset,
 }
 
-/// A running proxy in front of one server.
-pub(crate) struct Proxy {
+/// A running proxy in front of one server. It runs until its thread's runtime ends.
+#[derive(Debug)]
+pub struct Proxy {
     /// Where it accepts connections.
-    pub(crate) addr: SocketAddr,
+    pub addr: SocketAddr,
+    server: Rc<Cell<SocketAddr>>,
     mode: watch::Sender<LinkMode>,
+    /// How often the open connections were silenced.
+    silences: watch::Sender<u64>,
 }
 
 impl Proxy {
-    /// Starts a proxy for the server at `to`, on the current thread's runtime.
-    pub(crate) async fn spawn(to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    /// Starts a proxy for `server` that listens at `at`, on the current thread's runtime.
+    ///
+    /// # Errors
+    ///
+    /// The listener cannot be bound.
+    pub async fn bind(at: SocketAddr, server: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
         let addr = listener.local_addr()?;
-        let (mode, receiver) = watch::channel(LinkMode::Normal);
+        let server = Rc::new(Cell::new(server));
+        let (mode, mode_receiver) = watch::channel(LinkMode::Normal);
+        let (silences, seen) = watch::channel(0);
+        let to = server.clone();
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                let forwarded = forward(stream, to.get(), mode_receiver.clone(), seen.clone());
                 // The result is ignored: the caller and the server notice a broken connection.
-                actix_rt::spawn(forward(stream, to, receiver.clone()));
+                actix_rt::spawn(forwarded);
             }
         });
-        Ok(Self { addr, mode })
+        Ok(Self {
+            addr,
+            server,
+            mode,
+            silences,
+        })
+    }
+
+    /// Changes the server that new connections are forwarded to.
+    pub fn set_server(&self, server: SocketAddr) {
+        self.server.set(server);
     }
 
     /// Changes the mode, also for connections that are open.
-    pub(crate) fn set_mode(&self, mode: LinkMode) {
+    pub fn set_mode(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Lets nothing pass any more on the connections that are open now. Neither end sees them
+    /// close, and new connections work.
+    pub fn silence_open(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
 }
 
-/// Forwards one connection until it ends or is reset.
-async fn forward(mut caller: TcpStream, to: SocketAddr, mut mode: watch::Receiver<LinkMode>) {
+/// Forwards one connection until it ends, is reset or falls silent.
+async fn forward(
+    mut caller: TcpStream,
+    to: SocketAddr,
+    mut mode: watch::Receiver<LinkMode>,
+    mut silences: watch::Receiver<u64>,
+) {
+    silences.mark_unchanged();
     let Ok(mut server) = TcpStream::connect(to).await else {
         return;
     };
@@ -71,6 +106,7 @@
         tokio::select! {
             _ = async { tokio::join!(upstream, downstream) } => false,
             _ = mode.wait_for(|l| *l == LinkMode::Reset) => true,
+            Ok(()) = silences.changed() => std::future::pending().await,
         }
     };
     if reset {
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -49,6 +49,9 @@
     /// Port of the first traffic thread for other daemons (RPC); each further thread listens on the
     /// next port.
     pub rpc_port: u16,
+    /// Port that other daemons are told to use instead of `rpc_port`, for example because a proxy
+    /// forwards it.
+    pub advertised_rpc_port: Option<u16>,
     /// Port for membership and lease messages (UDP).
     pub gossip_port: u16,
     /// Address of the platform's object store.
@@ -161,6 +164,7 @@
         http_port: daemon.parse("http-port", 8080, "a port"),
         admin_port: daemon.parse("admin-port", 8081, "a port"),
         metrics_port: None,
+        advertised_rpc_port: None,
         rpc_port: daemon.parse("rpc-port", 8090, "a port"),
         gossip_port: daemon.parse("gossip-port", 8082, "a port"),
         platform: platform.parse("address", placeholder, "IP:PORT"),
@@ -186,6 +190,7 @@
     let port = |key| daemon.text(key).map(|_| daemon.parse(key, 0, "a port"));
     settings.metrics_port = port("metrics-port");
     settings.peer_port = port("peer-port");
+    settings.advertised_rpc_port = port("advertised-rpc-port");
     if let Some(tier) = reader.sections("tier").first() {
         for key in ["front", "ready", "directory"] {
             tier.required(key);
