Fetch from a peer on a connection of its own

Cause: daemons kept one RPC connection to each peer and dropped it only when it was reported as disconnected. A connection that falls silent never is, so each fetch through it waited 2 s in vain, and so did the next. Evidence: the late daemons' lines: 'no answer in time' after 2,001 ms, always at peers that they had fetched from before; daemons without a connection to the announcer were served at once. Change: each fetch of the configuration, the targets or a shared object opens a connection and closes it. Fetches happen only after changes, so a kept connection saves one round trip at the price of this fault.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -21,10 +21,7 @@
             shutdown::Phase,
         },
         routing::{self, Inputs, Interner, LeaseState, SharedRouting},
-        traffic::{
-            Gauges,
-            rpc::{Peers, SharedObjects},
-        },
+        traffic::{Gauges, rpc::SharedObjects},
     },
     rattanturn_core::{
         NodeId, Time,
@@ -107,7 +104,6 @@
     gauges: Arc<Gauges>,
     objects: SharedObjects,
     platform: ObjectClient,
-    peers: Peers,
     events: mpsc::UnboundedSender<Event>,
     /// Tasks that watch the platform; empty unless this daemon is one of the watchers.
     watches: Vec<tokio::task::JoinHandle<()>>,
@@ -194,7 +190,6 @@
             gauges,
             objects,
             platform: ObjectClient::new(settings.platform),
-            peers: Peers::new(std::rc::Rc::new(|_| {}), Duration::ZERO),
             events,
             watches: Vec::new(),
             fetches: Default::default(),
@@ -270,9 +265,8 @@
         ];
         for (i, (key, version, known)) in objects.into_iter().enumerate() {
             if version > known && self.fetches[i].claim(now) {
-                let (peers, events) = (self.peers.clone(), self.events.clone());
-                let objects = self.objects.clone();
-                actix_rt::spawn(objects::fetch(peers, rpc, key, known, objects, events));
+                let (objects, events) = (self.objects.clone(), self.events.clone());
+                actix_rt::spawn(objects::fetch(rpc, key, known, objects, events));
             }
         }
     }
--- a/crates/daemon/src/control/objects.rs
+++ b/crates/daemon/src/control/objects.rs
@@ -10,7 +10,7 @@
     crate::{
         clock,
         control::Event,
-        traffic::rpc::{Peers, SharedObjects},
+        traffic::rpc::{self, SharedObjects},
     },
     rattanturn_core::{Time, object_history::ObjectUpdate, rendezvous},
     rattanturn_platform::objects::{ObjectClient, ReadOutcome},
@@ -80,14 +80,13 @@
 /// Fetches an object from a peer that has a newer version than `known`, and reports the result to
 /// control. An older answer of the peer counts as a failure.
 pub(crate) async fn fetch(
-    peers: Peers,
     from: SocketAddr,
     key: &'static str,
     known: u64,
     objects: SharedObjects,
     events: UnboundedSender<Event>,
 ) {
-    let update = fetch_update(&peers, from, key, known, &objects);
+    let update = fetch_update(from, key, known, &objects);
     let event = match observe_fetch(from, key, known, update).await {
         Some(found) => Event::ObjectVersion(found),
         None => Event::FetchFailed(key),
@@ -131,14 +130,13 @@
 ///
 /// The peer cannot be reached, or it has no newer version.
 async fn fetch_update(
-    peers: &Peers,
     from: SocketAddr,
     key: &'static str,
     known: u64,
     objects: &SharedObjects,
 ) -> eyre::Result<ObjectVersion> {
     for known in [known, 0] {
-        let update = request_update(peers, from, key, known).await?;
+        let update = request_update(from, key, known).await?;
         metrics::counter!("rattanturn_object_fetched_bytes_total", "key" => key)
             .increment(update.data.len() as u64);
         let whole = objects
@@ -162,30 +160,24 @@
 ///
 /// The peer cannot be reached, or its version is not newer than `known`.
 async fn request_update(
-    peers: &Peers,
     from: SocketAddr,
     key: &'static str,
     known: u64,
 ) -> eyre::Result<ObjectUpdate> {
-    let client = peers.client(from).await?;
-    let mut request = client.object_request();
-    request.get().set_key(key);
-    request.get().set_known(known);
-    let response = request.send().promise.await;
-    let response = match response {
-        Ok(response) => response,
-        Err(error) => {
-            peers.forget_disconnected(from, Err(error))?;
-            eyre::bail!("the connection was lost");
-        }
-    };
-    let message = response.get()?;
-    let update = ObjectUpdate {
-        version: message.get_version(),
-        base: message.get_base(),
-        data: message.get_body()?.to_vec(),
-        digest: message.get_digest(),
-    };
+    let update = rpc::call_once(from, async |client| {
+        let mut request = client.object_request();
+        request.get().set_key(key);
+        request.get().set_known(known);
+        let response = request.send().promise.await?;
+        let message = response.get()?;
+        Ok(ObjectUpdate {
+            version: message.get_version(),
+            base: message.get_base(),
+            data: message.get_body()?.to_vec(),
+            digest: message.get_digest(),
+        })
+    });
+    let update = update.await?;
     eyre::ensure!(update.version > known, "the peer has no newer version");
     Ok(update)
 }
--- a/crates/daemon/src/tier/peer_sync.rs
+++ b/crates/daemon/src/tier/peer_sync.rs
@@ -9,7 +9,7 @@
         clock,
         control::{Event, objects},
         tier::peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
-        traffic::rpc::{Peers, SharedObjects},
+        traffic::rpc::SharedObjects,
     },
     rattanturn_core::Time,
     std::{collections::HashMap, net::SocketAddr, sync::PoisonError, time::Duration},
@@ -34,7 +34,6 @@
 /// This daemon's exchange of objects with its peers.
 pub(crate) struct PeerSync {
     objects: SharedObjects,
-    peers: Peers,
     events: UnboundedSender<Event>,
     targets: UnboundedSender<TargetsEvent>,
     /// Newest version announced of each object, until it is here.
@@ -53,7 +52,6 @@
     ) -> Self {
         Self {
             objects,
-            peers: Peers::new(std::rc::Rc::new(|_| {}), Duration::ZERO),
             events,
             targets,
             newer: HashMap::new(),
@@ -94,7 +92,6 @@
     ) {
         if let Some(peer) = self.next_fetch(CATALOG_KEY, version) {
             actix_rt::spawn(objects::fetch(
-                self.peers.clone(),
                 peer,
                 CATALOG_KEY,
                 // The peer sends a patch of this version, which must be in `objects` here.
@@ -104,8 +101,8 @@
             ));
         }
         if let Some(peer) = self.next_fetch(TARGETS_KEY, revision) {
-            let (peers, events) = (self.peers.clone(), self.targets.clone());
-            actix_rt::spawn(peers::fetch_targets(peers, peer, targets(), events));
+            let events = self.targets.clone();
+            actix_rt::spawn(peers::fetch_targets(peer, targets(), events));
         }
     }
 
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         control::objects,
-        traffic::rpc::{self, Peers, SharedObjects},
+        traffic::rpc::{self, SharedObjects},
     },
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
@@ -150,13 +150,12 @@
 
 /// Fetches the targets that this daemon lacks from a peer, and reports the result to control.
 pub(crate) async fn fetch_targets(
-    peers: Peers,
     from: SocketAddr,
     known: KnownTargets,
     events: UnboundedSender<TargetsEvent>,
 ) {
     let revision = known.revision;
-    let update = request_update(&peers, from, &known);
+    let update = request_update(from, &known);
     let event = match objects::observe_fetch(from, TARGETS_KEY, revision, update).await {
         Some(reply) => TargetsEvent::Fetched(reply),
         None => TargetsEvent::FetchFailed,
@@ -170,31 +169,26 @@
 /// # Errors
 ///
 /// The peer cannot be reached, or its revision is not newer than the known one.
-async fn request_update(
-    peers: &Peers,
-    from: SocketAddr,
-    known: &KnownTargets,
-) -> eyre::Result<TargetsReply> {
-    let client = peers.client(from).await?;
-    let mut request = client.targets_request();
-    request.get().set_digests(&known.digests[..])?;
-    request.get().set_daemons(known.daemons);
-    let reply = match request.send().promise.await {
-        Ok(response) => {
-            let message = response.get()?;
-            TargetsReply {
-                revision: message.get_revision(),
-                body: message.get_body()?.to_vec(),
+async fn request_update(from: SocketAddr, known: &KnownTargets) -> eyre::Result<TargetsReply> {
+    let reply = rpc::call_once(from, async |client| {
+        let mut request = client.targets_request();
+        request.get().set_digests(&known.digests[..])?;
+        request.get().set_daemons(known.daemons);
+        match request.send().promise.await {
+            Ok(response) => {
+                let message = response.get()?;
+                Ok(TargetsReply {
+                    revision: message.get_revision(),
+                    body: message.get_body()?.to_vec(),
+                })
             }
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => {
+                request_whole(client).await
+            }
+            Err(error) => Err(error.into()),
         }
-        Err(error) if error.kind == capnp::ErrorKind::Unimplemented => {
-            request_whole(&client).await?
-        }
-        Err(error) => {
-            peers.forget_disconnected(from, Err(error))?;
-            eyre::bail!("the connection was lost");
-        }
-    };
+    });
+    let reply = reply.await?;
     metrics::counter!("rattanturn_object_fetched_bytes_total", "key" => TARGETS_KEY)
         .increment(reply.body.len() as u64);
     eyre::ensure!(
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -229,6 +229,35 @@
     }
 }
 
+/// Calls the daemon at `addr` on a connection of its own, which is closed afterwards.
+///
+/// A connection that is kept can stop working without either end noticing, and then every later
+/// call on it is lost. So calls that are rare use a new one each.
+///
+/// # Errors
+///
+/// The daemon cannot be reached, the connection broke, or `call` failed.
+pub(crate) async fn call_once<T>(
+    addr: SocketAddr,
+    call: impl AsyncFnOnce(&peer::Client) -> eyre::Result<T>,
+) -> eyre::Result<T> {
+    let (client, system) = connect(addr).await?;
+    tokio::select! {
+        result = call(&client) => result,
+        _ = system => eyre::bail!("the connection was lost"),
+    }
+}
+
+/// Connects to the daemon at `addr`. The client works only while the system is polled.
+async fn connect(addr: SocketAddr) -> eyre::Result<(peer::Client, RpcSystem<Side>)> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    let stream = stream.await.map_err(io::Error::from)??;
+    let network = vat_network(stream, Side::Client);
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client = system.bootstrap(Side::Server);
+    Ok((client, system))
+}
+
 /// One traffic thread's connections to the traffic threads of other daemons, one for each address.
 #[derive(Clone)]
 pub(crate) struct Peers {
@@ -295,11 +324,7 @@
         if let Some(client) = self.clients.borrow().get(&addr) {
             return Ok(client.clone());
         }
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
-        let stream = connect.await.map_err(io::Error::from)??;
-        let network = vat_network(stream, Side::Client);
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let client: peer::Client = system.bootstrap(Side::Server);
+        let (client, system) = connect(addr).await?;
         let clients = self.clients.clone();
         clients.borrow_mut().insert(addr, client.clone());
         actix_rt::spawn(async move {
