Tie the position of a watch to the era of the store

In a test, a route written after the store came back from an older copy stays unknown to all daemons (404). Cause: a read session kept its revision across the restore. The store refuses a watch only while it is below that revision; once it has given the numbers out again, changes with lower ones are skipped without an error, for the configuration, evacuations, targets and daemons' entries alike. Change: a position is an era (header Store-Era) and a revision; an answer of another era is dropped and the kind is listed again. The stand-in can come back from a copy.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 //! - [`rendezvous`]: rendezvous hashing, by which daemons that know the same members make the same
 //!   choice.
 //! - [`readers`]: which daemons read the store; the others receive what these have read.
+//! - [`watch_position`]: where a watch of the store continues, also after the store lost changes.
 //! - [`dissemination`]: to whom a reader announces what it has read.
 //! - [`buckets`]: digests by which two daemons find out in which targets they differ.
 //! - [`versioned`]: the newest accepted version of a shared object.
@@ -75,6 +76,7 @@
 mod time;
 pub mod versioned;
 pub mod voter_sets;
+pub mod watch_position;
 pub mod weighted;
 
 pub use {priority::Priority, rendezvous::NodeId, time::Time};
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -88,14 +88,14 @@
             StoreEvent::Listed(kind, list) => {
                 self.store_recovered(kind);
                 self.apply_list(now, kind, list.objects);
-                self.record_read(now, kind, list.revision);
+                self.record_read(now, kind, list.position.revision);
             }
             StoreEvent::Changed(kind, changes) => {
                 self.store_recovered(kind);
                 for change in changes.events {
                     self.apply_change(now, kind, &change.object, change.removed);
                 }
-                self.record_read(now, kind, changes.revision);
+                self.record_read(now, kind, changes.position.revision);
             }
             StoreEvent::Failed(kind, error) => {
                 let count = self.failures.entry(kind).or_default();
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -8,6 +8,7 @@
 
 use {
     rand::RngExt,
+    rattanturn_core::watch_position::WatchPosition,
     rattanturn_platform::{Changes, Listing, Store, StoreError, entries, objects},
     std::time::Duration,
     tokio::sync::mpsc::UnboundedSender,
@@ -71,13 +72,13 @@
 
 /// Runs a read session until one kind cannot be read or the task is dropped.
 pub(crate) async fn session(store: Store, events: UnboundedSender<StoreEvent>) {
-    let mut revision = None;
-    match poll(&store, CATALOG, &mut revision).await {
+    let mut position = None;
+    match poll(&store, CATALOG, &mut position).await {
         Ok(event) => {
             // If the receiver is gone, `watch_kind` ends the session.
             let _ = events.send(event);
             tokio::select! {
-                () = watch_kind(&store, CATALOG, revision, &events) => {}
+                () = watch_kind(&store, CATALOG, position, &events) => {}
                 () = watch_kind(&store, EVACUATIONS, None, &events) => {}
                 () = watch_kind(&store, TARGETS, None, &events) => {}
                 () = watch_kind(&store, DAEMONS, None, &events) => {}
@@ -91,19 +92,19 @@
 }
 
 /// Polls one kind until calls fail several times in a row. It starts with the changes after
-/// `revision`, or with a list if there is none.
+/// `position`, or with a list if there is none.
 async fn watch_kind(
     store: &Store,
     kind: Kind,
-    mut revision: Option<u64>,
+    mut position: Option<WatchPosition>,
     events: &UnboundedSender<StoreEvent>,
 ) {
     let mut failures = 0;
     while failures < MAX_CONSECUTIVE_FAILURES {
-        let event = match poll(store, kind, &mut revision).await {
+        let event = match poll(store, kind, &mut position).await {
             Ok(event) => event,
             Err(StoreError::HistoryGone) => {
-                revision = None;
+                position = None;
                 continue;
             }
             Err(error) => StoreEvent::Failed(kind.name, error),
@@ -123,27 +124,29 @@
     }
 }
 
-/// Makes one call: a list while `revision` is unknown, else a long poll. Updates `revision`.
+/// Makes one call: a list while `position` is unknown, else a long poll. Updates `position`.
 async fn poll(
     store: &Store,
     kind: Kind,
-    revision: &mut Option<u64>,
+    position: &mut Option<WatchPosition>,
 ) -> Result<StoreEvent, StoreError> {
-    let Some(last) = *revision else {
+    let Some(last) = *position else {
         let list = store.list(kind.name).await?;
-        *revision = Some(list.revision);
+        *position = Some(list.position);
         return Ok(StoreEvent::Listed(kind.name, list));
     };
-    let changes = store.watch(kind.name, last, kind.poll_time).await?;
-    if changes.revision < last {
-        let now = changes.revision;
+    let wait = kind.poll_time;
+    let changes = store.watch(kind.name, last.revision, wait).await?;
+    *position = last.advance(changes.position);
+    if position.is_none() {
+        let now = changes.position;
         tracing::warn!(
             kind = kind.name,
-            last,
-            now,
-            "the store's revision went back"
+            ?last,
+            ?now,
+            "the store came back from an older copy; listing it again"
         );
+        return Err(StoreError::HistoryGone);
     }
-    *revision = Some(changes.revision.max(last));
     Ok(StoreEvent::Changed(kind.name, changes))
 }
--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -5,6 +5,7 @@
     super::{CONFIG_APPLY_TIME, front_addr, with_cluster},
     actix_rt::time::sleep,
     rattanturn_demo::tier_cluster::{TierCluster, request},
+    serde_json::json,
     std::time::Duration,
 };
 
@@ -13,6 +14,17 @@
 /// Configurations written before a fault, so that each daemon has fetched from several others.
 const EARLIER_CONFIGS: usize = 6;
 
+/// Time in which all watches of a daemon that reads the store have ended and begun again.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+
+/// Writes other objects than the configuration, which raises the store's revision.
+fn write_others(cluster: &TierCluster, count: usize) {
+    for number in 0..count {
+        let name = format!("{}-{number}", cluster.store.revision());
+        cluster.store.write("others", &name, json!({}));
+    }
+}
+
 /// Writes a configuration whose only route has the prefix `/NUMBER/`.
 fn write_route(cluster: &mut TierCluster, number: usize) {
     let config = cluster.config.clone().clear_routes();
@@ -62,3 +74,17 @@
 fn a_configuration_spreads_after_all_open_connections_fell_silent() {
     assert_spreads_after_silence(|_| true);
 }
+
+#[test]
+fn a_configuration_spreads_after_the_store_gave_out_revisions_again() {
+    with_cluster(3, async |cluster| {
+        let copy = cluster.store.revision();
+        write_others(cluster, 8);
+        sleep(WATCH_TIME).await;
+        cluster.store.restore(copy);
+        write_route(cluster, 0);
+        write_others(cluster, 10);
+        sleep(CONFIG_APPLY_TIME).await;
+        assert_in_force(cluster, 0).await;
+    });
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -2,14 +2,18 @@
 //!
 //! Objects are at `/v1/objects/KIND/NAME`, and one revision counter covers all kinds. Lists are
 //! paged, watches wait for the changes after a revision, and writes can be conditional on the
-//! object's revision. A test can make the store fail in the ways of [`Mode`] and discard its
-//! history of changes, after which clients have to list again.
+//! object's revision. A test can make the store fail in the ways of [`Mode`], discard its history of
+//! changes, after which clients have to list again, and let it come back from an older copy.
 //!
 //! All versions of all objects stay in memory until the stand-in is dropped, and each poll of a
 //! watch scans them all, which is fast enough for tests only.
 
 use {
-    actix_http::{Method, Request, Response, body::BoxBody},
+    actix_http::{
+        Method, Request, Response,
+        body::BoxBody,
+        header::{HeaderName, HeaderValue},
+    },
     actix_rt::time::sleep,
     rattanturn_http::{Limits, Server, query_parameter, read_body, response, spawn},
     serde_json::{Value, json},
@@ -28,6 +32,8 @@
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Largest number of objects on one page of a list.
 const PAGE_SIZE: usize = 50;
+/// Header of all answers: how often the store has come back from an older copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Kind of the objects that the daemons and the command-line tool keep in the store.
 const OWN_KIND: &str = "rattanturn";
 
@@ -67,6 +73,8 @@
 #[derive(Debug)]
 struct Inner {
     mode: Mode,
+    /// Number of times that the store came back from an older copy.
+    era: u64,
     /// Revision of the last change of any object.
     revision: u64,
     /// Watches from below this revision fail, because the changes up to it are discarded.
@@ -138,6 +146,26 @@
         self.with(|i| i.history_start = i.revision);
     }
 
+    /// Revision of the last change of any object.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.with(|i| i.revision)
+    }
+
+    /// Lets the store come back from a copy made at `revision`: later changes are lost, and their
+    /// revisions are given out again. All answers then carry the next era.
+    pub fn restore(&self, revision: u64) {
+        self.with(|i| {
+            for versions in i.objects.values_mut() {
+                versions.retain(|v| v.revision <= revision);
+            }
+            i.objects.retain(|_, versions| !versions.is_empty());
+            i.revision = revision;
+            i.history_start = i.history_start.min(revision);
+            i.era += 1;
+        });
+    }
+
     /// Number of requests so far by operation: `read`, `list`, `watch`, `write` or `remove`.
     ///
     /// Requests that arrived in [`Mode::Down`] or [`Mode::Busy`] are not counted.
@@ -205,6 +233,7 @@
     pub fn spawn() -> io::Result<Self> {
         let inner = Inner {
             mode: Mode::Up,
+            era: 1,
             revision: 0,
             history_start: 0,
             objects: BTreeMap::new(),
@@ -234,7 +263,14 @@
     }
 }
 
-async fn handle(state: Arc<State>, mut request: Request) -> Response<BoxBody> {
+async fn handle(state: Arc<State>, request: Request) -> Response<BoxBody> {
+    let mut response = answer_request(&state, request).await;
+    let era = HeaderValue::from(state.with(|i| i.era));
+    response.headers_mut().insert(ERA, era);
+    response
+}
+
+async fn answer_request(state: &State, mut request: Request) -> Response<BoxBody> {
     let mode = state.with(|i| i.mode);
     if let Mode::Slow(time) = mode {
         sleep(time).await;
@@ -254,14 +290,14 @@
         None => (path, None),
     };
     match (request.method().clone(), name) {
-        (Method::GET, Some(name)) => read(&state, kind, name),
+        (Method::GET, Some(name)) => read(state, kind, name),
         (Method::GET, None) if query_parameter(&request, "watch").is_some() => {
-            watch(&state, kind, &request).await
+            watch(state, kind, &request).await
         }
-        (Method::GET, None) => list(&state, kind, &request),
+        (Method::GET, None) => list(state, kind, &request),
         (Method::POST | Method::PUT, name) => {
             let name = name.map(ToOwned::to_owned);
-            let answer = write(&state, kind, name, &mut request).await;
+            let answer = write(state, kind, name, &mut request).await;
             lose_answer(mode, answer)
         }
         (Method::DELETE, Some(name)) => {
@@ -332,7 +368,7 @@
         if mode == Mode::Down {
             return unreadable_answer();
         }
-        if after < history_start {
+        if after < history_start || after > revision {
             return response(410, &[], "this history is gone");
         }
         if !(events.is_empty() || mode == Mode::Stale) || Instant::now() >= end {
