Confirm only what the readers of the store can still read

In a test, a new route stays unknown to all daemons (404) beyond the 3 s that it may take, while the readers' calls for the configuration hang and their calls for targets are answered. Cause: an announcement says that the store holds nothing newer, and was sent whenever targets had been read. So fresh targets stood for a fresh configuration, and nobody else read it until three polls of 1.5 s had failed. Change: a reader whose last call for the configuration, the evacuations or the targets failed tells its versions without confirming them. The length of the polls comes from the times within which a configuration and an evacuation must be applied (new settings, filled in from the deployment's bounds; 3 s each if not given), so that the sum of poll, failure, staleness and fallback stays within them; polls answer 0.5 s after their time at most.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -302,6 +302,13 @@
         self.message(MessageKind::ANNOUNCE)
     }
 
+    /// Like [`Self::announcement`], but receivers do not take it for a confirmation that the versions
+    /// are the newest.
+    #[must_use]
+    pub fn versions_notice(&self) -> Message {
+        self.message(MessageKind::Sync(false))
+    }
+
     /// Advances time: notifies members, probes, and expires suspects. Returns the messages to send.
     ///
     /// Call it several times for each [`PROBE_INTERVAL`]: the timeout of a direct probe is shorter,
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -42,6 +42,14 @@
 const ORDERED_FALLBACKS: usize = 6;
 /// The remaining daemons start at random times until this long after their data became stale.
 const MAX_FALLBACK_DELAY: Duration = Duration::from_millis(1_500);
+/// Time from the end of a read until all other daemons have applied it, and the delays of the timers
+/// on the way.
+const SPREAD_TIME: Duration = Duration::from_millis(200);
+/// Bounds of [`poll_time`]: shorter polls cost more calls than the store allows a large deployment,
+/// and longer ones find a dead connection late.
+const MIN_POLL_TIME: Duration = Duration::from_millis(200);
+/// See [`MIN_POLL_TIME`].
+const MAX_POLL_TIME: Duration = Duration::from_millis(1_500);
 /// A primary reader whose session failed waits between one and two times this long, at random.
 const PRIMARY_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// While no daemon can read, those that are not primary readers together make one attempt in this
@@ -104,6 +112,24 @@
     }
 }
 
+/// Longest time of a long poll for objects whose changes must be applied everywhere within `limit`.
+///
+/// The limit holds even if the polls of both primary readers hang. A poll fails `answer_time` after
+/// its own time. Then the readers stop confirming what they read, the other daemons' data becomes
+/// stale, and one of them reads.
+///
+/// ```
+/// use {rattanturn_core::readers::poll_time, std::time::Duration};
+/// let (limit, answer) = (Duration::from_secs(3), Duration::from_millis(500));
+/// assert_eq!(poll_time(limit, answer), Duration::from_millis(600));
+/// ```
+#[must_use]
+pub fn poll_time(limit: Duration, answer_time: Duration) -> Duration {
+    let rest = answer_time + STALE_AFTER + FALLBACK_STEP + SPREAD_TIME;
+    let longest = limit.saturating_sub(rest);
+    longest.clamp(MIN_POLL_TIME, MAX_POLL_TIME)
+}
+
 /// What a daemon's decision to read the store depends on besides time.
 #[derive(Clone, Copy, Debug)]
 pub struct ReaderContext {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -141,12 +141,16 @@
                 .await;
             return await_stop(daemon.stop(), &mut terminate, &mut interrupt).await;
         };
-        let tier = Tier::spawn(settings.clone(), tier)?;
-        let at = tier.addresses();
-        tracing::info!(callers = %at.front, directory = %at.directory, operators = %at.admin, "serving");
+        let daemon = Tier::spawn(settings.clone(), tier)?;
+        let at = daemon.addresses();
+        tracing::info!(
+            callers = %at.front, directory = %at.directory, operators = %at.admin,
+            config_limit = ?tier.config_limit, evacuation_limit = ?tier.evacuation_limit,
+            "serving"
+        );
         self.serve(settings, &mut terminate, &mut interrupt, &mut hangup)
             .await;
-        await_stop(tier.stop(), &mut terminate, &mut interrupt).await
+        await_stop(daemon.stop(), &mut terminate, &mut interrupt).await
     }
 
     /// Handles SIGHUP and reports dropped log lines until a signal asks the daemon to stop.
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -110,8 +110,7 @@
     /// When the gauges were last exported.
     gauges_set: Time,
     stale_entries: StaleEntries,
-    /// Processor cores that this daemon states in its entry.
-    cores: f64,
+    tier: TierSettings,
     /// When this daemon last wrote its own entry to the store.
     last_registered: Option<Time>,
     store: Store,
@@ -196,7 +195,7 @@
         relay_since: None,
         gauges_set: Time::ZERO,
         stale_entries: StaleEntries::default(),
-        cores: start.tier.cores,
+        tier: start.tier,
         last_registered: None,
         store: Store::new(start.settings.platform),
         store_events: sender,
@@ -274,7 +273,7 @@
     async fn relay(&mut self, socket: &UdpSocket, now: Time) {
         self.last_relayed = now;
         let audience = self.audience(dissemination::relay_audience);
-        self.announce(socket, &audience).await;
+        send_to_all(socket, self.membership.announcement(), &audience).await;
     }
 
     /// Addresses of the daemons that `choose` names among all others.
@@ -296,17 +295,6 @@
         self.cluster.daemons.get(name).copied().unwrap_or(0.0)
     }
 
-    async fn announce(&self, socket: &UdpSocket, audience: &[SocketAddr]) {
-        let message = self.membership.announcement();
-        let kind = message.kind;
-        let bytes = encode(&Datagram::Gossip(message));
-        for to in audience {
-            meters::count_datagram("sent", kind, bytes.len());
-            // A lost announcement is made up for by the next message, so an error needs no handling.
-            let _ = socket.send_to(&bytes, to).await;
-        }
-    }
-
     /// Fetches from the sender of a message what it has in a newer version.
     fn compare_versions(&mut self, now: Time, message: &Message) {
         let Some(member) = self.membership.get(message.from) else {
@@ -416,12 +404,19 @@
         self.cluster.apply_event(now, event);
         let version = self.view_inputs.version;
         let changed = self.share_state() || self.cluster.config_version() != version;
-        let due =
-            now.since(self.last_announced) >= ANNOUNCE_INTERVAL && self.cluster.targets_read > read;
+        let complete = self.cluster.is_read_complete();
+        let due = complete
+            && now.since(self.last_announced) >= ANNOUNCE_INTERVAL
+            && self.cluster.targets_read > read;
         if changed || due {
             self.last_announced = now;
             let audience = self.audience(dissemination::reader_audience);
-            self.announce(socket, &audience).await;
+            let message = if complete {
+                self.membership.announcement()
+            } else {
+                self.membership.versions_notice()
+            };
+            send_to_all(socket, message, &audience).await;
         }
     }
 
@@ -457,7 +452,8 @@
             self.reader_role
                 .should_read(now, self.reader_context, self.cluster.targets_read);
         if wanted && self.read_session.is_none() {
-            let reading = session(self.store.clone(), self.store_events.clone());
+            let events = self.store_events.clone();
+            let reading = session(self.store.clone(), self.tier, events);
             self.read_session = Some(actix_rt::spawn(reading));
         } else if !wanted && let Some(session) = self.read_session.take() {
             session.abort();
@@ -600,6 +596,16 @@
     }
 }
 
+async fn send_to_all(socket: &UdpSocket, message: Message, audience: &[SocketAddr]) {
+    let kind = message.kind;
+    let bytes = encode(&Datagram::Gossip(message));
+    for to in audience {
+        meters::count_datagram("sent", kind, bytes.len());
+        // A lost announcement is made up for by the next message, so an error needs no handling.
+        let _ = socket.send_to(&bytes, to).await;
+    }
+}
+
 async fn send(socket: &UdpSocket, list: Vec<Envelope>) {
     for item in list {
         let kind = item.message.kind;
--- a/crates/daemon/src/tier/control/members.rs
+++ b/crates/daemon/src/tier/control/members.rs
@@ -48,7 +48,7 @@
         if due {
             self.last_registered = Some(now);
             let (store, name) = (self.store.clone(), name.clone());
-            actix_rt::spawn(register::write_entry(store, name, self.cores));
+            actix_rt::spawn(register::write_entry(store, name, self.tier.cores));
         }
     }
 
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Whether this daemon can say that the store holds nothing newer than what it has read: the
+    /// last call for each kind that callers depend on within seconds succeeded.
+    pub(crate) fn is_read_complete(&self) -> bool {
+        let kinds = [entries::CATALOG.0, entries::EVACUATIONS, entries::TARGETS];
+        kinds.iter().all(|kind| !self.failures.contains_key(kind))
+    }
+
     fn store_recovered(&mut self, kind: &'static str) {
         if let Some(failures) = self.failures.remove(kind) {
             tracing::info!(kind, failures, "the store is readable again");
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -8,15 +8,15 @@
 
 use {
     rand::RngExt,
-    rattanturn_core::watch_position::WatchPosition,
-    rattanturn_platform::{Changes, Listing, Store, StoreError, entries, objects},
+    rattanturn_core::{readers, watch_position::WatchPosition},
+    rattanturn_platform::{
+        Changes, Listing, Store, StoreError, WATCH_ANSWER_TIME, entries, objects,
+    },
+    rattanturn_tables::TierSettings,
     std::time::Duration,
     tokio::sync::mpsc::UnboundedSender,
 };
 
-/// Length of a long poll for what operators write. A dead connection is noticed only when its poll
-/// should have ended, and a new configuration must be applied within 3 s.
-const OPERATOR_POLL_TIME: Duration = Duration::from_millis(1_500);
 /// Length of a long poll for targets. It is short because there is nearly always a change.
 const TARGETS_POLL_TIME: Duration = Duration::from_millis(200);
 /// Pause between two polls for targets. A leaving target must get no request after 3 s.
@@ -50,15 +50,6 @@
     poll_pause: Duration,
 }
 
-const CATALOG: Kind = Kind {
-    name: entries::CATALOG.0,
-    poll_time: OPERATOR_POLL_TIME,
-    poll_pause: OPERATOR_POLL_PAUSE,
-};
-const EVACUATIONS: Kind = Kind {
-    name: entries::EVACUATIONS,
-    ..CATALOG
-};
 const TARGETS: Kind = Kind {
     name: entries::TARGETS,
     poll_time: TARGETS_POLL_TIME,
@@ -70,22 +61,33 @@
     poll_pause: TARGETS_POLL_PAUSE,
 };
 
+/// A kind that operators write, whose changes must be applied everywhere within `limit`.
+fn operator_kind(name: &'static str, limit: Duration) -> Kind {
+    Kind {
+        name,
+        poll_time: readers::poll_time(limit, WATCH_ANSWER_TIME),
+        poll_pause: OPERATOR_POLL_PAUSE,
+    }
+}
+
 /// Runs a read session until one kind cannot be read or the task is dropped.
-pub(crate) async fn session(store: Store, events: UnboundedSender<StoreEvent>) {
+pub(crate) async fn session(store: Store, tier: TierSettings, events: UnboundedSender<StoreEvent>) {
+    let catalog = operator_kind(entries::CATALOG.0, tier.config_limit);
+    let evacuations = operator_kind(entries::EVACUATIONS, tier.evacuation_limit);
     let mut position = None;
-    match poll(&store, CATALOG, &mut position).await {
+    match poll(&store, catalog, &mut position).await {
         Ok(event) => {
             // If the receiver is gone, `watch_kind` ends the session.
             let _ = events.send(event);
             tokio::select! {
-                () = watch_kind(&store, CATALOG, position, &events) => {}
-                () = watch_kind(&store, EVACUATIONS, None, &events) => {}
+                () = watch_kind(&store, catalog, position, &events) => {}
+                () = watch_kind(&store, evacuations, None, &events) => {}
                 () = watch_kind(&store, TARGETS, None, &events) => {}
                 () = watch_kind(&store, DAEMONS, None, &events) => {}
             }
         }
         Err(error) => {
-            let _ = events.send(StoreEvent::Failed(CATALOG.name, error));
+            let _ = events.send(StoreEvent::Failed(catalog.name, error));
         }
     }
     let _ = events.send(StoreEvent::SessionEnded);
--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -5,6 +5,7 @@
     super::{CONFIG_APPLY_TIME, front_addr, with_cluster},
     actix_rt::time::sleep,
     rattanturn_demo::tier_cluster::{TierCluster, request},
+    rattanturn_standins::platform::Platform,
     serde_json::json,
     std::time::Duration,
 };
@@ -88,3 +89,21 @@
         assert_in_force(cluster, 0).await;
     });
 }
+
+#[test]
+fn a_configuration_spreads_while_calls_for_it_hang_at_the_daemons_that_read_the_store() {
+    with_cluster(0, async |cluster| {
+        let hanging = Platform::spawn_hanging(cluster.store.clone()).unwrap();
+        // The large daemons read the store.
+        for _ in 0..2 {
+            cluster.start_with_store(hanging.addr(), 4.0).unwrap();
+        }
+        cluster.start_with_cores(2, 1.0).unwrap();
+        cluster.wait_ready().await.unwrap();
+        sleep(WATCH_TIME).await;
+        cluster.store.hang(Some("config"));
+        write_route(cluster, 0);
+        sleep(CONFIG_APPLY_TIME).await;
+        assert_in_force(cluster, 0).await;
+    });
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -82,6 +82,8 @@
     /// All versions of each object, oldest first, by kind and name.
     objects: BTreeMap<(String, String), Vec<Version>>,
     call_counts: BTreeMap<&'static str, u64>,
+    /// Kind of object whose calls hang on the listener of [`Platform::spawn_hanging`].
+    hung_kind: Option<&'static str>,
 }
 
 impl Inner {
@@ -140,6 +142,12 @@
         self.with(|i| i.mode = mode);
     }
 
+    /// Leaves calls for objects of a kind without an answer on listeners of
+    /// [`Platform::spawn_hanging`]; `None` answers them again.
+    pub fn hang(&self, kind: Option<&'static str>) {
+        self.with(|i| i.hung_kind = kind);
+    }
+
     /// Discards the history of changes up to now: watches from an earlier revision are answered
     /// with status 410.
     pub fn compact(&self) {
@@ -238,6 +246,7 @@
             history_start: 0,
             objects: BTreeMap::new(),
             call_counts: BTreeMap::new(),
+            hung_kind: None,
         };
         let state = Arc::new(State {
             inner: Mutex::new(inner),
@@ -250,6 +259,21 @@
         Ok(Self { server, state })
     }
 
+    /// Starts a second listener for the objects of `state`, on which calls for the kind named with
+    /// [`State::hang`] get no answer, also those that wait already.
+    ///
+    /// # Errors
+    ///
+    /// The listener cannot be bound.
+    pub fn spawn_hanging(state: Arc<State>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let shared = state.clone();
+        let server = spawn(listener, Limits::default(), move |r| {
+            handle_or_hang(shared.clone(), r)
+        })?;
+        Ok(Self { server, state })
+    }
+
     /// Address at which the store serves HTTP.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
@@ -263,6 +287,16 @@
     }
 }
 
+async fn handle_or_hang(state: Arc<State>, request: Request) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    let response = handle(state.clone(), request).await;
+    let hung = state.with(|i| i.hung_kind);
+    if hung.is_some_and(|kind| path.starts_with(&format!("/v1/objects/{kind}"))) {
+        std::future::pending::<()>().await;
+    }
+    response
+}
+
 async fn handle(state: Arc<State>, request: Request) -> Response<BoxBody> {
     let mut response = answer_request(&state, request).await;
     let era = HeaderValue::from(state.with(|i| i.era));
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -87,6 +87,9 @@
 /// Extra calls allowed regardless of the number of requests, if the settings give no slack.
 const DEFAULT_RETRY_SLACK: f64 = 10.0;
 
+/// Time within which daemons apply a configuration or an evacuation, if the settings give none.
+const DEFAULT_CHANGE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Settings for serving as a tier on the users' platform, from the section `[tier]`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TierSettings {
@@ -104,6 +107,11 @@
     /// Extra calls to a service that are allowed on top, by all daemons together within some
     /// seconds, so that a service with few requests can be retried as well.
     pub retry_slack: f64,
+    /// Time within which all daemons must apply a new configuration, from the store's answer to its
+    /// writer on. It decides how often the store is read.
+    pub config_limit: Duration,
+    /// The same for the evacuation of a data centre.
+    pub evacuation_limit: Duration,
 }
 
 impl Settings {
@@ -202,6 +210,8 @@
             cores: tier.parse("cores", 1.0, "a number"),
             retry_ratio: tier.parse("repeat-ratio", DEFAULT_RETRY_RATIO, "a number"),
             retry_slack: tier.parse("repeat-slack", DEFAULT_RETRY_SLACK, "a number"),
+            config_limit: tier.duration("config-limit", DEFAULT_CHANGE_LIMIT),
+            evacuation_limit: tier.duration("evacuation-limit", DEFAULT_CHANGE_LIMIT),
         });
         tier.unknown_keys();
     }
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -135,7 +135,7 @@
 }
 
 /// Every key of a daemon's settings.
-const KEYS: [&str; 25] = [
+const KEYS: [&str; 28] = [
     "name",
     "data-centre",
     "ip",
@@ -143,6 +143,7 @@
     "admin-port",
     "metrics-port",
     "rpc-port",
+    "advertised-rpc-port",
     "gossip-port",
     "peers",
     "peer-port",
@@ -158,6 +159,8 @@
     "cores",
     "repeat-ratio",
     "repeat-slack",
+    "config-limit",
+    "evacuation-limit",
     "address",
     "level",
     "format",
