--- a/crates/demo/src/tier_cluster.rs
+++ b/crates/demo/src/tier_cluster.rs
@@ -168,17 +168,18 @@
         self.start(store, cores, "")
     }
 
-    /// Starts more daemons that reach the store and each other through [`TierCluster::proxies`].
+    /// Starts more daemons with `cores` cores each that reach the store and each other through
+    /// [`TierCluster::proxies`].
     ///
     /// # Errors
     ///
     /// A listener of a daemon or of a proxy cannot be bound.
-    pub async fn start_proxied(&mut self, count: usize) -> eyre::Result<()> {
+    pub async fn start_proxied(&mut self, count: usize, cores: f64) -> eyre::Result<()> {
         for _ in 0..count {
             let store = Proxy::bind(ANY_PORT, self.store_addr).await?;
             let rpc = Proxy::bind(ANY_PORT, ANY_PORT).await?;
             let setting = format!("advertised-rpc-port = {}\n", rpc.addr.port());
-            self.start(store.addr, 1.0, &setting)?;
+            self.start(store.addr, cores, &setting)?;
             if let Some(daemon) = self.daemons.last() {
                 rpc.set_server(daemon.addresses().rpc);
             }
--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -4,8 +4,9 @@
 use {
     super::{CONFIG_APPLY_TIME, front_addr, with_cluster},
     actix_rt::time::sleep,
+    rattanturn_daemon::Tier,
     rattanturn_demo::tier_cluster::{TierCluster, request},
-    rattanturn_standins::platform::Platform,
+    rattanturn_standins::{platform::Platform, proxy::Proxy},
     serde_json::json,
     std::time::Duration,
 };
@@ -49,7 +50,7 @@
 /// and asserts that the next configuration is in force in time.
 fn assert_spreads_after_silence(silenced: fn(usize) -> bool) {
     with_cluster(0, async |cluster| {
-        cluster.start_proxied(6).await.unwrap();
+        cluster.start_proxied(6, 1.0).await.unwrap();
         cluster.wait_ready().await.unwrap();
         for number in 0..EARLIER_CONFIGS {
             write_route(cluster, number);
@@ -107,3 +108,19 @@
         assert_in_force(cluster, 0).await;
     });
 }
+
+#[test]
+fn a_configuration_spreads_when_the_readers_die_after_the_others_connections_fell_silent() {
+    with_cluster(0, async |cluster| {
+        // The large daemons read the store.
+        cluster.start_proxied(2, 4.0).await.unwrap();
+        cluster.start_proxied(4, 1.0).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        cluster.proxies[4..].iter().for_each(Proxy::silence_open);
+        sleep(STABLE_TIME).await;
+        cluster.daemons.drain(..2).for_each(Tier::kill);
+        write_route(cluster, 0);
+        sleep(CONFIG_APPLY_TIME).await;
+        assert_in_force(cluster, 0).await;
+    });
+}
