Let the soak silence connections, and hold configurations to their time again after a fault

Cause: the soak could not find the late configuration: nothing stood between its daemons, so their connections had no faults, and a configuration that met any fault of the store was never checked again. Change: daemons reach each other by RPC through proxies; two new faults: a disturbed link between daemons, and all open connections falling silent.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -89,9 +89,51 @@
 /// A configuration that the store has accepted.
 pub(crate) struct ConfigChange {
     pub(crate) accepted_at: Instant,
-    /// Whether the store or a link to it was faulty while the configuration spread, in which case
-    /// `MAX_PROPAGATION` does not hold.
-    pub(crate) store_fault: bool,
+    /// From when on every daemon must use it; `None` while a fault holds it up.
+    pub(crate) due: Option<Instant>,
+}
+
+/// When configurations must be in force, beside faults of the store and of the links that
+/// configurations take.
+#[derive(Default)]
+pub(crate) struct ConfigSchedule {
+    pub(crate) changes: Vec<ConfigChange>,
+    /// Number of faults that last.
+    faults: usize,
+    /// When the last fault ended.
+    calm_since: Option<Instant>,
+}
+
+impl ConfigSchedule {
+    /// Adds a configuration that the store has just accepted.
+    pub(crate) fn accept(&mut self, now: Instant) {
+        let caught_up = self.calm_since.map(|at| at + CATCH_UP_TIME);
+        let due = caught_up.max(Some(now + MAX_PROPAGATION));
+        self.changes.push(ConfigChange {
+            accepted_at: now,
+            due: due.filter(|_| self.faults == 0),
+        });
+    }
+
+    /// A fault begins: configurations that may still be spreading have no time limit meanwhile.
+    pub(crate) fn begin_fault(&mut self, now: Instant) {
+        self.faults += 1;
+        for change in &mut self.changes {
+            change.due = change.due.filter(|due| *due <= now);
+        }
+    }
+
+    /// A fault ends: after the last one, daemons have [`CATCH_UP_TIME`] for what they missed.
+    pub(crate) fn end_fault(&mut self, now: Instant) {
+        self.faults -= 1;
+        if self.faults > 0 {
+            return;
+        }
+        self.calm_since = Some(now);
+        for change in &mut self.changes {
+            change.due = change.due.or(Some(now + CATCH_UP_TIME));
+        }
+    }
 }
 
 /// Totals since the start of the run.
@@ -117,7 +159,7 @@
     not_executed: Vec<(RequestKind, String)>,
     /// Ids of the requests that must not run twice.
     once_ids: Vec<String>,
-    pub(crate) config_changes: Vec<ConfigChange>,
+    pub(crate) config: ConfigSchedule,
     /// Numbers of the configurations that answers showed, and when the answers arrived, for each
     /// daemon and incarnation.
     observed: BTreeMap<(usize, u32), Vec<(Instant, usize)>>,
@@ -222,11 +264,11 @@
             self.violations.push(text);
         }
         observed.push((Instant::now(), used));
-        let due =
-            |e: &ConfigChange| request.sent_at > e.accepted_at + MAX_PROPAGATION && !e.store_fault;
-        let expected = self.config_changes.iter().rposition(due).unwrap_or(0);
+        let is_due = |e: &ConfigChange| e.due.is_some_and(|due| request.sent_at > due);
+        let changes = &self.config.changes;
+        let expected = changes.iter().rposition(is_due).unwrap_or(0);
         if used < expected && !exempt {
-            let since = request.sent_at - self.config_changes[expected].accepted_at;
+            let since = request.sent_at - changes[expected].accepted_at;
             let text = format!(
                 "request {}: answered under configuration {used}; expected {expected} or later, \
                  which the store had accepted {since:?} before the request was sent",
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -29,7 +29,10 @@
 const FRONT_PORT: u16 = 8_104;
 const READY_PORT: u16 = 8_108;
 const DIRECTORY_PORT: u16 = 8_100;
+/// Where a daemon listens to other daemons.
 const PEER_PORT: u16 = 7_380;
+/// Where other daemons reach a daemon by RPC: a proxy, so that their connections can be disturbed.
+const PEER_PROXY_PORT: u16 = 7_382;
 const ADMIN_PORT: u16 = 7_381;
 
 /// What all daemons of a run have in common.
@@ -84,6 +87,7 @@
         let text = format!(
             "[daemon]\nname = {name}\ndata-centre = {centre}\nip = {at}\n\
              gossip-port = {PEER_PORT}\nrpc-port = {PEER_PORT}\nadmin-port = {ADMIN_PORT}\n\
+             advertised-rpc-port = {PEER_PROXY_PORT}\n\
              peers = {}:{PEER_PORT}, {}:{PEER_PORT}\ndrain-limit = {}s\n\
              [tier]\nfront = {at}:{FRONT_PORT}\nready = {at}:{READY_PORT}\n\
              directory = {at}:{DIRECTORY_PORT}\n\
@@ -123,6 +127,12 @@
         SocketAddr::new(self.ip, DIRECTORY_PORT)
     }
 
+    /// Where it answers RPC calls of other daemons, and where they send them.
+    pub(crate) fn peer_link(&self) -> (SocketAddr, SocketAddr) {
+        let at = |port| SocketAddr::new(self.ip, port);
+        (at(PEER_PORT), at(PEER_PROXY_PORT))
+    }
+
     /// Where it answers readiness checks.
     pub(crate) fn ready(&self) -> SocketAddr {
         SocketAddr::new(self.ip, READY_PORT)
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -96,6 +96,11 @@
         Ok(Proxy::bind(ANY_PORT, self.platform.addr()).await?)
     }
 
+    /// Lets the open connections to all targets fall silent.
+    pub(crate) fn silence_targets(&self) {
+        self.targets.iter().for_each(|t| t.proxy.silence_open());
+    }
+
     /// Writes a configuration into the store; `number` selects the service of the route `/one/`.
     pub(crate) fn write_config(&mut self, number: usize) {
         let config = std::mem::take(&mut self.config).clear_routes();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -39,6 +39,11 @@
     CompactStore,
     /// Disturbs the connections from one daemon to the store.
     StoreLink(usize, LinkMode),
+    /// Disturbs the RPC connections from other daemons to one daemon.
+    PeerLink(usize, LinkMode),
+    /// Lets all open connections to the store, to targets and between daemons fall silent while new
+    /// ones work; nothing is undone.
+    Silence,
     /// Makes one target answer wrongly or not at all.
     Target(usize, shard::Fault),
     /// Slows one target down.
@@ -99,7 +104,7 @@
 fn draw_kind(rng: &mut ChaCha8Rng, daemons: usize, targets: usize) -> FaultKind {
     let daemon = rng.random_range(0..daemons);
     let target = rng.random_range(0..targets);
-    match rng.random_range(0..30) {
+    match rng.random_range(0..33) {
         0..=2 => FaultKind::Pause(daemon),
         3..=5 => FaultKind::Kill(daemon),
         6 => FaultKind::KillAll,
@@ -115,6 +120,8 @@
         24..=25 => FaultKind::RemoveTarget(target),
         26 => FaultKind::DrainTarget(target),
         27..=28 => FaultKind::ChangeConfig,
+        29 => FaultKind::PeerLink(daemon, draw_link_mode(rng)),
+        30..=31 => FaultKind::Silence,
         _ => FaultKind::Evacuate(rng.random_range(0..CENTRES.len())),
     }
 }
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -6,8 +6,8 @@
 
 use {
     crate::{
-        CATCH_UP_TIME, Options, RECOVERY_TIME, Report,
-        checks::{Checks, ConfigChange, RequestKind},
+        Options, RECOVERY_TIME, Report,
+        checks::{Checks, RequestKind},
         connection::{Connection, Outcome},
         daemons::{DRAIN_LIMIT, Daemon, DaemonSetup},
         environment::{CENTRES, Environment},
@@ -52,12 +52,11 @@
     pub(crate) daemons: RefCell<Vec<Daemon>>,
     /// The proxies through which the daemons reach the store, by index of the daemon.
     store_proxies: Vec<Proxy>,
+    /// The proxies through which daemons reach each other by RPC, by index of the daemon called.
+    peer_proxies: Vec<Proxy>,
     pub(crate) checks: RefCell<Checks>,
     /// Configurations written after the first one; also the number of the newest.
     change_count: Cell<usize>,
-    /// Faults of the store or of links to it that are active or ended within the last
-    /// `CATCH_UP_TIME`.
-    store_faults: Cell<usize>,
     /// Number in the id of the next request.
     pub(crate) next_id: Cell<u64>,
     /// Tells the callers and the monitor to stop.
@@ -82,10 +81,14 @@
         subnet: (64 + bytes[1] % 64 + bytes[2] % 128, bytes[0]),
     };
     let (mut daemons, mut store_proxies) = (Vec::new(), Vec::new());
+    let mut peer_proxies = Vec::new();
     for number in 0..options.daemons {
         let proxy = environment.spawn_store_proxy().await?;
         let centre = CENTRES[usize::from(number) % CENTRES.len()];
-        daemons.push(Daemon::create(&setup, number, centre, proxy.addr)?);
+        let daemon = Daemon::create(&setup, number, centre, proxy.addr)?;
+        let (server, at) = daemon.peer_link();
+        peer_proxies.push(Proxy::bind(at, server).await?);
+        daemons.push(daemon);
         store_proxies.push(proxy);
     }
     let targets = environment.targets.len();
@@ -94,18 +97,15 @@
         environment: RefCell::new(environment),
         daemons: RefCell::new(daemons),
         store_proxies,
+        peer_proxies,
         checks: RefCell::default(),
         change_count: Cell::new(0),
-        store_faults: Cell::new(0),
         next_id: Cell::new(0),
         finished: Cell::new(false),
         fault_log: RefCell::default(),
         started: Instant::now(),
     });
-    run.checks.borrow_mut().config_changes.push(ConfigChange {
-        accepted_at: Instant::now(),
-        store_fault: false,
-    });
+    run.checks.borrow_mut().config.accept(Instant::now());
     run.checks.borrow_mut().callers = u64::try_from(options.callers).unwrap_or(u64::MAX);
     run.start_all()?;
     run.await_recovery().await;
@@ -207,6 +207,20 @@
                 self.store_proxies[i].set_mode(LinkMode::Normal);
                 self.end_store_fault();
             }
+            FaultKind::PeerLink(i, link) => {
+                self.begin_store_fault();
+                self.peer_proxies[i].set_mode(link);
+                sleep(fault.duration).await;
+                self.peer_proxies[i].set_mode(LinkMode::Normal);
+                self.end_store_fault();
+            }
+            FaultKind::Silence => {
+                self.begin_store_fault();
+                let proxies = self.store_proxies.iter().chain(&self.peer_proxies);
+                proxies.for_each(Proxy::silence_open);
+                self.environment.borrow().silence_targets();
+                self.end_store_fault();
+            }
             kind => self.inject_for(kind, fault.duration).await,
         }
     }
@@ -246,33 +260,17 @@
         let next = self.change_count.get() + 1;
         self.change_count.set(next);
         self.environment.borrow_mut().write_config(next);
-        self.checks.borrow_mut().config_changes.push(ConfigChange {
-            accepted_at: Instant::now(),
-            store_fault: self.store_faults.get() > 0,
-        });
+        self.checks.borrow_mut().config.accept(Instant::now());
     }
 
-    /// Counts a fault of the store or of a link to it, and exempts configurations that may still be
-    /// spreading from their time limit.
+    /// Begins a fault of the store or of a link that configurations take.
     fn begin_store_fault(&self) {
-        self.store_faults.set(self.store_faults.get() + 1);
-        let now = Instant::now();
-        let mut checks = self.checks.borrow_mut();
-        let recent = |c: &&mut ConfigChange| now < c.accepted_at + CATCH_UP_TIME;
-        checks
-            .config_changes
-            .iter_mut()
-            .filter(recent)
-            .for_each(|c| c.store_fault = true);
+        self.checks.borrow_mut().config.begin_fault(Instant::now());
     }
 
-    /// Stops counting a fault once the daemons have had time to catch up.
-    fn end_store_fault(self: &Rc<Self>) {
-        let run = self.clone();
-        actix_rt::spawn(async move {
-            sleep(CATCH_UP_TIME).await;
-            run.store_faults.set(run.store_faults.get() - 1);
-        });
+    /// Ends such a fault.
+    fn end_store_fault(&self) {
+        self.checks.borrow_mut().config.end_fault(Instant::now());
     }
 
     /// Stops a daemon's process with SIGSTOP for a time, unless it is paused or stopping already.
