Close a connection between daemons on which an answer is overdue

Callers saw, on the own interface: after the connections between daemons fell silent, no query was complete any more: 0 of 65 in the 3 s after a first 3 s of losses. Cause: the same as that of the late configuration, found by looking for it elsewhere: calls to the holders of targets' leases kept to a connection until it was reported as disconnected. A handover of a deduplication table could wait for ever in the same way, and its lease with it. Change: an RPC that has not ended 0.5 s after the deadline of its calls closes its connection, and so does a non-idempotent request without an answer by then. A handover uses a connection of its own, for 2 s at most. The soak writes a last configuration after all faults.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -52,6 +52,8 @@
     pub admin: SocketAddr,
     /// Membership and lease messages of other daemons, over UDP.
     pub gossip: SocketAddr,
+    /// Calls of other daemons (RPC) to the first traffic thread.
+    pub rpc: SocketAddr,
 }
 
 impl Daemon {
@@ -84,6 +86,7 @@
             http: http.local_addr()?,
             admin: admin.local_addr()?,
             gossip: endpoints.gossip,
+            rpc: rpc[0].local_addr()?,
         };
         let me = identity(&settings.name, endpoints.gossip);
         let routing: SharedRouting = Arc::new(ArcSwap::from_pointee(Routing::default()));
--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -10,7 +10,7 @@
     crate::{
         clock,
         routing::{LeaseState, Unit},
-        traffic::rpc::Peers,
+        traffic::rpc,
     },
     rattanturn_core::{
         NodeId,
@@ -18,9 +18,13 @@
         lease::{LeaseTerm, UnitId},
     },
     rattanturn_wire::peer_capnp::{journal, journal_entry},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Timeout of sending a table. Until it is sent, the lease is not released, and nobody runs the
+/// partition's requests.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+
 impl DedupOwner {
     /// Starts to hand over the tables of partitions that other daemons should own, and forwards
     /// tables that arrived here for another owner.
@@ -52,10 +56,10 @@
         else {
             return;
         };
-        let (id, calls) = (unit.id, self.calls.clone());
+        let id = unit.id;
         actix_rt::spawn(async move {
             // If this fails, the owner has no table and answers "unknown" to retries.
-            let _ = send(calls.peers(), to.addr, id, term, &table).await;
+            let _ = send(to.addr, id, term, &table).await;
         });
     }
 
@@ -90,11 +94,9 @@
             .open(clock::now(), unit.id, &lease)
             .table
             .clone();
-        let (id, calls) = (unit.id, self.calls.clone());
+        let (id, local) = (unit.id, self.calls.is_local(to));
         actix_rt::spawn(async move {
-            if !calls.is_local(to)
-                && let Err(error) = send(calls.peers(), to.addr, id, term, &table).await
-            {
+            if !local && let Err(error) = send(to.addr, id, term, &table).await {
                 tracing::warn!(%error, "dedup table not handed over; retries get \"unknown\"");
             }
             lease.finish_handover();
@@ -103,17 +105,18 @@
 }
 
 async fn send(
-    peers: &Peers,
     to: std::net::SocketAddr,
     unit: UnitId,
     term: LeaseTerm,
     table: &DedupTable,
 ) -> eyre::Result<()> {
-    let client = peers.client(to).await?;
-    let mut request = client.hand_over_request();
-    write_table(request.get().init_journal(), unit, term, table);
-    let sent = request.send().promise.await;
-    peers.forget_disconnected(to, sent.map(|_| ()))
+    let sent = rpc::call_once(to, async |client| {
+        let mut request = client.hand_over_request();
+        write_table(request.get().init_journal(), unit, term, table);
+        request.send().promise.await?;
+        Ok(())
+    });
+    tokio::time::timeout(HANDOVER_TIMEOUT, sent).await?
 }
 
 fn write_table(mut out: journal::Builder<'_>, unit: UnitId, term: LeaseTerm, table: &DedupTable) {
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -282,7 +282,8 @@
     let mut message = client.run_once_request();
     write_request(message.get().init_request(), request);
     let limit = request.deadline.since(clock::now()) + ANSWER_MARGIN;
-    match tokio::time::timeout(limit, message.send().promise).await {
+    let mut answer = message.send().promise;
+    match tokio::time::timeout(limit, &mut answer).await {
         Ok(Ok(response)) => {
             let answer = response.get().and_then(|r| read_answer(r.get_result()?));
             answer.unwrap_or(Some(Outcome::Unknown))
@@ -291,7 +292,11 @@
             let _ = peers.forget_disconnected(destination.addr, Err(error));
             Some(Outcome::Unknown)
         }
-        Err(_) => Some(Outcome::Unknown),
+        Err(_) => {
+            let peers = peers.clone();
+            actix_rt::spawn(async move { peers.close_if_silent(destination.addr, answer).await });
+            Some(Outcome::Unknown)
+        }
     }
 }
 
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -28,13 +28,17 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::{net::TcpStream, sync::oneshot},
+    tokio::{net::TcpStream, sync::oneshot, task::JoinHandle},
     tokio_util::compat::TokioAsyncReadCompatExt,
 };
 
 /// Time limit for connecting to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time after the last deadline of an RPC's calls within which the RPC must end. Holders give up at
+/// the deadline, so a connection without an answer by then has stopped working.
+const RESULT_GRACE: Duration = Duration::from_millis(500);
+
 /// Shared objects with their recent versions, which other daemons can fetch.
 pub(crate) type SharedObjects = Arc<Mutex<ObjectHistory>>;
 
@@ -258,10 +262,16 @@
     Ok((client, system))
 }
 
+/// A connection to another daemon, with the task that works on it.
+struct PeerConnection {
+    client: peer::Client,
+    system: JoinHandle<()>,
+}
+
 /// One traffic thread's connections to the traffic threads of other daemons, one for each address.
 #[derive(Clone)]
 pub(crate) struct Peers {
-    clients: Rc<RefCell<HashMap<SocketAddr, peer::Client>>>,
+    clients: Rc<RefCell<HashMap<SocketAddr, PeerConnection>>>,
     sink: sink::Client,
     /// Simulated one-way delay between data centres.
     delay: Duration,
@@ -298,7 +308,13 @@
         for (i, call) in (0..).zip(calls) {
             write_call(list.reborrow().get(i), call);
         }
-        let sent = request.send().promise.await;
+        let deadlines = calls.iter().map(|c| c.deadline);
+        let deadline = deadlines.max().unwrap_or(clock::now());
+        let limit = deadline.since(clock::now()) + RESULT_GRACE;
+        let Ok(sent) = tokio::time::timeout(limit, request.send().promise).await else {
+            self.close_silent(to.addr);
+            eyre::bail!("no answer in time");
+        };
         self.forget_disconnected(to.addr, sent.map(|_| ()))
     }
 
@@ -321,19 +337,39 @@
 
     /// Client of the daemon at `addr`. Connects if there is no connection yet.
     pub(crate) async fn client(&self, addr: SocketAddr) -> eyre::Result<peer::Client> {
-        if let Some(client) = self.clients.borrow().get(&addr) {
-            return Ok(client.clone());
+        if let Some(open) = self.clients.borrow().get(&addr) {
+            return Ok(open.client.clone());
         }
         let (client, system) = connect(addr).await?;
         let clients = self.clients.clone();
-        clients.borrow_mut().insert(addr, client.clone());
-        actix_rt::spawn(async move {
+        let system = actix_rt::spawn(async move {
             let _ = system.await;
             clients.borrow_mut().remove(&addr);
         });
+        let open = PeerConnection {
+            client: client.clone(),
+            system,
+        };
+        self.clients.borrow_mut().insert(addr, open);
         Ok(client)
     }
 
+    /// Closes the connection to `addr` if `answer`, whose deadline has passed, does not come soon.
+    pub(crate) async fn close_if_silent(&self, addr: SocketAddr, answer: impl Future) {
+        if tokio::time::timeout(RESULT_GRACE, answer).await.is_err() {
+            self.close_silent(addr);
+        }
+    }
+
+    /// Closes the connection to `addr`, on which an answer is overdue, so that the next RPC
+    /// connects again. Neither end would notice otherwise.
+    fn close_silent(&self, addr: SocketAddr) {
+        if let Some(open) = self.clients.borrow_mut().remove(&addr) {
+            tracing::warn!(peer = %addr, "no answer in time; closed the connection to the daemon");
+            open.system.abort();
+        }
+    }
+
     /// Passes on the result of an RPC. If the connection to `addr` was lost, drops it first, so
     /// that the next RPC connects again.
     pub(crate) fn forget_disconnected(
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -9,7 +9,7 @@
     eyre::{Context, ContextCompat, ensure},
     rattanturn_daemon::{Addresses, Daemon},
     rattanturn_platform::objects::TABLES_KEY,
-    rattanturn_standins::{platform, target},
+    rattanturn_standins::{platform, proxy::Proxy, target},
     rattanturn_tables::{LogFormat, Settings, SlotPolicy, Tables, TablesObject, parse_tables},
     std::{
         collections::BTreeMap,
@@ -98,6 +98,9 @@
     pub platform_addr: SocketAddr,
     /// Daemons in the order of their start, stopped ones included.
     pub daemons: Vec<DaemonHandle>,
+    /// Proxies through which other daemons call those started by
+    /// [`Cluster::add_proxied_daemon`].
+    pub proxies: Vec<Proxy>,
     options: Options,
     arbiters: Vec<Arbiter>,
 }
@@ -153,6 +156,7 @@
             platform,
             platform_addr,
             daemons: Vec::new(),
+            proxies: Vec::new(),
             options,
             arbiters,
         })
@@ -205,6 +209,27 @@
     ///
     /// A listener of the daemon cannot be bound.
     pub fn add_daemon(&mut self, name: &str) -> eyre::Result<()> {
+        self.start_daemon(name, None)
+    }
+
+    /// Like [`Cluster::add_daemon`], but other daemons call it through one of
+    /// [`Cluster::proxies`].
+    ///
+    /// # Errors
+    ///
+    /// A listener of the daemon or the proxy cannot be bound.
+    pub async fn add_proxied_daemon(&mut self, name: &str) -> eyre::Result<()> {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let proxy = Proxy::bind(any_port, any_port).await?;
+        self.start_daemon(name, Some(proxy.addr.port()))?;
+        if let Some(started) = self.daemons.last() {
+            proxy.set_server(started.addresses.rpc);
+        }
+        self.proxies.push(proxy);
+        Ok(())
+    }
+
+    fn start_daemon(&mut self, name: &str, advertised_port: Option<u16>) -> eyre::Result<()> {
         let centres: Vec<&String> = self.tables.centres.keys().collect();
         let centre = centres[self.daemons.len() % centres.len()].clone();
         let peers = self.daemons.iter().filter(|s| s.daemon.is_some());
@@ -215,7 +240,7 @@
             http_port: 0,
             admin_port: 0,
             metrics_port: None,
-            advertised_rpc_port: None,
+            advertised_rpc_port: advertised_port,
             rpc_port: 0,
             gossip_port: 0,
             platform: self.platform_addr,
--- a/crates/demo/tests/promises/main.rs
+++ b/crates/demo/tests/promises/main.rs
@@ -15,7 +15,7 @@
         report::totals,
     },
     rattanturn_platform::objects::TABLES_KEY,
-    rattanturn_standins::{platform::Mode, target},
+    rattanturn_standins::{platform::Mode, proxy::Proxy, target},
     std::{
         collections::BTreeMap,
         fmt::Write,
@@ -455,3 +455,29 @@
         tables_in_use(cluster).await;
     });
 }
+
+#[test]
+fn queries_are_complete_again_after_connections_between_daemons_fell_silent() {
+    System::new().block_on(async {
+        let mut cluster = Cluster::spawn_standins(options(3)).unwrap();
+        let _ = cluster.put_tables();
+        for i in 0..3 {
+            let name = format!("entry-{i}");
+            cluster.add_proxied_daemon(&name).await.unwrap();
+        }
+        cluster.wait_ready().await.unwrap();
+        let before = load(&cluster, "search", 20.0, 1).await;
+        assert_eq!(
+            before.full,
+            before.outcomes.values().sum::<u64>(),
+            "{before:?}"
+        );
+        cluster.proxies.iter().for_each(Proxy::silence_open);
+        until("all queries of a load are complete", async || {
+            let after = load(&cluster, "search", 20.0, 2).await;
+            after.full == after.outcomes.values().sum::<u64>()
+        })
+        .await;
+        cluster.stop();
+    });
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -25,7 +25,7 @@
 const RECORD_BYTES: usize = 16;
 /// Longest time from the store's acceptance of a configuration until every daemon must use it. The
 /// platform's rules set it, also for the removal of a target.
-const MAX_PROPAGATION: Duration = Duration::from_secs(3);
+pub(crate) const MAX_PROPAGATION: Duration = Duration::from_secs(3);
 
 /// Sliding window in which the platform's rules limit the extra calls (retries and hedges) of a
 /// service.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -88,8 +88,8 @@
         let is_change = matches!(kind, FaultKind::ChangeConfig);
         changes += usize::from(is_change);
         // Each configuration gives the route `/one/` another service, so there are only as many
-        // configurations as services.
-        if !is_change || changes < SINGLE_SERVICES.len() {
+        // configurations as services. The last one is written after all faults.
+        if !is_change || changes < SINGLE_SERVICES.len() - 1 {
             out.push(Fault {
                 start,
                 duration,
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -6,8 +6,8 @@
 
 use {
     crate::{
-        Options, RECOVERY_TIME, Report,
-        checks::{Checks, RequestKind},
+        CATCH_UP_TIME, Options, RECOVERY_TIME, Report,
+        checks::{Checks, MAX_PROPAGATION, RequestKind},
         connection::{Connection, Outcome},
         daemons::{DRAIN_LIMIT, Daemon, DaemonSetup},
         environment::{CENTRES, Environment},
@@ -43,6 +43,8 @@
 const GOOD_ROUNDS: usize = 5;
 /// Time beyond its drain limit within which the process of a stopping daemon must exit.
 const STOP_SLACK: Duration = Duration::from_secs(2);
+/// Time in which callers check that the last configuration is in force.
+const LAST_CHECK_TIME: Duration = Duration::from_secs(1);
 /// Interval between two samples of the numbers of requests and calls.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -115,6 +117,7 @@
     let monitor = actix_rt::spawn(run.clone().monitor());
     run.clone().inject_faults(&faults).await;
     run.await_recovery().await;
+    run.change_config_in_calm().await;
     run.finished.set(true);
     for caller in callers {
         caller.await?;
@@ -263,6 +266,14 @@
         self.checks.borrow_mut().config.accept(Instant::now());
     }
 
+    /// Writes a last configuration after all faults, with nothing to excuse that it is late: what
+    /// faults left behind must not hold it up.
+    async fn change_config_in_calm(&self) {
+        sleep(CATCH_UP_TIME).await;
+        self.change_config();
+        sleep(MAX_PROPAGATION + LAST_CHECK_TIME).await;
+    }
+
     /// Begins a fault of the store or of a link that configurations take.
     fn begin_store_fault(&self) {
         self.checks.borrow_mut().config.begin_fault(Instant::now());
