--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -3,9 +3,16 @@
 
 use {
     rattanturn_soak::{Options, run},
-    std::{path::Path, time::Duration},
+    std::{
+        path::Path,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
 };
 
+/// Held by a run: the daemons of one process listen at the same addresses in each run.
+static RUN: Mutex<()> = Mutex::new(());
+
 /// Seeds that are run at a reduced size each time.
 const SEEDS: [u64; 2] = [11, 12];
 
@@ -17,6 +24,7 @@
 )];
 
 fn assert_no_violations(seed: u64, options: &Options) {
+    let _running = RUN.lock().unwrap_or_else(PoisonError::into_inner);
     let report = run(seed, options).unwrap();
     assert!(report.requests > 0, "{report:?}");
     assert_eq!(report.violations, Vec::<String>::new(), "{report:?}");
