--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -45,10 +45,9 @@
 /// Time from the end of a read until all other daemons have applied it, and the delays of the timers
 /// on the way.
 const SPREAD_TIME: Duration = Duration::from_millis(200);
-/// Bounds of [`poll_time`]: shorter polls cost more calls than the store allows a large deployment,
-/// and longer ones find a dead connection late.
+/// Shortest poll, whatever the limit: the platform charges for each call.
 const MIN_POLL_TIME: Duration = Duration::from_millis(200);
-/// See [`MIN_POLL_TIME`].
+/// Longest poll, whatever the limit: a dead connection is noticed only when its poll should have ended.
 const MAX_POLL_TIME: Duration = Duration::from_millis(1_500);
 /// A primary reader whose session failed waits between one and two times this long, at random.
 const PRIMARY_RETRY_DELAY: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -2,7 +2,9 @@
 //!
 //! Only a few daemons read the store; they are chosen by [`rattanturn_core::readers`]. A reader
 //! announces new versions as soon as it reads a relevant change, to the daemons that
-//! [`rattanturn_core::dissemination`] names, and these fetch what they lack from it. Every membership
+//! [`rattanturn_core::dissemination`] names, and these fetch what they lack from it. An announcement
+//! confirms that the store holds nothing newer, so a reader whose calls fail sends its versions
+//! without one. Every membership
 //! message carries the versions too, so a daemon that misses an announcement catches up with the next
 //! message.
 
