Log and count what targets state of their limits

Cause: a target that states how many requests a second it takes was in no line and no metric, so nobody could tell whether daemons knew of it and what they sent. A line when a target states a limit and one when it lifts it, with the calls sent meanwhile; a counter of the calls by cause and a gauge of the targets. Nothing else acts on it.

--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -11,7 +11,7 @@
         clock,
         tier::{
             connection::Answer,
-            meters::Cause,
+            meters::{self, Cause},
             traffic::Traffic,
             upstream::{Call, Outcome, Upstream},
         },
@@ -205,6 +205,9 @@
             self.calls.push(Box::pin(async move { ended }));
             return;
         };
+        if upstream.is_limited() {
+            meters::count_limited_call(cause);
+        }
         self.traffic.selector.borrow_mut().call_started(index);
         let call = self.request.call.clone();
         let traffic = self.traffic.clone();
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -68,6 +68,17 @@
     Retry,
 }
 
+impl Cause {
+    /// Value of the metric label `cause`.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+        }
+    }
+}
+
 struct RouteMeters {
     outcomes: [Counter; RequestOutcome::ALL.len()],
     latency: Histogram,
@@ -89,9 +100,9 @@
 
 impl ServiceMeters {
     fn new(service: &str) -> Self {
-        let call = |cause: &'static str| counter!("rattanturn_target_calls_total", "service" => service.to_owned(), "cause" => cause);
+        let call = |cause: Cause| counter!("rattanturn_target_calls_total", "service" => service.to_owned(), "cause" => cause.as_str());
         Self {
-            calls: ["first", "hedge", "retry"].map(call),
+            calls: [Cause::First, Cause::Hedge, Cause::Retry].map(call),
         }
     }
 }
@@ -151,6 +162,17 @@
     counter!("rattanturn_refused_total", "reason" => reason).increment(1);
 }
 
+/// Counts a call to a target that had stated a rate limit.
+pub(crate) fn count_limited_call(cause: Cause) {
+    counter!("rattanturn_limited_target_calls_total", "cause" => cause.as_str()).increment(1);
+}
+
+/// Sets the number of targets whose last answer stated a rate limit.
+pub(crate) fn set_limited_targets(count: usize) {
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    gauge!("rattanturn_limited_targets").set(f64::from(count));
+}
+
 /// Counts a datagram between daemons by what it is for; `direction` is `sent` or `received`.
 pub(crate) fn count_datagram(direction: &'static str, kind: MessageKind, bytes: usize) {
     let kind = match kind {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -8,7 +8,7 @@
         clock,
         tier::{
             connection::Answer,
-            meters::Meters,
+            meters::{self, Meters},
             upstream::Upstream,
             view::{Gauges, SharedView, View},
         },
@@ -335,6 +335,8 @@
             .store(self.open_requests.get(), Ordering::Release);
         gauges.upstreams.store(upstreams.len(), Ordering::Relaxed);
         gauges.connections.store(connections, Ordering::Relaxed);
+        let limited = upstreams.values().filter(|u| u.is_limited());
+        meters::set_limited_targets(limited.count());
     }
 }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -86,6 +86,10 @@
     freed: Notify,
     idle: RefCell<Vec<TargetConnection>>,
     limiter: RefCell<SlidingWindowLimiter>,
+    /// Requests a second that the target takes from all daemons together, as its last answer said.
+    rate_limit: Cell<Option<f64>>,
+    /// Calls since the limit was first stated.
+    limited_calls: Cell<u64>,
 }
 
 /// Right to one connection. Dropping it, also when the call is cancelled, wakes a waiting call.
@@ -112,9 +116,16 @@
             freed: Notify::new(),
             idle: RefCell::default(),
             limiter: RefCell::default(),
+            rate_limit: Cell::default(),
+            limited_calls: Cell::default(),
         }
     }
 
+    /// Whether the target's last answer stated a rate limit.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.rate_limit.get().is_some()
+    }
+
     /// Whether calls may be sent: the target is usable and not known to be down.
     pub(crate) fn is_available(&self) -> bool {
         self.usable.get() && !self.health.get().is_down()
@@ -217,6 +228,7 @@
             self.idle.borrow_mut().push(connection);
             return Outcome::NotRun(MissingReason::Busy);
         }
+        self.limited_calls.set(self.limited_calls.get() + 1);
         let id = self.target.borrow().id.clone();
         let extra = call_headers(&id, remaining);
         let head = RequestHeadType::Rc(call.head.clone(), Some(extra));
@@ -226,6 +238,9 @@
         {
             Ok(answer) => {
                 self.update_health(TargetHealth::succeeded);
+                if !answer.head.misdirected {
+                    self.set_rate_limit(answer.head.rate_limit);
+                }
                 if connection.is_reusable(clock::now()) && self.usable.get() {
                     self.idle.borrow_mut().push(connection);
                 }
@@ -235,6 +250,23 @@
         }
     }
 
+    /// Takes over the limit that an answer states, or its absence.
+    fn set_rate_limit(&self, limit: Option<f64>) {
+        let known = self.rate_limit.replace(limit);
+        if known.is_some() == limit.is_some() {
+            return;
+        }
+        let target = self.target.borrow();
+        let (target_id, service) = (&target.id, &target.service);
+        if let Some(limit) = limit {
+            self.limited_calls.set(0);
+            tracing::info!(%target_id, %service, limit, "target stated a rate limit");
+        } else {
+            let calls = self.limited_calls.get();
+            tracing::info!(%target_id, %service, calls, "target lifted its rate limit");
+        }
+    }
+
     fn classify(&self, answer: Answer) -> Outcome {
         if answer.head.misdirected {
             // Another target has the address now, so this one is gone.
