Reproduce targets that get more than the limit that they state

Cause: nobody reads the limit, and what is sent is not counted over all daemons. Change: the stand-in target can state a limit and records when requests arrive; three tests of the tier.

--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod late_configuration;
+mod rate_limits;
 
 use {
     actix_rt::{System, time::sleep},
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -88,6 +88,8 @@
     /// Smallest and largest `x-deadline-ms` of all requests: the time left for each, in
     /// milliseconds. A request without the header counts as 0.
     pub deadline_range: Option<(u64, u64)>,
+    /// Times of the requests that arrived while the target stated a rate limit.
+    pub limited_arrivals: Vec<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -96,6 +98,7 @@
     /// Factor by which requests take longer.
     slowdown: f64,
     paused_until: Option<Instant>,
+    rate_limit: Option<f64>,
     counters: Counters,
     /// Number of answers so far; it makes each signature unique.
     answer_count: u64,
@@ -131,6 +134,12 @@
         self.with(|i| i.paused_until = Some(Instant::now() + time));
     }
 
+    /// Lets every answer state that the target takes `limit` requests a second, or no limit. The
+    /// target itself does not enforce it.
+    pub fn set_rate_limit(&self, limit: Option<f64>) {
+        self.with(|i| i.rate_limit = limit);
+    }
+
     /// Counts of the requests so far.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -239,14 +248,14 @@
         let deadline: u64 = text("x-deadline-ms").parse().unwrap_or(0);
         if !target.is_empty() && target != state.config.id {
             stream
-                .write_all(&head(421, &id, "x-instance-id", "other", Some(0)))
+                .write_all(&head(state, 421, &id, ("x-instance-id", "other"), Some(0)))
                 .await?;
             continue;
         }
         let (fault, run_time) = state.with(|i| record_arrival(i, &state.config, deadline));
         if fault == Fault::Refused {
             stream
-                .write_all(&head(503, &id, "x-not-executed", "1", Some(0)))
+                .write_all(&head(state, 503, &id, ("x-not-executed", "1"), Some(0)))
                 .await?;
             continue;
         }
@@ -271,6 +280,9 @@
     let now = Instant::now();
     inner.counters.arrivals += 1;
     inner.counters.last_arrival = Some(now);
+    if inner.rate_limit.is_some() {
+        inner.counters.limited_arrivals.push(now);
+    }
     let (low, high) = inner
         .counters
         .deadline_range
@@ -292,10 +304,11 @@
         i.answer_count
     });
     let signature = format!("{}.{answer_number}", state.config.id);
+    let sealed = ("x-server-seal", signature.as_str());
     let body = state.records();
     let status = if fault == Fault::Failed { 500 } else { 200 };
     let whole = [
-        head(status, id, "x-server-seal", &signature, Some(body.len())),
+        head(state, status, id, sealed, Some(body.len())),
         body.clone(),
     ]
     .concat();
@@ -307,7 +320,7 @@
             return Ok(false);
         }
         Fault::Unframed => {
-            let unframed = head(status, id, "x-server-seal", &signature, None);
+            let unframed = head(state, status, id, sealed, None);
             stream.write_all(&[unframed, body].concat()).await?;
             stream.shutdown().await?;
             return Ok(false);
@@ -320,13 +333,21 @@
 
 /// Head of an answer with one extra header; without a `length` it announces that the connection
 /// closes.
-fn head(status: u16, id: &str, name: &str, value: &str, length: Option<usize>) -> Vec<u8> {
+fn head(
+    state: &State,
+    status: u16,
+    id: &str,
+    (name, value): (&str, &str),
+    length: Option<usize>,
+) -> Vec<u8> {
     let length = length.map_or("connection: close\r\n".into(), |l| {
         format!("content-length: {l}\r\n")
     });
+    let limit = state.with(|i| i.rate_limit);
+    let limit = limit.map_or(String::new(), |l| format!("server-limit: {l}\r\n"));
     format!(
         "HTTP/1.1 {status} Status\r\nx-request-id: {id}\r\n{name}: {value}\r\n\
-         x-server-load: 1,0,3\r\n{length}\r\n"
+         x-server-load: 1,0,3\r\n{limit}{length}\r\n"
     )
     .into_bytes()
 }
