Keep a slot of a limited target for calls that follow slow ones

Cause: first calls used up every slot of a target with a limit, so that a hedge away from a paused target of the same service found none, and the part came late or not. Change: core::rate_share::Room; a target with its last slot is tried after those with more room, one without a slot not at all while another has one.

--- a/crates/core/src/rate_share.rs
+++ b/crates/core/src/rate_share.rs
@@ -48,6 +48,18 @@
     }
 }
 
+/// How well a target's rate limit suits a call; better ones are tried first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Room {
+    /// No limit, or more than one slot.
+    Free,
+    /// One slot. It is kept for a call that follows a slow or failed one at another target: the
+    /// target with the limit is then often the only one left.
+    LastSlot,
+    /// No slot: the call must not be sent.
+    Exhausted,
+}
+
 /// The limit that a target has stated and this daemon's slots under it.
 ///
 /// ```
@@ -119,6 +131,19 @@
         }
     }
 
+    /// How much room the limit leaves at the moment.
+    #[must_use]
+    pub fn room(&self, now: Time) -> Room {
+        let slot = self.next_slot(now);
+        if slot > now {
+            Room::Exhausted
+        } else if self.limit.is_some() && self.oldest_slot(now) + self.interval() > now {
+            Room::LastSlot
+        } else {
+            Room::Free
+        }
+    }
+
     /// Uses a slot; false if none is available, and the request must not be sent.
     pub fn try_take(&mut self, now: Time) -> bool {
         if self.limit.is_none() {
--- a/crates/core/tests/rate_share.rs
+++ b/crates/core/tests/rate_share.rs
@@ -6,7 +6,7 @@
     rand_chacha::ChaCha8Rng,
     rattanturn_core::{
         Time,
-        rate_share::{RateShare, fraction},
+        rate_share::{RateShare, Room, fraction},
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -143,3 +143,39 @@
         assert!((all - 1.0).abs() < 1e-9, "{all}");
     }
 }
+
+/// One of a service's two targets states a limit of half of what it got, and the other one pauses
+/// now and then. First calls must leave a slot for the calls that follow the paused ones.
+#[test]
+fn first_calls_leave_a_slot_for_the_calls_that_follow_slow_ones() {
+    let (per_second, limit) = (15, 4.0);
+    let mut share = RateShare::new(0.5);
+    let start = Time::from_millis(60_000);
+    share.set_limit(start, Some(limit));
+    let (mut hedges, mut served) = (0, 0);
+    for call in 0..per_second * 60 {
+        let now = start + Duration::from_secs(1) / per_second * call;
+        if share.room(now) == Room::Free {
+            assert!(share.try_take(now));
+        }
+        // One call in fifty meets a pause of the other target.
+        if call % 50 == 49 {
+            hedges += 1;
+            served += u32::from(share.try_take(now));
+        }
+    }
+    assert_eq!(served, hedges, "hedges without a slot");
+}
+
+#[test]
+fn room_follows_the_slots() {
+    let mut share = RateShare::new(0.0);
+    let now = Time::from_millis(60_000);
+    assert_eq!(share.room(now), Room::Free);
+    share.set_limit(now, Some(10.0));
+    assert_eq!(share.room(now), Room::LastSlot);
+    assert!(share.try_take(now));
+    assert_eq!(share.room(now), Room::Exhausted);
+    assert_eq!(share.room(now + Duration::from_millis(100)), Room::LastSlot);
+    assert_eq!(share.room(now + Duration::from_millis(200)), Room::Free);
+}
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -19,7 +19,7 @@
         gather::{BudgetPair, Budgets},
         hedge::{Budget, CallLatency},
         quota::connection_quota,
-        rate_share,
+        rate_share::{self, Room},
         selection::TargetSelector,
         weighted::WeightedRoundRobin,
     },
@@ -228,16 +228,16 @@
             return Vec::new();
         };
         let usable = all.iter().copied().filter(|i| upstreams[i].is_available());
-        let (mut usable, without_slot): (Vec<usize>, Vec<usize>) =
-            usable.partition(|i| upstreams[i].next_slot(now) <= now);
+        let (mut usable, exhausted): (Vec<usize>, Vec<usize>) =
+            usable.partition(|i| upstreams[i].room(now) < Room::Exhausted);
         if usable.is_empty() {
-            usable = without_slot;
+            usable = exhausted;
         }
         self.tie_break.set(self.tie_break.get().wrapping_add(1));
         let selector = self.selector.borrow();
         let mut order = selector.order_distinct(now, usable, self.tie_break.get());
         // Targets without a free connection come last: a call there waits for another one to end.
-        order.sort_by_key(|i| !upstreams[i].has_free_connection());
+        order.sort_by_key(|i| (!upstreams[i].has_free_connection(), upstreams[i].room(now)));
         order
     }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -12,8 +12,12 @@
     actix_http::{RequestHead, RequestHeadType},
     bytes::Bytes,
     rattanturn_core::{
-        Time, cold::SlidingWindowLimiter, discovery::Target, gather::MissingReason,
-        health::TargetHealth, rate_share::RateShare,
+        Time,
+        cold::SlidingWindowLimiter,
+        discovery::Target,
+        gather::MissingReason,
+        health::TargetHealth,
+        rate_share::{RateShare, Room},
     },
     rattanturn_platform::http::call_headers,
     std::{
@@ -136,6 +140,11 @@
         self.rate_share.borrow().next_slot(now)
     }
 
+    /// How much room the target's rate limit leaves for a call.
+    pub(crate) fn room(&self, now: Time) -> Room {
+        self.rate_share.borrow().room(now)
+    }
+
     /// Uses a slot of the target's rate limit for a call; false if there is none.
     pub(crate) fn try_take_slot(&self, now: Time) -> bool {
         self.rate_share.borrow_mut().try_take(now)
