Log when a daemon loses most targets and when it regains them

Cause: a daemon that was cut off from all targets logged nothing about it; only the reasons of single requests told, and nobody could tell a cut from targets that are down. Change: core::reach judges the targets as a whole; a line for each change and a gauge of the targets out of reach. Nothing else acts on it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`catalog`]: the operators' routes and services, one version of the whole configuration.
 //! - [`discovery`]: which targets exist, from the entries that they write into a store.
 //! - [`health`]: whether a target is down, judged by its last calls.
+//! - [`reach`]: whether a daemon has lost most targets.
 //!
 //! The path of a request:
 //!
@@ -71,6 +72,7 @@
 pub mod queue;
 pub mod quota;
 pub mod rate_share;
+pub mod reach;
 pub mod readers;
 pub mod rendezvous;
 pub mod selection;
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -173,6 +173,12 @@
     gauge!("rattanturn_limited_targets").set(f64::from(count));
 }
 
+/// Sets the number of targets that this daemon cannot reach.
+pub(crate) fn set_unreachable_targets(count: usize) {
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    gauge!("rattanturn_targets_unreachable").set(f64::from(count));
+}
+
 /// Counts a datagram between daemons by what it is for; `direction` is `sent` or `received`.
 pub(crate) fn count_datagram(direction: &'static str, kind: MessageKind, bytes: usize) {
     let kind = match kind {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -20,6 +20,7 @@
         hedge::{Budget, CallLatency},
         quota::connection_quota,
         rate_share::{self, Room},
+        reach::{Reach, ReachChange},
         selection::TargetSelector,
         weighted::WeightedRoundRobin,
     },
@@ -75,6 +76,7 @@
     /// Grows with each request, so that equally good targets take turns.
     tie_break: Cell<u64>,
     pub(crate) selector: RefCell<TargetSelector>,
+    reach: RefCell<Reach>,
     pub(crate) budgets: RefCell<Budgets>,
     /// Extra calls that all daemons together may save up.
     retry_slack: f64,
@@ -105,6 +107,7 @@
             round_robins: RefCell::default(),
             tie_break: Cell::new(0),
             selector: RefCell::default(),
+            reach: RefCell::default(),
             budgets: RefCell::new(Budgets::new(initial)),
             retry_slack: tier.retry_slack,
             gauges,
@@ -353,6 +356,24 @@
         gauges.connections.store(connections, Ordering::Relaxed);
         let limited = upstreams.values().filter(|u| u.is_limited());
         meters::set_limited_targets(limited.count());
+        let available = upstreams.values().filter(|u| u.is_available()).count();
+        meters::set_unreachable_targets(upstreams.len() - available);
+        self.update_reach(available, upstreams.len());
+    }
+}
+
+impl Traffic {
+    /// Logs when most targets are lost or regained.
+    fn update_reach(&self, available: usize, known: usize) {
+        match self.reach.borrow_mut().update(available, known) {
+            Some(ReachChange::Lost) => {
+                tracing::warn!(available, known, "most targets are out of reach");
+            }
+            Some(ReachChange::Regained) => {
+                tracing::info!(available, known, "most targets are within reach again");
+            }
+            None => {}
+        }
     }
 }
 
