Reproduce daemons that cannot serve because they lost all targets

Cause: a daemon is judged by whether it is alive, and nobody else runs its requests. Change: a setting target-gateway, for VMs that reach the targets through a gateway on the targets' ports; with it a test can cut one daemon off. The proxy can refuse connections. Six tests of the tier: connections that hang, are reset, or live on while new ones are refused; directories; nobody reaches a target; non-idempotent requests.

--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -28,6 +28,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        net::IpAddr,
         rc::Rc,
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -80,6 +81,8 @@
     pub(crate) budgets: RefCell<Budgets>,
     /// Extra calls that all daemons together may save up.
     retry_slack: f64,
+    /// Address at which targets are reached instead of their own.
+    gateway: Option<IpAddr>,
     gauges: Arc<Gauges>,
     pub(crate) meters: Meters,
     /// Number of requests that are being served.
@@ -110,6 +113,7 @@
             reach: RefCell::default(),
             budgets: RefCell::new(Budgets::new(initial)),
             retry_slack: tier.retry_slack,
+            gateway: tier.target_gateway,
             gauges,
             meters: Meters::default(),
             open_requests: Cell::new(0),
@@ -151,7 +155,7 @@
                 let index = existing.unwrap_or_else(|| {
                     let index = self.next_index.get();
                     self.next_index.set(index + 1);
-                    upstreams.insert(index, Rc::new(Upstream::new(target.clone())));
+                    upstreams.insert(index, Rc::new(Upstream::new(target.clone(), self.gateway)));
                     index
                 });
                 let upstream = &upstreams[&index];
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -22,6 +22,7 @@
     rattanturn_platform::http::call_headers,
     std::{
         cell::{Cell, RefCell},
+        net::{IpAddr, SocketAddr},
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -73,6 +74,8 @@
 /// A target and this thread's connection pool for it.
 pub(crate) struct Upstream {
     pub(crate) target: RefCell<Arc<Target>>,
+    /// Address at which the target is reached instead of its own, on the same port.
+    gateway: Option<IpAddr>,
     /// Requests a second that this daemon may send until `cold_until`; `None` is unlimited.
     pub(crate) cold_quota: Cell<Option<u32>>,
     pub(crate) cold_until: Cell<Time>,
@@ -107,9 +110,10 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(target: Arc<Target>) -> Self {
+    pub(crate) fn new(target: Arc<Target>, gateway: Option<IpAddr>) -> Self {
         Self {
             target: RefCell::new(target),
+            gateway,
             cold_quota: Cell::new(None),
             cold_until: Cell::new(Time::ZERO),
             relative_latency: Cell::new(1.0),
@@ -150,6 +154,12 @@
         self.rate_share.borrow_mut().try_take(now)
     }
 
+    /// Address that connections are opened to.
+    fn addr(&self) -> SocketAddr {
+        let addr = self.target.borrow().addr;
+        SocketAddr::new(self.gateway.unwrap_or(addr.ip()), addr.port())
+    }
+
     /// Whether calls may be sent: the target is usable and not known to be down.
     pub(crate) fn is_available(&self) -> bool {
         self.usable.get() && !self.health.get().is_down()
@@ -166,7 +176,7 @@
     pub(crate) async fn probe(&self) {
         // Counts as a failure until the connection is open, so that no second probe starts.
         self.update_health(|h| h.connect_failed(clock::now()));
-        let addr = self.target.borrow().addr;
+        let addr = self.addr();
         if let Ok(connection) = TargetConnection::connect(addr).await {
             self.update_health(TargetHealth::succeeded);
             self.idle.borrow_mut().push(connection);
@@ -205,7 +215,7 @@
             return;
         }
         let _permit = self.acquire_permit().await;
-        let addr = self.target.borrow().addr;
+        let addr = self.addr();
         // A failure is left to the next call, which counts it.
         if let Ok(connection) = TargetConnection::connect(addr).await {
             self.idle.borrow_mut().push(connection);
@@ -336,7 +346,7 @@
                 return Ok(connection);
             }
         }
-        let addr = self.target.borrow().addr;
+        let addr = self.addr();
         TargetConnection::connect(addr)
             .await
             .map_err(|_| MissingReason::Unreachable)
--- a/crates/demo/src/tier_cluster.rs
+++ b/crates/demo/src/tier_cluster.rs
@@ -32,6 +32,9 @@
 /// Data centres: each service has a server in both, and daemons are assigned to them in turn.
 pub const CENTRES: [&str; 2] = ["a", "b"];
 
+/// Address of the gateway; each server is reached there on its own port.
+const GATEWAY: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
+
 /// Lets a proxy listen on a free port.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -61,6 +64,9 @@
     /// Proxies of the daemons started by [`TierCluster::start_proxied`]: for each of them the one to
     /// the store, then the one that other daemons reach it through.
     pub proxies: Vec<Proxy>,
+    /// Proxies through which the daemons started by [`TierCluster::start_behind_gateway`] reach the
+    /// servers, one for each server.
+    pub gateway: Vec<Proxy>,
     started: usize,
     _standins: Arbiter,
 }
@@ -128,6 +134,7 @@
             config,
             daemons: Vec::new(),
             proxies: Vec::new(),
+            gateway: Vec::new(),
             started: 0,
             _standins: standins,
         };
@@ -188,8 +195,36 @@
         Ok(())
     }
 
+    /// Starts more daemons that reach the servers through [`TierCluster::gateway`], so that a test can
+    /// cut them off from all servers.
+    ///
+    /// # Errors
+    ///
+    /// A listener of a daemon or of the gateway cannot be bound.
+    pub async fn start_behind_gateway(&mut self, count: usize) -> eyre::Result<()> {
+        if self.gateway.is_empty() {
+            for server in &self.servers {
+                let at = SocketAddr::new(GATEWAY, server.addr().port());
+                self.gateway.push(Proxy::bind(at, server.addr()).await?);
+            }
+        }
+        let setting = format!("target-gateway = {GATEWAY}\n");
+        (0..count).try_for_each(|_| self.start_with(self.store_addr, 1.0, "", &setting))
+    }
+
     /// Starts a daemon with `extra` lines in the section `[daemon]` of its settings.
     fn start(&mut self, store: SocketAddr, cores: f64, extra: &str) -> eyre::Result<()> {
+        self.start_with(store, cores, extra, "")
+    }
+
+    /// Like [`Self::start`], with `tier` lines in the section `[tier]`.
+    fn start_with(
+        &mut self,
+        store: SocketAddr,
+        cores: f64,
+        extra: &str,
+        tier: &str,
+    ) -> eyre::Result<()> {
         let peers: Vec<String> = self
             .daemons
             .iter()
@@ -202,7 +237,7 @@
              admin-port = 0\nmetrics-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
              drain-limit = {DRAIN_LIMIT}\n{extra}\
              [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
-             cores = {cores}\n[platform]\naddress = {store}\n",
+             cores = {cores}\n{tier}[platform]\naddress = {store}\n",
             peers.join(",")
         );
         let (settings, _) = Settings::parse("daemon.ini", &text).map_err(|f| eyre!("{f}"))?;
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod late_configuration;
 mod rate_limits;
+mod stranded;
 
 use {
     actix_rt::{System, time::sleep},
--- /dev/null
+++ b/crates/demo/tests/tier/stranded.rs
@@ -0,0 +1,183 @@
+//! Daemons that are cut off from all servers, while callers, the store and the other daemons still
+//! reach them.
+
+use {
+    super::{fetch, front_addr, plain_servers, run_count, with_cluster},
+    actix_rt::time::sleep,
+    rattanturn_demo::tier_cluster::{TierCluster, request},
+    rattanturn_standins::proxy::LinkMode,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after which callers of cut-off daemons must be served, and directories must not name them.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Part of the requests at cut-off daemons that must be served where the others serve all.
+const SERVED_PART: f64 = 2.0 / 3.0;
+/// Pause between two requests of a load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(40);
+/// Requests of one load.
+const LOAD_REQUESTS: u32 = 50;
+/// Time after which a request that nobody can serve counts as held back.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
+/// What the cut does to connections that are open. New ones are refused.
+#[derive(Clone, Copy)]
+enum Cut {
+    Hang,
+    Reset,
+    /// Open connections live on.
+    NewOnly,
+}
+
+fn cut_off(cluster: &TierCluster, cut: Cut) {
+    for proxy in &cluster.gateway {
+        proxy.set_accepting(false);
+        match cut {
+            Cut::Hang => proxy.set_mode(LinkMode::Stalled),
+            Cut::Reset => proxy.set_mode(LinkMode::Reset),
+            Cut::NewOnly => {}
+        }
+    }
+}
+
+fn reconnect(cluster: &TierCluster) {
+    for proxy in &cluster.gateway {
+        proxy.set_mode(LinkMode::Normal);
+        proxy.set_accepting(true);
+    }
+}
+
+/// Sends requests over all shards and to one server to a daemon; returns the part that was served.
+async fn served_part(at: SocketAddr, name: &str) -> f64 {
+    let mut open = Vec::new();
+    for n in 0..LOAD_REQUESTS {
+        let (id, path) = (format!("{name}-{n}"), ["/all/x", "/one/x"][n as usize % 2]);
+        open.push(actix_rt::spawn(async move {
+            let answer = request(at, path, &id, "").await;
+            answer.is_some_and(|a| a.status == 200)
+        }));
+        sleep(LOAD_INTERVAL).await;
+    }
+    let mut served = 0;
+    for request in open {
+        served += u32::from(request.await.unwrap());
+    }
+    f64::from(served) / f64::from(LOAD_REQUESTS)
+}
+
+/// Cuts one daemon of three off, and asserts that its callers are served all the same, then that it
+/// serves by itself again after the cut.
+fn assert_served(cut: Cut) {
+    with_cluster(2, async |cluster| {
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        let at = front_addr(cluster, 2);
+        assert!(served_part(at, "before").await > 0.99);
+        cut_off(cluster, cut);
+        let settled = Instant::now() + SETTLE_TIME;
+        while Instant::now() < settled {
+            served_part(at, &format!("early{:?}", settled - Instant::now())).await;
+        }
+        let part = served_part(at, "cut").await;
+        assert!(part >= SERVED_PART, "served {part} of the requests");
+        reconnect(cluster);
+        sleep(SETTLE_TIME).await;
+        assert!(served_part(at, "after").await > 0.99);
+        let listed = cluster.resolve(cluster.daemons[0].addresses(), "a").await;
+        assert!(listed.unwrap().contains(&at), "still not named");
+    });
+}
+
+#[test]
+fn callers_of_a_daemon_whose_connections_to_servers_hang_are_served() {
+    assert_served(Cut::Hang);
+}
+
+#[test]
+fn callers_of_a_daemon_whose_connections_to_servers_are_reset_are_served() {
+    assert_served(Cut::Reset);
+}
+
+#[test]
+fn callers_of_a_daemon_that_can_open_no_connections_to_servers_are_served() {
+    assert_served(Cut::NewOnly);
+}
+
+#[test]
+fn directories_do_not_name_a_daemon_that_is_cut_off_from_all_servers() {
+    with_cluster(2, async |cluster| {
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        let at = front_addr(cluster, 2);
+        served_part(at, "before").await;
+        cut_off(cluster, Cut::Hang);
+        let settled = Instant::now() + SETTLE_TIME;
+        while Instant::now() < settled {
+            served_part(at, &format!("early{:?}", settled - Instant::now())).await;
+        }
+        for daemon in &cluster.daemons {
+            let listed = cluster.resolve(daemon.addresses(), "a").await.unwrap();
+            assert!(!listed.contains(&at), "{listed:?}");
+            assert_eq!(listed.len(), 2, "{listed:?}");
+        }
+    });
+}
+
+#[test]
+fn directories_name_all_daemons_while_none_reaches_a_server() {
+    with_cluster(0, async |cluster| {
+        cluster.start_behind_gateway(3).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        let all: Vec<SocketAddr> = (0..3).map(|d| front_addr(cluster, d)).collect();
+        for at in &all {
+            served_part(*at, &format!("before{at}")).await;
+        }
+        cut_off(cluster, Cut::Hang);
+        for at in &all {
+            served_part(*at, &format!("early{at}")).await;
+        }
+        let mut listed = cluster
+            .resolve(cluster.daemons[0].addresses(), "a")
+            .await
+            .unwrap();
+        listed.sort();
+        let mut expected = all.clone();
+        expected.sort();
+        assert_eq!(listed, expected);
+        // Nobody can serve a request, so it is refused at once.
+        let started = Instant::now();
+        let answer = request(all[0], "/one/x", "refused", "").await.unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(
+            started.elapsed() < REFUSAL_TIME,
+            "refused after {:?}",
+            started.elapsed()
+        );
+        reconnect(cluster);
+        sleep(SETTLE_TIME).await;
+        assert_eq!(fetch(cluster, "/all/x", "back").await.status, 200);
+    });
+}
+
+/// The cut-off daemon must not send a request on that may have run.
+#[test]
+fn non_idempotent_requests_at_a_daemon_that_is_cut_off_run_once() {
+    with_cluster(2, async |cluster| {
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        let at = front_addr(cluster, 2);
+        served_part(at, "before").await;
+        cut_off(cluster, Cut::Reset);
+        served_part(at, "early").await;
+        let servers = plain_servers(cluster);
+        for n in 0..20 {
+            let id = format!("once{n}");
+            let answer = request(at, "/once/x", &id, "body").await.unwrap();
+            assert_eq!(answer.status, 200, "{id}");
+            assert_eq!(run_count(&servers, &id), 1, "{id}");
+        }
+    });
+}
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -40,6 +40,7 @@
     mode: watch::Sender<LinkMode>,
     /// How often the open connections were silenced.
     silences: watch::Sender<u64>,
+    accepting: watch::Sender<bool>,
 }
 
 impl Proxy {
@@ -54,12 +55,31 @@
         let server = Rc::new(Cell::new(server));
         let (mode, mode_receiver) = watch::channel(LinkMode::Normal);
         let (silences, seen) = watch::channel(0);
+        let (accepting, mut accepts) = watch::channel(true);
         let to = server.clone();
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let forwarded = forward(stream, to.get(), mode_receiver.clone(), seen.clone());
-                // The result is ignored: the caller and the server notice a broken connection.
-                actix_rt::spawn(forwarded);
+            let mut listener = Some(listener);
+            loop {
+                let accepted = async {
+                    match &listener {
+                        Some(listener) => listener.accept().await,
+                        None => std::future::pending().await,
+                    }
+                };
+                tokio::select! {
+                    Ok((stream, _)) = accepted => {
+                        let forwarded = forward(stream, to.get(), mode_receiver.clone(), seen.clone());
+                        // The result is ignored: the caller and the server notice a broken connection.
+                        actix_rt::spawn(forwarded);
+                    }
+                    Ok(()) = accepts.changed() => {
+                        listener = None;
+                        if *accepts.borrow_and_update() {
+                            listener = TcpListener::bind(addr).await.ok();
+                        }
+                    }
+                    else => return,
+                }
             }
         });
         Ok(Self {
@@ -67,6 +87,7 @@
             server,
             mode,
             silences,
+            accepting,
         })
     }
 
@@ -80,6 +101,11 @@
         self.mode.send_replace(mode);
     }
 
+    /// Sets whether new connections are accepted; otherwise they are refused.
+    pub fn set_accepting(&self, accepting: bool) {
+        self.accepting.send_replace(accepting);
+    }
+
     /// Lets nothing pass any more on the connections that are open now. Neither end sees them
     /// close, and new connections work.
     pub fn silence_open(&self) {
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -3,7 +3,10 @@
 //! A daemon reads them once at start; a change takes a restart.
 
 use {
-    crate::{finding::Findings, reader::Reader},
+    crate::{
+        finding::Findings,
+        reader::{Reader, Section},
+    },
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
@@ -112,6 +115,9 @@
     pub config_limit: Duration,
     /// The same for the evacuation of a data centre.
     pub evacuation_limit: Duration,
+    /// Address at which this VM reaches all targets, on the ports that they registered; `None` if
+    /// it reaches them directly.
+    pub target_gateway: Option<IpAddr>,
 }
 
 impl Settings {
@@ -200,20 +206,7 @@
     settings.peer_port = port("peer-port");
     settings.advertised_rpc_port = port("advertised-rpc-port");
     if let Some(tier) = reader.sections("tier").first() {
-        for key in ["front", "ready", "directory"] {
-            tier.required(key);
-        }
-        settings.tier = Some(TierSettings {
-            front: tier.parse("front", placeholder, "IP:PORT"),
-            ready: tier.parse("ready", placeholder, "IP:PORT"),
-            directory: tier.parse("directory", placeholder, "IP:PORT"),
-            cores: tier.parse("cores", 1.0, "a number"),
-            retry_ratio: tier.parse("repeat-ratio", DEFAULT_RETRY_RATIO, "a number"),
-            retry_slack: tier.parse("repeat-slack", DEFAULT_RETRY_SLACK, "a number"),
-            config_limit: tier.duration("config-limit", DEFAULT_CHANGE_LIMIT),
-            evacuation_limit: tier.duration("evacuation-limit", DEFAULT_CHANGE_LIMIT),
-        });
-        tier.unknown_keys();
+        settings.tier = Some(read_tier(tier));
     }
     for peer in daemon
         .text("peers")
@@ -244,3 +237,27 @@
     platform.unknown_keys();
     Some(settings)
 }
+
+fn read_tier(tier: &Section<'_>) -> TierSettings {
+    for key in ["front", "ready", "directory"] {
+        tier.required(key);
+    }
+    let placeholder = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    let address = |key| tier.parse(key, placeholder, "IP:PORT");
+    let no_gateway = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+    let settings = TierSettings {
+        front: address("front"),
+        ready: address("ready"),
+        directory: address("directory"),
+        cores: tier.parse("cores", 1.0, "a number"),
+        retry_ratio: tier.parse("repeat-ratio", DEFAULT_RETRY_RATIO, "a number"),
+        retry_slack: tier.parse("repeat-slack", DEFAULT_RETRY_SLACK, "a number"),
+        config_limit: tier.duration("config-limit", DEFAULT_CHANGE_LIMIT),
+        evacuation_limit: tier.duration("evacuation-limit", DEFAULT_CHANGE_LIMIT),
+        target_gateway: tier
+            .text("target-gateway")
+            .map(|_| tier.parse("target-gateway", no_gateway, "an IP address")),
+    };
+    tier.unknown_keys();
+    settings
+}
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -135,7 +135,7 @@
 }
 
 /// Every key of a daemon's settings.
-const KEYS: [&str; 28] = [
+const KEYS: [&str; 29] = [
     "name",
     "data-centre",
     "ip",
@@ -161,6 +161,7 @@
     "repeat-slack",
     "config-limit",
     "evacuation-limit",
+    "target-gateway",
     "address",
     "level",
     "format",
