Serve callers of a daemon that has lost its targets at a peer

Cause: a daemon was judged by whether it is alive, and each target by itself. Nothing told a daemon that it had lost its targets as a whole, nobody else ran its requests, and directories went on to name it. The class of fault: liveness taken for ability to serve. Change: core::silence finds after 0.2 s that none of several called targets answers; if no probe is accepted either, all targets count as down until a probe is. A request that too few targets can be reached for goes to a peer (core::relay), with the time and the attempts that are left, once; open idempotent ones too. If no peer can run a request either, nobody withdraws.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,9 @@
 //! - [`catalog`]: the operators' routes and services, one version of the whole configuration.
 //! - [`discovery`]: which targets exist, from the entries that they write into a store.
 //! - [`health`]: whether a target is down, judged by its last calls.
+//! - [`silence`]: notices early that no target answers any more.
 //! - [`reach`]: whether a daemon has lost most targets.
+//! - [`relay`]: which peers run the requests of a daemon that has lost its targets.
 //!
 //! The path of a request:
 //!
@@ -74,8 +76,10 @@
 pub mod rate_share;
 pub mod reach;
 pub mod readers;
+pub mod relay;
 pub mod rendezvous;
 pub mod selection;
+pub mod silence;
 pub mod snapshot;
 mod time;
 pub mod versioned;
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -12,7 +12,8 @@
 pub enum State {
     /// The member answers probes.
     Alive,
-    /// The member shuts down: it still answers probes and takes no new work.
+    /// The member takes no new work but still answers probes: it shuts down, or cannot serve at
+    /// the moment.
     Leaving,
     /// The member did not answer a probe; it is declared dead unless it refutes this in time.
     Suspect,
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -266,8 +266,18 @@
     /// Sets this daemon's state to leaving; the next tick notifies up to [`MAX_DIRECT_NOTICES`]
     /// members of it.
     pub fn leave(&mut self, now: Time) {
+        self.change_state(now, State::Leaving);
+    }
+
+    /// Sets the state of a daemon that was leaving back to alive, and notifies members as for
+    /// [`Self::leave`].
+    pub fn stay(&mut self, now: Time) {
+        self.change_state(now, State::Alive);
+    }
+
+    fn change_state(&mut self, now: Time, state: State) {
         let mut record = self.members[&self.me].record.clone();
-        record.state = State::Leaving;
+        record.state = state;
         record.incarnation += 1;
         self.store_and_gossip(now, record);
         let mut others: Vec<NodeId> = self.others().map(|m| m.record.id).collect();
--- /dev/null
+++ b/crates/core/src/relay.rs
@@ -0,0 +1,96 @@
+//! Which peers run the requests of a daemon that has lost its targets, and whether the daemon is
+//! advertised to callers meanwhile.
+//!
+//! Callers use an address for seconds after it is no longer advertised, so a daemon that cannot reach
+//! the targets has its peers run what still arrives. This costs the peers a request each and this
+//! daemon some processor time, so it also stops being advertised, but only on evidence that peers
+//! reach the targets: one has run such a request. When targets are down for everyone, no relay
+//! succeeds, requests are refused at once, and no daemon withdraws.
+
+use {
+    crate::{
+        NodeId, Time,
+        addresses::{self, Frontend},
+        alternate::alternate_centres,
+        rendezvous,
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Number of peers that are asked to run one request, one after the other while none has.
+pub const MAX_PEERS: usize = 2;
+/// A peer that did not run a request is not asked again for this time. It bounds what is sent in vain
+/// while the targets are down for everyone.
+const PEER_PAUSE: Duration = Duration::from_secs(1);
+
+/// What one daemon knows of its peers as relays.
+///
+/// ```
+/// use rattanturn_core::{NodeId, Time, addresses::Frontend, relay::Relays};
+/// let frontend = |id| Frontend {
+///     id: NodeId(id),
+///     addr: format!("127.0.0.{id}:80").parse().unwrap(),
+///     centre: "a".into(),
+///     accepting: true,
+///     capacity: 1.0,
+/// };
+/// let all = [frontend(1), frontend(2), frontend(3)];
+/// let mut relays = Relays::default();
+/// let now = Time::from_millis(1_000);
+/// assert_eq!(relays.choose(now, &all, NodeId(1), "a", 0).len(), 2);
+/// relays.failed(now, NodeId(2));
+/// assert_eq!(relays.choose(now, &all, NodeId(1), "a", 0)[0].id, NodeId(3));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Relays {
+    /// Until when each peer that failed is not asked.
+    paused: HashMap<NodeId, Time>,
+    /// Whether the last request that was sent to peers was run by one.
+    useful: bool,
+}
+
+impl Relays {
+    /// Peers to send a request to, in this order: those in data centre `centre` first, then in turn
+    /// those of the other data centres. `tie_break` should differ from request to request.
+    #[must_use]
+    pub fn choose<'a>(
+        &self,
+        now: Time,
+        frontends: &'a [Frontend],
+        me: NodeId,
+        centre: &str,
+        tie_break: u64,
+    ) -> Vec<&'a Frontend> {
+        let mut peers = addresses::advertised(frontends);
+        peers.retain(|f| f.id != me && self.paused.get(&f.id).is_none_or(|until| now >= *until));
+        peers.sort_by_key(|f| rendezvous::score(f.id, tie_break));
+        let (near, far): (Vec<&Frontend>, Vec<&Frontend>) =
+            peers.into_iter().partition(|f| f.centre == centre);
+        let far = alternate_centres(far, |f| &f.centre);
+        near.into_iter().chain(far).take(MAX_PEERS).collect()
+    }
+
+    /// Records that a peer ran a request.
+    pub fn succeeded(&mut self) {
+        self.useful = true;
+    }
+
+    /// Records that a peer did not run a request.
+    pub fn failed(&mut self, now: Time, peer: NodeId) {
+        self.paused.retain(|_, until| now < *until);
+        self.paused.insert(peer, now + PEER_PAUSE);
+    }
+
+    /// Records that no peer ran a request.
+    pub fn exhausted(&mut self) {
+        self.useful = false;
+    }
+
+    /// Whether this daemon should not be advertised; `lost` tells whether it has lost most targets.
+    ///
+    /// It stays withdrawn while no request arrives, which is what withdrawing is for.
+    pub fn is_withdrawn(&mut self, lost: bool) -> bool {
+        self.useful &= lost;
+        self.useful
+    }
+}
--- /dev/null
+++ b/crates/core/tests/relay.rs
@@ -0,0 +1,157 @@
+//! When a daemon takes its targets for lost, and what it does with the requests that still arrive.
+
+use {
+    rattanturn_core::{
+        NodeId, Time,
+        addresses::Frontend,
+        reach::{Reach, ReachChange},
+        relay::Relays,
+        silence::Silence,
+    },
+    std::time::Duration,
+};
+
+/// Interval of checks, as the daemon makes them.
+const CHECK: Duration = Duration::from_millis(50);
+
+fn frontends(centres: &[&str]) -> Vec<Frontend> {
+    let frontend = |(i, centre): (usize, &&str)| Frontend {
+        id: NodeId(i as u64),
+        addr: format!("127.0.0.{}:80", i + 1).parse().unwrap(),
+        centre: (*centre).to_owned(),
+        accepting: true,
+        capacity: 1.0,
+    };
+    centres.iter().enumerate().map(frontend).collect()
+}
+
+/// Checks every 50 ms for a second, with the last answer at `heard` and `waiting` targets that have
+/// been waiting since then; returns whether any check found silence.
+fn is_silent(silence: &mut Silence, from: Time, heard: Time, waiting: usize) -> bool {
+    let mut found = false;
+    let mut now = from;
+    for _ in 0..20 {
+        found |= silence.check(now, heard, |since| if heard <= since { waiting } else { 0 });
+        now = now + CHECK;
+    }
+    found
+}
+
+#[test]
+fn many_silent_targets_are_noticed_and_a_few_are_not() {
+    let start = Time::from_millis(10_000);
+    assert!(is_silent(&mut Silence::default(), start, start, 20));
+    assert!(!is_silent(&mut Silence::default(), start, start, 3));
+}
+
+#[test]
+fn an_idle_daemon_is_not_silent() {
+    let start = Time::from_millis(10_000);
+    assert!(!is_silent(&mut Silence::default(), start, Time::ZERO, 0));
+}
+
+#[test]
+fn targets_that_answer_now_and_then_are_not_silent() {
+    let mut silence = Silence::default();
+    let start = Time::from_millis(10_000);
+    for step in 0..100_u32 {
+        let now = start + CHECK * step;
+        // The last answer came up to 150 ms ago, while 20 other targets stand still.
+        let heard = start + CHECK * (step / 4 * 4);
+        assert!(!silence.check(now, heard, |_| 20), "{now}");
+    }
+}
+
+#[test]
+fn a_process_that_was_paused_reads_its_answers_before_it_finds_silence() {
+    let mut silence = Silence::default();
+    let before = Time::from_millis(10_000);
+    assert!(!silence.check(before, before, |_| 20));
+    let resumed = before + Duration::from_secs(3);
+    assert!(!silence.check(resumed, before, |_| 20));
+    assert!(!silence.check(resumed + CHECK, before, |_| 20));
+}
+
+#[test]
+fn losing_a_data_centre_of_three_is_not_losing_the_targets() {
+    let mut reach = Reach::default();
+    assert_eq!(reach.update(80, 120), None);
+    assert_eq!(reach.update(40, 120), Some(ReachChange::Lost));
+    assert_eq!(
+        reach.update(0, 0),
+        Some(ReachChange::Regained),
+        "no targets are known"
+    );
+}
+
+#[test]
+fn a_daemon_withdraws_only_after_a_peer_ran_a_request() {
+    let mut relays = Relays::default();
+    assert!(!relays.is_withdrawn(true));
+    relays.exhausted();
+    assert!(
+        !relays.is_withdrawn(true),
+        "the targets are down for everyone"
+    );
+    relays.succeeded();
+    assert!(relays.is_withdrawn(true));
+    assert!(
+        relays.is_withdrawn(true),
+        "it stays so while no request arrives"
+    );
+    relays.exhausted();
+    assert!(
+        !relays.is_withdrawn(true),
+        "peers have lost the targets as well"
+    );
+}
+
+#[test]
+fn a_daemon_that_reaches_targets_again_is_not_withdrawn() {
+    let mut relays = Relays::default();
+    relays.succeeded();
+    assert!(!relays.is_withdrawn(false));
+    assert!(
+        !relays.is_withdrawn(true),
+        "evidence of an earlier cut does not count"
+    );
+}
+
+#[test]
+fn near_peers_are_asked_first_and_peers_that_failed_not_at_all() {
+    let all = frontends(&["a", "a", "b", "c"]);
+    let mut relays = Relays::default();
+    let now = Time::from_millis(5_000);
+    let ids = |relays: &Relays, now| -> Vec<u64> {
+        let chosen = relays.choose(now, &all, NodeId(0), "a", 7);
+        chosen.iter().map(|f| f.id.0).collect()
+    };
+    assert_eq!(ids(&relays, now)[0], 1);
+    relays.failed(now, NodeId(1));
+    let mut far = ids(&relays, now);
+    far.sort_unstable();
+    assert_eq!(far, [2, 3]);
+    assert_eq!(ids(&relays, now + Duration::from_secs(1))[0], 1);
+}
+
+/// The targets are down for everyone: what is sent to peers in vain stays bounded, whatever the load.
+#[test]
+fn requests_sent_in_vain_are_bounded() {
+    let all = frontends(&["a", "a", "b", "b", "c", "c"]);
+    let mut relays = Relays::default();
+    let mut sent = 0;
+    for ms in 0..10_000 {
+        let now = Time::from_millis(100_000 + ms);
+        let peers: Vec<NodeId> = relays
+            .choose(now, &all, NodeId(0), "a", ms)
+            .iter()
+            .map(|f| f.id)
+            .collect();
+        for peer in peers {
+            sent += 1;
+            relays.failed(now, peer);
+        }
+        relays.exhausted();
+    }
+    assert!(sent <= 5 * 10, "{sent} of 10,000 requests");
+}
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -120,6 +120,8 @@
     /// Task that reads the store while this daemon is a reader.
     read_session: Option<JoinHandle<()>>,
     phase: Phase,
+    /// Whether peers were told not to direct callers here, because this daemon lost the targets.
+    withdrawn: bool,
     /// Start of a graceful stop, and the channel that reports its end.
     stopping: Option<(Time, oneshot::Sender<String>)>,
     /// Inputs of the view that is published in `shared`.
@@ -204,6 +206,7 @@
         read_session: None,
         settings: start.settings,
         phase: Phase::Serving,
+        withdrawn: false,
         stopping: None,
         view_inputs: ViewInputs::default(),
         shared: start.shared,
@@ -468,6 +471,7 @@
         let out = self.membership.tick(now);
         send(socket, out).await;
         self.update_reading(now);
+        self.update_withdrawn(now);
         self.register_self(now);
         self.remove_stale_entries(now);
         self.cluster.targets.tick(now);
@@ -485,6 +489,22 @@
         self.advance_stop(now, socket).await
     }
 
+    /// Has peers direct callers to other daemons while this one has lost the targets.
+    fn update_withdrawn(&mut self, now: Time) {
+        let withdrawn = self.gauges.withdrawn.load(Ordering::Relaxed);
+        if self.phase != Phase::Serving || withdrawn == self.withdrawn {
+            return;
+        }
+        self.withdrawn = withdrawn;
+        if withdrawn {
+            tracing::info!("withdrawn: peers reach the targets and this daemon does not");
+            self.membership.leave(now);
+        } else {
+            tracing::info!("advertised to callers again");
+            self.membership.stay(now);
+        }
+    }
+
     fn gauge_values(&self, now: Time) -> GaugeValues {
         let peers = self.membership.present();
         let alive = peers.filter(|m| m.record.state == State::Alive && m.record.id != self.me);
@@ -505,14 +525,19 @@
         // A suspect daemon is advertised only while no daemon is alive: it takes seconds to
         // confirm that it is dead, and callers would be sent to it meanwhile.
         let mut others = self.membership.present().filter(|m| m.record.id != self.me);
-        let alive = others.any(|m| m.record.state == State::Alive) || self.phase == Phase::Serving;
+        let others_alive = others.any(|m| m.record.state == State::Alive);
+        let alive = others_alive || self.phase == Phase::Serving;
         let accepts = |state| state == State::Alive || (state == State::Suspect && !alive);
         let frontends = self.membership.present().map(|m| Frontend {
             id: m.record.id,
             addr: SocketAddr::new(m.record.endpoints.gossip.ip(), m.record.endpoints.http),
             centre: m.record.endpoints.centre.clone(),
-            accepting: accepts(m.record.state)
-                && (m.record.id != self.me || self.phase == Phase::Serving),
+            accepting: if m.record.id == self.me {
+                // A withdrawn daemon is still better than none.
+                self.phase == Phase::Serving && (!self.withdrawn || !others_alive)
+            } else {
+                accepts(m.record.state)
+            },
             capacity: self.capacity(&m.record.endpoints.name),
         });
         frontends.collect()
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -22,7 +22,7 @@
         catalog::Route,
         gather::{Action, AttemptId, Counts, Cutoff, Gather, MissingReason, Part, Plan, Reply},
     },
-    std::{rc::Rc, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
 };
 
 /// Snapshot of every call: in the tier all targets of a service have the same version, which the
@@ -45,6 +45,10 @@
     pub(crate) call: Call,
     /// When an incomplete answer is final; `None` waits for all services until the deadline.
     pub(crate) cutoff: Option<Cutoff>,
+    /// How many targets of each service may be called.
+    pub(crate) max_attempts: u32,
+    /// Gets the service and the time of each call that is sent.
+    pub(crate) sent: &'a RefCell<Vec<(usize, Time)>>,
 }
 
 /// Result of a request.
@@ -148,9 +152,9 @@
         hedge_delays: vec![delay; request.services.len()],
         deadline: request.call.deadline,
         snapshot: ONE_SNAPSHOT,
-        hedging: route.idempotent && route.max_attempts > 1,
+        hedging: route.idempotent && request.max_attempts > 1,
         idempotent: route.idempotent,
-        max_attempts: route.max_attempts as usize,
+        max_attempts: request.max_attempts as usize,
         cutoff: request.cutoff,
         budgets: request
             .services
@@ -212,6 +216,7 @@
             self.calls.push(Box::pin(async move { ended }));
             return;
         };
+        self.request.sent.borrow_mut().push((service, now));
         self.traffic
             .meters
             .count_call(&self.request.services[service], cause);
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         clock,
-        tier::{meters, query, traffic::Traffic, view::Phase},
+        tier::{meters, query, relay, traffic::Traffic, view::Phase},
     },
     actix_http::{
         Request, RequestHead, Response, StatusCode,
@@ -18,7 +18,7 @@
     },
     bytes::{Bytes, BytesMut},
     rattanturn_core::{Time, catalog::CallerLimits},
-    rattanturn_platform::http::retry_after,
+    rattanturn_platform::http::{echo_request_id, retry_after},
     std::{io, net::TcpListener, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -154,14 +154,18 @@
                 }
             };
             traffic.open_requests.set(traffic.open_requests.get() + 1);
+            let echo = relay::id_to_echo(incoming.head());
             let served = tokio::select! {
                 answer = query::serve(traffic, incoming) => Some(answer),
                 () = caller_left(&mut self.stream, &mut self.buffer) => None,
             };
             traffic.open_requests.set(traffic.open_requests.get() - 1);
-            let Some(answer) = served else {
+            let Some(mut answer) = served else {
                 return Ok(());
             };
+            if let Some(id) = echo {
+                echo_request_id(&id, &mut answer.headers);
+            }
             let close = traffic.view().phase != Phase::Serving || !self.codec.keep_alive();
             self.write(answer, close).await?;
             if close {
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -179,6 +179,11 @@
     gauge!("rattanturn_targets_unreachable").set(f64::from(count));
 }
 
+/// Counts a request that was passed on to a peer, by what the peer did.
+pub(crate) fn count_relay(outcome: &'static str) {
+    counter!("rattanturn_relays_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a datagram between daemons by what it is for; `direction` is `sent` or `received`.
 pub(crate) fn count_datagram(direction: &'static str, kind: MessageKind, bytes: usize) {
     let kind = match kind {
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod query;
 mod register;
+mod relay;
 mod sources;
 mod traffic;
 mod upstream;
@@ -114,6 +115,7 @@
             gossip: endpoints.gossip,
             rpc: rpc.local_addr()?,
         };
+        let centre = endpoints.centre.clone();
         let start = control::Start {
             settings,
             tier,
@@ -139,11 +141,12 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::new(shared, gauges, &tier);
+            let traffic = traffic::Traffic::new(shared, gauges, &tier, centre);
             let reporter = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
                     reporter.publish_gauges();
+                    reporter.watch_reach();
                     clock::sleep_until(clock::now() + GAUGES_INTERVAL).await;
                 }
             });
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -11,6 +11,7 @@
             fan_out::{self, FanOut, FanOutResult},
             front::{Incoming, RETRY_AFTER, Reply},
             meters::{self, RequestOutcome},
+            relay::{RELAYED, Relayed, relayed_attempts},
             traffic::Traffic,
             upstream::Call,
             view::{Phase, View},
@@ -28,7 +29,7 @@
     rattanturn_platform::http::{
         RECORD_BYTES, deadline, forward_headers, merged_headers, request_id, return_headers,
     },
-    std::{collections::BTreeMap, rc::Rc, time::Duration},
+    std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
 };
 
 /// Fraction of a route's latency goal after which a merged answer with enough parts is sent. The
@@ -49,6 +50,8 @@
     incoming: &'a Incoming,
     /// Time by which the answer must be sent.
     deadline: Time,
+    /// Service and time of each call that was sent.
+    sent: RefCell<Vec<(usize, Time)>>,
 }
 
 /// Serves one request. Dropping the future cancels all calls made for it.
@@ -76,20 +79,14 @@
         incoming: &incoming,
         deadline: fan_out::deadline(route, incoming.arrived, deadline(head))
             - RESPONSE_TRANSIT_TIME,
+        sent: RefCell::default(),
     };
     let mut guard = CallerLeftLog {
         query: &query,
         version: catalog.version(),
         answered: false,
     };
-    let (answer, summary) = match &route.destination {
-        Destination::Single(service) => query.single(service).await,
-        Destination::Split(shares) => match traffic.next_service(&route.name, shares) {
-            Some(service) => query.single(&service).await,
-            None => Query::unreachable(),
-        },
-        Destination::Gather(gather) => query.gather(gather).await,
-    };
+    let (answer, summary) = query.run().await;
     guard.answered = true;
     query.log(&answer, &summary, catalog.version());
     answer
@@ -146,6 +143,9 @@
     missing: Vec<MissingReason>,
     /// The calls to services without an answer and how each ended.
     tried: String,
+    /// Whether too few of the services have a target that this daemon can reach, and a peer may run
+    /// the request.
+    unreachable: bool,
 }
 
 impl RequestSummary {
@@ -158,6 +158,7 @@
             extra: counts.hedges + counts.retries,
             missing: result.missing.clone(),
             tried: result.tried.clone(),
+            unreachable: false,
         }
     }
 
@@ -173,6 +174,56 @@
 }
 
 impl Query<'_> {
+    /// Runs the request, at a peer if this daemon has lost the targets.
+    async fn run(&self) -> (Reply, RequestSummary) {
+        if relayed_attempts(self.incoming.head()).is_some() {
+            return self.run_here().await;
+        }
+        let (answer, summary) = tokio::select! {
+            biased;
+            done = self.run_here() => done,
+            // A call that must not run twice may have reached its target.
+            () = self.traffic.targets_lost(), if self.route.idempotent => Self::targets_lost(),
+        };
+        let attempts = self.attempts_left();
+        if !summary.unreachable || attempts == 0 {
+            return (answer, summary);
+        }
+        let request = Relayed {
+            call: &self.call(),
+            view: self.view,
+            centre: &self.traffic.centre,
+            attempts,
+        };
+        let relayed = self.traffic.relay.run(request).await;
+        (relayed.unwrap_or(answer), summary)
+    }
+
+    /// How many targets of each service a peer may send the request to. What this daemon sent after
+    /// the last answer of any target has not reached one, if it has lost the targets.
+    fn attempts_left(&self) -> u32 {
+        let heard = self.traffic.last_heard();
+        let mut used: BTreeMap<usize, u32> = BTreeMap::new();
+        for (service, sent) in self.sent.borrow().iter() {
+            *used.entry(*service).or_default() += u32::from(*sent <= heard);
+        }
+        let used = used.into_values().max().unwrap_or(0);
+        self.route.max_attempts.saturating_sub(used)
+    }
+
+    async fn run_here(&self) -> (Reply, RequestSummary) {
+        match &self.route.destination {
+            Destination::Single(service) => self.single(service).await,
+            Destination::Split(shares) => {
+                match self.traffic.next_service(&self.route.name, shares) {
+                    Some(service) => self.single(&service).await,
+                    None => Self::unreachable(),
+                }
+            }
+            Destination::Gather(gather) => self.gather(gather).await,
+        }
+    }
+
     /// Runs the request at one service.
     async fn single(&self, service: &str) -> (Reply, RequestSummary) {
         let services = [service.to_owned()];
@@ -180,7 +231,9 @@
             return refusal;
         }
         let done = fan_out::run(self.traffic, self.fan_out(&services, None)).await;
-        let summary = RequestSummary::new(&done);
+        let mut summary = RequestSummary::new(&done);
+        let failed = done.answers.iter().all(Option::is_none) && done.failure.is_none();
+        summary.unreachable = failed && self.may_relay(&done);
         let answer = done.answers.into_iter().flatten().next();
         let out = match answer.or(done.failure) {
             Some(answer) => relay(answer),
@@ -204,8 +257,9 @@
             min_parts: min_shards,
         });
         let done = fan_out::run(self.traffic, self.fan_out(&gather.services, cutoff)).await;
-        let summary = RequestSummary::new(&done);
+        let mut summary = RequestSummary::new(&done);
         let parts: Vec<&Answer> = done.answers.iter().flatten().collect();
+        summary.unreachable = parts.len() < min_shards && self.may_relay(&done);
         let out = if parts.len() >= min_shards {
             merge(&parts, gather)
         } else if !done.ran {
@@ -231,19 +285,34 @@
         (*at > now).then(|| Self::limited(at.since(now)))
     }
 
+    /// Whether a peer may run a request that failed here because targets cannot be reached.
+    fn may_relay(&self, done: &FanOutResult) -> bool {
+        let unreachable = done.missing.contains(&MissingReason::Unreachable);
+        unreachable && (self.route.idempotent || !done.ran)
+    }
+
     fn fan_out<'b>(&'b self, services: &'b [String], cutoff: Option<Cutoff>) -> FanOut<'b> {
-        let head = self.incoming.head();
         FanOut {
             route: self.route,
             services,
-            call: Call {
-                head: Rc::new(forward_head(head)),
-                body: self.incoming.body.clone(),
-                id: request_id(head).map(Rc::from),
-                deadline: self.deadline,
-                non_idempotent: !self.route.idempotent,
-            },
+            call: self.call(),
             cutoff,
+            max_attempts: relayed_attempts(self.incoming.head())
+                .unwrap_or(self.route.max_attempts)
+                .min(self.route.max_attempts),
+            sent: &self.sent,
+        }
+    }
+
+    /// The request as targets and peers get it.
+    fn call(&self) -> Call {
+        let head = self.incoming.head();
+        Call {
+            head: Rc::new(forward_head(head)),
+            body: self.incoming.body.clone(),
+            id: request_id(head).map(Rc::from),
+            deadline: self.deadline,
+            non_idempotent: !self.route.idempotent,
         }
     }
 
@@ -251,12 +320,20 @@
     fn unreachable() -> (Reply, RequestSummary) {
         let summary = RequestSummary {
             missing: vec![MissingReason::Unreachable],
+            unreachable: true,
             ..RequestSummary::default()
         };
         let out = Reply::not_run("no target of the route can be reached\n", RETRY_AFTER);
         (out, summary)
     }
 
+    /// Ends a request whose calls were open when this daemon lost the targets; they may have run.
+    fn targets_lost() -> (Reply, RequestSummary) {
+        let (_, summary) = Self::unreachable();
+        let out = Reply::text(502, "the targets were lost while the request ran\n");
+        (out, summary)
+    }
+
     /// Refuses a request without any call, because the rate limits of its targets leave no slot for
     /// it until `wait` has passed.
     fn limited(wait: Duration) -> (Reply, RequestSummary) {
@@ -301,6 +378,7 @@
             read_ms = clock::millis(self.traffic.targets_age(clock::now())),
             calls = summary.calls,
             extra = summary.extra,
+            relayed = summary.unreachable && outcome != RequestOutcome::NotRun,
             took_ms = clock::millis(took),
             stands_for = if outcome == RequestOutcome::Complete { LOG_ONE_IN } else { 1 },
             "request"
@@ -314,6 +392,7 @@
     out.uri = head.uri.clone();
     out.method = head.method.clone();
     forward_headers(&head.headers, out.headers_mut());
+    out.headers_mut().remove(RELAYED);
     out
 }
 
--- /dev/null
+++ b/crates/daemon/src/tier/relay.rs
@@ -0,0 +1,173 @@
+//! Has a peer run a request when this daemon cannot reach the targets.
+//!
+//! The peer gets the request on its listener for callers, with the time left and a header that says
+//! that a daemon passes it on, so that it is never passed on twice. Dropping the future closes the
+//! connection, by which the peer learns that the caller left.
+
+use {
+    crate::{
+        clock,
+        tier::{
+            connection::{Answer, TargetConnection},
+            front::Reply,
+            meters,
+            upstream::Call,
+            view::View,
+        },
+    },
+    actix_http::{
+        RequestHead, RequestHeadType,
+        header::{HeaderName, HeaderValue},
+    },
+    rattanturn_core::{Time, addresses::Frontend, relay::Relays, rendezvous},
+    rattanturn_platform::http::{relay_headers, request_id, return_headers},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr},
+    tokio::time::timeout,
+};
+
+/// Header of a request that a daemon passes on: how many targets of each service the peer may send
+/// it to. Targets do not get the header.
+pub(crate) const RELAYED: HeaderName = HeaderName::from_static("x-rattanturn-relayed");
+/// Idle connections that are kept to each peer.
+const MAX_IDLE: usize = 4;
+
+/// A request that is passed on, and where it came in.
+pub(crate) struct Relayed<'a> {
+    pub(crate) call: &'a Call,
+    pub(crate) view: &'a View,
+    /// Data centre of this daemon.
+    pub(crate) centre: &'a str,
+    /// How many targets of each service the peer may send it to.
+    pub(crate) attempts: u32,
+}
+
+/// How a peer handled a request.
+enum PeerOutcome {
+    /// It ran it, or tried to.
+    Ran(Answer),
+    /// It has certainly not run it.
+    NotRun,
+    /// It may have run it, but no answer came.
+    Lost,
+}
+
+/// Connections to peers, and what is known of the peers.
+#[derive(Default)]
+pub(crate) struct RelayClient {
+    relays: RefCell<Relays>,
+    idle: RefCell<HashMap<SocketAddr, Vec<TargetConnection>>>,
+}
+
+impl RelayClient {
+    /// Has a peer run a request; `None` if none ran it, so that it can be refused as not run.
+    pub(crate) async fn run(&self, request: Relayed<'_>) -> Option<Reply> {
+        let id = request.call.id.as_deref().unwrap_or("");
+        let tie_break = rendezvous::key(id);
+        let peers: Vec<Frontend> = {
+            let (relays, view) = (self.relays.borrow(), request.view);
+            let now = clock::now();
+            let peers = relays.choose(now, &view.frontends, view.me, request.centre, tie_break);
+            peers.into_iter().cloned().collect()
+        };
+        for peer in &peers {
+            match self.ask(peer, &request).await {
+                PeerOutcome::Ran(answer) => {
+                    if answer.status < 500 {
+                        self.relays.borrow_mut().succeeded();
+                    }
+                    meters::count_relay("ran");
+                    return Some(pass_back(answer));
+                }
+                PeerOutcome::NotRun => meters::count_relay("not-run"),
+                // The peer may have sent it to as many targets as are allowed, so nobody else may.
+                PeerOutcome::Lost => {
+                    meters::count_relay("lost");
+                    self.relays.borrow_mut().failed(clock::now(), peer.id);
+                    return Some(Reply::text(502, "the peer's answer was lost\n"));
+                }
+            }
+            tracing::debug!(request = id, peer = %peer.addr, "a peer did not run a request");
+            self.relays.borrow_mut().failed(clock::now(), peer.id);
+        }
+        self.relays.borrow_mut().exhausted();
+        None
+    }
+
+    /// Whether callers should be directed to other daemons; `lost` tells whether this daemon has
+    /// lost most targets.
+    pub(crate) fn is_withdrawn(&self, lost: bool) -> bool {
+        self.relays.borrow_mut().is_withdrawn(lost)
+    }
+
+    async fn ask(&self, peer: &Frontend, request: &Relayed<'_>) -> PeerOutcome {
+        let call = request.call;
+        let remaining = call.deadline.since(clock::now());
+        let connecting = self.connect(peer.addr, call.non_idempotent);
+        let Ok(Some(mut connection)) = timeout(remaining, connecting).await else {
+            return PeerOutcome::NotRun;
+        };
+        let remaining = call.deadline.since(clock::now());
+        let mut extra = relay_headers(remaining);
+        extra.insert(RELAYED, HeaderValue::from(request.attempts));
+        let head = RequestHeadType::Rc(call.head.clone(), Some(extra));
+        let trip = connection.round_trip(head, &call.body, call.id.as_deref());
+        match timeout(remaining, trip).await {
+            Ok(Ok(answer)) => {
+                self.keep(peer.addr, connection);
+                if answer.status == 503 {
+                    PeerOutcome::NotRun
+                } else {
+                    PeerOutcome::Ran(answer)
+                }
+            }
+            Ok(Err(_)) | Err(_) => PeerOutcome::Lost,
+        }
+    }
+
+    /// Takes an idle connection, unless the request must not run twice, or opens one.
+    async fn connect(&self, addr: SocketAddr, new: bool) -> Option<TargetConnection> {
+        let now: Time = clock::now();
+        let mut idle = self.idle.borrow_mut().remove(&addr).unwrap_or_default();
+        idle.retain(|c| c.is_reusable(now));
+        let kept = if new { None } else { idle.pop() };
+        self.idle.borrow_mut().insert(addr, idle);
+        if kept.is_some() {
+            return kept;
+        }
+        TargetConnection::connect(addr).await.ok()
+    }
+
+    fn keep(&self, addr: SocketAddr, connection: TargetConnection) {
+        let mut all = self.idle.borrow_mut();
+        let idle = all.entry(addr).or_default();
+        if connection.is_reusable(clock::now()) && idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+}
+
+/// Passes a peer's answer back to the caller.
+fn pass_back(answer: Answer) -> Reply {
+    let mut reply = Reply::text(answer.status, "");
+    return_headers(&answer.headers, &mut reply.headers);
+    reply.body = answer.body;
+    reply
+}
+
+/// How many targets of each service a request may be sent to, if a daemon passed it on.
+pub(crate) fn relayed_attempts(head: &RequestHead) -> Option<u32> {
+    let value = head.headers.get(RELAYED)?;
+    Some(
+        value
+            .to_str()
+            .ok()
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(1),
+    )
+}
+
+/// Id that the answer to a request must repeat, because a daemon passed it on.
+pub(crate) fn id_to_echo(head: &RequestHead) -> Option<String> {
+    let id = request_id(head).filter(|_| relayed_attempts(head).is_some())?;
+    Some(id.to_owned())
+}
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -9,6 +9,7 @@
         tier::{
             connection::Answer,
             meters::{self, Meters},
+            relay::RelayClient,
             upstream::Upstream,
             view::{Gauges, Phase, SharedView, View},
         },
@@ -16,12 +17,14 @@
     rattanturn_core::{
         Time,
         cold::request_quota as quota,
+        discovery::Target,
         gather::{BudgetPair, Budgets},
         hedge::{Budget, CallLatency},
         quota::connection_quota,
         rate_share::{self, Room},
         reach::{Reach, ReachChange},
         selection::TargetSelector,
+        silence::Silence,
         weighted::WeightedRoundRobin,
     },
     rattanturn_tables::TierSettings,
@@ -33,6 +36,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
+    tokio::sync::Notify,
 };
 
 /// Fractions of the allowed ratio of extra calls that hedges and retries get. The rest covers what
@@ -57,6 +61,11 @@
 /// this often, without a request.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Number of targets that are probed when none answers.
+const SILENCE_PROBES: usize = 6;
+/// Time in which one of them must accept a connection, which takes some milliseconds.
+const SILENCE_PROBE_TIME: Duration = Duration::from_millis(200);
+
 /// State of one traffic thread, shared by all its requests.
 pub(crate) struct Traffic {
     shared: SharedView,
@@ -83,6 +92,14 @@
     retry_slack: f64,
     /// Address at which targets are reached instead of their own.
     gateway: Option<IpAddr>,
+    /// Data centre of this daemon.
+    pub(crate) centre: String,
+    /// When any target last answered.
+    heard: Rc<Cell<Time>>,
+    silence: RefCell<Silence>,
+    /// Wakes the open requests when this daemon loses most targets.
+    lost: Notify,
+    pub(crate) relay: RelayClient,
     gauges: Arc<Gauges>,
     pub(crate) meters: Meters,
     /// Number of requests that are being served.
@@ -90,7 +107,12 @@
 }
 
 impl Traffic {
-    pub(crate) fn new(shared: SharedView, gauges: Arc<Gauges>, tier: &TierSettings) -> Rc<Self> {
+    pub(crate) fn new(
+        shared: SharedView,
+        gauges: Arc<Gauges>,
+        tier: &TierSettings,
+        centre: String,
+    ) -> Rc<Self> {
         let ratio = tier.retry_ratio;
         let initial = BudgetPair {
             hedge: Budget::new(ratio * HEDGE_RATIO_FRACTION, 1.0),
@@ -114,6 +136,11 @@
             budgets: RefCell::new(Budgets::new(initial)),
             retry_slack: tier.retry_slack,
             gateway: tier.target_gateway,
+            centre,
+            heard: Rc::default(),
+            silence: RefCell::default(),
+            lost: Notify::new(),
+            relay: RelayClient::default(),
             gauges,
             meters: Meters::default(),
             open_requests: Cell::new(0),
@@ -155,7 +182,7 @@
                 let index = existing.unwrap_or_else(|| {
                     let index = self.next_index.get();
                     self.next_index.set(index + 1);
-                    upstreams.insert(index, Rc::new(Upstream::new(target.clone(), self.gateway)));
+                    upstreams.insert(index, Rc::new(self.open_upstream(target)));
                     index
                 });
                 let upstream = &upstreams[&index];
@@ -360,25 +387,77 @@
         gauges.connections.store(connections, Ordering::Relaxed);
         let limited = upstreams.values().filter(|u| u.is_limited());
         meters::set_limited_targets(limited.count());
-        let available = upstreams.values().filter(|u| u.is_available()).count();
-        meters::set_unreachable_targets(upstreams.len() - available);
-        self.update_reach(available, upstreams.len());
     }
 }
 
 impl Traffic {
-    /// Logs when most targets are lost or regained.
-    fn update_reach(&self, available: usize, known: usize) {
-        match self.reach.borrow_mut().update(available, known) {
+    fn open_upstream(&self, target: &Arc<Target>) -> Upstream {
+        Upstream::new(target.clone(), self.gateway, self.heard.clone())
+    }
+
+    /// When any target last answered.
+    pub(crate) fn last_heard(&self) -> Time {
+        self.heard.get()
+    }
+
+    /// Completes when this daemon loses most targets.
+    pub(crate) async fn targets_lost(&self) {
+        self.lost.notified().await;
+    }
+
+    /// Judges whether this daemon has lost the targets; to be called regularly.
+    pub(crate) fn watch_reach(self: &Rc<Self>) {
+        let now = clock::now();
+        let upstreams = self.upstreams.borrow();
+        let waiting = |since| upstreams.values().filter(|u| u.waits_since(since)).count();
+        if self
+            .silence
+            .borrow_mut()
+            .check(now, self.heard.get(), waiting)
+        {
+            self.silence.borrow_mut().reset(now);
+            actix_rt::spawn(probe_silent_targets(self.clone()));
+        }
+        let tried = upstreams.values().filter(|u| u.was_tried());
+        let known = tried.clone().count();
+        let available = tried.filter(|u| u.is_available()).count();
+        meters::set_unreachable_targets(known - available);
+        let change = self.reach.borrow_mut().update(available, known);
+        match change {
             Some(ReachChange::Lost) => {
                 tracing::warn!(available, known, "most targets are out of reach");
+                self.lost.notify_waiters();
             }
             Some(ReachChange::Regained) => {
                 tracing::info!(available, known, "most targets are within reach again");
             }
             None => {}
         }
+        let withdrawn = self.relay.is_withdrawn(self.reach.borrow().is_lost());
+        self.gauges.withdrawn.store(withdrawn, Ordering::Relaxed);
+    }
+}
+
+/// Opens a connection to some targets after none has answered for a while. If none accepts, all
+/// targets count as down, and each is probed until it accepts one.
+async fn probe_silent_targets(traffic: Rc<Traffic>) {
+    let all: Vec<Rc<Upstream>> = traffic.upstreams.borrow().values().cloned().collect();
+    let step = all.len().div_ceil(SILENCE_PROBES).max(1);
+    let probes = all.iter().step_by(step);
+    let probes = probes.map(|u| u.accepts_connection(SILENCE_PROBE_TIME));
+    let results = futures::future::join_all(probes).await;
+    if results.contains(&true) {
+        traffic.silence.borrow_mut().reset(clock::now());
+        return;
+    }
+    tracing::warn!(
+        targets = all.len(),
+        "no target answers or accepts a connection"
+    );
+    for upstream in &all {
+        upstream.mark_down();
     }
+    traffic.watch_reach();
 }
 
 /// Probes targets that are down, without end.
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -76,6 +76,12 @@
     pub(crate) target: RefCell<Arc<Target>>,
     /// Address at which the target is reached instead of its own, on the same port.
     gateway: Option<IpAddr>,
+    /// When any target last answered, shared by all upstreams of the thread.
+    heard: Rc<Cell<Time>>,
+    /// When the target last answered, or was called while no other call to it was open.
+    waiting_since: Cell<Time>,
+    /// Whether the target was called or probed.
+    tried: Cell<bool>,
     /// Requests a second that this daemon may send until `cold_until`; `None` is unlimited.
     pub(crate) cold_quota: Cell<Option<u32>>,
     pub(crate) cold_until: Cell<Time>,
@@ -110,10 +116,13 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(target: Arc<Target>, gateway: Option<IpAddr>) -> Self {
+    pub(crate) fn new(target: Arc<Target>, gateway: Option<IpAddr>, heard: Rc<Cell<Time>>) -> Self {
         Self {
             target: RefCell::new(target),
             gateway,
+            heard,
+            waiting_since: Cell::default(),
+            tried: Cell::default(),
             cold_quota: Cell::new(None),
             cold_until: Cell::new(Time::ZERO),
             relative_latency: Cell::new(1.0),
@@ -165,6 +174,33 @@
         self.usable.get() && !self.health.get().is_down()
     }
 
+    /// Whether anything is known about the target's health.
+    pub(crate) fn was_tried(&self) -> bool {
+        self.tried.get()
+    }
+
+    /// Whether a call has been waiting for an answer of the target since `time` or longer.
+    pub(crate) fn waits_since(&self, time: Time) -> bool {
+        self.in_use.get() > 0 && self.waiting_since.get() <= time
+    }
+
+    /// Takes the target for down until a probe succeeds, and closes its idle connections.
+    pub(crate) fn mark_down(&self) {
+        self.tried.set(true);
+        self.update_health(|h| h.connect_failed(clock::now()));
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Whether the target accepts a connection within `limit`; the connection is kept.
+    pub(crate) async fn accepts_connection(&self, limit: Duration) -> bool {
+        let connected = timeout(limit, TargetConnection::connect(self.addr())).await;
+        let Ok(Ok(connection)) = connected else {
+            return false;
+        };
+        self.idle.borrow_mut().push(connection);
+        true
+    }
+
     /// Whether the target is down and its next probe is due.
     pub(crate) fn probe_due(&self, now: Time) -> bool {
         self.usable.get() && self.health.get().probe_due(now)
@@ -175,6 +211,7 @@
     /// Only a connection is opened, so no request is risked.
     pub(crate) async fn probe(&self) {
         // Counts as a failure until the connection is open, so that no second probe starts.
+        self.tried.set(true);
         self.update_health(|h| h.connect_failed(clock::now()));
         let addr = self.addr();
         if let Ok(connection) = TargetConnection::connect(addr).await {
@@ -242,6 +279,10 @@
 
     async fn send(&self, call: &Call) -> Outcome {
         let _permit = self.acquire_permit().await;
+        self.tried.set(true);
+        if self.in_use.get() == 1 {
+            self.waiting_since.set(clock::now());
+        }
         let mut connection = match self.take_connection(call.non_idempotent).await {
             Ok(connection) => connection,
             Err(why) => {
@@ -272,6 +313,9 @@
         {
             Ok(answer) => {
                 self.update_health(TargetHealth::succeeded);
+                let now = clock::now();
+                self.heard.set(now);
+                self.waiting_since.set(now);
                 if !answer.head.misdirected {
                     self.set_rate_limit(answer.head.rate_limit);
                 }
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -11,7 +11,7 @@
         collections::HashMap,
         sync::{
             Arc,
-            atomic::{AtomicU64, AtomicUsize},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize},
         },
     },
 };
@@ -74,6 +74,9 @@
     pub(crate) open_requests: AtomicUsize,
     /// Targets that traffic can call; set by traffic.
     pub(crate) upstreams: AtomicUsize,
+    /// Whether callers should be directed to other daemons, because this one has lost the targets
+    /// and its peers have not; set by traffic.
+    pub(crate) withdrawn: AtomicBool,
     /// Connections to targets; set by traffic.
     pub(crate) connections: AtomicUsize,
     /// When targets were last read or confirmed, in microseconds of the daemon's clock; set by
