--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -489,22 +489,6 @@
         self.advance_stop(now, socket).await
     }
 
-    /// Has peers direct callers to other daemons while this one has lost the targets.
-    fn update_withdrawn(&mut self, now: Time) {
-        let withdrawn = self.gauges.withdrawn.load(Ordering::Relaxed);
-        if self.phase != Phase::Serving || withdrawn == self.withdrawn {
-            return;
-        }
-        self.withdrawn = withdrawn;
-        if withdrawn {
-            tracing::info!("withdrawn: peers reach the targets and this daemon does not");
-            self.membership.leave(now);
-        } else {
-            tracing::info!("advertised to callers again");
-            self.membership.stay(now);
-        }
-    }
-
     fn gauge_values(&self, now: Time) -> GaugeValues {
         let peers = self.membership.present();
         let alive = peers.filter(|m| m.record.state == State::Alive && m.record.id != self.me);
--- a/crates/daemon/src/tier/control/members.rs
+++ b/crates/daemon/src/tier/control/members.rs
@@ -1,13 +1,15 @@
-//! Logs state changes of daemons, and maintains the daemons' entries in the store.
+//! Logs state changes of daemons, tells peers whether callers may be sent here, and maintains the
+//! daemons' entries in the store.
 //!
 //! The entries tell how many daemons are deployed, and with how many cores each, also to a daemon
 //! that just started and knows few peers.
 
 use {
-    crate::tier::{control::Control, register},
+    crate::tier::{control::Control, register, view::Phase},
     rattanturn_core::{Time, membership::State},
     std::{
         collections::{BTreeMap, BTreeSet},
+        sync::atomic::Ordering,
         time::Duration,
     },
 };
@@ -34,6 +36,22 @@
         self.logged_states = states;
     }
 
+    /// Has peers direct callers to other daemons while this one has lost the targets.
+    pub(super) fn update_withdrawn(&mut self, now: Time) {
+        let withdrawn = self.gauges.withdrawn.load(Ordering::Relaxed);
+        if self.phase != Phase::Serving || withdrawn == self.withdrawn {
+            return;
+        }
+        self.withdrawn = withdrawn;
+        if withdrawn {
+            tracing::info!("withdrawn: peers reach the targets and this daemon does not");
+            self.membership.leave(now);
+        } else {
+            tracing::info!("advertised to callers again");
+            self.membership.stay(now);
+        }
+    }
+
     /// Writes this daemon's entry at the start, and again while the store does not list it.
     pub(super) fn register_self(&mut self, now: Time) {
         let name = &self.settings.name;
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -3,6 +3,8 @@
 //! Control publishes a [`View`] whenever something changed. The thread picks it up with the next
 //! request and shares nothing else but counters, so serving a request takes no lock.
 
+mod reach;
+
 use {
     crate::{
         clock,
@@ -22,7 +24,7 @@
         hedge::{Budget, CallLatency},
         quota::connection_quota,
         rate_share::{self, Room},
-        reach::{Reach, ReachChange},
+        reach::Reach,
         selection::TargetSelector,
         silence::Silence,
         weighted::WeightedRoundRobin,
@@ -61,11 +63,6 @@
 /// this often, without a request.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of targets that are probed when none answers.
-const SILENCE_PROBES: usize = 6;
-/// Time in which one of them must accept a connection, which takes some milliseconds.
-const SILENCE_PROBE_TIME: Duration = Duration::from_millis(200);
-
 /// State of one traffic thread, shared by all its requests.
 pub(crate) struct Traffic {
     shared: SharedView,
@@ -246,6 +243,10 @@
         budgets.set_bursts(burst(HEDGE_SLACK_FRACTION), burst(RETRY_SLACK_FRACTION));
     }
 
+    fn open_upstream(&self, target: &Arc<Target>) -> Upstream {
+        Upstream::new(target.clone(), self.gateway, self.calls.clone())
+    }
+
     /// The upstream of an index; `None` after its target was removed.
     pub(crate) fn upstream(&self, index: usize) -> Option<Rc<Upstream>> {
         self.upstreams.borrow().get(&index).cloned()
@@ -389,76 +390,6 @@
     }
 }
 
-impl Traffic {
-    fn open_upstream(&self, target: &Arc<Target>) -> Upstream {
-        Upstream::new(target.clone(), self.gateway, self.calls.clone())
-    }
-
-    /// When any target last answered.
-    pub(crate) fn last_heard(&self) -> Time {
-        self.calls.heard.get()
-    }
-
-    /// Completes when this daemon loses most targets.
-    pub(crate) async fn targets_lost(&self) {
-        self.lost.notified().await;
-    }
-
-    /// Judges whether this daemon has lost the targets; to be called regularly.
-    pub(crate) fn watch_reach(self: &Rc<Self>) {
-        let now = clock::now();
-        let upstreams = self.upstreams.borrow();
-        let waiting = |since| upstreams.values().filter(|u| u.waits_since(since)).count();
-        if self
-            .silence
-            .borrow_mut()
-            .check(now, self.calls.heard.get(), waiting)
-        {
-            self.silence.borrow_mut().reset(now);
-            actix_rt::spawn(probe_silent_targets(self.clone()));
-        }
-        let tried = upstreams.values().filter(|u| u.was_tried());
-        let known = tried.clone().count();
-        let available = tried.filter(|u| u.is_available()).count();
-        meters::set_unreachable_targets(known - available);
-        let change = self.reach.borrow_mut().update(available, known);
-        match change {
-            Some(ReachChange::Lost) => {
-                tracing::warn!(available, known, "most targets are out of reach");
-                self.lost.notify_waiters();
-            }
-            Some(ReachChange::Regained) => {
-                tracing::info!(available, known, "most targets are within reach again");
-            }
-            None => {}
-        }
-        let withdrawn = self.relay.is_withdrawn(self.reach.borrow().is_lost());
-        self.gauges.withdrawn.store(withdrawn, Ordering::Relaxed);
-    }
-}
-
-/// Opens a connection to some targets after none has answered for a while. If none accepts, all
-/// targets count as down, and each is probed until it accepts one.
-async fn probe_silent_targets(traffic: Rc<Traffic>) {
-    let all: Vec<Rc<Upstream>> = traffic.upstreams.borrow().values().cloned().collect();
-    let step = all.len().div_ceil(SILENCE_PROBES).max(1);
-    let probes = all.iter().step_by(step);
-    let probes = probes.map(|u| u.accepts_connection(SILENCE_PROBE_TIME));
-    let results = futures::future::join_all(probes).await;
-    if results.contains(&true) {
-        traffic.silence.borrow_mut().reset(clock::now());
-        return;
-    }
-    tracing::warn!(
-        targets = all.len(),
-        "no target answers or accepts a connection"
-    );
-    for upstream in &all {
-        upstream.mark_down();
-    }
-    traffic.watch_reach();
-}
-
 /// Probes targets that are down, without end.
 async fn probe_down_targets(traffic: Rc<Traffic>) {
     loop {
