Interrupt open requests only when no target is reached any more

Cause: open requests were given to peers whenever most targets were out of reach, also when some were, for example after half of the targets had crashed for everyone. They were then started once more although their own calls could still end. Change: only the silence of all targets, found by probes, interrupts them. The field relayed of a request's line says whether a peer answered it, not that one was asked.

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -146,6 +146,8 @@
     /// Whether too few of the services have a target that this daemon can reach, and a peer may run
     /// the request.
     unreachable: bool,
+    /// Whether a peer answered the request.
+    relayed: bool,
 }
 
 impl RequestSummary {
@@ -159,6 +161,7 @@
             missing: result.missing.clone(),
             tried: result.tried.clone(),
             unreachable: false,
+            relayed: false,
         }
     }
 
@@ -179,7 +182,7 @@
         if relayed_attempts(self.incoming.head()).is_some() {
             return self.run_here().await;
         }
-        let (answer, summary) = tokio::select! {
+        let (answer, mut summary) = tokio::select! {
             biased;
             done = self.run_here() => done,
             // A call that must not run twice may have reached its target.
@@ -196,6 +199,7 @@
             attempts,
         };
         let relayed = self.traffic.relay.run(request).await;
+        summary.relayed = relayed.is_some();
         (relayed.unwrap_or(answer), summary)
     }
 
@@ -378,7 +382,7 @@
             read_ms = clock::millis(self.traffic.targets_age(clock::now())),
             calls = summary.calls,
             extra = summary.extra,
-            relayed = summary.unreachable && outcome != RequestOutcome::NotRun,
+            relayed = summary.relayed,
             took_ms = clock::millis(took),
             stands_for = if outcome == RequestOutcome::Complete { LOG_ONE_IN } else { 1 },
             "request"
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -93,7 +93,7 @@
     pub(crate) centre: String,
     calls: Rc<SharedCalls>,
     silence: RefCell<Silence>,
-    /// Wakes the open requests when this daemon loses most targets.
+    /// Wakes the open requests when this daemon reaches no target any more.
     lost: Notify,
     pub(crate) relay: RelayClient,
     gauges: Arc<Gauges>,
--- a/crates/daemon/src/tier/traffic/reach.rs
+++ b/crates/daemon/src/tier/traffic/reach.rs
@@ -21,7 +21,7 @@
         self.calls.heard.get()
     }
 
-    /// Completes when this daemon loses most targets.
+    /// Completes when this daemon finds that it reaches no target any more.
     pub(crate) async fn targets_lost(&self) {
         self.lost.notified().await;
     }
@@ -58,7 +58,6 @@
         match change {
             Some(ReachChange::Lost) => {
                 tracing::warn!(available, known, "most targets are out of reach");
-                self.lost.notify_waiters();
             }
             Some(ReachChange::Regained) => {
                 tracing::info!(available, known, "most targets are within reach again");
@@ -88,4 +87,5 @@
         upstream.mark_down();
     }
     traffic.judge_reach();
+    traffic.lost.notify_waiters();
 }
