Tell apart targets that end from connections that break

A line of a lost call named neither the request as it comes again nor whether the target ended or only the connection broke, so the hypotheses on the crashing request could not be told apart.

A call whose connection was closed now checks whether the target still listens; if connections are refused, the line "a target ended while it had a call" has the request's fingerprint (method, host, path, credentials, body), the target and the cause of the call, and a counter counts by cause. How requests are served does not change: such a call is handled as a lost one.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`gather`]: one fan-out query, from the first calls to the final answer, with retries, hedges
 //!   and partial answers.
 //! - [`hedge`]: when a call counts as slow, and whether the budget allows an extra call.
+//! - [`fingerprint`]: what identifies a request that comes again.
 //! - [`snapshot`]: which index version a query asks all shards for.
 //! - [`merge`]: merges the records of the shards into the top records of the answer.
 //! - [`queue`]: the queue of calls to one target, which keeps its concurrency limit.
@@ -63,6 +64,7 @@
 pub mod dedup;
 pub mod discovery;
 pub mod dissemination;
+pub mod fingerprint;
 pub mod gather;
 pub mod health;
 pub mod hedge;
--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -232,7 +232,7 @@
             }
             let read = self.read_more(count).await?;
             if read == 0 {
-                return Err(invalid_data("closed before the answer's head"));
+                return Err(closed("before the answer's head"));
             }
             count.add_framing(read)?;
         }
@@ -269,7 +269,7 @@
                     count.add_framing(unused)?;
                     unused = self.read_more(count).await?;
                     if unused == 0 {
-                        return Err(invalid_data("closed inside the answer's body"));
+                        return Err(closed("inside the answer's body"));
                     }
                 }
             }
@@ -300,6 +300,23 @@
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
 
+/// The target closed the connection at the given point of its answer.
+fn closed(point: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::UnexpectedEof, format!("closed {point}"))
+}
+
+/// Whether an error means that the target closed or reset the connection.
+pub(crate) fn is_closed(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
+    let kinds = [
+        BrokenPipe,
+        ConnectionAborted,
+        ConnectionReset,
+        UnexpectedEof,
+    ];
+    kinds.contains(&error.kind())
+}
+
 /// The codec is missing because reading an earlier body failed.
 fn unusable() -> io::Error {
     invalid_data("the connection broke before")
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -70,6 +70,7 @@
 /// A call that ended.
 struct EndedCall {
     attempt: AttemptId,
+    cause: Cause,
     upstream: Option<Rc<Upstream>>,
     index: usize,
     sent: Time,
@@ -208,6 +209,7 @@
         let (Some(upstream), None) = (upstream, refusal) else {
             let ended = EndedCall {
                 attempt,
+                cause,
                 upstream: None,
                 index,
                 sent: now,
@@ -232,6 +234,7 @@
             drop(open);
             EndedCall {
                 attempt,
+                cause,
                 upstream: Some(upstream),
                 index,
                 sent: now,
@@ -293,6 +296,14 @@
                     .record_lost_call(now, ended.index, ended.upstream.as_deref(), &why);
                 Reply::Failed
             }
+            Outcome::TargetEnded(why) => {
+                self.result.ran = true;
+                let call = &self.request.call;
+                let (index, upstream) = (ended.index, ended.upstream.as_deref());
+                self.traffic.record_lost_call(now, index, upstream, &why);
+                record_ended_target(upstream, call, ended.cause);
+                Reply::Failed
+            }
         };
         let covered = gather.covered();
         let service = self
@@ -325,16 +336,19 @@
             .collect();
         if open {
             let mut calls = self.calls;
-            let traffic = self.traffic.clone();
+            let (traffic, call) = (self.traffic.clone(), self.request.call.clone());
             actix_rt::spawn(async move {
                 while let Some(ended) = calls.next().await {
-                    if let Outcome::Lost(why) = ended.outcome {
-                        traffic.record_lost_call(
-                            clock::now(),
-                            ended.index,
-                            ended.upstream.as_deref(),
-                            &why,
-                        );
+                    let upstream = ended.upstream.as_deref();
+                    match ended.outcome {
+                        Outcome::TargetEnded(why) => {
+                            traffic.record_lost_call(clock::now(), ended.index, upstream, &why);
+                            record_ended_target(upstream, &call, ended.cause);
+                        }
+                        Outcome::Lost(why) => {
+                            traffic.record_lost_call(clock::now(), ended.index, upstream, &why);
+                        }
+                        Outcome::Answered(_) | Outcome::NotRun(_) => {}
                     }
                 }
             });
@@ -370,6 +384,23 @@
     }
 }
 
+/// Logs and counts a target that ended while it had a call.
+fn record_ended_target(upstream: Option<&Upstream>, call: &Call, cause: Cause) {
+    meters::count_ended_target(cause);
+    let Some(upstream) = upstream else {
+        return;
+    };
+    let target = upstream.target.borrow();
+    tracing::info!(
+        request = call.id.as_deref().unwrap_or(""),
+        fingerprint = %call.fingerprint(),
+        to = %target.id,
+        service = %target.service,
+        cause = cause.as_str(),
+        "a target ended while it had a call"
+    );
+}
+
 /// Counts a call as open at its target until it ends or is cancelled.
 struct OpenCall<'a>(&'a Rc<Traffic>, usize);
 
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -70,7 +70,7 @@
 
 impl Cause {
     /// Value of the metric label `cause`.
-    const fn as_str(self) -> &'static str {
+    pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::First => "first",
             Self::Hedge => "hedge",
@@ -167,6 +167,11 @@
     counter!("rattanturn_limited_target_calls_total", "cause" => cause.as_str()).increment(1);
 }
 
+/// Counts a target that ended while it had a call, by the cause of the call.
+pub(crate) fn count_ended_target(cause: Cause) {
+    counter!("rattanturn_ended_target_calls_total", "cause" => cause.as_str()).increment(1);
+}
+
 /// Sets the number of targets whose last answer stated a rate limit.
 pub(crate) fn set_limited_targets(count: usize) {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -22,6 +22,7 @@
     rattanturn_core::{
         Time,
         catalog::{Destination, Gather, Route},
+        fingerprint::Fingerprint,
         gather::{Cutoff, MissingReason},
         merge::top_records,
         rendezvous,
@@ -29,7 +30,12 @@
     rattanturn_platform::http::{
         RECORD_BYTES, deadline, forward_headers, merged_headers, request_id, return_headers,
     },
-    std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration},
+    std::{
+        cell::{OnceCell, RefCell},
+        collections::BTreeMap,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// Fraction of a route's latency goal after which a merged answer with enough parts is sent. The
@@ -52,6 +58,8 @@
     deadline: Time,
     /// Service and time of each call that was sent.
     sent: RefCell<Vec<(usize, Time)>>,
+    /// Fingerprint of the request, once a call has asked for it.
+    identity: Rc<OnceCell<Fingerprint>>,
 }
 
 /// Serves one request. Dropping the future cancels all calls made for it.
@@ -80,6 +88,7 @@
         deadline: fan_out::deadline(route, incoming.arrived, deadline(head))
             - RESPONSE_TRANSIT_TIME,
         sent: RefCell::default(),
+        identity: Rc::default(),
     };
     let mut guard = CallerLeftLog {
         query: &query,
@@ -317,6 +326,7 @@
             id: request_id(head).map(Rc::from),
             deadline: self.deadline,
             non_idempotent: !self.route.idempotent,
+            identity: self.identity.clone(),
         }
     }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         clock,
-        tier::connection::{Answer, OpenBytes, TargetConnection},
+        tier::connection::{Answer, OpenBytes, TargetConnection, is_closed},
     },
     actix_http::{RequestHead, RequestHeadType},
     bytes::Bytes,
@@ -15,13 +15,15 @@
         Time,
         cold::SlidingWindowLimiter,
         discovery::Target,
+        fingerprint::{Fingerprint, RequestParts},
         gather::MissingReason,
         health::TargetHealth,
         rate_share::{RateShare, Room},
     },
     rattanturn_platform::http::call_headers,
     std::{
-        cell::{Cell, RefCell},
+        cell::{Cell, OnceCell, RefCell},
+        io,
         net::{IpAddr, SocketAddr},
         rc::Rc,
         sync::Arc,
@@ -37,6 +39,10 @@
 /// A call with less time left than this is not sent, because it could not be answered in time.
 const MIN_CALL_TIME: Duration = Duration::from_millis(2);
 
+/// Time in which an attempt to connect shows that nothing listens at a target's address any more. An
+/// answer to it takes some milliseconds; a target that gives none has lost its network or its power.
+const END_CHECK_TIME: Duration = Duration::from_millis(50);
+
 /// How a call ended.
 pub(crate) enum Outcome {
     /// The target's complete answer to this request; its status may be an error.
@@ -45,6 +51,9 @@
     NotRun(MissingReason),
     /// The call may have run, but no usable answer came; the text says why.
     Lost(String),
+    /// The target's process ended while it had the call, which may have run; the text says how the
+    /// connection broke.
+    TargetEnded(String),
 }
 
 impl Outcome {
@@ -54,6 +63,7 @@
             Self::Answered(answer) => format!("answered {}", answer.status),
             Self::NotRun(why) => format!("not run ({why})"),
             Self::Lost(why) => format!("lost ({why})"),
+            Self::TargetEnded(why) => format!("target ended ({why})"),
         }
     }
 }
@@ -69,6 +79,25 @@
     /// The call must not run twice. It gets a new connection: a request on a kept one that the
     /// target is just closing is lost, and it would not be known whether it ran.
     pub(crate) non_idempotent: bool,
+    /// Set when it is first asked for; see [`Call::fingerprint`].
+    pub(crate) identity: Rc<OnceCell<Fingerprint>>,
+}
+
+impl Call {
+    /// What the request has in common with other attempts of its caller.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let header = |name: &str| self.head.headers.get(name);
+        let host = header("host").and_then(|h| h.to_str().ok());
+        *self.identity.get_or_init(|| {
+            Fingerprint::of(&RequestParts {
+                method: self.head.method.as_str(),
+                host: host.or_else(|| self.head.uri.host()).unwrap_or(""),
+                path: self.head.uri.path_and_query().map_or("", |p| p.as_str()),
+                credentials: header("authorization").map_or(b"", |h| h.as_bytes()),
+                body: &self.body,
+            })
+        })
+    }
 }
 
 /// What the upstreams of a thread share.
@@ -340,10 +369,26 @@
                 }
                 self.classify(answer)
             }
+            Err(error) if is_closed(&error) && self.has_ended().await => {
+                Outcome::TargetEnded(error.to_string())
+            }
             Err(error) => Outcome::Lost(error.to_string()),
         }
     }
 
+    /// Whether the target's process has ended, so that connections to its address are refused. One
+    /// that is accepted is kept.
+    async fn has_ended(&self) -> bool {
+        match timeout(END_CHECK_TIME, TargetConnection::connect(self.addr())).await {
+            Ok(Ok(connection)) => {
+                self.idle.borrow_mut().push(connection);
+                false
+            }
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Takes over the limit that an answer states, or its absence.
     fn set_rate_limit(&self, limit: Option<f64>) {
         let known = self.is_limited();
