Reproduce the request that is sent to targets again and again

Stand-in servers can end when they run a request, and start again under another id. Three daemons get copies of one request in turn.

--- /dev/null
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -0,0 +1,227 @@
+//! A request that ends each server that runs it, and comes again at any daemon.
+
+use {
+    super::{fetch, front_addr, plain_servers, with_cluster},
+    actix_rt::time::sleep,
+    rattanturn_demo::tier_cluster::{Answer, TierCluster, request},
+    rattanturn_standins::{
+        operator::{deregister_target, register_target},
+        shard::{Crash, State},
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Number of servers that end before daemons are expected to refuse the request.
+const FREE_ENDS: u64 = 3;
+/// Time after that many ends from which on only [`ALLOWED_RETRIES`] may reach a server.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Number of calls that may still be made, for ever.
+const ALLOWED_RETRIES: u64 = 3;
+/// How long a server is down after it has ended.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+/// Pause between two copies of the request.
+const COPY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time in which a request that cannot be served must be refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// Lets requests whose path begins so end every server.
+fn set_crash(cluster: &TierCluster, path: &str) {
+    for server in &cluster.servers {
+        server.set_crash(Some(Crash {
+            path: path.into(),
+            down: DOWN_TIME,
+            store: cluster.store.clone(),
+        }));
+    }
+}
+
+/// Number of servers that ended because of a request.
+fn crashes(cluster: &TierCluster) -> u64 {
+    let ended = cluster.servers.iter().map(|s| s.counters().crashes);
+    ended.sum()
+}
+
+/// Sends copies of a request to all daemons in turn for some time; returns their answers.
+async fn send_copies(cluster: &TierCluster, path: &str, time: Duration) -> Vec<Option<Answer>> {
+    let all: Vec<SocketAddr> = (0..cluster.daemons.len())
+        .map(|daemon| front_addr(cluster, daemon))
+        .collect();
+    let start = Instant::now();
+    let mut open = Vec::new();
+    while start.elapsed() < time {
+        let (at, path) = (all[open.len() % all.len()], path.to_owned());
+        let id = format!("{path}-{}-{}", open.len(), start.elapsed().as_micros());
+        open.push(actix_rt::spawn(
+            async move { request(at, &path, &id, "").await },
+        ));
+        sleep(COPY_INTERVAL).await;
+    }
+    let mut answers = Vec::new();
+    for answer in open {
+        answers.push(answer.await.unwrap());
+    }
+    answers
+}
+
+/// Sends copies until the daemons should know the request.
+async fn teach(cluster: &TierCluster, path: &str) {
+    let start = Instant::now();
+    while crashes(cluster) < FREE_ENDS {
+        send_copies(cluster, path, COPY_INTERVAL * 2).await;
+        assert!(start.elapsed() < SETTLE_TIME, "servers do not end");
+    }
+    send_copies(cluster, path, SETTLE_TIME).await;
+}
+
+/// Asserts that hardly any copy of a request reaches a server any more.
+async fn assert_held_back(cluster: &TierCluster, path: &str) {
+    let before = crashes(cluster);
+    let answers = send_copies(cluster, path, SETTLE_TIME).await;
+    let more = crashes(cluster) - before;
+    assert!(
+        more <= ALLOWED_RETRIES,
+        "{more} more servers ended, {before} before"
+    );
+    let served = answers.iter().flatten().filter(|a| a.status == 200);
+    assert_eq!(served.count(), 0);
+}
+
+#[test]
+fn request_that_crashes_servers_is_not_sent_to_servers_for_ever() {
+    with_cluster(3, async |cluster| {
+        set_crash(cluster, "/one/poison");
+        teach(cluster, "/one/poison").await;
+        assert_held_back(cluster, "/one/poison").await;
+        assert_eq!(fetch(cluster, "/one/other", "other").await.status, 200);
+    });
+}
+
+#[test]
+fn query_that_crashes_servers_is_not_sent_to_servers_for_ever() {
+    with_cluster(3, async |cluster| {
+        set_crash(cluster, "/all/poison");
+        teach(cluster, "/all/poison").await;
+        assert_held_back(cluster, "/all/poison").await;
+        assert_eq!(fetch(cluster, "/all/other", "other").await.status, 200);
+    });
+}
+
+#[test]
+fn daemon_that_starts_later_does_not_send_a_crashing_request() {
+    with_cluster(3, async |cluster| {
+        set_crash(cluster, "/one/poison");
+        teach(cluster, "/one/poison").await;
+        cluster.daemons.remove(0).kill();
+        cluster.start_daemons(1).unwrap();
+        cluster.wait_ready().await.unwrap();
+        sleep(Duration::from_secs(1)).await;
+        let started = cluster.daemons.pop().unwrap();
+        cluster
+            .daemons
+            .drain(..)
+            .for_each(rattanturn_daemon::Tier::kill);
+        cluster.daemons.push(started);
+        assert_held_back(cluster, "/one/poison").await;
+    });
+}
+
+#[test]
+fn crashing_request_is_refused_at_once_and_has_not_run() {
+    with_cluster(2, async |cluster| {
+        set_crash(cluster, "/one/poison");
+        teach(cluster, "/one/poison").await;
+        for n in 0..10 {
+            let (started, id) = (Instant::now(), format!("late{n}"));
+            let answer = request(front_addr(cluster, n % 2), "/one/poison", &id, "").await;
+            let answer = answer.unwrap();
+            assert_eq!(
+                answer.status,
+                503,
+                "{}",
+                String::from_utf8_lossy(&answer.body)
+            );
+            assert!(answer.header("retry-after").parse::<f64>().unwrap() > 1.0);
+            assert!(started.elapsed() < REFUSAL_TIME, "{:?}", started.elapsed());
+            assert_eq!(super::run_count(&plain_servers(cluster), &id), 0);
+        }
+        // The same path with another body is another request.
+        for server in &cluster.servers {
+            server.set_crash(None);
+        }
+        let other = request(front_addr(cluster, 0), "/one/poison", "body", "body").await;
+        assert_eq!(other.unwrap().status, 200);
+    });
+}
+
+/// Loads a path at all daemons while the servers of one data centre end, three times, and asserts that
+/// it is served soon after each loss. Calls that were open at a lost server may fail.
+fn assert_served_without_a_centre(path: &str) {
+    with_cluster(3, async |cluster| {
+        send_copies(cluster, path, Duration::from_secs(1)).await;
+        for _ in 0..3 {
+            let lost: Vec<Arc<State>> = cluster
+                .servers
+                .iter()
+                .filter(|s| s.config().centre == "b")
+                .cloned()
+                .collect();
+            let load = send_copies(cluster, path, COPY_INTERVAL * 10);
+            let end = async {
+                sleep(COPY_INTERVAL * 5).await;
+                lost.iter().for_each(|s| assert!(s.stop()));
+            };
+            futures::future::join(load, end).await;
+            let answers = send_copies(cluster, path, Duration::from_secs(1)).await;
+            let failed = answers
+                .iter()
+                .filter(|a| a.as_ref().is_none_or(|a| a.status != 200));
+            assert_eq!(failed.count(), 0);
+            for server in &lost {
+                deregister_target(&cluster.store, server);
+                server.start();
+                register_target(&cluster.store, server, "ready", 1);
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+}
+
+#[test]
+fn popular_request_is_served_while_a_data_centre_dies() {
+    assert_served_without_a_centre("/one/popular");
+}
+
+#[test]
+fn popular_query_is_served_while_a_data_centre_dies() {
+    assert_served_without_a_centre("/all/popular");
+}
+
+#[test]
+fn mended_request_is_served_again() {
+    with_cluster(2, async |cluster| {
+        set_crash(cluster, "/one/poison");
+        teach(cluster, "/one/poison").await;
+        for server in &cluster.servers {
+            server.set_crash(None);
+        }
+        let start = Instant::now();
+        let served = |a: &Option<Answer>| a.as_ref().is_some_and(|a| a.status == 200);
+        while !send_copies(cluster, "/one/poison", COPY_INTERVAL)
+            .await
+            .iter()
+            .any(served)
+        {
+            assert!(
+                start.elapsed() < Duration::from_secs(45),
+                "refused for ever"
+            );
+        }
+        sleep(Duration::from_secs(1)).await;
+        let answers = send_copies(cluster, "/one/poison", Duration::from_secs(1)).await;
+        assert!(answers.iter().all(served), "served by one daemon only");
+    });
+}
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the tier: callers, daemons, servers and a store in one process on loopback.
 
 mod cluster;
+mod crashing_request;
 mod endless_answers;
 mod late_configuration;
 mod rate_limits;
--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -123,11 +123,7 @@
 /// `state` is `ready` or `draining`. `sequence` must grow with each entry of the same target;
 /// daemons ignore an entry with a smaller one as outdated.
 pub fn register_target(store: &State, target: &crate::shard::State, state: &str, sequence: u64) {
-    store.write(
-        "servers",
-        &target.config().id,
-        target.entry(state, sequence),
-    );
+    store.write("servers", &target.id(), target.entry(state, sequence));
 }
 
 /// Like [`register_target`], but with the address `addr`, for example of a proxy in front of the
@@ -141,12 +137,12 @@
 ) {
     let mut entry = target.entry(state, sequence);
     entry["address"] = json!(addr);
-    store.write("servers", &target.config().id, entry);
+    store.write("servers", &target.id(), entry);
 }
 
 /// Removes a target's entry from the store; the target itself keeps running.
 pub fn deregister_target(store: &State, target: &crate::shard::State) {
-    store.remove("servers", &target.config().id);
+    store.remove("servers", &target.id());
 }
 
 /// Marks a data centre as evacuated in the store, or removes the mark.
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -6,13 +6,16 @@
 //! request that names another target in `x-target-instance` gets status 421 and does not run. A
 //! request whose caller disconnects is stopped.
 //!
-//! A test can slow the target down, pause it or give it a [`Fault`]. The target counts the runs of
-//! each request id, so that a test can tell whether a request ran more than once.
+//! A test can slow the target down, pause it or give it a [`Fault`]. Its process can end, when a test
+//! stops it or when a request does that ends each target that runs it; it may start again under
+//! another id. The target counts the runs of each request id, so that a test can tell whether a
+//! request ran more than once.
 //!
 //! The answers are written as raw bytes and not by an HTTP server, because some faults break the
 //! framing of HTTP.
 
 use {
+    crate::{operator::register_target, platform},
     actix_http::{
         Request,
         h1::{Codec, Message, MessageType},
@@ -30,12 +33,15 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        sync::watch,
     },
     tokio_util::codec::Decoder,
 };
 
 /// Number of records in an answer.
 const RECORDS: usize = 12;
+/// Connections of a process that ends are closed this long after its listener.
+const CLOSE_DELAY: Duration = Duration::from_millis(2);
 /// Length of a record.
 const RECORD_BYTES: usize = 16;
 
@@ -117,6 +123,8 @@
     pub arrivals: u64,
     /// Number of requests whose caller disconnected while they ran.
     pub abandoned: u64,
+    /// Number of requests that ended the target's process.
+    pub crashes: u64,
     /// Time at which the last request arrived.
     pub last_arrival: Option<Instant>,
     /// Smallest and largest `x-deadline-ms` of all requests: the time left for each, in
@@ -137,16 +145,32 @@
     slowdown: f64,
     paused_until: Option<Instant>,
     rate_limit: Option<f64>,
+    crash: Option<Crash>,
+    /// Number of times that the process has started again.
+    restarts: u64,
     counters: Counters,
     /// Number of answers so far; it makes each signature unique.
     answer_count: u64,
 }
 
+/// Requests that end the target's process, and what follows.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// A request ends the process if its path begins so.
+    pub path: String,
+    /// How long the process is down; then it starts under another id and registers in `store`.
+    pub down: Duration,
+    /// Store that holds the target's entry.
+    pub store: Arc<platform::State>,
+}
+
 /// State of a target, shared by its server and the test that controls it.
 #[derive(Debug)]
 pub struct State {
     config: TargetConfig,
     addr: SocketAddr,
+    /// Whether the process runs.
+    running: watch::Sender<bool>,
     inner: Mutex<Inner>,
 }
 
@@ -157,6 +181,33 @@
         &self.config
     }
 
+    /// Identity of the current run: the configured one until the process has ended for the first time.
+    #[must_use]
+    pub fn id(&self) -> String {
+        let id = &self.config.id;
+        match self.with(|i| i.restarts) {
+            0 => id.clone(),
+            restarts => format!("{id}~{restarts}"),
+        }
+    }
+
+    /// Lets some requests end the process, or none.
+    pub fn set_crash(&self, crash: Option<Crash>) {
+        self.with(|i| i.crash = crash);
+    }
+
+    /// Ends the process: its connections are closed and new ones are refused. Returns whether it ran.
+    pub fn stop(&self) -> bool {
+        self.running
+            .send_if_modified(|running| std::mem::replace(running, false))
+    }
+
+    /// Starts the process again, under another id.
+    pub fn start(&self) {
+        self.with(|i| i.restarts += 1);
+        self.running.send_replace(true);
+    }
+
     /// Sets the fault of all answers from now on; a target starts without one.
     pub fn set_fault(&self, fault: Fault) {
         self.with(|i| i.fault = fault);
@@ -216,7 +267,7 @@
             "state": state,
             "warmupLeftMs": 0,
             "seq": sequence,
-            "born": 1,
+            "born": 1 + self.with(|i| i.restarts),
         })
     }
 
@@ -232,6 +283,21 @@
         (0..RECORDS).flat_map(record).collect()
     }
 
+    /// Ends the process because of a request, and starts it again after a time.
+    fn crash(self: &Arc<Self>, crash: Crash) {
+        if !self.stop() {
+            return;
+        }
+        self.with(|i| i.counters.crashes += 1);
+        let state = self.clone();
+        actix_rt::spawn(async move {
+            sleep(crash.down).await;
+            crash.store.remove("servers", &state.id());
+            state.start();
+            register_target(&crash.store, &state, "ready", 1);
+        });
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -246,9 +312,11 @@
 /// The listener cannot be bound.
 pub async fn spawn(config: TargetConfig) -> io::Result<Arc<State>> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let (running, mut changes) = watch::channel(true);
     let state = Arc::new(State {
         config,
         addr: listener.local_addr()?,
+        running,
         inner: Mutex::new(Inner {
             slowdown: 1.0,
             ..Inner::default()
@@ -256,18 +324,50 @@
     });
     let shared = state.clone();
     actix_rt::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let state = shared.clone();
-            actix_rt::spawn(async move {
-                // An error ends only this connection, as for a real server.
-                let _ = serve(&state, stream).await;
-            });
+        let mut listener = Some(listener);
+        loop {
+            let accepted = async {
+                match &listener {
+                    Some(listener) => listener.accept().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                Ok((stream, _)) = accepted => {
+                    actix_rt::spawn(serve_while_running(shared.clone(), stream));
+                }
+                Ok(()) = changes.changed() => {
+                    listener = None;
+                    if *changes.borrow_and_update() {
+                        listener = TcpListener::bind(shared.addr).await.ok();
+                    }
+                }
+                else => return,
+            }
         }
     });
     Ok(state)
 }
 
-async fn serve(state: &State, mut stream: TcpStream) -> io::Result<()> {
+/// Serves a connection until it or the process ends.
+async fn serve_while_running(state: Arc<State>, stream: TcpStream) {
+    let mut running = state.running.subscribe();
+    if !*running.borrow_and_update() {
+        return;
+    }
+    let ended = async {
+        // An error means that the state is gone, and with it the process.
+        let _ = running.changed().await;
+        sleep(CLOSE_DELAY).await;
+    };
+    tokio::select! {
+        // An error ends only this connection, as for a real server.
+        _ = serve(&state, stream) => {}
+        () = ended => {}
+    }
+}
+
+async fn serve(state: &Arc<State>, mut stream: TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut codec, mut buffer) = (Codec::default(), BytesMut::new());
     loop {
@@ -284,7 +384,7 @@
         };
         let (id, target) = (text("x-request-id"), text("x-target-instance"));
         let deadline: u64 = text("x-deadline-ms").parse().unwrap_or(0);
-        if !target.is_empty() && target != state.config.id {
+        if !target.is_empty() && target != state.id() {
             stream
                 .write_all(&head(state, 421, &id, ("x-instance-id", "other"), Some(0)))
                 .await?;
@@ -307,6 +407,12 @@
             state.with(|i| i.counters.abandoned += 1);
             return Ok(());
         }
+        let path = request.path();
+        let crash = state.with(|i| i.crash.clone().filter(|c| path.starts_with(&c.path)));
+        if let Some(crash) = crash {
+            state.crash(crash);
+            return std::future::pending().await;
+        }
         if !answer(state, &mut stream, &id, fault).await? {
             return Ok(());
         }
@@ -341,7 +447,7 @@
         i.answer_count += 1;
         i.answer_count
     });
-    let signature = format!("{}.{answer_number}", state.config.id);
+    let signature = format!("{}.{answer_number}", state.id());
     let sealed = ("x-server-seal", signature.as_str());
     let body = state.records();
     let status = if fault == Fault::Failed { 500 } else { 200 };
