--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -33,6 +33,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
 /// Default for [`Plan::max_attempts`], for routes that set no limit of their own.
 pub const MAX_ATTEMPTS: usize = 6;
+/// Default for [`Plan::max_ended`].
+pub const MAX_ENDED: usize = 2;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AttemptState {
@@ -58,6 +60,8 @@
     /// Set by the first hedge, also if the budget refused it: a service is hedged at most once.
     hedged: bool,
     retry_at: Option<Time>,
+    /// Whether it is to be called again once another service has answered, see [`Plan::max_ended`].
+    held: bool,
     /// Why there is no answer so far; `None` stands for the deadline.
     reason: Option<MissingReason>,
 }
@@ -87,6 +91,7 @@
 ///     hedging: true,
 ///     idempotent: true,
 ///     max_attempts: MAX_ATTEMPTS,
+///     max_ended: MAX_ENDED,
 ///     cutoff: None,
 ///     budgets: vec![],
 /// };
@@ -104,6 +109,8 @@
     attempts: Vec<Attempt>,
     states: Vec<ServiceState>,
     counts: Counts,
+    /// Targets that ended while they had a call.
+    ended: usize,
     done: bool,
 }
 
@@ -118,6 +125,7 @@
             attempts: Vec::new(),
             states,
             counts: Counts::default(),
+            ended: 0,
             done: false,
         };
         let mut out = Vec::new();
@@ -142,15 +150,20 @@
         let Some(service) = self.close_attempt(attempt) else {
             return out;
         };
-        let failed = reply == Reply::Failed;
+        let failed = matches!(reply, Reply::Failed | Reply::Ended);
+        self.ended += usize::from(reply == Reply::Ended);
         match reply {
             Reply::Done { snapshot, body } => self.accept_part(service, snapshot, body, &mut out),
             Reply::WrongSnapshot => self.states[service].reason = Some(MissingReason::Snapshot),
             Reply::NotRun(reason) => self.states[service].reason = Some(reason),
-            Reply::Failed => self.states[service].reason = Some(MissingReason::Failed),
+            Reply::Failed | Reply::Ended => {
+                self.states[service].reason = Some(MissingReason::Failed);
+            }
         }
         if self.states[service].body.is_none() {
             self.retry_missing(now, service, newest, failed, budgets, &mut out);
+        } else {
+            self.release_held(now, newest, budgets, &mut out);
         }
         if self.cutoff_reached(now) && !self.done {
             self.finish(&mut out);
@@ -172,10 +185,14 @@
         for service in 0..self.states.len() {
             if self.states[service].retry_at.is_some_and(|t| now >= t) {
                 self.states[service].retry_at = None;
-                self.retry(now, service, budgets, &mut out);
+                if self.is_suspicious() {
+                    self.states[service].held = true;
+                } else {
+                    self.retry(now, service, budgets, &mut out);
+                }
             }
         }
-        if self.plan.hedging {
+        if self.plan.hedging && !self.is_suspicious() {
             self.hedge_slow_calls(now, budgets, &mut out);
         }
         self.finish_if_idle(&mut out);
@@ -198,7 +215,7 @@
         for state in &self.states {
             next = next.min(state.retry_at.unwrap_or(Time::NEVER));
         }
-        if self.plan.hedging {
+        if self.plan.hedging && !self.is_suspicious() {
             for attempt in self
                 .attempts
                 .iter()
@@ -302,6 +319,10 @@
         if state.open > 0 || state.retry_at.is_some() || (failed && !self.plan.idempotent) {
             return;
         }
+        if self.is_suspicious() {
+            self.states[service].held = true;
+            return;
+        }
         let wrong_snapshot = state.reason == Some(MissingReason::Snapshot);
         if wrong_snapshot && newest > self.plan.snapshot && self.counts.restarts < MAX_RESTARTS {
             self.restart(now, newest, budgets, out);
@@ -316,6 +337,26 @@
         }
     }
 
+    /// Whether the query itself may have ended the targets: several ended, and none has answered it.
+    fn is_suspicious(&self) -> bool {
+        self.ended >= self.plan.max_ended && self.covered() == 0
+    }
+
+    /// Calls the services again that were held back while the query was suspicious.
+    fn release_held(
+        &mut self,
+        now: Time,
+        newest: u64,
+        budgets: &mut Budgets,
+        out: &mut Vec<Action>,
+    ) {
+        for service in 0..self.states.len() {
+            if std::mem::take(&mut self.states[service].held) {
+                self.retry_missing(now, service, newest, false, budgets, out);
+            }
+        }
+    }
+
     fn restart(&mut self, now: Time, snapshot: u64, budgets: &mut Budgets, out: &mut Vec<Action>) {
         self.cancel(|_| true, out);
         self.plan.snapshot = snapshot;
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -30,6 +30,8 @@
     Failed,
     /// It has no targets, because their data centres are evacuated.
     Evacuated,
+    /// Targets end when they run the request, so none is called.
+    Quarantined,
 }
 
 impl MissingReason {
@@ -45,6 +47,7 @@
             Self::Snapshot => "snapshot",
             Self::Failed => "failed",
             Self::Evacuated => "out",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -72,6 +75,8 @@
     /// The call may have run, but it failed or its answer was lost; it is retried only if the plan
     /// is idempotent.
     Failed,
+    /// Like `Failed`, because the target's process ended while it had the call.
+    Ended,
 }
 
 /// What a query calls and within which limits.
@@ -94,6 +99,9 @@
     pub idempotent: bool,
     /// Limit on the calls for one service on one snapshot: the first, its retries and its hedge.
     pub max_attempts: usize,
+    /// From this number of targets on that ended while they had calls of the query, nothing more is
+    /// sent until a service has answered: the query itself may have ended them.
+    pub max_ended: usize,
     /// When to finish early with enough parts; `None` waits for all of them or the deadline.
     pub cutoff: Option<Cutoff>,
     /// Number of the budget in [`Budgets`] that each service draws on; empty if all use number 0.
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -28,14 +28,15 @@
 
 use {
     super::{
-        Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MissingReason, Part, Plan, Reply,
+        Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MAX_ENDED, MissingReason, Part,
+        Plan, Reply,
     },
     crate::Time,
     std::{collections::HashMap, fmt::Write, time::Duration},
 };
 
 /// Reasons that `not-run` can have, written as by [`MissingReason::as_str`].
-const REASONS: [MissingReason; 8] = [
+const REASONS: [MissingReason; 9] = [
     MissingReason::Deadline,
     MissingReason::Busy,
     MissingReason::Limited,
@@ -44,6 +45,7 @@
     MissingReason::Snapshot,
     MissingReason::Failed,
     MissingReason::Evacuated,
+    MissingReason::Quarantined,
 ];
 
 /// Records the events of one query as a trace.
@@ -101,6 +103,7 @@
             Reply::WrongSnapshot => "wrong-snapshot".into(),
             Reply::NotRun(reason) => format!("not-run reason={reason}"),
             Reply::Failed => "failed".into(),
+            Reply::Ended => "ended".into(),
         };
         let event = format!("{event} attempt={} newest={newest}", attempt.0);
         self.write_line(now, &event, budgets);
@@ -276,6 +279,7 @@
         hedging: line.flag("hedging"),
         idempotent: true,
         max_attempts: MAX_ATTEMPTS,
+        max_ended: MAX_ENDED,
         cutoff: None,
         budgets: Vec::new(),
     };
@@ -368,6 +372,7 @@
         }),
         "wrong-snapshot" => Ok(Reply::WrongSnapshot),
         "failed" => Ok(Reply::Failed),
+        "ended" => Ok(Reply::Ended),
         "not-run" => {
             let word = line.pairs.get("reason").ok_or("`reason=` is missing")?;
             let reason = REASONS.into_iter().find(|r| r.as_str() == *word);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`admission`]: which requests start, wait or are refused under overload.
 //! - [`weighted`]: divides the requests of a route among services by weight.
 //! - [`selection`]: the order in which the targets of a service are tried.
+//! - [`quarantine`]: which requests are refused because targets end when they run them.
 //! - [`gather`]: one fan-out query, from the first calls to the final answer, with retries, hedges
 //!   and partial answers.
 //! - [`hedge`]: when a call counts as slow, and whether the budget allows an extra call.
@@ -73,6 +74,7 @@
 pub mod merge;
 pub mod object_history;
 mod priority;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod rate_share;
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,379 @@
+//! Which requests are kept away from targets, because targets end when they run them.
+//!
+//! A bug in a target can let one request end its process. Retries, hedges and callers that try again
+//! then send the request to one target after the other. A target can also end for another reason, and
+//! what it had at the time is innocent. So a request becomes *suspected* once [`SUSPECTED_FROM`]
+//! targets have ended under it and none has answered it since: it then gets a single call, a *trial*.
+//! If that call's target ends as well, the request is *quarantined*: it is refused without any call. A
+//! single answer clears a request at any time, so a popular request is not held back while a data
+//! centre dies: it succeeds elsewhere, and a request that ends all targets never does.
+//!
+//! The evidence is a set of targets that ended, so reports of several daemons merge in any order and
+//! count no target twice. An answer starts a new round with no evidence, which outdates all reports
+//! of earlier rounds.
+//!
+//! A quarantined request is tried again after a pause that grows with each failed trial, by one daemon
+//! at a time, see [`is_turn_of`]: its targets may have been mended. The price is one target each time.
+
+use {
+    crate::{NodeId, Time, fingerprint::Fingerprint, rendezvous},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::Duration,
+    },
+};
+
+/// Number of ended targets from which on a request gets a single call at a time.
+pub const SUSPECTED_FROM: usize = 2;
+/// Number of ended targets from which on a request whose trial has failed is quarantined.
+pub const QUARANTINED_FROM: usize = 3;
+/// Most ended targets that are remembered of one request.
+const MAX_ENDED: usize = 4;
+/// Most requests that are remembered. One takes some 100 bytes in memory and about as much in a
+/// message.
+pub const MAX_REQUESTS: usize = 256;
+/// Pause before the first trial of a quarantined request. Each further failed trial doubles it.
+const TRIAL_PAUSE: Duration = Duration::from_secs(30);
+/// Longest pause between two trials.
+const MAX_TRIAL_PAUSE: Duration = Duration::from_mins(10);
+/// Time for which one daemon may make a trial that is due; then it is the turn of the next one, which
+/// may be the one that callers send the request to.
+const TRIAL_TURN: Duration = Duration::from_secs(5);
+/// Evidence against a suspected request is dropped if no target ended under it for this time, which
+/// is longer than any pause.
+const MEMORY_TIME: Duration = Duration::from_mins(20);
+/// Time for which other evidence is kept. A cleared request is remembered so long, in order that
+/// reports from before do not count again.
+const SHORT_MEMORY_TIME: Duration = Duration::from_mins(2);
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// It gets a single call to a single target; what follows depends on its end.
+    Trial,
+    /// It is refused; `wait` is the time until the next trial.
+    Refuse {
+        /// Time until the next trial.
+        wait: Duration,
+    },
+    /// It is quarantined, and a trial is due. The daemon whose turn it is makes it, and all others
+    /// refuse the request, see [`is_turn_of`].
+    TrialDue {
+        /// Number of the daemon whose turn it is, in the order of the request's ranking.
+        turn: u64,
+        /// Time until the turn of the next daemon.
+        wait: Duration,
+    },
+}
+
+/// Evidence against one request, as daemons tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The request.
+    pub request: Fingerprint,
+    /// Number of times that an answer has cleared it.
+    pub round: u32,
+    /// Digests of the ids of targets that ended under it in this round, the lowest few.
+    pub ended: BTreeSet<u32>,
+    /// Failed trials in this round, as far as the sender knows.
+    pub trials: u32,
+    /// Milliseconds since the last target ended under it, or since it was cleared.
+    pub age_ms: u64,
+}
+
+/// A change that operators should know of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineChange {
+    /// Targets have ended under the request, which gets a single call at a time from now on.
+    Suspected,
+    /// The request is refused from now on.
+    Quarantined,
+    /// A target has answered the request, and it is served like any other.
+    Cleared,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    round: u32,
+    ended: BTreeSet<u32>,
+    trials: u32,
+    changed_at: Time,
+    /// Whether another daemon may know of it.
+    shared: bool,
+}
+
+impl Entry {
+    fn new(now: Time) -> Self {
+        Self {
+            round: 0,
+            ended: BTreeSet::new(),
+            trials: 0,
+            changed_at: now,
+            shared: false,
+        }
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.ended.len() >= QUARANTINED_FROM && self.trials > 0
+    }
+
+    fn is_suspected(&self) -> bool {
+        self.ended.len() >= SUSPECTED_FROM
+    }
+
+    /// 0 without suspicion, 1 if suspected, 2 if quarantined.
+    fn level(&self) -> u8 {
+        u8::from(self.is_suspected()) + u8::from(self.is_quarantined())
+    }
+
+    fn add_ended(&mut self, targets: impl IntoIterator<Item = u32>) {
+        self.ended.extend(targets);
+        while self.ended.len() > MAX_ENDED {
+            self.ended.pop_last();
+        }
+    }
+
+    fn is_expired(&self, now: Time) -> bool {
+        let time = if self.is_suspected() {
+            MEMORY_TIME
+        } else {
+            SHORT_MEMORY_TIME
+        };
+        now.since(self.changed_at) > time
+    }
+
+    /// How long a quarantined request is refused after its last failed trial.
+    fn pause(&self) -> Duration {
+        let doublings = self.trials.saturating_sub(1).min(16);
+        (TRIAL_PAUSE * (1 << doublings)).min(MAX_TRIAL_PAUSE)
+    }
+}
+
+/// All requests that targets have ended under.
+///
+/// ```
+/// use rattanturn_core::{Time, fingerprint::*, quarantine::*};
+/// let parts = RequestParts { method: "GET", host: "a", path: "/b", credentials: b"", body: b"" };
+/// let request = Fingerprint::of(&parts);
+/// let (mut quarantine, now) = (Quarantine::default(), Time::from_millis(1_000));
+/// quarantine.record_end(now, request, "i-1", false);
+/// assert_eq!(quarantine.verdict(now, request), Verdict::Clear);
+/// quarantine.record_end(now, request, "i-2", false);
+/// assert_eq!(quarantine.verdict(now, request), Verdict::Trial);
+/// quarantine.record_end(now, request, "i-3", true);
+/// assert!(matches!(quarantine.verdict(now, request), Verdict::Refuse { .. }));
+/// quarantine.record_answer(now, request);
+/// assert_eq!(quarantine.verdict(now, request), Verdict::Clear);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    entries: HashMap<Fingerprint, Entry>,
+    /// Requests whose evidence changed here since [`Quarantine::take_news`].
+    news: BTreeSet<Fingerprint>,
+}
+
+impl Quarantine {
+    /// What to do with a request.
+    #[must_use]
+    pub fn verdict(&self, now: Time, request: Fingerprint) -> Verdict {
+        let Some(entry) = self.entries.get(&request) else {
+            return Verdict::Clear;
+        };
+        if !entry.is_suspected() || entry.is_expired(now) {
+            return Verdict::Clear;
+        }
+        if !entry.is_quarantined() {
+            return Verdict::Trial;
+        }
+        let due = entry.changed_at + entry.pause();
+        if now < due {
+            return Verdict::Refuse {
+                wait: due.since(now),
+            };
+        }
+        let (passed, turn) = (millis(now.since(due)), millis(TRIAL_TURN));
+        Verdict::TrialDue {
+            turn: passed / turn,
+            wait: Duration::from_millis(turn - passed % turn),
+        }
+    }
+
+    /// Records that a target ended while it had a call for the request; `trial` tells whether the call
+    /// was a trial.
+    pub fn record_end(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        target: &str,
+        trial: bool,
+    ) -> Option<QuarantineChange> {
+        self.make_room(now, request);
+        let entry = self.entries.entry(request).or_insert(Entry::new(now));
+        let before = entry.level();
+        // The lower half is as good a digest as the whole.
+        #[allow(clippy::cast_possible_truncation)]
+        entry.add_ended([rendezvous::key(target) as u32]);
+        entry.trials += u32::from(trial);
+        entry.changed_at = now;
+        self.news.insert(request);
+        change(before, entry.level())
+    }
+
+    /// Records that a target answered the request, which clears it.
+    pub fn record_answer(&mut self, now: Time, request: Fingerprint) -> Option<QuarantineChange> {
+        let entry = self.entries.get_mut(&request)?;
+        if entry.ended.is_empty() {
+            return None;
+        }
+        let before = entry.level();
+        if !entry.shared {
+            self.entries.remove(&request);
+            self.news.remove(&request);
+            return change(before, 0);
+        }
+        entry.round += 1;
+        entry.ended.clear();
+        entry.trials = 0;
+        entry.changed_at = now;
+        self.news.insert(request);
+        change(before, 0)
+    }
+
+    /// Adds what a peer reports, and returns whether it is new here.
+    pub fn merge(&mut self, now: Time, report: &Evidence) -> (bool, Option<QuarantineChange>) {
+        let at = now - Duration::from_millis(report.age_ms);
+        let known = self.entries.contains_key(&report.request);
+        let says_nothing = report.round == 0 && report.ended.is_empty();
+        if !known && (says_nothing || report.age_ms > millis(MEMORY_TIME)) {
+            return (false, None);
+        }
+        self.make_room(now, report.request);
+        let entry = self.entries.entry(report.request).or_insert(Entry::new(at));
+        let (before, old) = (
+            entry.level(),
+            (entry.round, entry.ended.clone(), entry.trials),
+        );
+        if report.round > entry.round {
+            *entry = Entry {
+                round: report.round,
+                ..Entry::new(at)
+            };
+        }
+        if report.round == entry.round {
+            entry.add_ended(report.ended.iter().copied());
+            entry.trials = entry.trials.max(report.trials);
+            entry.changed_at = entry.changed_at.max(at);
+        }
+        entry.shared = true;
+        let new = !known || old != (entry.round, entry.ended.clone(), entry.trials);
+        (new, change(before, entry.level()))
+    }
+
+    /// The evidence that changed here since the last call, to be told to other daemons.
+    pub fn take_news(&mut self, now: Time) -> Vec<Evidence> {
+        let news = std::mem::take(&mut self.news);
+        for request in &news {
+            if let Some(entry) = self.entries.get_mut(request) {
+                entry.shared = true;
+            }
+        }
+        news.iter().filter_map(|r| self.report(now, *r)).collect()
+    }
+
+    /// All evidence that other daemons were told of, for one that may know less; what is most
+    /// suspected and newest comes first.
+    #[must_use]
+    pub fn reports(&self, now: Time) -> Vec<Evidence> {
+        let mut shared: Vec<_> = self.entries.iter().filter(|(_, e)| e.shared).collect();
+        shared.sort_by_key(|(request, e)| std::cmp::Reverse((e.level(), e.changed_at, **request)));
+        let requests = shared.into_iter().map(|(request, _)| *request);
+        requests.filter_map(|r| self.report(now, r)).collect()
+    }
+
+    /// The quarantined requests.
+    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
+        let entries = self.entries.iter().filter(|(_, e)| e.is_quarantined());
+        entries.map(|(request, _)| *request)
+    }
+
+    /// Drops evidence that is too old.
+    pub fn expire(&mut self, now: Time) {
+        self.entries.retain(|_, e| !e.is_expired(now));
+    }
+
+    /// Whether there is any evidence.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn report(&self, now: Time, request: Fingerprint) -> Option<Evidence> {
+        let entry = self.entries.get(&request)?;
+        Some(Evidence {
+            request,
+            round: entry.round,
+            ended: entry.ended.clone(),
+            trials: entry.trials,
+            age_ms: millis(now.since(entry.changed_at)),
+        })
+    }
+
+    /// Drops the least important evidence if there is no room for another request: what is least
+    /// suspected, and of that the oldest.
+    fn make_room(&mut self, now: Time, request: Fingerprint) {
+        if self.entries.len() < MAX_REQUESTS || self.entries.contains_key(&request) {
+            return;
+        }
+        self.expire(now);
+        while self.entries.len() >= MAX_REQUESTS {
+            let least = self.entries.iter().min_by_key(|(request, entry)| {
+                (
+                    entry.level(),
+                    entry.ended.len(),
+                    entry.changed_at,
+                    **request,
+                )
+            });
+            let Some(request) = least.map(|(request, _)| *request) else {
+                return;
+            };
+            self.entries.remove(&request);
+            self.news.remove(&request);
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// What a change of the level means.
+fn change(before: u8, after: u8) -> Option<QuarantineChange> {
+    match (before, after) {
+        (0, 1) => Some(QuarantineChange::Suspected),
+        (0 | 1, 2) => Some(QuarantineChange::Quarantined),
+        (1 | 2, 0) => Some(QuarantineChange::Cleared),
+        _ => None,
+    }
+}
+
+/// Whether `me` makes a due trial in the given turn, out of the daemons that callers are sent to.
+///
+/// Daemons that know the same daemons agree; if they differ for a moment, a trial may be made twice.
+#[must_use]
+pub fn is_turn_of(
+    me: NodeId,
+    daemons: impl IntoIterator<Item = NodeId>,
+    request: Fingerprint,
+    turn: u64,
+) -> bool {
+    let ranked = rendezvous::top(daemons, request.key(), usize::MAX);
+    let count = ranked.len().max(1) as u64;
+    // The remainder is below the number of daemons.
+    #[allow(clippy::cast_possible_truncation)]
+    let at = (turn % count) as usize;
+    ranked.get(at) == Some(&me)
+}
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -6,8 +6,8 @@
     rattanturn_core::{
         Time,
         gather::{
-            Action, AttemptId, Budgets, Gather, MAX_ATTEMPTS, MissingReason, Part, Plan, Reply,
-            trace,
+            Action, AttemptId, Budgets, Gather, MAX_ATTEMPTS, MAX_ENDED, MissingReason, Part, Plan,
+            Reply, trace,
         },
     },
     std::{collections::BTreeMap, fs, path::Path, time::Duration},
@@ -42,7 +42,7 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        5 => (0..24_u32, 0..5_usize, 7..9_u64)
+        5 => (0..24_u32, 0..6_usize, 7..9_u64)
             .prop_map(|(attempt, kind, snapshot)| Event::Reply { attempt, kind, snapshot }),
         1 => (1..30_000_u64).prop_map(|us| Event::Wait { us }),
     ]
@@ -56,6 +56,7 @@
         },
         2 => Reply::WrongSnapshot,
         3 => Reply::NotRun(MissingReason::Busy),
+        4 => Reply::Ended,
         _ => Reply::Failed,
     }
 }
@@ -85,6 +86,7 @@
             hedging: true,
             idempotent: true,
             max_attempts: MAX_ATTEMPTS,
+            max_ended: MAX_ENDED,
             cutoff: None,
             budgets: Vec::new(),
         };
@@ -167,6 +169,7 @@
             hedging: true,
             idempotent: true,
             max_attempts: MAX_ATTEMPTS,
+            max_ended: MAX_ENDED,
             cutoff: None,
             budgets: Vec::new(),
         };
@@ -194,3 +197,71 @@
         "{extra} extra calls for {first} first calls, more than {bound}"
     );
 }
+
+/// Starts a query over `services` services of two targets each, with a retry for each of them.
+fn start_query(services: usize, budgets: &mut Budgets) -> Gather {
+    let plan = Plan {
+        services: vec![vec![0, 1]; services],
+        hedge_delays: vec![Duration::from_millis(20); services],
+        deadline: Time::from_millis(500),
+        snapshot: 7,
+        hedging: true,
+        idempotent: true,
+        max_attempts: MAX_ATTEMPTS,
+        max_ended: MAX_ENDED,
+        cutoff: None,
+        budgets: Vec::new(),
+    };
+    let (gather, actions) = Gather::start(Time::from_millis(1), plan, budgets);
+    assert_eq!(actions.len(), services);
+    gather
+}
+
+#[test]
+fn query_that_ends_all_its_targets_is_neither_retried_nor_hedged_and_ends_at_once() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_query(20, &mut budgets);
+    let mut calls = 20;
+    let mut finished_at = None;
+    for attempt in 0..21 {
+        let now = Time::from_millis(10 + u64::from(attempt) * 2);
+        let mut actions = gather.reply(now, AttemptId(attempt), Reply::Ended, 7, &mut budgets);
+        actions.extend(gather.tick(now, &mut budgets));
+        calls += actions
+            .iter()
+            .filter(|a| matches!(a, Action::Call { .. }))
+            .count();
+        if actions.contains(&Action::Finish) {
+            finished_at = Some(now);
+        }
+    }
+    assert_eq!(calls, 21, "one retry, after the first end");
+    assert_eq!(
+        finished_at,
+        Some(Time::from_millis(50)),
+        "with its last call"
+    );
+}
+
+#[test]
+fn services_held_back_are_called_again_when_another_one_answers() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_query(4, &mut budgets);
+    let now = Time::from_millis(10);
+    let mut retried = 0;
+    for attempt in 0..3 {
+        let actions = gather.reply(now, AttemptId(attempt), Reply::Ended, 7, &mut budgets);
+        retried += actions.len();
+    }
+    assert_eq!(
+        retried, 1,
+        "only the first one before the query is suspicious"
+    );
+    let done = Reply::Done {
+        snapshot: 7,
+        body: b"x".to_vec(),
+    };
+    let actions = gather.reply(now, AttemptId(3), done, 7, &mut budgets);
+    let calls = actions.iter().filter(|a| matches!(a, Action::Call { .. }));
+    assert_eq!(calls.count(), 2, "{actions:?}");
+}
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,293 @@
+//! Requests that end the targets that run them: evidence of several daemons, and how it ends.
+
+use {
+    proptest::{prelude::*, test_runner::RngSeed},
+    rattanturn_core::{
+        NodeId, Time,
+        fingerprint::{Fingerprint, RequestParts},
+        quarantine::{Evidence, MAX_REQUESTS, Quarantine, Verdict, is_turn_of},
+    },
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Number of calls that may still be made after the third target has ended, for ever.
+const ALLOWED_RETRIES: u32 = 3;
+
+fn request(path: &str) -> Fingerprint {
+    Fingerprint::of(&RequestParts {
+        method: "GET",
+        host: "desk.example",
+        path,
+        credentials: b"",
+        body: b"",
+    })
+}
+
+fn tell(from: &mut Quarantine, to: &mut [Quarantine], now: Time) {
+    for report in from.take_news(now) {
+        for other in to.iter_mut() {
+            other.merge(now, &report);
+        }
+    }
+}
+
+/// A quarantine that refuses `request` since `now`.
+fn refusing(now: Time, request: Fingerprint) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for target in ["i-1", "i-2"] {
+        quarantine.record_end(now, request, target, false);
+    }
+    quarantine.record_end(now, request, "i-3", true);
+    quarantine
+}
+
+fn refuses(quarantine: &Quarantine, now: Time, request: Fingerprint) -> bool {
+    matches!(quarantine.verdict(now, request), Verdict::Refuse { .. })
+}
+
+#[test]
+fn targets_that_ended_at_different_daemons_count_together() {
+    let (poison, now) = (request("/poison"), Time::from_millis(1_000));
+    let mut all = vec![Quarantine::default(); 3];
+    for daemon in 0..3 {
+        let trial = all[daemon].verdict(now, poison) == Verdict::Trial;
+        all[daemon].record_end(now, poison, &format!("i-{daemon}"), trial);
+        let mut one = all[daemon].clone();
+        tell(&mut one, &mut all, now);
+        all[daemon] = one;
+    }
+    assert!(all.iter().all(|q| refuses(q, now, poison)));
+}
+
+#[test]
+fn a_target_that_several_daemons_saw_end_counts_once() {
+    let (popular, now) = (request("/popular"), Time::from_millis(1_000));
+    let mut all = vec![Quarantine::default(); 8];
+    for daemon in &mut all {
+        daemon.record_end(now, popular, "i-1", false);
+    }
+    let mut first = Quarantine::default();
+    for daemon in &mut all {
+        tell(daemon, std::slice::from_mut(&mut first), now);
+    }
+    assert_eq!(first.verdict(now, popular), Verdict::Clear);
+}
+
+#[test]
+fn an_answer_clears_a_request_at_all_daemons_and_late_reports_do_not_count() {
+    let (popular, now) = (request("/popular"), Time::from_millis(1_000));
+    let mut here = refusing(now, popular);
+    let mut there = [Quarantine::default()];
+    let late: Vec<Evidence> = here.take_news(now);
+    there[0].merge(now, &late[0]);
+    assert!(refuses(&there[0], now, popular));
+    here.record_answer(now, popular);
+    tell(&mut here, &mut there, now);
+    assert_eq!(there[0].verdict(now, popular), Verdict::Clear);
+    there[0].merge(now, &late[0]);
+    assert_eq!(there[0].verdict(now, popular), Verdict::Clear);
+}
+
+/// Plays a request that ends every target, at 302 daemons that get a copy each in turn every 20 ms
+/// and tell each other within 100 ms, for an hour.
+#[test]
+fn few_targets_end_in_an_hour_over_302_daemons() {
+    const DAEMONS: u64 = 302;
+    let poison = request("/poison");
+    let ids: Vec<NodeId> = (1..=DAEMONS).map(NodeId).collect();
+    let mut all = vec![Quarantine::default(); ids.len()];
+    let mut news: Vec<(u64, Evidence)> = Vec::new();
+    let (mut ended, mut third_at, mut later) = (0, None, Vec::new());
+    for at in (0..3_600_000).step_by(20) {
+        let now = Time::from_millis(at + 1_000);
+        for (_, report) in news.extract_if(.., |(due, _)| *due <= at) {
+            for daemon in &mut all {
+                daemon.merge(now, &report);
+            }
+        }
+        let daemon = usize::try_from(at / 20 % DAEMONS).unwrap();
+        let trial = match all[daemon].verdict(now, poison) {
+            Verdict::Clear => false,
+            Verdict::Trial => true,
+            Verdict::Refuse { .. } => continue,
+            Verdict::TrialDue { turn, .. } => {
+                if !is_turn_of(ids[daemon], ids.iter().copied(), poison, turn) {
+                    continue;
+                }
+                true
+            }
+        };
+        ended += 1;
+        all[daemon].record_end(now, poison, &format!("i-{ended}"), trial);
+        let reports = all[daemon].take_news(now);
+        news.extend(reports.into_iter().map(|r| (at + 100, r)));
+        if ended == 3 {
+            third_at = Some(at);
+        }
+        if third_at.is_some_and(|third| at > third + 4_000) {
+            later.push(at);
+        }
+    }
+    assert!(ended < 30, "{ended} targets ended");
+    let minutes = later.iter().filter(|at| **at < 120_000).count();
+    assert!(minutes <= ALLOWED_RETRIES as usize, "{later:?}");
+    assert!(later.len() < 12, "{later:?}");
+}
+
+#[test]
+fn a_trial_is_made_by_one_daemon_at_a_time_and_every_daemon_gets_its_turn() {
+    let poison = request("/poison");
+    let ids: Vec<NodeId> = (1..=8).map(NodeId).collect();
+    let mut had: BTreeSet<NodeId> = BTreeSet::new();
+    for turn in 0..8 {
+        let mine = |id: &&NodeId| is_turn_of(**id, ids.iter().copied(), poison, turn);
+        let whose: Vec<NodeId> = ids.iter().filter(mine).copied().collect();
+        assert_eq!(whose.len(), 1);
+        had.extend(whose);
+    }
+    assert_eq!(had.len(), 8);
+}
+
+#[test]
+fn a_quarantine_is_tried_after_a_pause_that_doubles() {
+    let (poison, start) = (request("/poison"), Time::from_millis(1_000));
+    let mut quarantine = refusing(start, poison);
+    let mut now = start;
+    let mut pauses = Vec::new();
+    for trial in 0..6 {
+        let Verdict::Refuse { wait } = quarantine.verdict(now, poison) else {
+            panic!("not refused after {trial} trials");
+        };
+        pauses.push(wait.as_secs());
+        now = now + wait;
+        assert!(matches!(
+            quarantine.verdict(now, poison),
+            Verdict::TrialDue { turn: 0, .. }
+        ));
+        quarantine.record_end(now, poison, &format!("j-{trial}"), true);
+    }
+    assert_eq!(pauses, [30, 60, 120, 240, 480, 600]);
+}
+
+#[test]
+fn threads_that_share_a_quarantine_count_each_target_once() {
+    let (poison, now) = (request("/poison"), Time::from_millis(1_000));
+    let shared = Arc::new(Mutex::new(Quarantine::default()));
+    let threads: Vec<_> = (0..4)
+        .map(|_| {
+            let shared = shared.clone();
+            thread::spawn(move || {
+                for _ in 0..100 {
+                    let mut quarantine = shared.lock().unwrap();
+                    let trial = quarantine.verdict(now, poison) == Verdict::Trial;
+                    quarantine.record_end(now, poison, "i-1", trial);
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    assert_eq!(shared.lock().unwrap().verdict(now, poison), Verdict::Clear);
+}
+
+#[test]
+fn memory_and_messages_are_bounded_and_the_quarantine_stays_when_many_targets_end() {
+    let (poison, now) = (request("/poison"), Time::from_millis(1_000));
+    let mut quarantine = refusing(now, poison);
+    quarantine.take_news(now);
+    for n in 0..100_000 {
+        let innocent = request(&format!("/innocent/{n}"));
+        quarantine.record_end(now + Duration::from_millis(n), innocent, "i-9", false);
+    }
+    let now = now + Duration::from_secs(10);
+    assert!(refuses(&quarantine, now, poison));
+    assert!(quarantine.take_news(now).len() <= MAX_REQUESTS);
+    let reports = quarantine.reports(now);
+    assert!(reports.len() <= MAX_REQUESTS);
+    assert_eq!(reports[0].request, poison, "the most important comes first");
+    let bytes = serde_json::to_vec(&reports).unwrap().len();
+    assert!(bytes < 40_000, "{bytes} bytes");
+    quarantine.expire(now + Duration::from_hours(1));
+    assert!(quarantine.is_empty());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    End {
+        daemon: usize,
+        target: u8,
+        trial: bool,
+    },
+    Answer {
+        daemon: usize,
+    },
+    Tell {
+        from: usize,
+        to: usize,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4_usize, 0..6_u8, any::<bool>())
+            .prop_map(|(daemon, target, trial)| Step::End { daemon, target, trial }),
+        1 => (0..4_usize).prop_map(|daemon| Step::Answer { daemon }),
+        4 => (0..4_usize, 0..4_usize).prop_map(|(from, to)| Step::Tell { from, to }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(32),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever was lost, repeated or came in another order: once all have told each other all they
+    /// know, all come to the same verdict.
+    #[test]
+    fn daemons_that_told_each_other_everything_agree(steps in proptest::collection::vec(step(), 1..60)) {
+        let poison = request("/poison");
+        let mut all = vec![Quarantine::default(); 4];
+        let mut now = Time::from_millis(1_000);
+        for step in steps {
+            now = now + Duration::from_millis(10);
+            match step {
+                Step::End { daemon, target, trial } => {
+                    all[daemon].record_end(now, poison, &format!("i-{target}"), trial);
+                }
+                Step::Answer { daemon } => {
+                    all[daemon].record_answer(now, poison);
+                }
+                Step::Tell { from, to } => {
+                    let news = all[from].take_news(now);
+                    for report in &news {
+                        all[to].merge(now, report);
+                    }
+                }
+            }
+        }
+        for quarantine in &mut all {
+            quarantine.take_news(now);
+        }
+        for _ in 0..2 {
+            for from in 0..all.len() {
+                let reports = all[from].reports(now);
+                for to in &mut all {
+                    for report in &reports {
+                        to.merge(now, report);
+                    }
+                }
+            }
+        }
+        let verdicts: Vec<Verdict> = all.iter().map(|q| q.verdict(now, poison)).collect();
+        prop_assert!(verdicts.iter().all(|v| *v == verdicts[0]), "{:?}", verdicts);
+    }
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -249,6 +249,9 @@
                     self.leases.count_votes(now, sets, voter, &list);
                 }
             }
+            Datagram::Evidence(..) => {
+                tracing::debug!(%from, "dropped a datagram that is for the tier");
+            }
         }
     }
 
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -8,11 +8,13 @@
 //! message carries the versions too, so a daemon that misses an announcement catches up with the next
 //! message.
 
+mod evidence;
 mod members;
 mod problems;
 mod shutdown;
 
 use {
+    self::evidence::EvidenceExchange,
     crate::{
         admin, clock,
         control::{self, Event},
@@ -22,6 +24,7 @@
             meters::{self, GaugeValues},
             peer_sync::PeerSync,
             peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
+            quarantine::SharedQuarantine,
             register::StaleEntries,
             sources::{StoreEvent, session},
             view::{Gauges, Phase, SharedView, View},
@@ -88,6 +91,7 @@
     pub(crate) shared: SharedView,
     pub(crate) events: mpsc::UnboundedSender<Event>,
     pub(crate) gauges: Arc<Gauges>,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
 }
 
 struct Control {
@@ -128,6 +132,8 @@
     view_inputs: ViewInputs,
     shared: SharedView,
     gauges: Arc<Gauges>,
+    quarantine: Arc<SharedQuarantine>,
+    evidence: EvidenceExchange,
 }
 
 /// What the current view was built from; the view is rebuilt only if this changes.
@@ -211,7 +217,10 @@
         view_inputs: ViewInputs::default(),
         shared: start.shared,
         gauges: start.gauges,
+        quarantine: start.quarantine,
+        evidence: EvidenceExchange::default(),
     };
+    let quarantine = control.quarantine.clone();
     actix_rt::spawn(peers::serve(start.rpc, objects, targets));
     let mut buffer = vec![0; control::MAX_DATAGRAM_BYTES];
     let mut next = clock::now();
@@ -219,14 +228,21 @@
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((len, from)) = received {
-                    if let Ok(Datagram::Gossip(message)) = decode(&buffer[..len]) {
-                        meters::count_datagram("received", message.kind, len);
-                        control.receive_gossip(&socket, from, &message).await;
-                    } else {
-                        tracing::debug!(%from, "dropped a gossip datagram that cannot be decoded");
+                    match decode(&buffer[..len]) {
+                        Ok(Datagram::Gossip(message)) => {
+                            meters::count_datagram("received", message.kind, len);
+                            control.receive_gossip(&socket, from, &message).await;
+                        }
+                        Ok(Datagram::Evidence(from, reports)) => {
+                            control.receive_evidence(&socket, from, &reports).await;
+                        }
+                        Ok(_) | Err(_) => {
+                            tracing::debug!(%from, "dropped a datagram that is not for the tier");
+                        }
                     }
                 }
             }
+            () = quarantine.wait_news() => control.send_evidence_news(&socket).await,
             Some(event) = store_events.recv() => control.handle_store_event(&socket, event).await,
             Some(event) = targets_events.recv() => {
                 control.handle_targets_event(&socket, event).await;
@@ -479,6 +495,7 @@
         self.gauges.read_micros.store(read, Ordering::Relaxed);
         self.fetch_newer();
         self.share_state();
+        self.repeat_evidence(socket, now).await;
         if now.since(self.gauges_set) >= GAUGES_INTERVAL {
             self.gauges_set = now;
             self.gauge_values(now).export();
@@ -612,8 +629,7 @@
     let bytes = encode(&Datagram::Gossip(message));
     for to in audience {
         meters::count_datagram("sent", kind, bytes.len());
-        // A lost announcement is made up for by the next message, so an error needs no handling.
-        let _ = socket.send_to(&bytes, to).await;
+        send_encoded(socket, &bytes, *to).await;
     }
 }
 
@@ -622,7 +638,11 @@
         let kind = item.message.kind;
         let bytes = encode(&Datagram::Gossip(item.message));
         meters::count_datagram("sent", kind, bytes.len());
-        // Membership repeats what a lost datagram carried, so an error needs no handling.
-        let _ = socket.send_to(&bytes, item.to).await;
+        send_encoded(socket, &bytes, item.to).await;
     }
 }
+
+/// Sends a datagram. What it carries is repeated, so an error needs no handling.
+async fn send_encoded(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+    let _ = socket.send_to(bytes, to).await;
+}
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -20,7 +20,9 @@
     rattanturn_core::{
         Time,
         catalog::Route,
-        gather::{Action, AttemptId, Counts, Cutoff, Gather, MissingReason, Part, Plan, Reply},
+        gather::{
+            Action, AttemptId, Counts, Cutoff, Gather, MAX_ENDED, MissingReason, Part, Plan, Reply,
+        },
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
 };
@@ -47,6 +49,8 @@
     pub(crate) cutoff: Option<Cutoff>,
     /// How many targets of each service may be called.
     pub(crate) max_attempts: u32,
+    /// A single call decides about the request, see [`rattanturn_core::quarantine`].
+    pub(crate) trial: bool,
     /// Gets the service and the time of each call that is sent.
     pub(crate) sent: &'a RefCell<Vec<(usize, Time)>>,
 }
@@ -153,9 +157,10 @@
         hedge_delays: vec![delay; request.services.len()],
         deadline: request.call.deadline,
         snapshot: ONE_SNAPSHOT,
-        hedging: route.idempotent && request.max_attempts > 1,
+        hedging: route.idempotent && request.max_attempts > 1 && !request.trial,
         idempotent: route.idempotent,
         max_attempts: request.max_attempts as usize,
+        max_ended: if request.trial { 1 } else { MAX_ENDED },
         cutoff: request.cutoff,
         budgets: request
             .services
@@ -267,6 +272,7 @@
                     self.traffic
                         .record_answer(now, route, upstream, ended.index, took, &a);
                 }
+                record_survivor(self.traffic, &self.request.call);
                 answer = Some(a);
                 Reply::Done {
                     snapshot: ONE_SNAPSHOT,
@@ -301,8 +307,14 @@
                 let call = &self.request.call;
                 let (index, upstream) = (ended.index, ended.upstream.as_deref());
                 self.traffic.record_lost_call(now, index, upstream, &why);
-                record_ended_target(upstream, call, ended.cause);
-                Reply::Failed
+                record_ended_target(
+                    self.traffic,
+                    upstream,
+                    call,
+                    ended.cause,
+                    self.request.trial,
+                );
+                Reply::Ended
             }
         };
         let covered = gather.covered();
@@ -337,17 +349,21 @@
         if open {
             let mut calls = self.calls;
             let (traffic, call) = (self.traffic.clone(), self.request.call.clone());
+            let trial = self.request.trial;
             actix_rt::spawn(async move {
                 while let Some(ended) = calls.next().await {
                     let upstream = ended.upstream.as_deref();
                     match ended.outcome {
                         Outcome::TargetEnded(why) => {
                             traffic.record_lost_call(clock::now(), ended.index, upstream, &why);
-                            record_ended_target(upstream, &call, ended.cause);
+                            record_ended_target(&traffic, upstream, &call, ended.cause, trial);
                         }
                         Outcome::Lost(why) => {
                             traffic.record_lost_call(clock::now(), ended.index, upstream, &why);
                         }
+                        Outcome::Answered(a) if (200..300).contains(&a.status) => {
+                            record_survivor(&traffic, &call);
+                        }
                         Outcome::Answered(_) | Outcome::NotRun(_) => {}
                     }
                 }
@@ -384,13 +400,29 @@
     }
 }
 
-/// Logs and counts a target that ended while it had a call.
-fn record_ended_target(upstream: Option<&Upstream>, call: &Call, cause: Cause) {
+/// Records that a target has run a request and lives.
+fn record_survivor(traffic: &Traffic, call: &Call) {
+    if traffic.quarantine.is_active() {
+        traffic.quarantine.record_answer(call.fingerprint());
+    }
+}
+
+/// Records, logs and counts a target that ended while it had a call.
+fn record_ended_target(
+    traffic: &Traffic,
+    upstream: Option<&Upstream>,
+    call: &Call,
+    cause: Cause,
+    trial: bool,
+) {
     meters::count_ended_target(cause);
     let Some(upstream) = upstream else {
         return;
     };
     let target = upstream.target.borrow();
+    traffic
+        .quarantine
+        .record_end(call.fingerprint(), &target.id, trial);
     tracing::info!(
         request = call.id.as_deref().unwrap_or(""),
         fingerprint = %call.fingerprint(),
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -172,6 +172,30 @@
     counter!("rattanturn_ended_target_calls_total", "cause" => cause.as_str()).increment(1);
 }
 
+/// Counts a request that was refused because it ends the targets that run it.
+pub(crate) fn count_quarantine_refusal() {
+    counter!("rattanturn_quarantine_refusals_total").increment(1);
+}
+
+/// Counts a trial of a suspected or quarantined request.
+pub(crate) fn count_trial() {
+    counter!("rattanturn_quarantine_trials_total").increment(1);
+}
+
+/// Counts a datagram with evidence against requests that was sent to another daemon.
+pub(crate) fn count_evidence_datagram(bytes: usize) {
+    counter!("rattanturn_peer_datagrams_total", "direction" => "sent", "kind" => "evidence")
+        .increment(1);
+    counter!("rattanturn_peer_datagram_bytes_total", "direction" => "sent", "kind" => "evidence")
+        .increment(bytes as u64);
+}
+
+/// Sets the number of requests that are refused because they end the targets that run them.
+pub(crate) fn set_quarantined_requests(count: usize) {
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    gauge!("rattanturn_quarantined_requests").set(f64::from(count));
+}
+
 /// Sets the number of targets whose last answer stated a rate limit.
 pub(crate) fn set_limited_targets(count: usize) {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -15,6 +15,7 @@
 mod meters;
 mod peer_sync;
 mod peers;
+mod quarantine;
 mod query;
 mod register;
 mod relay;
@@ -27,6 +28,7 @@
     crate::{clock, control::Event},
     actix_rt::Arbiter,
     eyre::Context,
+    quarantine::SharedQuarantine,
     rattanturn_core::membership::Endpoints,
     rattanturn_tables::{Settings, TierSettings},
     std::{
@@ -105,6 +107,7 @@
         let me = crate::identity(&settings.name, endpoints.gossip);
         let shared: SharedView = Arc::new(arc_swap::ArcSwap::from_pointee(View::default()));
         let gauges: Arc<Gauges> = Arc::default();
+        let quarantine: Arc<SharedQuarantine> = Arc::default();
         let (events, inbox) = mpsc::unbounded_channel();
         let addresses = TierAddresses {
             front: front.local_addr()?,
@@ -130,6 +133,7 @@
             shared: shared.clone(),
             events: events.clone(),
             gauges: gauges.clone(),
+            quarantine: quarantine.clone(),
         };
         let control = Arbiter::new();
         control.spawn_fn(move || {
@@ -141,7 +145,7 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::new(shared, gauges, &tier, centre);
+            let traffic = traffic::Traffic::new(shared, gauges, quarantine, &tier, centre);
             let reporter = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -11,6 +11,7 @@
             fan_out::{self, FanOut, FanOutResult},
             front::{Incoming, RETRY_AFTER, Reply},
             meters::{self, RequestOutcome},
+            quarantine::TrialPermit,
             relay::{RELAYED, Relayed, relayed_attempts},
             traffic::Traffic,
             upstream::Call,
@@ -20,11 +21,12 @@
     actix_http::{RequestHead, header::HeaderMap},
     bytes::Bytes,
     rattanturn_core::{
-        Time,
+        Time, addresses,
         catalog::{Destination, Gather, Route},
         fingerprint::Fingerprint,
         gather::{Cutoff, MissingReason},
         merge::top_records,
+        quarantine::{Verdict, is_turn_of},
         rendezvous,
     },
     rattanturn_platform::http::{
@@ -36,6 +38,7 @@
         rc::Rc,
         time::Duration,
     },
+    tokio::time::timeout,
 };
 
 /// Fraction of a route's latency goal after which a merged answer with enough parts is sent. The
@@ -101,6 +104,15 @@
     answer
 }
 
+/// Whether a request may run.
+enum Admission<'a> {
+    Run,
+    /// With a single call, while no other copy is on trial.
+    Trial(TrialPermit<'a>),
+    /// Not before this time has passed.
+    Refuse(Duration),
+}
+
 /// Logs and counts a request whose future is dropped before its answer, because its caller left.
 struct CallerLeftLog<'a> {
     query: &'a Query<'a>,
@@ -157,6 +169,9 @@
     unreachable: bool,
     /// Whether a peer answered the request.
     relayed: bool,
+    /// Whether targets end when they run the request, as far as is known, so that it got no more than
+    /// a trial.
+    suspected: bool,
 }
 
 impl RequestSummary {
@@ -171,6 +186,7 @@
             tried: result.tried.clone(),
             unreachable: false,
             relayed: false,
+            suspected: false,
         }
     }
 
@@ -186,14 +202,59 @@
 }
 
 impl Query<'_> {
-    /// Runs the request, at a peer if this daemon has lost the targets.
+    /// Runs the request unless it is quarantined.
     async fn run(&self) -> (Reply, RequestSummary) {
+        match self.admit().await {
+            Admission::Run => self.run_anywhere(false).await,
+            Admission::Trial(_permit) => {
+                meters::count_trial();
+                let (answer, mut summary) = self.run_anywhere(true).await;
+                summary.suspected = true;
+                (answer, summary)
+            }
+            Admission::Refuse(wait) => Self::quarantined(wait),
+        }
+    }
+
+    /// Decides whether the request may run. Waits while another copy of it is on trial.
+    async fn admit(&self) -> Admission<'_> {
+        let quarantine = &self.traffic.quarantine;
+        if !quarantine.is_active() {
+            return Admission::Run;
+        }
+        let request = self.call().fingerprint();
+        loop {
+            match quarantine.verdict(request) {
+                Verdict::Clear => return Admission::Run,
+                Verdict::Refuse { wait } => return Admission::Refuse(wait),
+                Verdict::TrialDue { turn, wait } if !self.has_turn(request, turn) => {
+                    return Admission::Refuse(wait);
+                }
+                Verdict::Trial | Verdict::TrialDue { .. } => {}
+            }
+            let left = self.deadline.since(clock::now());
+            match timeout(left, self.traffic.trials.start_or_wait(request)).await {
+                Ok(Some(permit)) => return Admission::Trial(permit),
+                Ok(None) => {}
+                Err(_) => return Admission::Refuse(RETRY_AFTER),
+            }
+        }
+    }
+
+    /// Whether it is this daemon's turn to try a quarantined request.
+    fn has_turn(&self, request: Fingerprint, turn: u64) -> bool {
+        let daemons = addresses::advertised(&self.view.frontends);
+        is_turn_of(self.view.me, daemons.iter().map(|f| f.id), request, turn)
+    }
+
+    /// Runs the request, at a peer if this daemon has lost the targets.
+    async fn run_anywhere(&self, trial: bool) -> (Reply, RequestSummary) {
         if relayed_attempts(self.incoming.head()).is_some() {
-            return self.run_here().await;
+            return self.run_here(trial).await;
         }
         let (answer, mut summary) = tokio::select! {
             biased;
-            done = self.run_here() => done,
+            done = self.run_here(trial) => done,
             // A call that must not run twice may have reached its target.
             () = self.traffic.targets_lost(), if self.route.idempotent => Self::targets_lost(),
         };
@@ -224,26 +285,27 @@
         self.route.max_attempts.saturating_sub(used)
     }
 
-    async fn run_here(&self) -> (Reply, RequestSummary) {
+    async fn run_here(&self, trial: bool) -> (Reply, RequestSummary) {
         match &self.route.destination {
-            Destination::Single(service) => self.single(service).await,
+            Destination::Single(service) => self.single(service, trial).await,
             Destination::Split(shares) => {
                 match self.traffic.next_service(&self.route.name, shares) {
-                    Some(service) => self.single(&service).await,
+                    Some(service) => self.single(&service, trial).await,
                     None => Self::unreachable(),
                 }
             }
+            Destination::Gather(gather) if trial => self.gather_after_trial(gather).await,
             Destination::Gather(gather) => self.gather(gather).await,
         }
     }
 
     /// Runs the request at one service.
-    async fn single(&self, service: &str) -> (Reply, RequestSummary) {
+    async fn single(&self, service: &str, trial: bool) -> (Reply, RequestSummary) {
         let services = [service.to_owned()];
         if let Some(refusal) = self.refusal(&services, 1) {
             return refusal;
         }
-        let done = fan_out::run(self.traffic, self.fan_out(&services, None)).await;
+        let done = fan_out::run(self.traffic, self.fan_out(&services, None, trial)).await;
         let mut summary = RequestSummary::new(&done);
         let failed = done.answers.iter().all(Option::is_none) && done.failure.is_none();
         summary.unreachable = failed && self.may_relay(&done);
@@ -259,6 +321,29 @@
         (out, summary)
     }
 
+    /// Runs the request at one shard, and at all of them if that succeeds.
+    async fn gather_after_trial(&self, gather: &Gather) -> (Reply, RequestSummary) {
+        if let Some(refusal) = self.refusal(&gather.services, gather.min_shards()) {
+            return refusal;
+        }
+        let now = clock::now();
+        let callable = |s: &&String| self.traffic.callable_at(now, s) == Some(now);
+        let Some(service) = gather.services.iter().find(callable) else {
+            return Self::unreachable();
+        };
+        let (answer, summary) = self.single(service, true).await;
+        if (200..300).contains(&answer.status) {
+            return self.gather(gather).await;
+        }
+        // What the shard answered is not an answer to the whole request.
+        let out = match answer.status {
+            503 => answer,
+            504 => Reply::text(504, "too few shards answered in time\n"),
+            _ => Reply::text(502, "a shard's answer was lost\n"),
+        };
+        (out, summary)
+    }
+
     /// Runs the request at all shards and merges their records.
     async fn gather(&self, gather: &Gather) -> (Reply, RequestSummary) {
         let min_shards = gather.min_shards();
@@ -269,7 +354,8 @@
             at: self.incoming.arrived + goal.mul_f64(CUTOFF_FRACTION).saturating_sub(CUTOFF_MARGIN),
             min_parts: min_shards,
         });
-        let done = fan_out::run(self.traffic, self.fan_out(&gather.services, cutoff)).await;
+        let call = self.fan_out(&gather.services, cutoff, false);
+        let done = fan_out::run(self.traffic, call).await;
         let mut summary = RequestSummary::new(&done);
         let parts: Vec<&Answer> = done.answers.iter().flatten().collect();
         summary.unreachable = parts.len() < min_shards && self.may_relay(&done);
@@ -277,8 +363,10 @@
             merge(&parts, gather)
         } else if !done.ran {
             Reply::not_run("too few shards could take the request\n", RETRY_AFTER)
-        } else {
+        } else if clock::now() + RESPONSE_TRANSIT_TIME >= self.deadline {
             Reply::text(504, "too few shards answered in time\n")
+        } else {
+            Reply::text(502, "the answers of too many shards were lost\n")
         };
         (out, summary)
     }
@@ -304,7 +392,12 @@
         unreachable && (self.route.idempotent || !done.ran)
     }
 
-    fn fan_out<'b>(&'b self, services: &'b [String], cutoff: Option<Cutoff>) -> FanOut<'b> {
+    fn fan_out<'b>(
+        &'b self,
+        services: &'b [String],
+        cutoff: Option<Cutoff>,
+        trial: bool,
+    ) -> FanOut<'b> {
         FanOut {
             route: self.route,
             services,
@@ -313,6 +406,7 @@
             max_attempts: relayed_attempts(self.incoming.head())
                 .unwrap_or(self.route.max_attempts)
                 .min(self.route.max_attempts),
+            trial,
             sent: &self.sent,
         }
     }
@@ -359,6 +453,19 @@
         (out, summary)
     }
 
+    /// Refuses a request without any call, because it ends the targets that run it; `wait` is the time
+    /// until it is tried again.
+    fn quarantined(wait: Duration) -> (Reply, RequestSummary) {
+        meters::count_quarantine_refusal();
+        let summary = RequestSummary {
+            missing: vec![MissingReason::Quarantined],
+            suspected: true,
+            ..RequestSummary::default()
+        };
+        let out = Reply::not_run("targets crash when they run this request\n", wait);
+        (out, summary)
+    }
+
     /// Counts the request, and logs it unless it is complete and not sampled.
     fn log(&self, answer: &Reply, summary: &RequestSummary, version: u64) {
         let took = clock::now().since(self.incoming.arrived);
@@ -393,6 +500,7 @@
             calls = summary.calls,
             extra = summary.extra,
             relayed = summary.relayed,
+            suspected = summary.suspected,
             took_ms = clock::millis(took),
             stands_for = if outcome == RequestOutcome::Complete { LOG_ONE_IN } else { 1 },
             "request"
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -11,6 +11,7 @@
         tier::{
             connection::Answer,
             meters::{self, Meters},
+            quarantine::{SharedQuarantine, Trials},
             relay::RelayClient,
             upstream::{SharedCalls, Upstream},
             view::{Gauges, Phase, SharedView, View},
@@ -96,6 +97,8 @@
     /// Wakes the open requests when this daemon reaches no target any more.
     lost: Notify,
     pub(crate) relay: RelayClient,
+    pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) trials: Trials,
     gauges: Arc<Gauges>,
     pub(crate) meters: Meters,
     /// Number of requests that are being served.
@@ -106,6 +109,7 @@
     pub(crate) fn new(
         shared: SharedView,
         gauges: Arc<Gauges>,
+        quarantine: Arc<SharedQuarantine>,
         tier: &TierSettings,
         centre: String,
     ) -> Rc<Self> {
@@ -137,6 +141,8 @@
             silence: RefCell::default(),
             lost: Notify::new(),
             relay: RelayClient::default(),
+            quarantine,
+            trials: Trials::default(),
             gauges,
             meters: Meters::default(),
             open_requests: Cell::new(0),
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -16,8 +16,8 @@
     rattanturn_core::{
         Priority, Time,
         gather::{
-            Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MissingReason, Part, Plan,
-            Reply, trace::Recorder,
+            Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MAX_ENDED, MissingReason,
+            Part, Plan, Reply, trace::Recorder,
         },
         hedge::LatencyQuantile,
         snapshot::ServedVersions,
@@ -194,6 +194,7 @@
             hedging: query.route.hedging,
             idempotent: true,
             max_attempts: MAX_ATTEMPTS,
+            max_ended: MAX_ENDED,
             cutoff: None,
             budgets: Vec::new(),
         }
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -172,7 +172,9 @@
             let load = send_copies(cluster, path, COPY_INTERVAL * 10);
             let end = async {
                 sleep(COPY_INTERVAL * 5).await;
-                lost.iter().for_each(|s| assert!(s.stop()));
+                for server in &lost {
+                    assert!(server.stop());
+                }
             };
             futures::future::join(load, end).await;
             let answers = send_copies(cluster, path, Duration::from_secs(1)).await;
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,4 +1,9 @@
-//! Encoding of the UDP datagrams that carry membership and lease messages.
+//! Encoding of the UDP datagrams that carry membership and lease messages, and evidence against
+//! crashing requests.
+//!
+//! Evidence is JSON, all else the packed Cap'n Proto format. No datagram in that format begins with a
+//! brace: it would stand for a message of more than 60,000 segments. Daemons of older versions drop
+//! evidence as a datagram that cannot be decoded.
 //!
 //! The structs of `peer.capnp` are converted to and from the types of the core crate. Some names of
 //! the schema differ from those of the core, because names on the wire never change.
@@ -10,7 +15,9 @@
         NodeId,
         lease::{LeaseRequest, LeaseTerm, UnitId, Vote},
         membership::{Endpoints, MemberRecord, Message, MessageKind, State, Versions},
+        quarantine::Evidence,
     },
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
@@ -23,9 +30,18 @@
     LeaseRequests(NodeId, Vec<LeaseRequest>),
     /// Answers to lease requests, with the id of the voter.
     LeaseVotes(NodeId, Vec<Vote>),
+    /// Evidence against requests, with the id of the daemon that sends it.
+    Evidence(NodeId, Vec<Evidence>),
+}
+
+/// Evidence as it is sent.
+#[derive(Serialize, Deserialize)]
+struct EvidenceMessage {
+    from: NodeId,
+    evidence: Vec<Evidence>,
 }
 
-/// Encodes a datagram in the packed Cap'n Proto format.
+/// Encodes a datagram.
 ///
 /// ```
 /// use {rattanturn_core::NodeId, rattanturn_wire::{Datagram, decode, encode}};
@@ -40,6 +56,7 @@
         Datagram::Gossip(m) => write_gossip(root.init_gossip(), m),
         Datagram::LeaseRequests(from, list) => write_requests(root, *from, list),
         Datagram::LeaseVotes(from, list) => write_votes(root, *from, list),
+        Datagram::Evidence(from, list) => return encode_evidence(*from, list),
     }
     let mut out = Vec::new();
     // Writing to a `Vec` is infallible.
@@ -47,13 +64,27 @@
     out
 }
 
-/// Decodes a datagram in the packed Cap'n Proto format.
+fn encode_evidence(from: NodeId, list: &[Evidence]) -> Vec<u8> {
+    let message = EvidenceMessage {
+        from,
+        evidence: list.to_vec(),
+    };
+    // Writing plain data to a `Vec` is infallible.
+    serde_json::to_vec(&message).unwrap_or_default()
+}
+
+/// Decodes a datagram.
 ///
 /// # Errors
 ///
 /// The bytes are no valid datagram of this schema, or a member in it has an unknown state or an
 /// invalid gossip address.
 pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
+    if bytes.first() == Some(&b'{') {
+        let message: EvidenceMessage = serde_json::from_slice(bytes)
+            .map_err(|error| capnp::Error::failed(format!("invalid evidence: {error}")))?;
+        return Ok(Datagram::Evidence(message.from, message.evidence));
+    }
     let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
     let root = reader.get_root::<datagram::Reader<'_>>()?;
     Ok(match root.which()? {
