Keep quarantined requests in the store

Callers: after a restart of all daemons, a request that ends its targets was sent to targets again, since the evidence was lost with the daemons' memory. Daemons that reach the store but not each other did not learn of it either.

Change: the daemons that always read the store keep there what is quarantined, an object for each request, and whoever reads the store takes it over. An object goes when the request is cleared.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -293,10 +293,12 @@
         requests.filter_map(|r| self.report(now, r)).collect()
     }
 
-    /// The quarantined requests.
-    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
+    /// The evidence against the quarantined requests.
+    #[must_use]
+    pub fn quarantined(&self, now: Time) -> Vec<Evidence> {
         let entries = self.entries.iter().filter(|(_, e)| e.is_quarantined());
-        entries.map(|(request, _)| *request)
+        let requests = entries.map(|(request, _)| *request);
+        requests.filter_map(|r| self.report(now, r)).collect()
     }
 
     /// Drops evidence that is too old.
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -12,9 +12,10 @@
 mod members;
 mod problems;
 mod shutdown;
+mod stored_evidence;
 
 use {
-    self::evidence::EvidenceExchange,
+    self::{evidence::EvidenceExchange, stored_evidence::StoredRequests},
     crate::{
         admin, clock,
         control::{self, Event},
@@ -134,6 +135,7 @@
     gauges: Arc<Gauges>,
     quarantine: Arc<SharedQuarantine>,
     evidence: EvidenceExchange,
+    stored: StoredRequests,
 }
 
 /// What the current view was built from; the view is rebuilt only if this changes.
@@ -219,6 +221,7 @@
         gauges: start.gauges,
         quarantine: start.quarantine,
         evidence: EvidenceExchange::default(),
+        stored: StoredRequests::default(),
     };
     let quarantine = control.quarantine.clone();
     actix_rt::spawn(peers::serve(start.rpc, objects, targets));
@@ -421,6 +424,9 @@
             self.reader_role.session_failed(now, self.reader_context);
             return;
         }
+        let Some(event) = self.apply_stored_evidence(event) else {
+            return;
+        };
         let read = self.cluster.targets_read;
         self.cluster.apply_event(now, event);
         let version = self.view_inputs.version;
--- a/crates/daemon/src/tier/control/evidence.rs
+++ b/crates/daemon/src/tier/control/evidence.rs
@@ -66,6 +66,7 @@
         }
         self.evidence.repeated_at = now;
         self.quarantine.maintain();
+        self.store_evidence();
         let alive: Vec<(NodeId, SocketAddr)> = self
             .membership
             .present()
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -83,11 +83,16 @@
         self.with(|q| q.reports(clock::now()))
     }
 
+    /// The evidence against the quarantined requests.
+    pub(crate) fn quarantined(&self) -> Vec<Evidence> {
+        self.with(|q| q.quarantined(clock::now()))
+    }
+
     /// Drops old evidence and exports the number of quarantined requests.
     pub(crate) fn maintain(&self) {
         let count = self.with(|q| {
             q.expire(clock::now());
-            q.quarantined().count()
+            q.quarantined(clock::now()).len()
         });
         meters::set_quarantined_requests(count);
     }
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -1,4 +1,5 @@
-//! Reads the platform's store: configuration, evacuations, targets and registered daemons.
+//! Reads the platform's store: configuration, evacuations, targets, registered daemons and quarantined
+//! requests.
 //!
 //! A read session lists each kind of object once and then watches it with long polls. Targets write
 //! to the store all the time, so their changes are read in batches at an interval, because each
@@ -23,7 +24,7 @@
 const TARGETS_POLL_PAUSE: Duration = Duration::from_millis(700);
 /// Pause between two polls for what operators write.
 const OPERATOR_POLL_PAUSE: Duration = Duration::from_millis(50);
-/// Length of a long poll for the daemons' entries. Nothing depends on them within seconds.
+/// Length of a long poll for what daemons write. Nothing depends on it within seconds.
 const DAEMONS_POLL_TIME: Duration = Duration::from_secs(10);
 /// Number of consecutive failed calls for one kind that ends a session.
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
@@ -60,6 +61,10 @@
     poll_time: DAEMONS_POLL_TIME,
     poll_pause: TARGETS_POLL_PAUSE,
 };
+const QUARANTINE: Kind = Kind {
+    name: objects::QUARANTINE,
+    ..DAEMONS
+};
 
 /// A kind that operators write, whose changes must be applied everywhere within `limit`.
 fn operator_kind(name: &'static str, limit: Duration) -> Kind {
@@ -84,6 +89,7 @@
                 () = watch_kind(&store, evacuations, None, &events) => {}
                 () = watch_kind(&store, TARGETS, None, &events) => {}
                 () = watch_kind(&store, DAEMONS, None, &events) => {}
+                () = watch_kind(&store, QUARANTINE, None, &events) => {}
             }
         }
         Err(error) => {
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -129,6 +129,21 @@
     });
 }
 
+#[test]
+fn crashing_request_is_not_sent_after_all_daemons_were_killed() {
+    with_cluster(3, async |cluster| {
+        set_crash(cluster, "/one/poison");
+        teach(cluster, "/one/poison").await;
+        cluster.kill_all();
+        cluster.start_daemons(3).unwrap();
+        cluster.wait_ready().await.unwrap();
+        sleep(Duration::from_secs(1)).await;
+        let before = crashes(cluster);
+        assert_held_back(cluster, "/one/poison").await;
+        assert_eq!(crashes(cluster), before, "what was known is lost");
+    });
+}
+
 #[test]
 fn crashing_request_is_refused_at_once_and_has_not_run() {
     with_cluster(2, async |cluster| {
