Do not overflow on numbers in a peer's evidence

A report with the highest round or number of trials made the next answer or end overflow: a panic in a build that checks, and a round that starts over in one that does not. The sums saturate now. The new test failed before ("attempt to add with overflow").

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -216,7 +216,7 @@
         // The lower half is as good a digest as the whole.
         #[allow(clippy::cast_possible_truncation)]
         entry.add_ended([rendezvous::key(target) as u32]);
-        entry.trials += u32::from(trial);
+        entry.trials = entry.trials.saturating_add(u32::from(trial));
         entry.changed_at = now;
         self.news.insert(request);
         change(before, entry.level())
@@ -234,7 +234,7 @@
             self.news.remove(&request);
             return change(before, 0);
         }
-        entry.round += 1;
+        entry.round = entry.round.saturating_add(1);
         entry.ended.clear();
         entry.trials = 0;
         entry.changed_at = now;
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -217,6 +217,27 @@
     assert!(quarantine.is_empty());
 }
 
+#[test]
+fn a_report_with_extreme_numbers_does_no_harm() {
+    let (poison, now) = (request("/poison"), Time::from_millis(1_000));
+    let mut quarantine = Quarantine::default();
+    for age_ms in [0, u64::MAX] {
+        let report = Evidence {
+            request: poison,
+            round: u32::MAX,
+            ended: (0..1_000).collect(),
+            trials: u32::MAX,
+            age_ms,
+        };
+        quarantine.merge(now, &report);
+    }
+    assert!(refuses(&quarantine, now, poison));
+    quarantine.record_end(now, poison, "i-1", true);
+    assert!(quarantine.reports(now)[0].ended.len() < 10);
+    quarantine.record_answer(now, poison);
+    assert_eq!(quarantine.verdict(now, poison), Verdict::Clear);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     End {
