Do not say that a request has not run after its trial ran

Callers: a query whose trial at one shard succeeded and whose other calls were all refused got 503, which promises that it has not run. Cause: the trial's call was not counted to the query. It gets 502 now.

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -333,7 +333,13 @@
         };
         let (answer, summary) = self.single(service, true).await;
         if (200..300).contains(&answer.status) {
-            return self.gather(gather).await;
+            let (answer, summary) = self.gather(gather).await;
+            // The trial ran, so the answer must not say otherwise.
+            let out = match answer.status {
+                503 => Reply::text(502, "only one shard could take the request\n"),
+                _ => answer,
+            };
+            return (out, summary);
         }
         // What the shard answered is not an answer to the whole request.
         let out = match answer.status {
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -6,7 +6,7 @@
     rattanturn_demo::tier_cluster::{Answer, TierCluster, request},
     rattanturn_standins::{
         operator::{deregister_target, register_target},
-        shard::{Crash, State},
+        shard::{Crash, Fault, State},
     },
     std::{
         net::SocketAddr,
@@ -172,6 +172,36 @@
     });
 }
 
+#[test]
+fn request_that_ran_on_trial_only_is_not_said_to_have_not_run() {
+    with_cluster(1, async |cluster| {
+        set_crash(cluster, "/all/poison");
+        let first = fetch(cluster, "/all/poison", "first").await;
+        assert_eq!(first.status, 502, "{:?}", String::from_utf8(first.body));
+        sleep(DOWN_TIME + Duration::from_secs(2)).await;
+        for server in &cluster.servers {
+            server.set_crash(None);
+            server.set_slow(20.0);
+        }
+        let answer = request(front_addr(cluster, 0), "/all/poison", "second", "");
+        let refuse = async {
+            sleep(Duration::from_millis(100)).await;
+            for server in &cluster.servers {
+                server.set_fault(Fault::Refused);
+            }
+        };
+        let (answer, ()) = futures::future::join(answer, refuse).await;
+        assert_eq!(super::run_count(&cluster.servers, "second"), 1);
+        let answer = answer.unwrap();
+        assert_eq!(
+            answer.status,
+            502,
+            "{}",
+            String::from_utf8_lossy(&answer.body)
+        );
+    });
+}
+
 /// Loads a path at all daemons while the servers of one data centre end, three times, and asserts that
 /// it is served soon after each loss. Calls that were open at a lost server may fail.
 fn assert_served_without_a_centre(path: &str) {
