Take an answer of the own interface only if it names its call

Callers: when a target sends a second copy of an answer and the connection is in use again, the next call took the copy for its answer.

Cause: an answer did not say which call it is to, and nobody asked. Targets return the call's x-call-id now; an answer without it, or with another one, is a lost call, and the kept connections are closed with it. The tier checks the request id already.

--- a/crates/daemon/src/traffic/target_client.rs
+++ b/crates/daemon/src/traffic/target_client.rs
@@ -3,12 +3,16 @@
 //! Each call is sent at most once; retries are decided by the callers of this module. What matters
 //! to them is whether a call may have run, so a failure to connect is told apart from every later
 //! failure.
+//!
+//! An answer counts only if it names its call: a target may send a second copy of an earlier answer,
+//! which arrives when the connection is in use again. The call is then lost, and so are the kept
+//! connections, because each further answer on that one would be of an earlier call.
 
 use {
     crate::clock,
-    awc::{Client, Connector, error::SendRequestError, http::StatusCode},
+    awc::{Client, ClientResponse, Connector, error::SendRequestError, http::StatusCode},
     rattanturn_core::Time,
-    std::{net::SocketAddr, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, time::Duration},
 };
 
 /// Upper bound of the body of a target's answer.
@@ -83,30 +87,21 @@
     addr: SocketAddr,
     centre: String,
     call_url: String,
-    client: Client,
+    connections: u32,
+    client: RefCell<Client>,
 }
 
 impl TargetClient {
     /// Connects on demand, with at most `connections` connections open at once. `centre` is this
     /// daemon's data centre, which calls name to the target.
     pub(crate) fn new(addr: SocketAddr, connections: u32, centre: &str) -> Self {
-        let connector = Connector::new()
-            .limit(connections as usize)
-            .timeout(CONNECT_TIMEOUT)
-            .conn_keep_alive(IDLE_TIMEOUT)
-            .conn_lifetime(Duration::from_hours(1));
-        let client = Client::builder()
-            .connector(connector)
-            .no_default_headers()
-            .disable_redirects()
-            .disable_timeout()
-            .finish();
         let call_url = format!("http://{addr}/call");
         Self {
             addr,
             centre: centre.into(),
             call_url,
-            client,
+            connections,
+            client: RefCell::new(new_client(connections)),
         }
     }
 
@@ -118,8 +113,8 @@
     pub(crate) async fn call(&self, head: &CallHead, body: Vec<u8>) -> Answer {
         let now = clock::now();
         let remaining = head.deadline.since(now);
-        let mut request = self
-            .client
+        let client = self.client.borrow().clone();
+        let mut request = client
             .post(&self.call_url)
             .timeout(remaining + RESPONSE_GRACE)
             .insert_header(("x-call-id", head.id.to_string()))
@@ -135,6 +130,11 @@
                 .insert_header(("x-request-id", id.as_str()));
         }
         match request.send_body(body).await {
+            Ok(response) if !names_call(&response, head.id) => {
+                tracing::warn!(to = %self.addr, "an answer names another call; closed the connections");
+                self.client.replace(new_client(self.connections));
+                Answer::without_body(AnswerKind::Lost)
+            }
             Ok(mut response) => read_answer(&mut response).await,
             Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
                 Answer::without_body(AnswerKind::NotSent)
@@ -148,11 +148,34 @@
         let url = format!("http://{}/cancel/{id}", self.addr);
         // If the cancellation is lost, the target runs the call to its end, which costs its work
         // and nothing else.
-        let _ = self.client.post(url).timeout(RESPONSE_GRACE).send().await;
+        let client = self.client.borrow().clone();
+        let _ = client.post(url).timeout(RESPONSE_GRACE).send().await;
     }
 }
 
-async fn read_answer(response: &mut awc::ClientResponse) -> Answer {
+/// Creates a client with connections of its own.
+fn new_client(connections: u32) -> Client {
+    let connector = Connector::new()
+        .limit(connections as usize)
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(IDLE_TIMEOUT)
+        .conn_lifetime(Duration::from_hours(1));
+    Client::builder()
+        .connector(connector)
+        .no_default_headers()
+        .disable_redirects()
+        .disable_timeout()
+        .finish()
+}
+
+/// Whether an answer is to the call with this id.
+fn names_call(response: &ClientResponse, id: u64) -> bool {
+    let named = response.headers().get("x-call-id");
+    let named = named.and_then(|v| v.to_str().ok());
+    named.and_then(|v| v.parse().ok()) == Some(id)
+}
+
+async fn read_answer(response: &mut ClientResponse) -> Answer {
     let status = response.status();
     let text = |name: &str| {
         response
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -5,15 +5,15 @@
 //! centre of the caller) and, for requests that are not idempotent, `x-idempotent: no` with
 //! `x-request-id`. `POST /cancel/ID` stops a call, and `GET /health` always reports a warm target.
 //!
-//! Answers carry `x-outcome` (`ran`, `not-run` or `cancelled`), `x-snapshot` (the version used),
-//! `x-versions` (the versions served, oldest first) and `x-state` (`warm`, `cold` or `leaving`).
-//! The status is 503 for a refused call, 410 if the version is not served and 499 for a cancelled
-//! call.
+//! Answers carry the call's `x-call-id`, `x-outcome` (`ran`, `not-run` or `cancelled`), `x-snapshot`
+//! (the version used), `x-versions` (the versions served, oldest first) and `x-state` (`warm`, `cold`
+//! or `leaving`). The status is 503 for a refused call, 410 if the version is not served and 499 for a
+//! cancelled call.
 //!
 //! A call takes a random time, drawn from a seeded generator, and uses no CPU time meanwhile.
 
 use {
-    actix_http::{Request, Response, body::BoxBody},
+    actix_http::{Request, Response, body::BoxBody, header::HeaderName},
     actix_rt::time::sleep,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -28,6 +28,7 @@
     tokio::sync::oneshot,
 };
 
+const CALL_ID: HeaderName = HeaderName::from_static("x-call-id");
 /// Longest body of a call.
 const MAX_BODY_BYTES: usize = 1 << 20;
 /// Factor by which calls take longer at a cold target.
@@ -228,7 +229,14 @@
         // Health endpoints of real targets can be outdated or wrong, so this one always reports a
         // warm target: daemons must not depend on it.
         "/health" => answer(&state, 200, "not-run", 0, "warm"),
-        "/call" => call(state, &mut request).await,
+        "/call" => {
+            let id = request.head().headers.get(CALL_ID).cloned();
+            let mut answer = call(state, &mut request).await;
+            if let Some(id) = id {
+                answer.headers_mut().insert(CALL_ID, id);
+            }
+            answer
+        }
         _ => response(404, &[], "no such path"),
     }
 }
