--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -2,11 +2,11 @@
 //! connections and to the store before.
 
 use {
-    super::{CONFIG_APPLY_TIME, front_addr, with_cluster},
+    super::{CONFIG_APPLY_TIME, DRAIN_TIME, front_addr, shard_servers, with_cluster},
     actix_rt::time::sleep,
     rattanturn_daemon::Tier,
     rattanturn_demo::tier_cluster::{TierCluster, request},
-    rattanturn_standins::{platform::Platform, proxy::Proxy},
+    rattanturn_standins::{operator::register_target, platform::Platform, proxy::Proxy},
     serde_json::json,
     std::time::Duration,
 };
@@ -124,3 +124,26 @@
         assert_in_force(cluster, 0).await;
     });
 }
+
+#[test]
+fn leaving_servers_get_no_requests_after_connections_between_daemons_fell_silent() {
+    with_cluster(0, async |cluster| {
+        cluster.start_proxied(6, 1.0).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        for number in 0..EARLIER_CONFIGS {
+            write_route(cluster, number);
+            sleep(Duration::from_millis(300)).await;
+        }
+        cluster.proxies.iter().for_each(Proxy::silence_open);
+        sleep(STABLE_TIME).await;
+        write_route(cluster, EARLIER_CONFIGS);
+        let leaving = shard_servers(cluster, 0)[0].clone();
+        register_target(&cluster.store, &leaving, "draining", 2);
+        sleep(DRAIN_TIME).await;
+        let before = leaving.arrivals();
+        for round in 0..4 {
+            assert_in_force(cluster, EARLIER_CONFIGS).await;
+            assert_eq!(leaving.arrivals(), before, "round {round}");
+        }
+    });
+}
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -160,9 +160,19 @@
 
 #[test]
 fn duplicate_answer_is_not_taken_for_the_next_request() {
+    assert_own_answers(Fault::Duplicated);
+}
+
+#[test]
+fn late_copy_of_an_answer_is_not_taken_for_the_next_request() {
+    assert_own_answers(Fault::DuplicatedLate);
+}
+
+/// Asserts that each request gets its own answer while all servers have a fault.
+fn assert_own_answers(fault: Fault) {
     with_cluster(1, async |cluster| {
         for s in &cluster.servers {
-            s.set_fault(Fault::Duplicated);
+            s.set_fault(fault);
         }
         for i in 0..40 {
             let id = format!("d{i}");
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -59,6 +59,8 @@
     Unframed,
     /// The answer is sent twice on the same connection.
     Duplicated,
+    /// Each answer is sent again when the next request has come on the same connection.
+    DuplicatedLate,
     /// The request is answered with status 503 and `x-not-executed`, and does not run.
     Refused,
     /// The request runs and is answered with status 500.
@@ -370,6 +372,8 @@
 async fn serve(state: &Arc<State>, mut stream: TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut codec, mut buffer) = (Codec::default(), BytesMut::new());
+    // The last answer on this connection, if it is to be sent again.
+    let mut late_copy = Vec::new();
     loop {
         let Some(request) = read_request(&mut stream, &mut codec, &mut buffer).await? else {
             return Ok(());
@@ -390,6 +394,7 @@
                 .await?;
             continue;
         }
+        stream.write_all(&std::mem::take(&mut late_copy)).await?;
         let (fault, run_time) = state.with(|i| record_arrival(i, &state.config, deadline));
         if fault == Fault::Refused {
             stream
@@ -413,7 +418,7 @@
             state.crash(crash);
             return std::future::pending().await;
         }
-        if !answer(state, &mut stream, &id, fault).await? {
+        if !answer(state, &mut stream, &id, fault, &mut late_copy).await? {
             return Ok(());
         }
     }
@@ -442,7 +447,15 @@
 }
 
 /// Sends an answer to a request that ran; returns whether the connection stays usable.
-async fn answer(state: &State, stream: &mut TcpStream, id: &str, fault: Fault) -> io::Result<bool> {
+///
+/// `late_copy` gets what is to be sent again.
+async fn answer(
+    state: &State,
+    stream: &mut TcpStream,
+    id: &str,
+    fault: Fault,
+    late_copy: &mut Vec<u8>,
+) -> io::Result<bool> {
     let answer_number = state.with(|i| {
         i.answer_count += 1;
         i.answer_count
@@ -477,6 +490,10 @@
             return Ok(false);
         }
         Fault::Duplicated => stream.write_all(&[whole.clone(), whole].concat()).await?,
+        Fault::DuplicatedLate => {
+            stream.write_all(&whole).await?;
+            *late_copy = whole;
+        }
         Fault::None | Fault::Refused | Fault::Failed => stream.write_all(&whole).await?,
     }
     Ok(true)
