Hedge a query only after a service has answered, and retry no ended target before

Callers: one copy of a query that ends its targets ended both targets of each shard, because its calls were hedged before the first target had ended; all other queries were refused until targets were back.

Cause: a fan-out was hedged although no service had answered, when none is slower than the others and a second call cannot help. Change: core::gather hedges a fan-out only once a service has answered, and then at once. A service whose target ended is held back from the first end on in a fan-out (from the second on with one service); services that refused are called again as before.

--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -24,7 +24,7 @@
 
 pub use plan::{
     Action, AttemptId, BudgetPair, Budgets, Counts, Cutoff, MissingReason, Part, Plan, Reply,
-    count_by_reason,
+    count_by_reason, max_ended,
 };
 
 /// Number of times that one query restarts on a newer snapshot.
@@ -33,8 +33,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
 /// Default for [`Plan::max_attempts`], for routes that set no limit of their own.
 pub const MAX_ATTEMPTS: usize = 6;
-/// Default for [`Plan::max_ended`].
-pub const MAX_ENDED: usize = 2;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AttemptState {
@@ -91,7 +89,7 @@
 ///     hedging: true,
 ///     idempotent: true,
 ///     max_attempts: MAX_ATTEMPTS,
-///     max_ended: MAX_ENDED,
+///     max_ended: max_ended(1),
 ///     cutoff: None,
 ///     budgets: vec![],
 /// };
@@ -150,8 +148,9 @@
         let Some(service) = self.close_attempt(attempt) else {
             return out;
         };
-        let failed = matches!(reply, Reply::Failed | Reply::Ended);
-        self.ended += usize::from(reply == Reply::Ended);
+        let ended = reply == Reply::Ended;
+        let failed = ended || reply == Reply::Failed;
+        self.ended += usize::from(ended);
         match reply {
             Reply::Done { snapshot, body } => self.accept_part(service, snapshot, body, &mut out),
             Reply::WrongSnapshot => self.states[service].reason = Some(MissingReason::Snapshot),
@@ -160,10 +159,12 @@
                 self.states[service].reason = Some(MissingReason::Failed);
             }
         }
-        if self.states[service].body.is_none() {
-            self.retry_missing(now, service, newest, failed, budgets, &mut out);
-        } else {
+        if self.states[service].body.is_some() {
             self.release_held(now, newest, budgets, &mut out);
+        } else if ended && self.is_suspicious() {
+            self.states[service].held = self.plan.idempotent;
+        } else {
+            self.retry_missing(now, service, newest, failed, budgets, &mut out);
         }
         if self.cutoff_reached(now) && !self.done {
             self.finish(&mut out);
@@ -185,14 +186,10 @@
         for service in 0..self.states.len() {
             if self.states[service].retry_at.is_some_and(|t| now >= t) {
                 self.states[service].retry_at = None;
-                if self.is_suspicious() {
-                    self.states[service].held = true;
-                } else {
-                    self.retry(now, service, budgets, &mut out);
-                }
+                self.retry(now, service, budgets, &mut out);
             }
         }
-        if self.plan.hedging && !self.is_suspicious() {
+        if self.hedges_now() {
             self.hedge_slow_calls(now, budgets, &mut out);
         }
         self.finish_if_idle(&mut out);
@@ -215,7 +212,7 @@
         for state in &self.states {
             next = next.min(state.retry_at.unwrap_or(Time::NEVER));
         }
-        if self.plan.hedging && !self.is_suspicious() {
+        if self.hedges_now() {
             for attempt in self
                 .attempts
                 .iter()
@@ -319,10 +316,6 @@
         if state.open > 0 || state.retry_at.is_some() || (failed && !self.plan.idempotent) {
             return;
         }
-        if self.is_suspicious() {
-            self.states[service].held = true;
-            return;
-        }
         let wrong_snapshot = state.reason == Some(MissingReason::Snapshot);
         if wrong_snapshot && newest > self.plan.snapshot && self.counts.restarts < MAX_RESTARTS {
             self.restart(now, newest, budgets, out);
@@ -337,7 +330,16 @@
         }
     }
 
-    /// Whether the query itself may have ended the targets: several ended, and none has answered it.
+    /// Whether slow calls are hedged at the moment.
+    ///
+    /// While no service of a fan-out has answered, none is slower than the others. A second call to
+    /// each would not help if all are slow, and would do harm if the query ends its targets.
+    fn hedges_now(&self) -> bool {
+        let comparable = self.states.len() == 1 || self.covered() > 0;
+        self.plan.hedging && comparable && !self.is_suspicious()
+    }
+
+    /// Whether the query itself may have ended targets: some ended, and none has answered it.
     fn is_suspicious(&self) -> bool {
         self.ended >= self.plan.max_ended && self.covered() == 0
     }
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -99,8 +99,9 @@
     pub idempotent: bool,
     /// Limit on the calls for one service on one snapshot: the first, its retries and its hedge.
     pub max_attempts: usize,
-    /// From this number of targets on that ended while they had calls of the query, nothing more is
-    /// sent until a service has answered: the query itself may have ended them.
+    /// From this number of targets on that ended while they had calls of the query, services whose
+    /// target ended are not called again until another one has answered: the query itself may have
+    /// ended them. See [`max_ended`].
     pub max_ended: usize,
     /// When to finish early with enough parts; `None` waits for all of them or the deadline.
     pub cutoff: Option<Cutoff>,
@@ -108,6 +109,15 @@
     pub budgets: Vec<usize>,
 }
 
+/// The usual value of [`Plan::max_ended`] for a query over this number of services.
+///
+/// Other services of a fan-out soon tell whether targets can answer it. With a single one, only a
+/// second call can tell.
+#[must_use]
+pub fn max_ended(services: usize) -> usize {
+    if services > 1 { 1 } else { 2 }
+}
+
 /// When an incomplete answer now is better than a complete one later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Cutoff {
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -28,8 +28,8 @@
 
 use {
     super::{
-        Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MAX_ENDED, MissingReason, Part,
-        Plan, Reply,
+        Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MissingReason, Part, Plan, Reply,
+        max_ended,
     },
     crate::Time,
     std::{collections::HashMap, fmt::Write, time::Duration},
@@ -271,6 +271,7 @@
     // A single value holds for all services.
     let hedge_delays =
         (0..services.len()).map(|i| delays.get(i).or(delays.first()).copied().unwrap_or(0));
+    let count = services.len();
     let plan = Plan {
         hedge_delays: hedge_delays.map(Duration::from_micros).collect(),
         services,
@@ -279,7 +280,7 @@
         hedging: line.flag("hedging"),
         idempotent: true,
         max_attempts: MAX_ATTEMPTS,
-        max_ended: MAX_ENDED,
+        max_ended: max_ended(count),
         cutoff: None,
         budgets: Vec::new(),
     };
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -21,7 +21,7 @@
         Time,
         catalog::Route,
         gather::{
-            Action, AttemptId, Counts, Cutoff, Gather, MAX_ENDED, MissingReason, Part, Plan, Reply,
+            Action, AttemptId, Counts, Cutoff, Gather, MissingReason, Part, Plan, Reply, max_ended,
         },
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -160,7 +160,11 @@
         hedging: route.idempotent && request.max_attempts > 1 && !request.trial,
         idempotent: route.idempotent,
         max_attempts: request.max_attempts as usize,
-        max_ended: if request.trial { 1 } else { MAX_ENDED },
+        max_ended: if request.trial {
+            1
+        } else {
+            max_ended(request.services.len())
+        },
         cutoff: request.cutoff,
         budgets: request
             .services
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -16,8 +16,8 @@
     rattanturn_core::{
         Priority, Time,
         gather::{
-            Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MAX_ENDED, MissingReason,
-            Part, Plan, Reply, trace::Recorder,
+            Action, AttemptId, Budgets, Counts, Gather, MAX_ATTEMPTS, MissingReason, Part, Plan,
+            Reply, max_ended, trace::Recorder,
         },
         hedge::LatencyQuantile,
         snapshot::ServedVersions,
@@ -182,11 +182,12 @@
             .or_default()
             .delay();
         let hedge_delays = vec![delay; services.len()];
-        let ordered = services
+        let ordered: Vec<Vec<usize>> = services
             .into_iter()
             .map(|s| self.ordered(&shared.versions, s, snapshot, query.tie_break))
             .collect();
         Plan {
+            max_ended: max_ended(ordered.len()),
             services: ordered,
             hedge_delays,
             deadline: query.deadline - MERGE_TIME,
@@ -194,7 +195,6 @@
             hedging: query.route.hedging,
             idempotent: true,
             max_attempts: MAX_ATTEMPTS,
-            max_ended: MAX_ENDED,
             cutoff: None,
             budgets: Vec::new(),
         }
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -110,6 +110,25 @@
     });
 }
 
+#[test]
+fn other_queries_are_served_after_a_query_ended_servers() {
+    with_cluster(3, async |cluster| {
+        send_copies(cluster, "/all/warm", Duration::from_secs(1)).await;
+        set_crash(cluster, "/all/poison");
+        for server in &cluster.servers {
+            // Calls take longer than the time after which they are hedged.
+            server.set_slow(12.0);
+        }
+        fetch(cluster, "/all/poison", "first").await;
+        let ended = crashes(cluster);
+        let shards = cluster.services.len() as u64;
+        assert!(ended <= shards, "{ended} servers of {shards} shards ended");
+        let others = send_copies(cluster, "/all/other", DOWN_TIME).await;
+        let refused = others.iter().flatten().filter(|a| a.status == 503);
+        assert_eq!(refused.count(), 0, "of {}", others.len());
+    });
+}
+
 #[test]
 fn daemon_that_starts_later_does_not_send_a_crashing_request() {
     with_cluster(3, async |cluster| {
