Guard daemons against malformed datagrams, and a popular request while one daemon is cut off

Two tests that pass on this code: 2,000 malformed datagrams (evidence in pieces, random bytes, membership messages with changed bytes) leave the control thread alive; and a popular request and query are served everywhere while the connections of one daemon to all servers are reset and refused, which looks to it as if they had ended.

--- a/crates/demo/tests/garbage.rs
+++ b/crates/demo/tests/garbage.rs
@@ -1,11 +1,16 @@
-//! Malformed HTTP from servers and callers: no malformed answer reaches a caller, and no daemon
-//! stops.
+//! Malformed HTTP from servers and callers and malformed datagrams: no malformed answer reaches a
+//! caller, and no daemon stops.
 
 use {
     actix_rt::System,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    rattanturn_core::{
+        NodeId,
+        membership::{Message, MessageKind, Versions},
+    },
     rattanturn_demo::tier_cluster::{Options, PLAIN, TierCluster, request},
+    rattanturn_wire::{Datagram, encode},
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -144,3 +149,71 @@
         );
     });
 }
+
+/// Fragments of the datagrams that daemons send each other as JSON.
+const DATAGRAM_FRAGMENTS: [&str; 12] = [
+    "{\"from\":7,\"evidence\":[",
+    "{\"request\":\"00112233445566778899aabbccddeeff\",",
+    "{\"request\":\"00112233445566778899aabbccddeef\u{e9}\",",
+    "\"round\":4294967295,",
+    "\"round\":-1,",
+    "\"ended\":[1,2,3,4,5,6,7,8,9],",
+    "\"ended\":[99999999999999999999],",
+    "\"trials\":4294967295,",
+    "\"age_ms\":18446744073709551615}",
+    "\"age_ms\":0}",
+    "]}",
+    "[[[[[[[[[[",
+];
+
+/// A random datagram: fragments, random bytes, or a valid membership message with some bytes changed.
+fn malformed_datagram(rng: &mut ChaCha8Rng) -> Vec<u8> {
+    let mut out = Vec::new();
+    match rng.random_range(0..3) {
+        0 => {
+            for _ in 0..rng.random_range(1..8) {
+                out.extend(
+                    DATAGRAM_FRAGMENTS[rng.random_range(0..DATAGRAM_FRAGMENTS.len())].bytes(),
+                );
+            }
+        }
+        1 => out.extend((0..rng.random_range(0..300)).map(|_| rng.random::<u8>())),
+        _ => {
+            out = encode(&Datagram::Gossip(Message {
+                from: NodeId(rng.random()),
+                kind: MessageKind::Probe(1),
+                digest: rng.random(),
+                versions: Versions::default(),
+                records: Vec::new(),
+            }));
+            for _ in 0..rng.random_range(1..6) {
+                let at = rng.random_range(0..out.len());
+                out[at] = rng.random();
+            }
+        }
+    }
+    out
+}
+
+#[test]
+fn malformed_datagrams_do_not_stop_the_daemon() {
+    with_cluster(async |cluster| {
+        let at = cluster.daemons[0].addresses().gossip;
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+        for n in 0..2_000 {
+            socket
+                .send_to(&malformed_datagram(&mut rng), at)
+                .await
+                .unwrap();
+            if n % 50 == 0 {
+                actix_rt::time::sleep(Duration::from_millis(2)).await;
+            }
+        }
+        let state = timeout(CLOSE_TIMEOUT, cluster.daemons[0].state()).await;
+        assert!(state.unwrap().is_some(), "the control thread has ended");
+        let front = cluster.daemons[0].addresses().front;
+        let answer = request(front, "/all/x", "after", "").await.unwrap();
+        assert_eq!(answer.status, 200);
+    });
+}
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -6,6 +6,7 @@
     rattanturn_demo::tier_cluster::{Answer, TierCluster, request},
     rattanturn_standins::{
         operator::{deregister_target, register_target},
+        proxy::LinkMode,
         shard::{Crash, Fault, State},
     },
     std::{
@@ -266,6 +267,38 @@
     assert_served_without_a_centre("/all/popular");
 }
 
+#[test]
+fn popular_request_is_served_while_one_daemon_loses_all_servers() {
+    with_cluster(2, async |cluster| {
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        for path in ["/one/popular", "/all/popular"] {
+            for _ in 0..3 {
+                send_copies(cluster, path, COPY_INTERVAL * 10).await;
+                let load = send_copies(cluster, path, COPY_INTERVAL * 10);
+                let cut = async {
+                    sleep(COPY_INTERVAL * 5).await;
+                    for proxy in &cluster.gateway {
+                        proxy.set_accepting(false);
+                        proxy.set_mode(LinkMode::Reset);
+                    }
+                };
+                futures::future::join(load, cut).await;
+                let answers = send_copies(cluster, path, Duration::from_secs(2)).await;
+                let failed = answers
+                    .iter()
+                    .filter(|a| a.as_ref().is_none_or(|a| a.status != 200));
+                assert_eq!(failed.count(), 0, "{path}");
+                for proxy in &cluster.gateway {
+                    proxy.set_mode(LinkMode::Normal);
+                    proxy.set_accepting(true);
+                }
+                sleep(Duration::from_secs(1)).await;
+            }
+        }
+    });
+}
+
 #[test]
 fn mended_request_is_served_again() {
     with_cluster(2, async |cluster| {
