Tell others of a first ended target only if its request does not succeed soon

When a data centre dies, each open call at its targets was told to all daemons and its success right after: at 302 daemons thousands of datagrams for nothing. Evidence of a single ended target waits for 0.1 s now, and is dropped if a target answers meanwhile; suspicion and clearing still go out at once.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -40,6 +40,10 @@
 /// Time for which one daemon may make a trial that is due; then it is the turn of the next one, which
 /// may be the one that callers send the request to.
 const TRIAL_TURN: Duration = Duration::from_secs(5);
+/// A first target that ended under a request is told to others after this time, unless a target has
+/// answered the request meanwhile. When a data centre dies, most of its open requests succeed elsewhere
+/// so soon.
+const NEWS_DELAY: Duration = Duration::from_millis(100);
 /// Evidence against a suspected request is dropped if no target ended under it for this time, which
 /// is longer than any pause.
 const MEMORY_TIME: Duration = Duration::from_mins(20);
@@ -145,6 +149,12 @@
         now.since(self.changed_at) > time
     }
 
+    /// Whether a change is to be told now.
+    fn is_due(&self, now: Time) -> bool {
+        let urgent = self.is_suspected() || self.ended.is_empty();
+        urgent || now.since(self.changed_at) >= NEWS_DELAY
+    }
+
     /// How long a quarantined request is refused after its last failed trial.
     fn pause(&self) -> Duration {
         let doublings = self.trials.saturating_sub(1).min(16);
@@ -272,15 +282,22 @@
         (new, change(before, entry.level()))
     }
 
-    /// The evidence that changed here since the last call, to be told to other daemons.
+    /// The evidence that changed here since the last call, to be told to other daemons. Some of it is
+    /// due only a little later, so this is to be called regularly.
     pub fn take_news(&mut self, now: Time) -> Vec<Evidence> {
-        let news = std::mem::take(&mut self.news);
-        for request in &news {
-            if let Some(entry) = self.entries.get_mut(request) {
+        let mut out = Vec::new();
+        for request in std::mem::take(&mut self.news) {
+            let Some(entry) = self.entries.get_mut(&request) else {
+                continue;
+            };
+            if entry.is_due(now) {
                 entry.shared = true;
+                out.extend(self.report(now, request));
+            } else {
+                self.news.insert(request);
             }
         }
-        news.iter().filter_map(|r| self.report(now, *r)).collect()
+        out
     }
 
     /// All evidence that other daemons were told of, for one that may know less; what is most
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -501,6 +501,7 @@
         self.gauges.read_micros.store(read, Ordering::Relaxed);
         self.fetch_newer();
         self.share_state();
+        self.send_evidence_news(socket).await;
         self.repeat_evidence(socket, now).await;
         if now.since(self.gauges_set) >= GAUGES_INTERVAL {
             self.gauges_set = now;
