--- a/crates/demo/tests/garbage.rs
+++ b/crates/demo/tests/garbage.rs
@@ -217,3 +217,28 @@
         assert_eq!(answer.status, 200);
     });
 }
+
+#[test]
+fn malformed_bytes_on_any_port_do_not_stop_the_daemon() {
+    with_cluster(async |cluster| {
+        let at = cluster.daemons[0].addresses();
+        let ports = [at.rpc, at.ready, at.directory, at.admin];
+        let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+        for n in 0..200 {
+            let mut stream = TcpStream::connect(ports[n % ports.len()]).await.unwrap();
+            let bytes = if rng.random() {
+                malformed_http(&mut rng)
+            } else {
+                malformed_datagram(&mut rng)
+            };
+            // The daemon may close the connection before it has read everything.
+            let _ = stream.write_all(&bytes).await;
+        }
+        let state = timeout(CLOSE_TIMEOUT, cluster.daemons[0].state()).await;
+        assert!(state.unwrap().is_some(), "the control thread has ended");
+        let resolved = cluster.resolve(at, "a").await.unwrap();
+        assert_eq!(resolved, [at.front]);
+        let answer = request(at.front, "/all/x", "after", "").await.unwrap();
+        assert_eq!(answer.status, 200);
+    });
+}
--- a/crates/demo/tests/tier/cluster.rs
+++ b/crates/demo/tests/tier/cluster.rs
@@ -8,7 +8,7 @@
     actix_rt::time::sleep,
     rattanturn_demo::tier_cluster::request,
     rattanturn_standins::{
-        operator::{register_target, set_evacuated},
+        operator::{deregister_target, register_target, set_evacuated},
         platform::Mode,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -271,3 +271,26 @@
         thread.join().unwrap();
     }
 }
+
+#[test]
+fn server_that_left_is_not_used_by_a_daemon_that_starts_later() {
+    with_cluster(3, async |cluster| {
+        let servers = plain_servers(cluster);
+        register_target(&cluster.store, &servers[0], "draining", 2);
+        sleep(DRAIN_TIME).await;
+        deregister_target(&cluster.store, &servers[0]);
+        sleep(DRAIN_TIME).await;
+        let before = servers[0].arrivals();
+        for round in 0..3 {
+            cluster.daemons.remove(0).kill();
+            cluster.start_daemons(1).unwrap();
+            cluster.wait_ready().await.unwrap();
+            for n in 0..20 {
+                let at = front_addr(cluster, cluster.daemons.len() - 1);
+                let answer = request(at, "/one/x", &format!("r{round}-{n}"), "").await;
+                assert_eq!(answer.unwrap().status, 200);
+            }
+        }
+        assert_eq!(servers[0].arrivals(), before);
+    });
+}
