Quarantine a request whose targets start again under their ids

Callers: where targets start again under the ids that they had, the evidence never reached three ended targets, so a request that ends them got one trial after the other, for ever. Cause: ended targets were counted by id. They are counted by run now (id and incarnation), and a second failed trial suffices, as the incarnation may not be known yet.

--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -363,6 +363,7 @@
         self.cancel(|_| true, out);
         self.plan.snapshot = snapshot;
         self.counts.restarts += 1;
+        self.ended = 0;
         for state in &mut self.states {
             *state = ServiceState::default();
         }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -80,7 +80,7 @@
     pub request: Fingerprint,
     /// Number of times that an answer has cleared it.
     pub round: u32,
-    /// Digests of the ids of targets that ended under it in this round, the lowest few.
+    /// Digests of the runs of targets that ended under it in this round, the lowest few.
     pub ended: BTreeSet<u32>,
     /// Failed trials in this round, as far as the sender knows.
     pub trials: u32,
@@ -120,8 +120,10 @@
         }
     }
 
+    /// A second failed trial suffices: targets that start again under their ids count only once.
     fn is_quarantined(&self) -> bool {
-        self.ended.len() >= QUARANTINED_FROM && self.trials > 0
+        let enough = self.ended.len() >= QUARANTINED_FROM || self.trials > 1;
+        self.is_suspected() && self.trials > 0 && enough
     }
 
     fn is_suspected(&self) -> bool {
@@ -211,8 +213,8 @@
         }
     }
 
-    /// Records that a target ended while it had a call for the request; `trial` tells whether the call
-    /// was a trial.
+    /// Records that a target ended while it had a call for the request. `target` identifies the run of
+    /// its process, and `trial` tells whether the call was a trial.
     pub fn record_end(
         &mut self,
         now: Time,
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -162,6 +162,20 @@
     assert!(quarantine.is_empty());
 }
 
+#[test]
+fn targets_that_start_again_under_their_ids_end_few_times() {
+    let (poison, now) = (request("/poison"), Time::from_millis(1_000));
+    let mut quarantine = Quarantine::default();
+    let mut ended = 0;
+    while !refuses(&quarantine, now, poison) {
+        let trial = quarantine.verdict(now, poison) == Verdict::Trial;
+        quarantine.record_end(now, poison, ["i-1", "i-2"][ended % 2], trial);
+        ended += 1;
+        assert!(ended < 10, "not refused");
+    }
+    assert_eq!(ended, 4);
+}
+
 #[test]
 fn a_trial_is_made_by_one_daemon_at_a_time_and_every_daemon_gets_its_turn() {
     let poison = request("/poison");
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -424,9 +424,11 @@
         return;
     };
     let target = upstream.target.borrow();
+    // A target may start again under its id.
+    let run = format!("{}/{}", target.id, target.incarnation);
     traffic
         .quarantine
-        .record_end(call.fingerprint(), &target.id, trial);
+        .record_end(call.fingerprint(), &run, trial);
     tracing::info!(
         request = call.id.as_deref().unwrap_or(""),
         fingerprint = %call.fingerprint(),
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -43,9 +43,10 @@
         self.with(|q| q.verdict(clock::now(), request))
     }
 
-    /// Records that a target ended while it had a call for a request.
-    pub(crate) fn record_end(&self, request: Fingerprint, target: &str, trial: bool) {
-        let change = self.with(|q| q.record_end(clock::now(), request, target, trial));
+    /// Records that a target ended while it had a call for a request; `run` identifies the run of its
+    /// process.
+    pub(crate) fn record_end(&self, request: Fingerprint, run: &str, trial: bool) {
+        let change = self.with(|q| q.record_end(clock::now(), request, run, trial));
         log_change(request, change, "own");
         self.news.notify_one();
     }
