Try a quarantined request three times in the first ten minutes

Each trial of a request that is not mended costs a target, and the platform allows three for good. The pause after a failed trial grows by a factor of 4 now, to 30 min (30 s, 2 min, 8 min, 30 min), instead of 2, to 10 min.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -33,10 +33,13 @@
 /// Most requests that are remembered. One takes some 100 bytes in memory and about as much in a
 /// message.
 pub const MAX_REQUESTS: usize = 256;
-/// Pause before the first trial of a quarantined request. Each further failed trial doubles it.
+/// Pause before the first trial of a quarantined request.
 const TRIAL_PAUSE: Duration = Duration::from_secs(30);
+/// Factor by which each further failed trial lengthens the pause. Every trial of a request that is not
+/// mended costs a target, so there are three in the first ten minutes.
+const PAUSE_FACTOR: u32 = 4;
 /// Longest pause between two trials.
-const MAX_TRIAL_PAUSE: Duration = Duration::from_mins(10);
+const MAX_TRIAL_PAUSE: Duration = Duration::from_mins(30);
 /// Time for which one daemon may make a trial that is due; then it is the turn of the next one, which
 /// may be the one that callers send the request to.
 const TRIAL_TURN: Duration = Duration::from_secs(5);
@@ -46,7 +49,7 @@
 const NEWS_DELAY: Duration = Duration::from_millis(100);
 /// Evidence against a suspected request is dropped if no target ended under it for this time, which
 /// is longer than any pause.
-const MEMORY_TIME: Duration = Duration::from_mins(20);
+const MEMORY_TIME: Duration = Duration::from_hours(1);
 /// Time for which other evidence is kept. A cleared request is remembered so long, in order that
 /// reports from before do not count again.
 const SHORT_MEMORY_TIME: Duration = Duration::from_mins(2);
@@ -159,8 +162,8 @@
 
     /// How long a quarantined request is refused after its last failed trial.
     fn pause(&self) -> Duration {
-        let doublings = self.trials.saturating_sub(1).min(16);
-        (TRIAL_PAUSE * (1 << doublings)).min(MAX_TRIAL_PAUSE)
+        let further = self.trials.saturating_sub(1).min(8);
+        (TRIAL_PAUSE * PAUSE_FACTOR.pow(further)).min(MAX_TRIAL_PAUSE)
     }
 }
 
