Pass on quarantined requests that are read from the store

Callers: daemons that cannot reach those where a request was quarantined learned of it only by repetition, a random daemon a second, although a reader of the store knew it: of 12 daemons seven and eight (two runs) still sent the request to a target one to two seconds later.

Change: what a reader takes over from the store is news, and goes to the others at once.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -287,6 +287,13 @@
         (new, change(before, entry.level()))
     }
 
+    /// Makes the evidence against a request news, to be told to other daemons as well.
+    pub fn pass_on(&mut self, request: Fingerprint) {
+        if self.entries.contains_key(&request) {
+            self.news.insert(request);
+        }
+    }
+
     /// The evidence that changed here since the last call, to be told to other daemons. Some of it is
     /// due only a little later, so this is to be called regularly.
     pub fn take_news(&mut self, now: Time) -> Vec<Evidence> {
--- a/crates/daemon/src/tier/control/stored_evidence.rs
+++ b/crates/daemon/src/tier/control/stored_evidence.rs
@@ -1,7 +1,7 @@
 //! Keeps the quarantined requests in the store, so that they stay quarantined when all daemons restart,
 //! and become known to daemons that cannot reach the others.
 //!
-//! Whoever reads the store takes over what it finds there. The daemons that always read it also write:
+//! Whoever reads the store takes over what it finds there and tells the others. The daemons that always read it also write:
 //! they compare what is there with what they know once a second, so a write that fails is repeated.
 
 use {
@@ -65,7 +65,7 @@
         self.stored.0.insert(object.name.clone(), evidence.trials);
         let since = clock::unix_ms().saturating_sub(stored.written_ms);
         evidence.age_ms = evidence.age_ms.saturating_add(since);
-        self.quarantine.merge(&[evidence]);
+        self.quarantine.take_over(&evidence);
     }
 
     /// Writes the quarantined requests that the store lacks, and removes those that are none any more.
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -69,6 +69,14 @@
         any_new
     }
 
+    /// Adds evidence that was read from the store, and passes on what is new.
+    pub(crate) fn take_over(&self, stored: &Evidence) {
+        if self.merge(std::slice::from_ref(stored)) {
+            self.with(|q| q.pass_on(stored.request));
+            self.news.notify_one();
+        }
+    }
+
     /// Waits until there is news for other daemons.
     pub(crate) async fn wait_news(&self) {
         self.news.notified().await;
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -3,16 +3,18 @@
 use {
     super::{fetch, front_addr, plain_servers, with_cluster},
     actix_rt::time::sleep,
+    rattanturn_core::fingerprint::{Fingerprint, RequestParts},
     rattanturn_demo::tier_cluster::{Answer, TierCluster, request},
     rattanturn_standins::{
-        operator::{deregister_target, register_target},
+        operator::{HOST, deregister_target, register_target},
         proxy::LinkMode,
         shard::{Crash, Fault, State},
     },
+    serde_json::json,
     std::{
         net::SocketAddr,
         sync::Arc,
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -164,6 +166,37 @@
     });
 }
 
+#[test]
+fn request_that_is_quarantined_in_the_store_is_soon_refused_by_all_daemons() {
+    with_cluster(12, async |cluster| {
+        sleep(Duration::from_secs(2)).await;
+        let request = Fingerprint::of(&RequestParts {
+            method: "GET",
+            host: HOST,
+            path: "/one/poison",
+            credentials: b"",
+            body: b"",
+        });
+        let evidence = json!({
+            "request": request, "round": 0, "ended": [1, 2, 3], "trials": 1, "age_ms": 0,
+            "written_ms": unix_ms(),
+        });
+        let name = request.to_string();
+        cluster
+            .store
+            .write("rattanturn-quarantine", &name, evidence);
+        sleep(Duration::from_secs(1)).await;
+        let answers = send_copies(cluster, "/one/poison", COPY_INTERVAL * 12).await;
+        let statuses: Vec<u16> = answers.iter().flatten().map(|a| a.status).collect();
+        assert_eq!(statuses, vec![503; statuses.len()]);
+    });
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.unwrap().as_millis()).unwrap()
+}
+
 #[test]
 fn crashing_request_is_refused_at_once_and_has_not_run() {
     with_cluster(2, async |cluster| {
--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -46,16 +46,21 @@
     assert_eq!(statuses, vec![200; cluster.daemons.len()]);
 }
 
+/// Starts six daemons and lets each fetch configurations from others.
+async fn start_and_exchange(cluster: &mut TierCluster) {
+    cluster.start_proxied(6, 1.0).await.unwrap();
+    cluster.wait_ready().await.unwrap();
+    for number in 0..EARLIER_CONFIGS {
+        write_route(cluster, number);
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
 /// Starts daemons, silences the open connections through the proxies whose index `silenced` accepts,
 /// and asserts that the next configuration is in force in time.
 fn assert_spreads_after_silence(silenced: fn(usize) -> bool) {
     with_cluster(0, async |cluster| {
-        cluster.start_proxied(6, 1.0).await.unwrap();
-        cluster.wait_ready().await.unwrap();
-        for number in 0..EARLIER_CONFIGS {
-            write_route(cluster, number);
-            sleep(Duration::from_millis(300)).await;
-        }
+        start_and_exchange(cluster).await;
         let proxies = cluster.proxies.iter().enumerate();
         proxies
             .filter(|(i, _)| silenced(*i))
@@ -128,12 +133,7 @@
 #[test]
 fn leaving_servers_get_no_requests_after_connections_between_daemons_fell_silent() {
     with_cluster(0, async |cluster| {
-        cluster.start_proxied(6, 1.0).await.unwrap();
-        cluster.wait_ready().await.unwrap();
-        for number in 0..EARLIER_CONFIGS {
-            write_route(cluster, number);
-            sleep(Duration::from_millis(300)).await;
-        }
+        start_and_exchange(cluster).await;
         cluster.proxies.iter().for_each(Proxy::silence_open);
         sleep(STABLE_TIME).await;
         write_route(cluster, EARLIER_CONFIGS);
