--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -113,6 +113,35 @@
     });
 }
 
+#[test]
+fn other_queries_are_served_while_a_query_ends_servers() {
+    with_cluster(3, async |cluster| {
+        send_copies(cluster, "/all/warm", Duration::from_secs(1)).await;
+        set_crash(cluster, "/all/poison");
+        for server in &cluster.servers {
+            // Calls take longer than the time after which they are hedged.
+            server.set_slow(12.0);
+        }
+        let poison = send_copies(cluster, "/all/poison", Duration::from_secs(2));
+        let others = send_copies(cluster, "/all/other", Duration::from_secs(2));
+        let (_, others) = futures::future::join(poison, others).await;
+        let ended = crashes(cluster);
+        let shards = cluster.services.len() as u64;
+        let served = others.iter().flatten().filter(|a| a.status == 200).count();
+        let refused = others.iter().flatten().filter(|a| a.status == 503).count();
+        assert!(
+            ended < 2 * shards,
+            "{ended} of {} servers ended",
+            2 * shards
+        );
+        assert!(
+            served * 10 >= others.len() * 9,
+            "{served} served, {refused} refused of {}",
+            others.len()
+        );
+    });
+}
+
 #[test]
 fn other_queries_are_served_after_a_query_ended_servers() {
     with_cluster(3, async |cluster| {
