--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -4,7 +4,10 @@
 //! from start to end, so its answer never mixes shards of two versions. The price is that a change
 //! does not affect requests that are already running.
 
-use std::{collections::HashMap, time::Duration};
+use {
+    crate::accounts::Accounts,
+    std::{collections::HashMap, time::Duration},
+};
 
 /// Where the requests of a route go.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,6 +76,8 @@
     pub max_attempts: u32,
     /// Priority under overload; 0 is the most urgent.
     pub priority: u8,
+    /// Whether its requests need no key where the configuration names accounts.
+    pub public: bool,
     /// Where its requests go.
     pub destination: Destination,
 }
@@ -123,6 +128,7 @@
     hosts: HashMap<String, Vec<Route>>,
     services: HashMap<String, Service>,
     limits: CallerLimits,
+    accounts: Option<Accounts>,
 }
 
 impl Catalog {
@@ -147,9 +153,25 @@
             hosts,
             services,
             limits,
+            accounts: None,
         }
     }
 
+    /// Adds the accounts of callers. Without them, requests need no key.
+    #[must_use]
+    pub fn with_accounts(self, accounts: Accounts) -> Self {
+        Self {
+            accounts: Some(accounts),
+            ..self
+        }
+    }
+
+    /// The accounts of callers; `None` if the configuration names none.
+    #[must_use]
+    pub fn accounts(&self) -> Option<&Accounts> {
+        self.accounts.as_ref()
+    }
+
     /// Version of the stored configuration that it was read from.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -171,6 +193,7 @@
     ///     latency_goal: None,
     ///     max_attempts: 1,
     ///     priority: 0,
+    ///     public: false,
     ///     destination: Destination::Single("s".into()),
     /// };
     /// let routes = vec![route("/a/"), route("/a/b/")];
--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -49,6 +49,9 @@
     pub slots: u32,
     /// Whether it is about to stop and must not get new requests.
     pub leaving: bool,
+    /// Version of its software; empty if it is unknown, as in what a daemon of an older build passes on.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
     /// Remaining warmup time when it wrote the entry; zero if it is warm.
     pub cold_left: Duration,
     /// Start time of the target's process by its own clock, in milliseconds since 1970, which tells
@@ -72,6 +75,7 @@
         let known = |t: &Self| (t.incarnation, t.addr, t.slots, t.leaving);
         known(self) != known(other)
             || self.service != other.service
+            || self.version != other.version
             || self.centre != other.centre
             || self.cold_left.is_zero() != other.cold_left.is_zero()
     }
@@ -85,7 +89,11 @@
             (self.slots, self.leaving, self.cold_left.is_zero()),
             self.incarnation,
         );
-        rendezvous::key(&format!("{known:?}"))
+        if self.version.is_empty() {
+            // The digest that older builds compute as well.
+            return rendezvous::key(&format!("{known:?}"));
+        }
+        rendezvous::key(&format!("{known:?} {}", self.version))
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! Configuration and targets:
 //!
+//! - [`accounts`]: the accounts of callers and their keys.
 //! - [`catalog`]: the operators' routes and services, one version of the whole configuration.
 //! - [`discovery`]: which targets exist, from the entries that they write into a store.
 //! - [`health`]: whether a target is down, judged by its last calls.
@@ -23,6 +24,7 @@
 //! - [`addresses`]: which daemons callers are directed to.
 //! - [`admission`]: which requests start, wait or are refused under overload.
 //! - [`weighted`]: divides the requests of a route among services by weight.
+//! - [`rollout`]: which versions of a service's targets get its requests while a new one is rolled out.
 //! - [`selection`]: the order in which the targets of a service are tried.
 //! - [`quarantine`]: which requests are refused because targets end when they run them.
 //! - [`gather`]: one fan-out query, from the first calls to the final answer, with retries, hedges
@@ -56,6 +58,7 @@
 //! - [`versioned`]: the newest accepted version of a shared object.
 //! - [`object_history`]: recent versions of shared objects, and patches between them.
 
+pub mod accounts;
 pub mod addresses;
 pub mod admission;
 mod alternate;
@@ -82,6 +85,7 @@
 pub mod readers;
 pub mod relay;
 pub mod rendezvous;
+pub mod rollout;
 pub mod selection;
 pub mod silence;
 pub mod snapshot;
--- a/crates/core/tests/discovery.rs
+++ b/crates/core/tests/discovery.rs
@@ -18,6 +18,7 @@
         centre: "a".into(),
         slots: 3,
         leaving: false,
+        version: String::new(),
         cold_left: Duration::ZERO,
         incarnation,
         sequence,
--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -99,6 +99,7 @@
         centre: "a".into(),
         slots,
         leaving: false,
+        version: String::new(),
         cold_left: Duration::ZERO,
         incarnation: 1,
         sequence: 1,
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -93,6 +93,15 @@
 /// Time within which daemons apply a configuration or an evacuation, if the settings give none.
 const DEFAULT_CHANGE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time within which a revoked key must be refused, if the settings give none.
+const DEFAULT_REVOKE_LIMIT: Duration = Duration::from_secs(5);
+/// Limits on quotas and roll-outs, if the settings give none.
+const DEFAULT_QUOTA_WINDOW: Duration = Duration::from_secs(5);
+const DEFAULT_QUOTA_OVERSHOOT: f64 = 0.1;
+const DEFAULT_QUOTA_SLACK: f64 = 20.0;
+const DEFAULT_EXPOSURE_SLACK: f64 = 50.0;
+const DEFAULT_ROLLBACK_LIMIT: Duration = Duration::from_secs(5);
+
 /// Settings for serving as a tier on the users' platform, from the section `[tier]`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TierSettings {
@@ -118,6 +127,38 @@
     /// Address at which this VM reaches all targets, on the ports that they registered; `None` if
     /// it reaches them directly.
     pub target_gateway: Option<IpAddr>,
+    /// Limits on roll-outs; `None` if the deployment has none, so that orders are not read.
+    pub rollouts: Option<RolloutSettings>,
+    /// Whether a daemon refuses requests that need a key once it can no longer learn which keys
+    /// were revoked, rather than accept a key that may have been.
+    pub strict_revoke: bool,
+    /// Time within which a revoked key must be refused, if `strict_revoke` is set.
+    pub revoke_limit: Duration,
+    /// How exactly the quotas of accounts hold.
+    pub quotas: QuotaSettings,
+}
+
+/// Limits on what a version that is being rolled out may get before it is known to be good.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutSettings {
+    /// Largest fraction of a service's requests, from 0 to 1.
+    pub exposure: f64,
+    /// Requests that are allowed on top of the fraction.
+    pub slack: f64,
+    /// Time after which a version that proved bad must get no request.
+    pub rollback_limit: Duration,
+}
+
+/// How far all daemons together may exceed an account's quota in a window: by the fraction
+/// `overshoot` of it and by `slack` requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaSettings {
+    /// Length of the window.
+    pub window: Duration,
+    /// Fraction of the quota.
+    pub overshoot: f64,
+    /// Number of requests.
+    pub slack: f64,
 }
 
 impl Settings {
@@ -257,7 +298,26 @@
         target_gateway: tier
             .text("target-gateway")
             .map(|_| tier.parse("target-gateway", no_gateway, "an IP address")),
+        rollouts: read_rollouts(tier),
+        strict_revoke: tier.choice("strict-revoke", &[("true", true), ("false", false)], false),
+        revoke_limit: tier.duration("revoke-limit", DEFAULT_REVOKE_LIMIT),
+        quotas: QuotaSettings {
+            window: tier.duration("quota-window", DEFAULT_QUOTA_WINDOW),
+            overshoot: tier.parse("quota-overshoot", DEFAULT_QUOTA_OVERSHOOT, "a number"),
+            slack: tier.parse("quota-slack", DEFAULT_QUOTA_SLACK, "a number"),
+        },
     };
     tier.unknown_keys();
     settings
 }
+
+fn read_rollouts(tier: &Section<'_>) -> Option<RolloutSettings> {
+    let slack = tier.parse("exposure-slack", DEFAULT_EXPOSURE_SLACK, "a number");
+    let rollback_limit = tier.duration("rollback-limit", DEFAULT_ROLLBACK_LIMIT);
+    tier.text("exposure")?;
+    Some(RolloutSettings {
+        exposure: tier.parse("exposure", 0.0, "a number"),
+        slack,
+        rollback_limit,
+    })
+}
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -135,7 +135,7 @@
 }
 
 /// Every key of a daemon's settings.
-const KEYS: [&str; 29] = [
+const KEYS: [&str; 37] = [
     "name",
     "data-centre",
     "ip",
@@ -162,6 +162,14 @@
     "config-limit",
     "evacuation-limit",
     "target-gateway",
+    "exposure",
+    "exposure-slack",
+    "rollback-limit",
+    "strict-revoke",
+    "revoke-limit",
+    "quota-window",
+    "quota-overshoot",
+    "quota-slack",
     "address",
     "level",
     "format",
