--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -18,7 +18,7 @@
     rattanturn_http::{Limits, Server, query_parameter, read_body, response, spawn},
     serde_json::{Value, json},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         io,
         net::{SocketAddr, TcpListener},
         sync::{Arc, Mutex, PoisonError},
@@ -68,6 +68,10 @@
     revision: u64,
     /// The object's value, or `None` if this change removed the object.
     spec: Option<Value>,
+    /// What was written to the object's path `status`; null before.
+    status: Value,
+    /// Revision at which the object was created, in place of a time.
+    created: u64,
 }
 
 #[derive(Debug)]
@@ -82,6 +86,8 @@
     /// All versions of each object, oldest first, by kind and name.
     objects: BTreeMap<(String, String), Vec<Version>>,
     call_counts: BTreeMap<&'static str, u64>,
+    /// Kinds of object that calls have named.
+    called_kinds: BTreeSet<String>,
     /// Kind of object whose calls hang on the listener of [`Platform::spawn_hanging`].
     hung_kind: Option<&'static str>,
 }
@@ -90,11 +96,36 @@
     fn write(&mut self, kind: &str, name: &str, spec: Option<Value>) -> u64 {
         self.revision += 1;
         let revision = self.revision;
+        let present = self.newest(kind, name);
+        let version = Version {
+            revision,
+            spec,
+            status: present.map_or(Value::Null, |v| v.status.clone()),
+            created: present.map_or(revision, |v| v.created),
+        };
         let versions = self.objects.entry((kind.into(), name.into())).or_default();
-        versions.push(Version { revision, spec });
+        versions.push(version);
         revision
     }
 
+    /// Writes the status of an object that exists. One that changes nothing makes no new revision.
+    fn write_status(&mut self, kind: &str, name: &str, status: Value) {
+        let Some(present) = self.newest(kind, name).cloned() else {
+            return;
+        };
+        if present.status == status {
+            return;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        let versions = self.objects.entry((kind.into(), name.into())).or_default();
+        versions.push(Version {
+            revision,
+            status,
+            ..present
+        });
+    }
+
     /// The version of an object that reads return in the current mode.
     fn read(&self, kind: &str, name: &str) -> Option<Version> {
         let versions = self.objects.get(&(kind.into(), name.into()))?;
@@ -130,9 +161,12 @@
 
 fn encode(name: &str, version: &Version) -> Value {
     json!({
-        "meta": {"name": name, "revision": version.revision, "finalizers": [], "deleting": false},
+        "meta": {
+            "name": name, "revision": version.revision, "created": version.created,
+            "finalizers": [], "deleting": false,
+        },
         "spec": version.spec,
-        "status": null,
+        "status": version.status,
     })
 }
 
@@ -189,6 +223,31 @@
         self.with(|i| i.write(kind, name, Some(spec)))
     }
 
+    /// Newest status of an object, whatever the mode; null if there is none.
+    #[must_use]
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        self.with(|i| i.newest(kind, name).map_or(Value::Null, |v| v.status.clone()))
+    }
+
+    /// All statuses that an object has had, oldest first, without repetitions and nulls.
+    #[must_use]
+    pub fn statuses(&self, kind: &str, name: &str) -> Vec<Value> {
+        let mut all: Vec<Value> = self.with(|i| {
+            let versions = i.objects.get(&(kind.into(), name.into()));
+            let versions = versions.into_iter().flatten();
+            versions.map(|v| v.status.clone()).collect()
+        });
+        all.retain(|status| !status.is_null());
+        all.dedup();
+        all
+    }
+
+    /// Whether any call has named objects of this kind.
+    #[must_use]
+    pub fn was_called_for(&self, kind: &str) -> bool {
+        self.with(|i| i.called_kinds.contains(kind))
+    }
+
     /// Removes an object whatever the mode; watches report the removal.
     pub fn remove(&self, kind: &str, name: &str) {
         self.with(|i| i.write(kind, name, None));
@@ -246,6 +305,7 @@
             history_start: 0,
             objects: BTreeMap::new(),
             call_counts: BTreeMap::new(),
+            called_kinds: BTreeSet::new(),
             hung_kind: None,
         };
         let state = Arc::new(State {
@@ -323,12 +383,18 @@
         Some((kind, name)) => (kind, Some(name)),
         None => (path, None),
     };
+    state.with(|i| i.called_kinds.insert(kind.to_owned()));
     match (request.method().clone(), name) {
         (Method::GET, Some(name)) => read(state, kind, name),
         (Method::GET, None) if query_parameter(&request, "watch").is_some() => {
             watch(state, kind, &request).await
         }
         (Method::GET, None) => list(state, kind, &request),
+        (Method::PUT, Some(path)) if path.ends_with("/status") => {
+            let name = path.trim_end_matches("/status");
+            let answer = write_status(state, kind, name, &mut request).await;
+            lose_answer(mode, answer)
+        }
         (Method::POST | Method::PUT, name) => {
             let name = name.map(ToOwned::to_owned);
             let answer = write(state, kind, name, &mut request).await;
@@ -458,3 +524,32 @@
         )
     })
 }
+
+/// Writes the status of an object, conditionally if the body names a revision.
+async fn write_status(
+    state: &State,
+    kind: &str,
+    name: &str,
+    request: &mut Request,
+) -> Response<BoxBody> {
+    state.count("write");
+    let Ok(body) = read_body(request, MAX_BODY_BYTES).await else {
+        return response(413, &[], "too large");
+    };
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
+        return response(400, &[], "not JSON");
+    };
+    let expected = body.pointer("/meta/revision").and_then(Value::as_u64);
+    let status = body.get("status").cloned().unwrap_or_default();
+    state.with(|i| {
+        let Some(present) = i.newest(kind, name).cloned() else {
+            return answer(404, &json!({"error": "no such object"}));
+        };
+        if expected.is_some_and(|e| e != present.revision) {
+            return answer(409, &encode(name, &present));
+        }
+        i.write_status(kind, name, status);
+        let newest = i.newest(kind, name).cloned().unwrap_or(present);
+        answer(200, &encode(name, &newest))
+    })
+}
