Send requests to the version that a roll-out allows

Daemons ignored the versions of targets, so a new version got requests at once. With the setting exposure they now read the orders, pass them on to peers, and call only targets whose version an order or the service's earlier targets allow. Each request gives the new version its share of credit and at most one call; retries and hedges go to the old version. Control counts answers by version, sends them to the first three daemons of the reading order, and writes what core::rollout::next decides.

Without the setting, the kind rollouts is not requested.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -148,8 +148,13 @@
         let known = self.targets.get(&target.id);
         // Leaving is final for an incarnation: it must not get requests again.
         let leaving = known.is_some_and(|k| k.incarnation == target.incarnation && k.leaving);
+        // A daemon of an older build passes the same target on without its version.
+        let version = known
+            .filter(|k| k.incarnation == target.incarnation && target.version.is_empty())
+            .map_or_else(|| target.version.clone(), |k| k.version.clone());
         let target = Target {
             leaving: target.leaving || leaving,
+            version,
             ..target
         };
         self.removed
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -94,14 +94,26 @@
 /// every change to all other daemons. One that does not accept callers comes last.
 #[must_use]
 pub fn reading_rank(me: NodeId, frontends: &[Frontend]) -> usize {
+    let order = reading_ranks(frontends);
+    let rank = order.iter().position(|id| *id == me);
+    rank.unwrap_or(order.len())
+}
+
+/// The daemons of a deployment in the order of [`reading_rank`], without those that accept no callers.
+///
+/// ```
+/// use rattanturn_core::readers::reading_ranks;
+/// assert_eq!(reading_ranks(&[]), []);
+/// ```
+#[must_use]
+pub fn reading_ranks(frontends: &[Frontend]) -> Vec<NodeId> {
     let large = addresses::advertised(frontends);
     let small = frontends
         .iter()
         .filter(|f| f.accepting && large.iter().all(|l| l.id != f.id));
     let mut order = reading_order(large.iter().copied().map(candidate));
     order.extend(reading_order(small.map(candidate)));
-    let rank = order.iter().position(|id| *id == me);
-    rank.unwrap_or(order.len())
+    order
 }
 
 fn candidate(frontend: &Frontend) -> Candidate<'_> {
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -11,11 +11,12 @@
 mod evidence;
 mod members;
 mod problems;
+mod rollouts;
 mod shutdown;
 mod stored_evidence;
 
 use {
-    self::{evidence::EvidenceExchange, stored_evidence::StoredRequests},
+    self::{evidence::EvidenceExchange, rollouts::RolloutControl, stored_evidence::StoredRequests},
     crate::{
         admin, clock,
         control::{self, Event},
@@ -27,6 +28,7 @@
             peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
             quarantine::SharedQuarantine,
             register::StaleEntries,
+            rollouts::SharedRollouts,
             sources::{StoreEvent, session},
             view::{Gauges, Phase, SharedView, View},
         },
@@ -93,6 +95,7 @@
     pub(crate) events: mpsc::UnboundedSender<Event>,
     pub(crate) gauges: Arc<Gauges>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) rollouts: Arc<SharedRollouts>,
 }
 
 struct Control {
@@ -136,6 +139,8 @@
     quarantine: Arc<SharedQuarantine>,
     evidence: EvidenceExchange,
     stored: StoredRequests,
+    rollouts: RolloutControl,
+    shared_rollouts: Arc<SharedRollouts>,
 }
 
 /// What the current view was built from; the view is rebuilt only if this changes.
@@ -150,6 +155,8 @@
     evacuated: BTreeSet<String>,
     /// Digest of the registered daemons.
     daemons: u64,
+    /// Change counter of the roll-outs.
+    rollouts: u64,
     phase: Phase,
 }
 
@@ -191,7 +198,7 @@
         membership: Membership::new(start.me, start.endpoints, seeds, start.me.0),
         me: start.me,
         front: start.tier.front,
-        cluster: ClusterState::default(),
+        cluster: ClusterState::new(start.tier.rollouts.is_some()),
         peer_sync: PeerSync::new(objects.clone(), start.events, targets.clone()),
         reader_role: ReaderRole::new(now, is_seed),
         reader_context: readers::ReaderContext {
@@ -222,6 +229,8 @@
         quarantine: start.quarantine,
         evidence: EvidenceExchange::default(),
         stored: StoredRequests::default(),
+        rollouts: RolloutControl::default(),
+        shared_rollouts: start.rollouts,
     };
     let quarantine = control.quarantine.clone();
     actix_rt::spawn(peers::serve(start.rpc, objects, targets));
@@ -239,6 +248,9 @@
                         Ok(Datagram::Evidence(from, reports)) => {
                             control.receive_evidence(&socket, from, &reports).await;
                         }
+                        Ok(Datagram::Rollouts(_, parts)) => {
+                            control.receive_rollout_evidence(&parts);
+                        }
                         Ok(_) | Err(_) => {
                             tracing::debug!(%from, "dropped a datagram that is not for the tier");
                         }
@@ -499,8 +511,11 @@
         self.cluster.targets.tick(now);
         let read = self.cluster.targets_read.micros();
         self.gauges.read_micros.store(read, Ordering::Relaxed);
+        let read = self.cluster.rollouts.last_read().micros();
+        self.gauges.rollouts_micros.store(read, Ordering::Relaxed);
         self.fetch_newer();
         self.share_state();
+        self.tick_rollouts(socket, now).await;
         self.send_evidence_news(socket).await;
         self.repeat_evidence(socket, now).await;
         if now.since(self.gauges_set) >= GAUGES_INTERVAL {
@@ -559,6 +574,7 @@
             members: self.membership.changes(),
             evacuated: self.cluster.evacuated.clone(),
             daemons: self.cluster.daemons_digest,
+            rollouts: self.cluster.rollouts.changes(),
             phase: self.phase,
         };
         if inputs == self.view_inputs {
@@ -566,12 +582,22 @@
         }
         self.view_inputs = inputs;
         let mut services: HashMap<String, Vec<Arc<Target>>> = HashMap::new();
+        let uses_rollouts = self.tier.rollouts.is_some();
+        let rollouts = &mut self.cluster.rollouts;
+        if uses_rollouts {
+            rollouts.update_versions(&self.cluster.targets);
+        }
+        let allowed = |t: &Target| !uses_rollouts || rollouts.allows(&t.service, &t.version);
         for target in self.cluster.targets.targets() {
-            if !target.leaving && !self.cluster.evacuated.contains(&target.centre) {
+            let evacuated = self.cluster.evacuated.contains(&target.centre);
+            if !target.leaving && !evacuated && allowed(target) {
                 let list = services.entry(target.service.clone()).or_default();
                 list.push(Arc::new(target.clone()));
             }
         }
+        let orders = rollouts.orders().iter();
+        let rollouts = orders.map(|(s, o)| (s.clone(), o.current.clone()));
+        let rollouts = rollouts.collect();
         let now = clock::now();
         let recent = self
             .membership
@@ -587,6 +613,8 @@
             advertised: advertised.iter().any(|e| e.id == self.me),
             catalog: self.cluster.catalog.clone(),
             services,
+            rollouts,
+            uses_rollouts,
             frontends,
             daemons,
             me: self.me,
@@ -621,6 +649,7 @@
             "reads_store": self.read_session.is_some(),
             "targets": self.cluster.targets.targets().count(),
             "out": self.cluster.evacuated,
+            "rollouts": self.rollouts_dump(),
             "members": members,
             "problems": self.problems(),
             "store_failures": self.cluster.failures,
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -152,7 +152,7 @@
         services: request
             .services
             .iter()
-            .map(|s| traffic.order_targets(now, s))
+            .map(|s| traffic.order_targets(now, s, request.max_attempts))
             .collect(),
         hedge_delays: vec![delay; request.services.len()],
         deadline: request.call.deadline,
@@ -194,9 +194,13 @@
     fn start_call(&mut self, attempt: AttemptId, service: usize, index: usize) {
         let now = clock::now();
         let cause = self.cause(service);
+        // The target's version may have been reverted since the request arrived.
+        let view = self.traffic.view();
         let upstream = self.traffic.upstream(index);
+        let withheld = |u: &Upstream| view.uses_rollouts && self.traffic.is_withheld(now, u);
         let refusal = match &upstream {
             None => Some(MissingReason::Unreachable),
+            Some(u) if withheld(u) => Some(MissingReason::Unreachable),
             Some(u) if !u.try_take_slot(now) => Some(MissingReason::Limited),
             Some(_) => None,
         };
@@ -266,6 +270,9 @@
         let now = clock::now();
         let took = now.since(ended.sent);
         let mut answer = None;
+        let route = &self.request.route.name;
+        self.traffic
+            .record_version(route, ended.upstream.as_deref(), &ended.outcome, took);
         if let Some(attempt) = self.attempts.get_mut(ended.attempt.0 as usize) {
             attempt.end = Some((ended.outcome.log_text(), took));
         }
@@ -354,9 +361,12 @@
             let mut calls = self.calls;
             let (traffic, call) = (self.traffic.clone(), self.request.call.clone());
             let trial = self.request.trial;
+            let route = self.request.route.name.clone();
             actix_rt::spawn(async move {
                 while let Some(ended) = calls.next().await {
                     let upstream = ended.upstream.as_deref();
+                    let took = clock::now().since(ended.sent);
+                    traffic.record_version(&route, upstream, &ended.outcome, took);
                     match ended.outcome {
                         Outcome::TargetEnded(why) => {
                             traffic.record_lost_call(clock::now(), ended.index, upstream, &why);
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -8,11 +8,16 @@
 
 use {
     crate::tier::{
+        known_rollouts::KnownRollouts,
         peers::{TargetsReply, TargetsUpdate},
         sources::StoreEvent,
     },
     rattanturn_core::{
-        Time, catalog::Catalog, discovery::TargetSet, readers::STALE_AFTER, rendezvous,
+        Time,
+        catalog::Catalog,
+        discovery::{Target, TargetSet},
+        readers::STALE_AFTER,
+        rendezvous,
     },
     rattanturn_platform::{Object, entries, objects},
     serde_json::{Value, json},
@@ -30,6 +35,8 @@
     evacuated: BTreeSet<String>,
     /// Digest of the registered daemons.
     daemons: u64,
+    /// Digest of the roll-outs; 0 if there are none.
+    rollouts: u64,
 }
 
 /// Everything that was read from the store, by this daemon or by a peer.
@@ -46,6 +53,10 @@
     pub(crate) daemons: BTreeMap<String, f64>,
     /// Digest of `daemons`; 0 if there are none.
     pub(crate) daemons_digest: u64,
+    pub(crate) rollouts: KnownRollouts,
+    /// Whether the settings ask for roll-outs. If not, versions of targets are dropped, so that peers
+    /// exchange the same bytes as before there were roll-outs.
+    uses_rollouts: bool,
     /// Revision of the targets, evacuated data centres and registered daemons together. It is
     /// at least the store's revision up to which a reader had read when it noticed their last
     /// change, and each change raises it; 0 if nothing is known.
@@ -72,6 +83,23 @@
 }
 
 impl ClusterState {
+    /// Knows nothing yet; `uses_rollouts` says whether the settings ask for roll-outs.
+    pub(crate) fn new(uses_rollouts: bool) -> Self {
+        Self {
+            uses_rollouts,
+            ..Self::default()
+        }
+    }
+
+    /// Decodes a target's entry.
+    fn decode_target(&self, object: &Object) -> Option<Target> {
+        let mut target = entries::decode_target(&object.name, &object.spec)?;
+        if !self.uses_rollouts {
+            target.version.clear();
+        }
+        Some(target)
+    }
+
     /// Version of the configuration; 0 if none is known.
     pub(crate) fn config_version(&self) -> u64 {
         self.catalog.as_ref().map_or(0, |c| c.version())
@@ -114,7 +142,12 @@
     /// Whether this daemon can say that the store holds nothing newer than what it has read: the
     /// last call for each kind that callers depend on within seconds succeeded.
     pub(crate) fn is_read_complete(&self) -> bool {
-        let kinds = [entries::CATALOG.0, entries::EVACUATIONS, entries::TARGETS];
+        let kinds = [
+            entries::CATALOG.0,
+            entries::EVACUATIONS,
+            entries::TARGETS,
+            entries::ROLLOUTS,
+        ];
         kinds.iter().all(|kind| !self.failures.contains_key(kind))
     }
 
@@ -127,12 +160,15 @@
     fn apply_list(&mut self, now: Time, kind: &str, objects: Vec<Object>) {
         if kind == entries::TARGETS {
             self.targets.store_available(now);
-            let targets = objects
+            let targets: Vec<Target> = objects
                 .iter()
-                .filter_map(|o| entries::decode_target(&o.name, &o.spec));
-            self.targets.apply_list(now, targets.collect());
+                .filter_map(|o| self.decode_target(o))
+                .collect();
+            self.targets.apply_list(now, targets);
         } else if kind == entries::EVACUATIONS {
             self.set_evacuated(objects.into_iter().map(|o| o.name).collect());
+        } else if kind == entries::ROLLOUTS {
+            self.rollouts.set_all(now, objects);
         } else if kind == objects::DAEMONS {
             let daemons = objects
                 .into_iter()
@@ -151,7 +187,7 @@
             if removed {
                 tracing::info!(target_id = %object.name, revision = object.revision, "target removed");
                 self.targets.entry_removed(now, &object.name);
-            } else if let Some(target) = entries::decode_target(&object.name, &object.spec) {
+            } else if let Some(target) = self.decode_target(object) {
                 let (service, leaving) = (target.service.clone(), target.leaving);
                 if self.targets.upsert(now, target) && leaving {
                     let (target_id, revision) = (&object.name, object.revision);
@@ -168,6 +204,8 @@
                 evacuated.insert(object.name.clone());
             }
             self.set_evacuated(evacuated);
+        } else if kind == entries::ROLLOUTS {
+            self.rollouts.apply_change(now, object, removed);
         } else if kind == objects::DAEMONS {
             match parse_cores(&object.spec).filter(|_| !removed) {
                 Some(cores) => self.daemons.insert(object.name.clone(), cores),
@@ -194,6 +232,8 @@
             self.seen_revision = self.seen_revision.max(revision);
         } else if kind == entries::CATALOG.0 {
             self.config_read = now;
+        } else if kind == entries::ROLLOUTS {
+            self.rollouts.confirm_read(now);
         }
     }
 
@@ -202,6 +242,9 @@
     pub(crate) fn confirm_read(&mut self, now: Time, tables: u64) {
         self.targets.store_available(now);
         self.targets_read = now;
+        if self.rollouts.last_read() > Time::ZERO {
+            self.rollouts.confirm_read(now);
+        }
         if tables <= self.config_version() {
             self.config_read = now;
         }
@@ -253,13 +296,16 @@
         if reply.revision <= self.revision {
             return false;
         }
-        let update: TargetsUpdate = match serde_json::from_slice(&reply.body) {
+        let mut update: TargetsUpdate = match serde_json::from_slice(&reply.body) {
             Ok(update) => update,
             Err(error) => {
                 tracing::warn!(%error, "cannot parse a peer's targets");
                 return false;
             }
         };
+        if !self.uses_rollouts {
+            update.targets.iter_mut().for_each(|t| t.version.clear());
+        }
         match update.buckets {
             Some(buckets) => self.targets.adopt_buckets(now, &buckets, update.targets),
             None => self.targets.adopt_from_peer(now, update.targets),
@@ -268,6 +314,10 @@
         if let Some(daemons) = update.daemons {
             self.set_daemons(daemons);
         }
+        if let Some(rollouts) = update.rollouts.filter(|_| self.uses_rollouts) {
+            self.rollouts.set_all(now, rollouts);
+            self.rollouts.confirm_read(now);
+        }
         self.revision = reply.revision;
         self.targets_read = now;
         self.set_shared(self.shared_state());
@@ -293,6 +343,8 @@
                 .then(|| self.daemons.clone()),
             buckets: (!digests.is_empty()).then_some(buckets),
             targets,
+            rollouts: (self.rollouts.last_read() > Time::ZERO)
+                .then(|| self.rollouts.objects().cloned().collect()),
         };
         let reply = TargetsReply {
             revision: self.revision,
@@ -312,6 +364,7 @@
             targets: self.targets.changes(),
             evacuated: self.evacuated.clone(),
             daemons: self.daemons_digest,
+            rollouts: self.rollouts.digest(),
         }
     }
 
@@ -321,7 +374,11 @@
             &state.evacuated,
             state.daemons,
         );
-        self.digest = rendezvous::key(&format!("{parts:?}"));
+        // Without roll-outs, the digest is that of older builds.
+        self.digest = match state.rollouts {
+            0 => rendezvous::key(&format!("{parts:?}")),
+            rollouts => rendezvous::key(&format!("{parts:?} {rollouts}")),
+        };
         self.shared = state;
         self.last_reply = None;
     }
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -7,7 +7,7 @@
 
 use {
     metrics::{Counter, Histogram, counter, gauge, histogram},
-    rattanturn_core::{gather::MissingReason, membership::MessageKind},
+    rattanturn_core::{gather::MissingReason, membership::MessageKind, rollout},
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
 };
 
@@ -267,3 +267,19 @@
         gauge!("rattanturn_reads_store").set(f64::from(u8::from(self.reads_store)));
     }
 }
+
+/// Counts an answer of a service that is being rolled out, by the version of its target.
+pub(crate) fn count_version_answer(service: &str, version: &str, outcome: rollout::Outcome) {
+    let outcome = match outcome {
+        rollout::Outcome::Answered => "answered",
+        rollout::Outcome::Failed => "failed",
+        rollout::Outcome::NotRun => "not-run",
+    };
+    counter!(
+        "rattanturn_version_answers_total",
+        "service" => service.to_owned(),
+        "version" => version.to_owned(),
+        "outcome" => outcome
+    )
+    .increment(1);
+}
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -12,6 +12,7 @@
 mod fan_out;
 mod front;
 mod knowledge;
+mod known_rollouts;
 mod meters;
 mod peer_sync;
 mod peers;
@@ -19,6 +20,7 @@
 mod query;
 mod register;
 mod relay;
+mod rollouts;
 mod sources;
 mod traffic;
 mod upstream;
@@ -108,6 +110,7 @@
         let shared: SharedView = Arc::new(arc_swap::ArcSwap::from_pointee(View::default()));
         let gauges: Arc<Gauges> = Arc::default();
         let quarantine: Arc<SharedQuarantine> = Arc::default();
+        let rollouts: Arc<rollouts::SharedRollouts> = Arc::default();
         let (events, inbox) = mpsc::unbounded_channel();
         let addresses = TierAddresses {
             front: front.local_addr()?,
@@ -134,6 +137,7 @@
             events: events.clone(),
             gauges: gauges.clone(),
             quarantine: quarantine.clone(),
+            rollouts: rollouts.clone(),
         };
         let control = Arbiter::new();
         control.spawn_fn(move || {
@@ -145,7 +149,8 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::new(shared, gauges, quarantine, &tier, centre);
+            let traffic =
+                traffic::Traffic::new(shared, gauges, quarantine, rollouts, &tier, centre);
             let reporter = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -13,6 +13,7 @@
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     rattanturn_core::{discovery::Target, rendezvous},
+    rattanturn_platform::Object,
     rattanturn_wire::peer_capnp::peer,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -41,6 +42,10 @@
     pub(crate) buckets: Option<Vec<usize>>,
     /// All targets of these buckets.
     pub(crate) targets: Vec<Target>,
+    /// Orders for roll-outs with their status, as in the store; `None` from a daemon of an older
+    /// build, or one whose settings name no limits for them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) rollouts: Option<Vec<Object>>,
 }
 
 impl TargetsUpdate {
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -79,6 +79,9 @@
 pub(crate) async fn session(store: Store, tier: TierSettings, events: UnboundedSender<StoreEvent>) {
     let catalog = operator_kind(entries::CATALOG.0, tier.config_limit);
     let evacuations = operator_kind(entries::EVACUATIONS, tier.evacuation_limit);
+    let rollouts = tier
+        .rollouts
+        .map(|r| operator_kind(entries::ROLLOUTS, r.rollback_limit));
     let mut position = None;
     match poll(&store, catalog, &mut position).await {
         Ok(event) => {
@@ -87,6 +90,7 @@
             tokio::select! {
                 () = watch_kind(&store, catalog, position, &events) => {}
                 () = watch_kind(&store, evacuations, None, &events) => {}
+                () = watch_optional(&store, rollouts, &events) => {}
                 () = watch_kind(&store, TARGETS, None, &events) => {}
                 () = watch_kind(&store, DAEMONS, None, &events) => {}
                 () = watch_kind(&store, QUARANTINE, None, &events) => {}
@@ -99,6 +103,14 @@
     let _ = events.send(StoreEvent::SessionEnded);
 }
 
+/// Like [`watch_kind`] for a kind that the settings may not ask for.
+async fn watch_optional(store: &Store, kind: Option<Kind>, events: &UnboundedSender<StoreEvent>) {
+    match kind {
+        Some(kind) => watch_kind(store, kind, None, events).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Polls one kind until calls fail several times in a row. It starts with the changes after
 /// `position`, or with a list if there is none.
 async fn watch_kind(
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -13,6 +13,7 @@
             meters::{self, Meters},
             quarantine::{SharedQuarantine, Trials},
             relay::RelayClient,
+            rollouts::{SharedRollouts, TrafficRollouts},
             upstream::{SharedCalls, Upstream},
             view::{Gauges, Phase, SharedView, View},
         },
@@ -99,6 +100,7 @@
     pub(crate) relay: RelayClient,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) trials: Trials,
+    pub(crate) rollouts: TrafficRollouts,
     gauges: Arc<Gauges>,
     pub(crate) meters: Meters,
     /// Number of requests that are being served.
@@ -110,6 +112,7 @@
         shared: SharedView,
         gauges: Arc<Gauges>,
         quarantine: Arc<SharedQuarantine>,
+        rollouts: Arc<SharedRollouts>,
         tier: &TierSettings,
         centre: String,
     ) -> Rc<Self> {
@@ -143,6 +146,7 @@
             relay: RelayClient::default(),
             quarantine,
             trials: Trials::default(),
+            rollouts: TrafficRollouts::new(rollouts),
             gauges,
             meters: Meters::default(),
             open_requests: Cell::new(0),
@@ -258,16 +262,23 @@
         self.upstreams.borrow().get(&index).cloned()
     }
 
-    /// Indexes of a service's available targets, in the order to try them.
+    /// The view that was applied last.
+    pub(crate) fn current_view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Indexes of a service's targets.
+    pub(crate) fn targets_of(&self, service: &str) -> Vec<usize> {
+        let by_service = self.by_service.borrow();
+        by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Those of some targets that are available, in the order to try them.
     ///
     /// Targets whose rate limit leaves no slot are not among them, unless all are such.
-    pub(crate) fn order_targets(&self, now: Time, service: &str) -> Vec<usize> {
+    pub(crate) fn order_among(&self, now: Time, targets: Vec<usize>) -> Vec<usize> {
         let upstreams = self.upstreams.borrow();
-        let by_service = self.by_service.borrow();
-        let Some(all) = by_service.get(service) else {
-            return Vec::new();
-        };
-        let usable = all.iter().copied().filter(|i| upstreams[i].is_available());
+        let usable = targets.into_iter().filter(|i| upstreams[i].is_available());
         let (mut usable, exhausted): (Vec<usize>, Vec<usize>) =
             usable.partition(|i| upstreams[i].room(now) < Room::Exhausted);
         if usable.is_empty() {
@@ -284,9 +295,9 @@
     /// When a service has an available target whose rate limit allows a call: `now` if it has one
     /// already, `None` if it has no available target.
     pub(crate) fn callable_at(&self, now: Time, service: &str) -> Option<Time> {
+        let targets = self.common_targets(now, service);
         let upstreams = self.upstreams.borrow();
-        let by_service = self.by_service.borrow();
-        let available = by_service.get(service)?.iter().map(|i| &upstreams[i]);
+        let available = targets.iter().map(|i| &upstreams[i]);
         let available = available.filter(|u| u.is_available());
         available.map(|u| u.next_slot(now)).min()
     }
@@ -381,6 +392,12 @@
         ))
     }
 
+    /// Time since the roll-outs were last read from the store or confirmed by a peer.
+    pub(crate) fn rollouts_silent(&self, now: Time) -> Duration {
+        let read = self.gauges.rollouts_micros.load(Ordering::Relaxed);
+        now.since(Time::from_micros(read))
+    }
+
     /// Stores this thread's counts where control reads them.
     pub(crate) fn publish_gauges(&self) {
         let gauges = &self.gauges;
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -6,7 +6,9 @@
 
 use {
     arc_swap::ArcSwap,
-    rattanturn_core::{NodeId, addresses::Frontend, catalog::Catalog, discovery::Target},
+    rattanturn_core::{
+        NodeId, addresses::Frontend, catalog::Catalog, discovery::Target, rollout::Rollout,
+    },
     std::{
         collections::HashMap,
         sync::{
@@ -39,6 +41,10 @@
     pub(crate) catalog: Option<Arc<Catalog>>,
     /// Usable targets by service: neither leaving nor in an evacuated data centre.
     pub(crate) services: HashMap<String, Vec<Arc<Target>>>,
+    /// Roll-outs by service. The targets in `services` are those whose versions may be called.
+    pub(crate) rollouts: HashMap<String, Arc<Rollout>>,
+    /// Whether the settings ask for roll-outs.
+    pub(crate) uses_rollouts: bool,
     /// All present daemons, with whether each accepts callers; address lookups choose among them.
     pub(crate) frontends: Vec<Frontend>,
     /// Number of daemons that share targets' connections and the retry slack: the advertised ones,
@@ -82,4 +88,7 @@
     /// When targets were last read or confirmed, in microseconds of the daemon's clock; set by
     /// control.
     pub(crate) read_micros: AtomicU64,
+    /// When the roll-outs were last read or confirmed, in microseconds of the daemon's clock; set by
+    /// control.
+    pub(crate) rollouts_micros: AtomicU64,
 }
--- a/crates/demo/src/tier_cluster.rs
+++ b/crates/demo/src/tier_cluster.rs
@@ -68,7 +68,9 @@
     /// servers, one for each server.
     pub gateway: Vec<Proxy>,
     started: usize,
-    _standins: Arbiter,
+    /// Lines in the section `[tier]` of all daemons' settings.
+    tier_settings: String,
+    standins: Arbiter,
 }
 
 /// A complete HTTP answer of a daemon.
@@ -101,6 +103,16 @@
     ///
     /// A listener cannot be bound, or a daemon is not ready in time.
     pub async fn spawn(options: Options) -> eyre::Result<Self> {
+        Self::spawn_with(options, "").await
+    }
+
+    /// Like [`Self::spawn`], with `tier_settings` as lines in the section `[tier]` of all daemons'
+    /// settings.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::spawn`].
+    pub async fn spawn_with(options: Options, tier_settings: &str) -> eyre::Result<Self> {
         let services: Vec<String> = (0..options.shards).map(|i| format!("shard-{i}")).collect();
         let names = services.iter().map(String::as_str).chain([PLAIN]);
         let configs: Vec<shard::TargetConfig> = names
@@ -110,6 +122,7 @@
                 service: service.into(),
                 centre: centre.into(),
                 service_time: SERVICE_TIME,
+                version: "v1".into(),
             })
             .collect();
         let standins = Arbiter::new();
@@ -136,7 +149,8 @@
             proxies: Vec::new(),
             gateway: Vec::new(),
             started: 0,
-            _standins: standins,
+            tier_settings: tier_settings.into(),
+            standins,
         };
         for server in &cluster.servers {
             register_target(&cluster.store, server, "ready", 1);
@@ -147,6 +161,41 @@
         Ok(cluster)
     }
 
+    /// Starts servers of another version of a service, one in each data centre, and registers them.
+    ///
+    /// # Errors
+    ///
+    /// A listener of a server cannot be bound.
+    pub async fn start_version(
+        &self,
+        service: &str,
+        version: &str,
+        flaw: Option<&shard::Flaw>,
+    ) -> eyre::Result<Vec<Arc<shard::State>>> {
+        let mut servers = Vec::new();
+        for centre in CENTRES {
+            let config = shard::TargetConfig {
+                id: format!("i-{service}-{version}-{centre}"),
+                service: service.into(),
+                centre: centre.into(),
+                service_time: SERVICE_TIME,
+                version: version.into(),
+            };
+            let (send, receive) = mpsc::channel();
+            self.standins.spawn_fn(move || {
+                actix_rt::spawn(async move {
+                    // Sending cannot fail: the receiver is kept until a result arrives.
+                    let _ = send.send(shard::spawn(config).await);
+                });
+            });
+            let server = actix_rt::task::spawn_blocking(move || receive.recv()).await???;
+            server.set_flaw(flaw.cloned());
+            register_target(&self.store, &server, "ready", 1);
+            servers.push(server);
+        }
+        Ok(servers)
+    }
+
     /// Starts more daemons with one core each; does not wait until they are ready.
     ///
     /// # Errors
@@ -237,8 +286,9 @@
              admin-port = 0\nmetrics-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
              drain-limit = {DRAIN_LIMIT}\n{extra}\
              [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
-             cores = {cores}\n{tier}[platform]\naddress = {store}\n",
-            peers.join(",")
+             cores = {cores}\n{tier}{}[platform]\naddress = {store}\n",
+            peers.join(","),
+            self.tier_settings
         );
         let (settings, _) = Settings::parse("daemon.ini", &text).map_err(|f| eyre!("{f}"))?;
         let tier = settings
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -5,6 +5,7 @@
 mod endless_answers;
 mod late_configuration;
 mod rate_limits;
+mod rollouts;
 mod stranded;
 
 use {
--- /dev/null
+++ b/crates/demo/tests/tier/rollouts.rs
@@ -0,0 +1,175 @@
+//! Roll-outs with real daemons: which version's servers get requests in each state of an order.
+
+use {
+    super::{front_addr, plain_servers},
+    actix_rt::{System, time::sleep},
+    rattanturn_demo::tier_cluster::{Options, PLAIN, TierCluster, request},
+    rattanturn_standins::{operator::order_rollout, shard::State},
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Settings that ask for roll-outs.
+const SETTINGS: &str = "exposure = 0.1\nexposure-slack = 50\nrollback-limit = 5s\n";
+/// Time after which all daemons have applied a change of an order.
+const APPLY_TIME: Duration = Duration::from_secs(3);
+/// The same for the entry of a server.
+const REGISTER_TIME: Duration = Duration::from_secs(3);
+/// Requests of one load.
+const REQUESTS: usize = 100;
+
+fn with_rollouts<F>(daemons: usize, settings: &str, test: F)
+where
+    F: AsyncFnOnce(&mut TierCluster),
+{
+    System::new().block_on(async {
+        let options = Options { shards: 2, daemons };
+        let mut cluster = TierCluster::spawn_with(options, settings).await.unwrap();
+        test(&mut cluster).await;
+    });
+}
+
+/// Writes an order for the plain service with a status of this state.
+fn write_order(cluster: &TierCluster, state: &str, share: f64) {
+    order_rollout(&cluster.store, PLAIN, "v2", 600.0);
+    let status = json!({
+        "state": state, "targetVersion": "v2", "share": share, "sinceMs": 1, "stepMs": 1,
+        "reason": "test",
+    });
+    cluster.store.set_status("rollouts", PLAIN, status);
+}
+
+fn arrivals(servers: &[Arc<State>]) -> u64 {
+    servers.iter().map(|s| s.arrivals()).sum()
+}
+
+/// Sends requests to all daemons in turn; returns how many were answered with status 200.
+async fn load(cluster: &TierCluster, name: &str) -> usize {
+    let mut served = 0;
+    for n in 0..REQUESTS {
+        let at = front_addr(cluster, n % cluster.daemons.len());
+        let answer = request(at, "/one/x", &format!("{name}{n}"), "").await;
+        served += usize::from(answer.is_some_and(|a| a.status == 200));
+    }
+    served
+}
+
+/// Guards against a change of what daemons read and send where the settings ask for no roll-outs.
+#[test]
+fn without_the_setting_orders_are_not_read_and_versions_do_not_matter() {
+    with_rollouts(2, "", async |cluster| {
+        write_order(cluster, "reverted", 0.0);
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "n").await, REQUESTS);
+        assert!(!cluster.store.was_called_for("rollouts"));
+        assert!(arrivals(&new) > 0, "the new servers got nothing");
+    });
+}
+
+/// Guards against requests to a version before its order is known.
+#[test]
+fn a_version_that_no_order_names_gets_nothing() {
+    with_rollouts(2, SETTINGS, async |cluster| {
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "n").await, REQUESTS);
+        assert_eq!(arrivals(&new), 0);
+    });
+}
+
+/// Guards against a share that daemons exceed together, and against retries that raise it.
+#[test]
+fn the_new_version_gets_at_most_its_share_also_when_it_fails() {
+    // Each lost call may be retried, so that a retry at the new version would show.
+    let settings = format!("{SETTINGS}repeat-ratio = 1\nrepeat-slack = 100\n");
+    with_rollouts(2, &settings, async |cluster| {
+        write_order(cluster, "running", 0.2);
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        for server in &new {
+            server.set_fault(rattanturn_standins::shard::Fault::Lost);
+        }
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "n").await, REQUESTS);
+        let count = arrivals(&new);
+        assert!((1..=20).contains(&count), "{count} of {REQUESTS} requests");
+    });
+}
+
+/// Guards against any request to a reverted version, also by a daemon that starts later and if the old
+/// servers do not answer.
+#[test]
+fn a_reverted_version_gets_nothing() {
+    with_rollouts(2, SETTINGS, async |cluster| {
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        write_order(cluster, "running", 1.0);
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "n").await, REQUESTS);
+        assert!(arrivals(&new) > 0, "the new servers got nothing");
+        write_order(cluster, "reverted", 0.0);
+        sleep(APPLY_TIME).await;
+        let before = arrivals(&new);
+        cluster.start_daemons(1).unwrap();
+        cluster.wait_ready().await.unwrap();
+        assert_eq!(load(cluster, "r").await, REQUESTS);
+        for server in plain_servers(cluster) {
+            server.stop();
+        }
+        load(cluster, "s").await;
+        assert_eq!(arrivals(&new), before);
+    });
+}
+
+/// Guards against calls to old servers, which stop as soon as an order is done, and against a status
+/// that daemons lose when the store comes back from an older copy.
+#[test]
+fn at_the_end_old_servers_get_nothing_also_after_the_store_went_back() {
+    with_rollouts(2, SETTINGS, async |cluster| {
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        write_order(cluster, "running", 0.1);
+        let revision = cluster.store.revision();
+        write_order(cluster, "done", 1.0);
+        sleep(REGISTER_TIME).await;
+        let old = plain_servers(cluster);
+        let before = arrivals(&old);
+        assert_eq!(load(cluster, "d").await, REQUESTS);
+        cluster.store.restore(revision);
+        sleep(APPLY_TIME).await;
+        assert_eq!(load(cluster, "e").await, REQUESTS);
+        assert_eq!(arrivals(&old), before);
+        assert!(arrivals(&new) >= 2 * REQUESTS as u64);
+    });
+}
+
+/// Guards against a share that a daemon keeps although it cannot learn that the version was reverted.
+#[test]
+fn the_new_version_gets_nothing_while_the_store_is_lost_for_long() {
+    with_rollouts(1, SETTINGS, async |cluster| {
+        write_order(cluster, "running", 0.5);
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        sleep(REGISTER_TIME).await;
+        load(cluster, "n").await;
+        assert!(arrivals(&new) > 0, "the new servers got nothing");
+        cluster
+            .store
+            .set_mode(rattanturn_standins::platform::Mode::Down);
+        sleep(Duration::from_secs(6)).await;
+        let before = arrivals(&new);
+        assert_eq!(load(cluster, "l").await, REQUESTS);
+        assert_eq!(arrivals(&new), before);
+    });
+}
+
+/// Guards against carrying out an order that is not valid.
+#[test]
+fn an_invalid_order_is_ignored() {
+    with_rollouts(1, SETTINGS, async |cluster| {
+        order_rollout(&cluster.store, PLAIN, "v2", 0.0);
+        order_rollout(&cluster.store, "unknown", "v2", 12.0);
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "n").await, REQUESTS);
+        assert_eq!(arrivals(&new), 0);
+        assert!(cluster.store.statuses("rollouts", "unknown").is_empty());
+    });
+}
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -67,6 +67,7 @@
                     service: service.into(),
                     centre: centre.into(),
                     service_time: SERVICE_TIME,
+                    version: "v1".into(),
                 })
                 .await?;
                 let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -153,3 +153,9 @@
         store.remove("evacuations", centre);
     }
 }
+
+/// Orders to move a service to targets of `version` within `duration_s` seconds, or replaces the order.
+pub fn order_rollout(store: &State, service: &str, version: &str, duration_s: f64) {
+    let spec = json!({"service": service, "targetVersion": version, "durationS": duration_s});
+    store.write("rollouts", service, spec);
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -223,10 +223,18 @@
         self.with(|i| i.write(kind, name, Some(spec)))
     }
 
+    /// Writes the status of an object that exists, whatever the mode.
+    pub fn set_status(&self, kind: &str, name: &str, status: Value) {
+        self.with(|i| i.write_status(kind, name, status));
+    }
+
     /// Newest status of an object, whatever the mode; null if there is none.
     #[must_use]
     pub fn status(&self, kind: &str, name: &str) -> Value {
-        self.with(|i| i.newest(kind, name).map_or(Value::Null, |v| v.status.clone()))
+        self.with(|i| {
+            i.newest(kind, name)
+                .map_or(Value::Null, |v| v.status.clone())
+        })
     }
 
     /// All statuses that an object has had, oldest first, without repetitions and nulls.
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -114,8 +114,28 @@
     pub centre: String,
     /// Time that a request takes to run.
     pub service_time: Duration,
+    /// Version that the target's entry states.
+    pub version: String,
 }
 
+/// How the answers of a bad version differ: each second one fails or is four times as slow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// They fail.
+    Failures,
+    /// They are slow.
+    Slowness,
+    /// They fail once the target has run for this long, counted from its first request.
+    Later(Duration),
+    /// They fail while at least this many requests are open.
+    UnderLoad(u32),
+    /// They fail if their path begins so.
+    Route(String),
+}
+
+/// Factor by which the slow answers of a bad version take longer.
+const SLOW_ANSWER_FACTOR: u32 = 4;
+
 /// Counts of a target's requests since it started.
 #[derive(Clone, Debug, Default)]
 pub struct Counters {
@@ -148,6 +168,9 @@
     paused_until: Option<Instant>,
     rate_limit: Option<f64>,
     crash: Option<Crash>,
+    flaw: Option<Flaw>,
+    first_arrival: Option<Instant>,
+    open: u32,
     /// Number of times that the process has started again.
     restarts: u64,
     counters: Counters,
@@ -198,6 +221,11 @@
         self.with(|i| i.crash = crash);
     }
 
+    /// Makes the target one of a bad version, or not.
+    pub fn set_flaw(&self, flaw: Option<Flaw>) {
+        self.with(|i| i.flaw = flaw);
+    }
+
     /// Ends the process: its connections are closed and new ones are refused. Returns whether it ran.
     pub fn stop(&self) -> bool {
         self.running
@@ -264,7 +292,7 @@
             "service": self.config.service,
             "address": self.addr,
             "zone": self.config.centre,
-            "version": "v1",
+            "version": self.config.version,
             "maxConcurrency": 3,
             "state": state,
             "warmupLeftMs": 0,
@@ -403,6 +431,8 @@
             continue;
         }
         state.with(|i| *i.counters.runs.entry(id.clone()).or_default() += 1);
+        let (fault, run_time) = state.with(|i| i.apply_flaw(request.path(), fault, run_time));
+        let _open = OpenRequest::new(state);
         // A caller that closes its connection stops the request.
         let disconnected = tokio::select! {
             () = sleep(run_time) => false,
@@ -424,6 +454,43 @@
     }
 }
 
+/// Counts a request as open until it is dropped.
+struct OpenRequest<'a>(&'a State);
+
+impl<'a> OpenRequest<'a> {
+    fn new(state: &'a State) -> Self {
+        state.with(|i| i.open += 1);
+        Self(state)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.with(|i| i.open -= 1);
+    }
+}
+
+impl Inner {
+    /// Gives each second request that the target's flaw affects its bad answer.
+    fn apply_flaw(&mut self, path: &str, fault: Fault, run_time: Duration) -> (Fault, Duration) {
+        let first = *self.first_arrival.get_or_insert_with(Instant::now);
+        let affected = match &self.flaw {
+            None => false,
+            Some(Flaw::Failures | Flaw::Slowness) => true,
+            Some(Flaw::Later(time)) => first.elapsed() >= *time,
+            Some(Flaw::UnderLoad(open)) => self.open + 1 >= *open,
+            Some(Flaw::Route(prefix)) => path.starts_with(prefix),
+        };
+        if !affected || self.counters.arrivals.is_multiple_of(2) {
+            return (fault, run_time);
+        }
+        if self.flaw == Some(Flaw::Slowness) {
+            return (fault, run_time * SLOW_ANSWER_FACTOR);
+        }
+        (Fault::Failed, run_time)
+    }
+}
+
 /// Counts a request; returns the fault for its answer and the time that it takes to run.
 fn record_arrival(inner: &mut Inner, config: &TargetConfig, deadline: u64) -> (Fault, Duration) {
     let now = Instant::now();
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -16,13 +16,18 @@
         lease::{LeaseRequest, LeaseTerm, UnitId, Vote},
         membership::{Endpoints, MemberRecord, Message, MessageKind, State, Versions},
         quarantine::Evidence,
+        rollout,
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
+/// Most bytes of evidence on roll-outs in one datagram, which then takes less than 1,200 bytes with
+/// the sender and so fits into a packet.
+pub const MAX_ROLLOUT_BYTES: usize = 1_100;
+
 /// A datagram that one daemon sends to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
     /// Membership message.
     Gossip(Message),
@@ -32,6 +37,8 @@
     LeaseVotes(NodeId, Vec<Vote>),
     /// Evidence against requests, with the id of the daemon that sends it.
     Evidence(NodeId, Vec<Evidence>),
+    /// Counts of answers by version, with the id of the daemon that sends them.
+    Rollouts(NodeId, Vec<rollout::Evidence>),
 }
 
 /// Evidence as it is sent.
@@ -41,6 +48,21 @@
     evidence: Vec<Evidence>,
 }
 
+/// Evidence on roll-outs as it is sent.
+#[derive(Serialize, Deserialize)]
+struct RolloutsMessage {
+    from: NodeId,
+    rollouts: Vec<rollout::Evidence>,
+}
+
+/// A datagram in JSON; its second field tells which it is.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum JsonMessage {
+    Evidence(EvidenceMessage),
+    Rollouts(RolloutsMessage),
+}
+
 /// Encodes a datagram.
 ///
 /// ```
@@ -57,6 +79,7 @@
         Datagram::LeaseRequests(from, list) => write_requests(root, *from, list),
         Datagram::LeaseVotes(from, list) => write_votes(root, *from, list),
         Datagram::Evidence(from, list) => return encode_evidence(*from, list),
+        Datagram::Rollouts(from, list) => return encode_rollouts(*from, list),
     }
     let mut out = Vec::new();
     // Writing to a `Vec` is infallible.
@@ -73,6 +96,15 @@
     serde_json::to_vec(&message).unwrap_or_default()
 }
 
+fn encode_rollouts(from: NodeId, list: &[rollout::Evidence]) -> Vec<u8> {
+    let message = RolloutsMessage {
+        from,
+        rollouts: list.to_vec(),
+    };
+    // Writing plain data to a `Vec` is infallible.
+    serde_json::to_vec(&message).unwrap_or_default()
+}
+
 /// Decodes a datagram.
 ///
 /// # Errors
@@ -81,9 +113,12 @@
 /// invalid gossip address.
 pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
     if bytes.first() == Some(&b'{') {
-        let message: EvidenceMessage = serde_json::from_slice(bytes)
+        let message: JsonMessage = serde_json::from_slice(bytes)
             .map_err(|error| capnp::Error::failed(format!("invalid evidence: {error}")))?;
-        return Ok(Datagram::Evidence(message.from, message.evidence));
+        return Ok(match message {
+            JsonMessage::Evidence(m) => Datagram::Evidence(m.from, m.evidence),
+            JsonMessage::Rollouts(m) => Datagram::Rollouts(m.from, m.rollouts),
+        });
     }
     let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
     let root = reader.get_root::<datagram::Reader<'_>>()?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,4 +13,4 @@
 #[rustfmt::skip]
 pub mod peer_capnp;
 
-pub use datagram::{Datagram, decode, encode};
+pub use datagram::{Datagram, MAX_ROLLOUT_BYTES, decode, encode};
