--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests of the tier: callers, daemons, servers and a store in one process on loopback.
 
+mod accounts;
 mod cluster;
 mod crashing_request;
 mod endless_answers;
--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -21,6 +21,8 @@
     version: u64,
     routes: Vec<Value>,
     services: BTreeSet<String>,
+    /// `None` leaves the list of accounts out.
+    accounts: Option<Value>,
 }
 
 impl ConfigBuilder {
@@ -83,6 +85,22 @@
         self
     }
 
+    /// Lets requests to the route that was added last need no key.
+    #[must_use]
+    pub fn public(mut self) -> Self {
+        if let Some(route) = self.routes.last_mut() {
+            route["public"] = json!(true);
+        }
+        self
+    }
+
+    /// Sets the list of accounts in the platform's format, or leaves it out.
+    #[must_use]
+    pub fn accounts(mut self, list: Option<Value>) -> Self {
+        self.accounts = list;
+        self
+    }
+
     /// Removes all routes but keeps the services, so that the next version can define other routes
     /// for the same targets.
     #[must_use]
@@ -107,13 +125,16 @@
                 })
             })
             .collect();
-        let spec = json!({
+        let mut spec = json!({
             "version": self.version, "routes": self.routes, "services": services,
             "limits": {
                 "headerBytes": 16384, "maxBodyBytes": 262_144, "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15000,
             },
         });
+        if let Some(list) = &self.accounts {
+            spec["tenants"] = list.clone();
+        }
         store.write("config", "main", spec);
     }
 }
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -121,6 +121,8 @@
 pub struct Counters {
     /// Number of times each request ran, by request id.
     pub runs: BTreeMap<String, u32>,
+    /// Header lines of the last request, `name: value`, with bytes that are not UTF-8 replaced.
+    pub last_headers: Vec<String>,
     /// Number of requests that arrived, also of those refused by a fault.
     pub arrivals: u64,
     /// Number of requests whose caller disconnected while they ran.
@@ -395,6 +397,12 @@
             continue;
         }
         stream.write_all(&std::mem::take(&mut late_copy)).await?;
+        let lines = request.head().headers.iter().map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            format!("{name}: {value}")
+        });
+        let lines = lines.collect();
+        state.with(|i| i.counters.last_headers = lines);
         let (fault, run_time) = state.with(|i| record_arrival(i, &state.config, deadline));
         if fault == Fault::Refused {
             stream
