Decide quotas of accounts over all daemons

Accounts have a limit for all daemons together, and an even split of it would refuse nearly all requests where many daemons get a few each. So core::allowance lets each account's owner lend tokens, and a daemon run a few requests on credit. The simulation in tests/allowance.rs plays daemons with delayed and lost messages and checks the bound in each case.

--- /dev/null
+++ b/crates/core/src/allowance/owner.rs
@@ -0,0 +1,273 @@
+//! The buckets of the accounts that a daemon owns.
+
+use {
+    super::{
+        Ask, Bucket, IDLE_TIME, Limit, MARGIN_PART, MAX_LIFE, ReturnTimes, Rules, START_PART,
+        owner_of,
+    },
+    crate::{NodeId, Time},
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
+};
+
+/// A longer gap between two calls of [`Owner::observe`] means that the process was paused. Others may
+/// have taken over its accounts meanwhile.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(600);
+/// Earlier sets of daemons that are remembered, to know for how long an account has been owned.
+const MAX_SETS: usize = 32;
+
+/// How many of the daemons this one can reach.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Daemons that are alive, this one included.
+    pub alive: usize,
+    /// Daemons that are registered, or all that were known recently if these are more.
+    pub registered: usize,
+}
+
+impl Standing {
+    /// The fraction of daemons that is alive, if it is not the majority.
+    fn minority(self) -> Option<f64> {
+        let count = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+        let minority = self.alive * 2 <= self.registered;
+        minority.then(|| count(self.alive) / count(self.registered))
+    }
+}
+
+/// Answer to a request for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// This many tokens, at least one.
+    Lent(u32),
+    /// None; the bucket has one after this time.
+    Refused(Duration),
+    /// This daemon does not own the account.
+    NotOwner,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    bucket: Bucket,
+    /// Since when this daemon has owned the account without interruption.
+    since: Time,
+    /// Value of [`Owner::changes`] for which `since` is valid.
+    checked: u64,
+    owned: bool,
+    used_at: Time,
+    returns: ReturnTimes,
+    /// The last lease of each borrower: number of its question, tokens and time.
+    leases: HashMap<NodeId, (u32, u32, Time)>,
+    lent: u64,
+}
+
+/// The buckets of the accounts that this daemon owns.
+#[derive(Debug)]
+pub struct Owner {
+    me: NodeId,
+    rules: Rules,
+    /// Sets of daemons with the time from which each was known, the newest last.
+    sets: VecDeque<(Time, Vec<NodeId>)>,
+    standing: Standing,
+    /// When this daemon last was paused, or its side became or ceased to be the majority. All buckets
+    /// start anew then.
+    reset_at: Time,
+    /// Counts the changes of `sets` and `reset_at`.
+    changes: u64,
+    observed_at: Option<Time>,
+    entries: HashMap<String, Entry>,
+}
+
+impl Owner {
+    /// Creates the state of a daemon that owns nothing until it knows the daemons.
+    #[must_use]
+    pub fn new(me: NodeId, rules: Rules) -> Self {
+        Self {
+            me,
+            rules,
+            sets: VecDeque::new(),
+            standing: Standing::default(),
+            reset_at: Time::ZERO,
+            changes: 1,
+            observed_at: None,
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Sets the advertised daemons, in any order.
+    pub fn set_daemons(&mut self, now: Time, daemons: &[NodeId]) {
+        self.observe(now);
+        let mut sorted = daemons.to_vec();
+        sorted.sort_unstable();
+        if self.sets.back().is_some_and(|(_, known)| *known == sorted) {
+            return;
+        }
+        self.sets.push_back((now, sorted));
+        if self.sets.len() > MAX_SETS {
+            self.sets.pop_front();
+        }
+        self.changes += 1;
+    }
+
+    /// Sets how many of the daemons this one can reach.
+    pub fn set_standing(&mut self, now: Time, standing: Standing) {
+        let before = std::mem::replace(&mut self.standing, standing);
+        if before != Standing::default()
+            && before.minority().is_some() != standing.minority().is_some()
+        {
+            self.reset(now);
+        }
+    }
+
+    /// Notes that the process runs; to be called at least every few hundred milliseconds.
+    pub fn observe(&mut self, now: Time) {
+        let before = self.observed_at.replace(now);
+        if before.is_some_and(|at| now.since(at) > PAUSE_THRESHOLD) {
+            self.reset(now);
+        }
+    }
+
+    fn reset(&mut self, now: Time) {
+        self.reset_at = now;
+        self.changes += 1;
+    }
+
+    /// Lends up to `wanted` tokens of an account.
+    ///
+    /// ```
+    /// use rattanturn_core::{NodeId, Time, allowance::{Grant, Limit, Owner, Rules}};
+    /// let rules = Rules { window: std::time::Duration::from_secs(5), overshoot: 0.1, slack: 20.0 };
+    /// let mut owner = Owner::new(NodeId(1), rules);
+    /// owner.set_daemons(Time::from_millis(1), &[NodeId(1)]);
+    /// let limit = Limit { rate: 2.0, burst: 9.0 };
+    /// let now = Time::from_millis(2);
+    /// assert_eq!(owner.lend(now, "a", limit, 1), Grant::Lent(1));
+    /// ```
+    pub fn lend(&mut self, now: Time, account: &str, limit: Limit, wanted: u32) -> Grant {
+        self.observe(now);
+        let (rate, capacity) = self.effective(limit);
+        let window = self.rules.window;
+        let minority = self.standing.minority().is_some();
+        let Some(entry) = self.entry(now, account, capacity, rate) else {
+            return Grant::NotOwner;
+        };
+        let tokens = entry.bucket.refill(now, rate, capacity);
+        entry.used_at = now;
+        if tokens < 1.0 {
+            let base = entry.bucket.wait(now, rate);
+            let after = entry.returns.next(now, base, rate, window);
+            // A minority is expected to end before its slow bucket has a token.
+            return Grant::Refused(if minority { after.min(window) } else { after });
+        }
+        let lent = f64::from(wanted.max(1)).min((tokens / 2.0).floor().max(1.0));
+        entry.bucket.tokens -= lent;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        // whole, at most `wanted`
+        let lent = lent as u32;
+        entry.lent += u64::from(lent);
+        Grant::Lent(lent)
+    }
+
+    /// Lends tokens to another daemon in answer to its question `seq`. A question that comes again gets
+    /// the same tokens, because the first answer may have been lost.
+    pub fn lend_to(&mut self, now: Time, limit: Limit, borrower: NodeId, ask: &Ask) -> Grant {
+        let entry = self.entries.get(&ask.account);
+        let before = entry.and_then(|e| e.leases.get(&borrower));
+        if let Some((_, tokens, _)) = before.filter(|(seq, ..)| *seq == ask.seq) {
+            return Grant::Lent(*tokens);
+        }
+        let grant = self.lend(now, &ask.account, limit, ask.tokens);
+        if let (Grant::Lent(tokens), Some(entry)) = (grant, self.entries.get_mut(&ask.account)) {
+            entry.leases.insert(borrower, (ask.seq, tokens, now));
+        }
+        grant
+    }
+
+    /// Takes back a token that this daemon lent to itself, for a request that has not run.
+    pub fn give_back(&mut self, account: &str) {
+        if let Some(entry) = self.entries.get_mut(account) {
+            entry.bucket.tokens += 1.0;
+            entry.lent = entry.lent.saturating_sub(1);
+        }
+    }
+
+    /// Tokens that the bucket held when it was last used, and all tokens that it lent, of an account
+    /// that this daemon owns.
+    #[must_use]
+    pub fn owned(&self, account: &str) -> Option<(f64, u64)> {
+        let entry = self.entries.get(account).filter(|e| e.owned)?;
+        Some((entry.bucket.tokens, entry.lent))
+    }
+
+    /// Names of the accounts that this daemon owns and that are in use.
+    pub fn in_use(&self) -> impl Iterator<Item = &str> {
+        let owned = self.entries.iter().filter(|(_, e)| e.owned);
+        owned.map(|(name, _)| name.as_str())
+    }
+
+    /// Drops the buckets of unused accounts once they must be full.
+    pub fn expire(&mut self, now: Time, limit_of: impl Fn(&str) -> Option<Limit>) {
+        let rules = self.rules;
+        self.entries.retain(|name, entry| {
+            entry.leases.retain(|_, (.., at)| now.since(*at) < MAX_LIFE);
+            let idle = now.since(entry.used_at);
+            let full = limit_of(name).is_none_or(|limit| {
+                let missing = rules.capacity(limit) - entry.bucket.tokens;
+                idle.as_secs_f64() * limit.rate >= missing
+            });
+            idle < IDLE_TIME || !full
+        });
+    }
+
+    /// Rate and capacity of a bucket. A minority lends from the margin only.
+    fn effective(&self, limit: Limit) -> (f64, f64) {
+        let Some(fraction) = self.standing.minority() else {
+            return (limit.rate, self.rules.capacity(limit));
+        };
+        let reserve = self.rules.slack * MARGIN_PART;
+        let rate = self.rules.overshoot * limit.rate + reserve / self.rules.window.as_secs_f64();
+        (rate * fraction, reserve * fraction)
+    }
+
+    /// The bucket of an account that this daemon owns.
+    fn entry(&mut self, now: Time, account: &str, capacity: f64, rate: f64) -> Option<&mut Entry> {
+        let changes = self.changes;
+        let known = self.entries.get(account).map(|e| e.checked);
+        if known != Some(changes) {
+            let since = self.owned_since(account);
+            let start = capacity.min(self.rules.slack * START_PART);
+            let refills = since.map_or(now, |at| at + MAX_LIFE);
+            let entry = self.entries.entry(account.to_owned());
+            let entry = entry.or_insert_with(|| Entry {
+                bucket: Bucket::new(start, refills),
+                since: since.unwrap_or(now),
+                checked: changes,
+                owned: since.is_some(),
+                used_at: now,
+                returns: ReturnTimes::default(),
+                leases: HashMap::new(),
+                lent: 0,
+            });
+            entry.checked = changes;
+            entry.owned = since.is_some();
+            // What the owner in between has lent is not known, so only what a new owner starts with
+            // is kept.
+            if let Some(since) = since.filter(|at| *at != entry.since) {
+                entry.since = since;
+                entry.bucket = Bucket::new(entry.bucket.tokens.min(start), refills);
+            }
+            entry.bucket.refill(now, rate, capacity);
+        }
+        self.entries.get_mut(account).filter(|e| e.owned)
+    }
+
+    /// Since when this daemon has owned an account; `None` if it does not. Its age is at most that of
+    /// the oldest set that is remembered.
+    fn owned_since(&self, account: &str) -> Option<Time> {
+        let sets = self.sets.iter().rev();
+        let mine = sets.take_while(|(_, set)| owner_of(account, set) == Some(self.me));
+        let since = mine.last().map(|(at, _)| *at)?;
+        Some(since.max(self.reset_at))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 //!
 //! - [`addresses`]: which daemons callers are directed to.
 //! - [`admission`]: which requests start, wait or are refused under overload.
+//! - [`allowance`]: which requests of an account run, of those at all daemons together.
 //! - [`weighted`]: divides the requests of a route among services by weight.
 //! - [`rollout`]: which versions of a service's targets get its requests while a new one is rolled out.
 //! - [`selection`]: the order in which the targets of a service are tried.
@@ -61,6 +62,7 @@
 pub mod accounts;
 pub mod addresses;
 pub mod admission;
+pub mod allowance;
 mod alternate;
 pub mod buckets;
 pub mod catalog;
--- /dev/null
+++ b/crates/core/tests/allowance.rs
@@ -0,0 +1,741 @@
+//! Quotas of accounts in virtual time: daemons as values, messages with delay and loss.
+//!
+//! Each case prints what was run, the highest use of a window as a fraction of what the bound allows,
+//! and how much less ran than a single token bucket would have let through. The large sizes:
+//! `cargo test -p rattanturn-core --test allowance -- --ignored --nocapture`.
+
+use {
+    rand::{RngExt, SeedableRng, seq::IndexedRandom},
+    rand_chacha::ChaCha8Rng,
+    rattanturn_core::{
+        NodeId, Time,
+        allowance::{
+            ASK_AGAIN, Allowance, Ask, Bucket, Lent, Limit, Rules, Standing, Take, owner_of,
+        },
+        rate_share::fraction,
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+        time::Duration,
+    },
+};
+
+const RULES: Rules = Rules {
+    window: Duration::from_secs(5),
+    overshoot: 0.1,
+    slack: 20.0,
+};
+/// Longest wait of a request for tokens.
+const MAX_WAIT: Duration = Duration::from_millis(60);
+const TICK: Duration = Duration::from_millis(50);
+/// The same before callers begin.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+/// Delay from a request until the daemon's control thread has sent its questions.
+const FLUSH_DELAY: Duration = Duration::from_micros(500);
+/// When callers begin, the fault happens, it ends, and callers stop.
+const BEGIN_MS: u64 = 60_000;
+const FAULT_MS: u64 = 66_000;
+const HEAL_MS: u64 = 74_000;
+const END_MS: u64 = 80_000;
+/// Usual requests of an account as a fraction of its rate.
+const USUAL: f64 = 0.6;
+/// Factor of the usual rate at which a hot account is called.
+const HOT: f64 = 7.5;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    OwnerKilled,
+    OwnerCut,
+    TwoOwners,
+    HalfCut,
+    Paused,
+    AllRestarted,
+    Lowered,
+    /// The owner pauses for two seconds several times, so that it loses and regains its accounts.
+    Flapping,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    daemons: usize,
+    accounts: usize,
+    /// Limit of the account that is called at `hot` times its usual rate.
+    limit: Limit,
+    hot: f64,
+    /// Whether the hot account is called at one daemon only.
+    single: bool,
+    fault: Fault,
+    loss: f64,
+}
+
+enum Message {
+    Borrow(Vec<Ask>),
+    Lent(Vec<Lent>),
+}
+
+enum Event {
+    Arrive(usize),
+    Wake(usize),
+    Deliver(usize, usize, Message),
+    Flush(usize),
+    Tick(usize),
+    View(usize, Vec<usize>, Standing),
+    Limit(usize),
+    Pause(usize, Duration),
+    Restart(usize),
+    Cut(Option<Vec<bool>>),
+}
+
+struct Waiting {
+    daemon: usize,
+    account: usize,
+    arrived: Time,
+    done: bool,
+}
+
+struct Daemon {
+    id: NodeId,
+    state: Allowance,
+    up: bool,
+    paused: Time,
+    lowered: bool,
+    flushing: bool,
+}
+
+struct Simulation {
+    case: Case,
+    rng: ChaCha8Rng,
+    now: Time,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    events: BTreeMap<u64, Event>,
+    count: u64,
+    daemons: Vec<Daemon>,
+    /// Daemons that callers are sent to and that may own accounts.
+    advertised: usize,
+    names: Vec<String>,
+    limits: Vec<Limit>,
+    waiting: Vec<Waiting>,
+    open: BTreeMap<(usize, usize), Vec<usize>>,
+    /// The side of each daemon while the network is partitioned.
+    sides: Option<Vec<bool>>,
+    ran: Vec<Vec<Time>>,
+    reference: Vec<(Bucket, u64, u64)>,
+    served: Vec<u64>,
+    arrivals: u64,
+    datagrams: u64,
+}
+
+/// Limits of the accounts beside the hot one: less than one request a second, and a few.
+const OTHERS: [Limit; 3] = [
+    Limit {
+        rate: 0.3,
+        burst: 1.0,
+    },
+    Limit {
+        rate: 2.0,
+        burst: 4.0,
+    },
+    Limit {
+        rate: 0.9,
+        burst: 0.0,
+    },
+];
+
+impl Simulation {
+    fn new(case: Case, seed: u64) -> Self {
+        // Of the larger deployments, about a quarter are large VMs.
+        let advertised = if case.daemons > 100 {
+            case.daemons * 27 / 100
+        } else {
+            case.daemons
+        };
+        let daemons = (0..case.daemons).map(|i| {
+            let id = NodeId(i as u64 + 1);
+            Daemon {
+                id,
+                state: Allowance::new(id, RULES),
+                up: true,
+                paused: Time::ZERO,
+                lowered: false,
+                flushing: false,
+            }
+        });
+        let limits: Vec<Limit> = (0..case.accounts)
+            .map(|a| {
+                if a == 0 {
+                    case.limit
+                } else {
+                    OTHERS[a % OTHERS.len()]
+                }
+            })
+            .collect();
+        let full = |l: &Limit| (Bucket::new(l.burst.max(1.0), Time::ZERO), 0, 0);
+        let mut out = Self {
+            case,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Time::ZERO,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            count: 0,
+            daemons: daemons.collect(),
+            advertised,
+            names: (0..case.accounts).map(|a| format!("account-{a}")).collect(),
+            reference: limits.iter().map(full).collect(),
+            limits,
+            waiting: Vec::new(),
+            open: BTreeMap::new(),
+            sides: None,
+            ran: vec![Vec::new(); case.accounts],
+            served: vec![0; case.accounts],
+            arrivals: 0,
+            datagrams: 0,
+        };
+        let all: Vec<usize> = (0..advertised).collect();
+        for d in 0..case.daemons {
+            out.set_view(d, &all, out.standing(case.daemons));
+            let jitter = out.rng.random_range(0..50);
+            out.at(jitter, Event::Tick(d));
+        }
+        for a in 0..case.accounts {
+            out.at(BEGIN_MS, Event::Arrive(a));
+        }
+        out.plan_fault();
+        out
+    }
+
+    fn standing(&self, alive: usize) -> Standing {
+        Standing {
+            alive,
+            registered: self.case.daemons,
+        }
+    }
+
+    fn at(&mut self, ms: u64, event: Event) {
+        self.push(Time::from_millis(ms), event);
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count)));
+        self.events.insert(self.count, event);
+    }
+
+    fn set_view(&mut self, d: usize, advertised: &[usize], standing: Standing) {
+        let ids: Vec<NodeId> = advertised.iter().map(|i| self.daemons[*i].id).collect();
+        let part = fraction(self.advertised, self.case.daemons, d < self.advertised);
+        let now = self.now;
+        self.daemons[d].state.set_daemons(now, &ids, part, standing);
+    }
+
+    /// The owner of the hot account, and the daemon that gets its requests if it has only one.
+    fn owner(&self) -> usize {
+        let ids: Vec<NodeId> = self.daemons[..self.advertised]
+            .iter()
+            .map(|d| d.id)
+            .collect();
+        let owner = owner_of(&self.names[0], &ids).unwrap();
+        ids.iter().position(|id| *id == owner).unwrap()
+    }
+
+    /// Tells all daemons but those in `except` within a range of milliseconds who is advertised.
+    fn views(&mut self, from: u64, spread: u64, except: &[usize], gone: &[usize], alive: usize) {
+        let all: Vec<usize> = (0..self.advertised).filter(|d| !gone.contains(d)).collect();
+        for d in (0..self.case.daemons).filter(|d| !except.contains(d)) {
+            let at = from + self.rng.random_range(0..=spread);
+            self.at(at, Event::View(d, all.clone(), self.standing(alive)));
+        }
+    }
+
+    fn plan_fault(&mut self) {
+        let (owner, n) = (self.owner(), self.case.daemons);
+        match self.case.fault {
+            Fault::None => {}
+            Fault::OwnerKilled => {
+                self.at(FAULT_MS, Event::Pause(owner, Duration::from_hours(1)));
+                self.views(FAULT_MS + 800, 1_200, &[owner], &[owner], n - 1);
+            }
+            Fault::OwnerCut => {
+                let sides = (0..n).map(|d| d == owner).collect();
+                self.at(FAULT_MS, Event::Cut(Some(sides)));
+                self.views(FAULT_MS + 800, 1_200, &[owner], &[owner], n - 1);
+                // It hears from no other daemon.
+                self.at(
+                    FAULT_MS + 1_100,
+                    Event::View(owner, vec![owner], self.standing(1)),
+                );
+                self.at(HEAL_MS, Event::Cut(None));
+                self.views(HEAL_MS, 1_000, &[], &[], n);
+            }
+            Fault::TwoOwners => {
+                // Half of the daemons learn a second later than the others that the owner left and
+                // came back.
+                for d in 0..n {
+                    let gone = (0..self.advertised).filter(|i| *i != owner).collect();
+                    let late = u64::from(d.is_multiple_of(2)) * 1_000;
+                    self.at(FAULT_MS + late, Event::View(d, gone, self.standing(n)));
+                    let all = (0..self.advertised).collect();
+                    self.at(
+                        FAULT_MS + 3_000 + late,
+                        Event::View(d, all, self.standing(n)),
+                    );
+                }
+            }
+            Fault::HalfCut => self.plan_half_cut(),
+            Fault::Paused => {
+                for d in [owner, (owner + 1) % self.advertised] {
+                    self.at(FAULT_MS, Event::Pause(d, Duration::from_millis(6_500)));
+                }
+                self.views(FAULT_MS + 800, 1_200, &[owner], &[owner], n - 1);
+                self.views(FAULT_MS + 7_500, 1_000, &[], &[], n);
+            }
+            Fault::AllRestarted => {
+                for d in 0..n {
+                    let at = FAULT_MS + self.rng.random_range(0..300);
+                    self.at(at, Event::Restart(d));
+                }
+                self.views(FAULT_MS + 400, 1_000, &[], &[], n);
+            }
+            Fault::Lowered => {
+                for d in 0..n {
+                    let at = FAULT_MS + self.rng.random_range(0..3_000);
+                    self.at(at, Event::Limit(d));
+                }
+            }
+            Fault::Flapping => {
+                for round in 0..4 {
+                    let at = FAULT_MS + round * 3_000;
+                    self.at(at, Event::Pause(owner, Duration::from_secs(2)));
+                    self.views(at + 800, 600, &[owner], &[owner], n - 1);
+                    self.views(at + 2_000, 600, &[], &[], n);
+                }
+            }
+        }
+    }
+
+    /// Each daemon loses every second other one, and notices it in steps.
+    fn plan_half_cut(&mut self) {
+        let n = self.case.daemons;
+        let side = |d: usize| d.is_multiple_of(2);
+        self.at(FAULT_MS, Event::Cut(Some((0..n).map(side).collect())));
+        for d in 0..n {
+            for step in 1..=4 {
+                let at = FAULT_MS + 600 + 400 * step + self.rng.random_range(0..400);
+                let lost = |i: &usize| side(*i) != side(d) && (*i as u64 / 2) % 4 < step;
+                let seen: Vec<usize> = (0..self.advertised).filter(|i| !lost(i)).collect();
+                let alive = (0..n).filter(|i| !lost(i)).count();
+                self.at(at, Event::View(d, seen, self.standing(alive)));
+            }
+        }
+        self.at(HEAL_MS, Event::Cut(None));
+        self.views(HEAL_MS, 1_000, &[], &[], n);
+    }
+
+    fn run(mut self) -> Self {
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            if at > Time::from_millis(END_MS + 1_000) {
+                break;
+            }
+            self.now = at;
+            let event = self.events.remove(&id).unwrap();
+            self.handle(event);
+        }
+        self
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Arrive(a) => self.arrive(a),
+            Event::Wake(i) => self.wake(i),
+            Event::Deliver(from, to, message) => self.deliver(from, to, message),
+            Event::Flush(d) if self.runs(d) => self.flush(d),
+            Event::Tick(d) => {
+                if self.runs(d) {
+                    let lowered = self.daemons[d].lowered;
+                    let limits = self.limits_by_name(lowered);
+                    self.daemons[d].state.tick(now, limits);
+                    self.flush(d);
+                }
+                let begun = now + IDLE_TICK > Time::from_millis(BEGIN_MS);
+                let interval = if begun { TICK } else { IDLE_TICK };
+                self.push(now + interval, Event::Tick(d));
+            }
+            Event::View(d, set, standing) => {
+                let paused = self.daemons[d].paused;
+                if paused > now {
+                    self.push(paused, Event::View(d, set, standing));
+                } else {
+                    self.set_view(d, &set, standing);
+                }
+            }
+            Event::Limit(d) => self.daemons[d].lowered = true,
+            Event::Pause(d, time) => self.daemons[d].paused = now + time,
+            Event::Restart(d) => {
+                let daemon = &mut self.daemons[d];
+                daemon.id = NodeId(daemon.id.0 + 1_000_000);
+                daemon.state = Allowance::new(daemon.id, RULES);
+                daemon.state.set_daemons(now, &[], 0.0, Standing::default());
+            }
+            Event::Cut(sides) => self.sides = sides,
+            Event::Flush(_) => {}
+        }
+    }
+
+    fn runs(&self, d: usize) -> bool {
+        self.daemons[d].up && self.daemons[d].paused <= self.now
+    }
+
+    fn limits_by_name(&self, lowered: bool) -> impl Fn(&str) -> Option<Limit> + use<> {
+        let limit = self.case.limit;
+        move |name: &str| {
+            let number: usize = name.strip_prefix("account-")?.parse().ok()?;
+            let known = if number == 0 {
+                limit
+            } else {
+                OTHERS[number % OTHERS.len()]
+            };
+            Some(if lowered { halved(known) } else { known })
+        }
+    }
+
+    fn limit_at(&self, d: usize, a: usize) -> Limit {
+        let limit = self.limits[a];
+        if self.daemons[d].lowered {
+            halved(limit)
+        } else {
+            limit
+        }
+    }
+
+    fn arrive(&mut self, a: usize) {
+        let now = self.now;
+        let hot = if a == 0 { self.case.hot } else { 1.0 };
+        let rate = self.limits[a].rate * USUAL * hot;
+        let uniform: f64 = self.rng.random();
+        let wait = -(1.0 - uniform).ln() / rate;
+        if now + Duration::from_secs_f64(wait) < Time::from_millis(END_MS) {
+            self.push(now + Duration::from_secs_f64(wait), Event::Arrive(a));
+        }
+        if now == Time::from_millis(BEGIN_MS) {
+            return; // all accounts would begin at the same moment
+        }
+        let owner = self.owner();
+        let d = if a == 0 && self.case.single {
+            (owner + 1) % self.advertised
+        } else {
+            let up: Vec<usize> = (0..self.advertised).filter(|d| self.runs(*d)).collect();
+            *up.choose(&mut self.rng).unwrap()
+        };
+        if !self.runs(d) {
+            return;
+        }
+        self.arrivals += 1;
+        let limit = self.limits[a];
+        let (bucket, _, let_through) = &mut self.reference[a];
+        if bucket.refill(now, limit.rate, limit.burst.max(1.0)) >= 1.0 {
+            bucket.take(1.0);
+            *let_through += 1;
+        }
+        self.take(d, a, now, true);
+    }
+
+    fn take(&mut self, d: usize, a: usize, arrived: Time, first: bool) {
+        let limit = self.limit_at(d, a);
+        let now = self.now;
+        let take = self.daemons[d]
+            .state
+            .take(now, &self.names[a], limit, first);
+        match take {
+            Take::Run(_) => {
+                self.served[a] += 1;
+                self.ran[a].push(now);
+            }
+            Take::Refuse(after) => assert!(after <= Duration::from_secs(15), "{after:?}"),
+            Take::Wait => {
+                self.waiting.push(Waiting {
+                    daemon: d,
+                    account: a,
+                    arrived,
+                    done: false,
+                });
+                let id = self.waiting.len() - 1;
+                self.open.entry((d, a)).or_default().push(id);
+                self.push(now + ASK_AGAIN, Event::Wake(id));
+            }
+        }
+        if self.daemons[d].state.has_asks() && !self.daemons[d].flushing {
+            self.daemons[d].flushing = true;
+            self.push(now + FLUSH_DELAY, Event::Flush(d));
+        }
+    }
+
+    fn wake(&mut self, id: usize) {
+        let Waiting {
+            daemon,
+            account,
+            arrived,
+            done,
+        } = self.waiting[id];
+        if done {
+            return;
+        }
+        if self.daemons[daemon].paused > self.now {
+            let paused = self.daemons[daemon].paused;
+            self.push(paused, Event::Wake(id));
+            return;
+        }
+        self.waiting[id].done = true;
+        self.daemons[daemon].state.end_wait(&self.names[account]);
+        if self.now.since(arrived) < MAX_WAIT {
+            self.take(daemon, account, arrived, false);
+        }
+    }
+
+    fn flush(&mut self, d: usize) {
+        self.daemons[d].flushing = false;
+        for (owner, asks) in self.daemons[d].state.asks(self.now) {
+            let to = self.daemons.iter().position(|x| x.id == owner);
+            if let Some(to) = to {
+                self.send(d, to, Message::Borrow(asks));
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        self.datagrams += 1;
+        let cut = self.sides.as_ref().is_some_and(|s| s[from] != s[to]);
+        if cut || self.rng.random_bool(self.case.loss) {
+            return;
+        }
+        // Daemons of one data centre are near, others are some milliseconds away.
+        let micros = if from % 3 == to % 3 {
+            300..900
+        } else {
+            2_000..9_000
+        };
+        let delay = Duration::from_micros(self.rng.random_range(micros));
+        self.push(self.now + delay, Event::Deliver(from, to, message));
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        let now = self.now;
+        if self.daemons[to].paused > now {
+            // The socket keeps what arrives meanwhile.
+            let paused = self.daemons[to].paused;
+            self.push(paused, Event::Deliver(from, to, message));
+            return;
+        }
+        match message {
+            Message::Borrow(asks) => {
+                let id = self.daemons[from].id;
+                let limits = self.limits_by_name(self.daemons[to].lowered);
+                let answers = self.daemons[to].state.answer(now, id, &asks, limits);
+                self.send(to, from, Message::Lent(answers));
+            }
+            Message::Lent(answers) => {
+                self.daemons[to].state.accept(now, &answers);
+                for lent in answers {
+                    let a = self.names.iter().position(|n| *n == lent.account).unwrap();
+                    for id in self.open.remove(&(to, a)).unwrap_or_default() {
+                        self.wake(id);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn halved(limit: Limit) -> Limit {
+    Limit {
+        rate: limit.rate / 2.0,
+        burst: limit.burst / 2.0,
+    }
+}
+
+/// Highest number of requests in any window, as a fraction of the bound.
+fn worst(times: &[Time], limit: Limit) -> f64 {
+    let mut first = 0;
+    let mut most = 0;
+    for (i, at) in times.iter().enumerate() {
+        while at.since(times[first]) >= RULES.window {
+            first += 1;
+        }
+        most = most.max(i + 1 - first);
+    }
+    f64::from(u32::try_from(most).unwrap()) / RULES.bound(limit)
+}
+
+/// Runs a case and checks the bound. Returns the fraction of what is within the limit that did not
+/// run, for the hot account and for all others.
+fn check(case: Case) -> (f64, f64) {
+    report(case, &Simulation::new(case, 7).run())
+}
+
+fn report(case: Case, done: &Simulation) -> (f64, f64) {
+    let mut highest: f64 = 0.0;
+    let lowered = Time::from_millis(FAULT_MS + 3_000) + RULES.window;
+    for (times, limit) in done.ran.iter().zip(&done.limits) {
+        highest = highest.max(worst(times, *limit));
+        if case.fault == Fault::Lowered {
+            let late: Vec<Time> = times.iter().copied().filter(|t| *t >= lowered).collect();
+            highest = highest.max(worst(&late, halved(*limit)));
+        }
+    }
+    let lost = |range: std::ops::Range<usize>| {
+        let within: u64 = range.clone().map(|a| done.reference[a].2).sum();
+        let less = |a: usize| done.reference[a].2.saturating_sub(done.served[a]);
+        let lost: u64 = range.map(less).sum();
+        #[allow(clippy::cast_precision_loss)] // far below 2^52
+        let part = lost as f64 / within.max(1) as f64;
+        part
+    };
+    let (hot, others) = (lost(0..1), lost(1..case.accounts));
+    println!(
+        "{:4} daemons, {:5} accounts, rate {} burst {} x{}{}, {:?}, loss {}: {} requests, {} datagrams, \
+         highest window {:.2} of the bound, lost of what is within the limit: hot {:.2}%, others {:.2}%",
+        case.daemons,
+        case.accounts,
+        case.limit.rate,
+        case.limit.burst,
+        case.hot,
+        if case.single { " at one" } else { "" },
+        case.fault,
+        case.loss,
+        done.arrivals,
+        done.datagrams,
+        highest,
+        hot * 100.0,
+        others * 100.0
+    );
+    assert!(
+        highest <= 1.0,
+        "the bound is exceeded: {highest:.3} of it, {case:?}"
+    );
+    (hot, others)
+}
+
+const USUAL_CASE: Case = Case {
+    daemons: 8,
+    accounts: 10,
+    limit: Limit {
+        rate: 19.0,
+        burst: 19.0,
+    },
+    hot: HOT,
+    single: false,
+    fault: Fault::None,
+    loss: 0.0,
+};
+
+/// Fails if requests within the limit are refused while nothing is wrong.
+fn check_steady(daemons: usize, accounts: usize) {
+    for (rate, burst) in [(19.0, 19.0), (0.5, 1.0), (100.0, 1.0), (400.0, 0.0)] {
+        for (hot, single) in [(1.0, false), (1.0, true), (HOT, false), (HOT, true)] {
+            let limit = Limit { rate, burst };
+            let case = Case {
+                daemons,
+                accounts,
+                limit,
+                hot,
+                single,
+                ..USUAL_CASE
+            };
+            let (lost, others) = check(case);
+            assert!(lost < 0.01, "{:.2}% of the hot account", lost * 100.0);
+            assert!(others < 0.01, "{:.2}% of the others", others * 100.0);
+        }
+    }
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault::OwnerKilled,
+    Fault::OwnerCut,
+    Fault::TwoOwners,
+    Fault::HalfCut,
+    Fault::Paused,
+    Fault::AllRestarted,
+    Fault::Lowered,
+    Fault::Flapping,
+];
+
+/// Fails if a fault lets an account exceed its bound.
+fn check_faults(daemons: usize, accounts: usize, loss: f64) {
+    for fault in FAULTS {
+        for (rate, burst) in [(19.0, 19.0), (1.0, 30.0), (300.0, 100.0)] {
+            let limit = Limit { rate, burst };
+            check(Case {
+                daemons,
+                accounts,
+                limit,
+                fault,
+                loss,
+                ..USUAL_CASE
+            });
+        }
+    }
+}
+
+#[test]
+fn requests_within_the_limit_are_served_while_nothing_is_wrong() {
+    check_steady(8, 10);
+    check_steady(82, 100);
+}
+
+#[test]
+fn no_fault_lets_an_account_exceed_its_bound() {
+    check_faults(8, 10, 0.0);
+    check_faults(82, 10, 0.05);
+}
+
+/// An account with many requests a second needs large leases: the number of datagrams is bounded.
+#[test]
+fn a_fast_account_needs_few_datagrams() {
+    let limit = Limit {
+        rate: 10_000.0,
+        burst: 10_000.0,
+    };
+    for (hot, single) in [(1.0, false), (1.5, false), (1.0, true)] {
+        let case = Case {
+            daemons: 82,
+            accounts: 1,
+            limit,
+            hot,
+            single,
+            ..USUAL_CASE
+        };
+        let done = Simulation::new(case, 7).run();
+        let (lost, _) = report(case, &done);
+        assert!(lost < 0.01, "{:.2}% lost", lost * 100.0);
+        let seconds = (END_MS - BEGIN_MS) / 1_000;
+        let per_daemon = done.datagrams / seconds / 82;
+        assert!(
+            per_daemon < 80,
+            "{per_daemon} datagrams a second and daemon"
+        );
+    }
+}
+
+/// Lost datagrams cost waiting time and some requests, and never exceed the bound.
+#[test]
+fn lost_datagrams_do_not_exceed_the_bound() {
+    for loss in [0.01, 0.1, 0.5] {
+        check(Case { loss, ..USUAL_CASE });
+        check(Case {
+            daemons: 82,
+            loss,
+            ..USUAL_CASE
+        });
+    }
+}
+
+/// `cargo test -p rattanturn-core --test allowance -- --ignored --nocapture`
+#[test]
+#[ignore = "large"]
+fn large_deployments() {
+    check_steady(302, 1_000);
+    check_steady(1_000, 10_000);
+    check_faults(302, 100, 0.01);
+    check_faults(1_000, 10_000, 0.01);
+}
