Send requests for tokens of accounts and their answers as datagrams

JSON datagrams were taken for evidence whatever their fields were. Their kind follows from the name of their list now; an unknown kind is an error and unknown fields are ignored.

--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -1,9 +1,10 @@
-//! Encoding of the UDP datagrams that carry membership and lease messages, and evidence against
-//! crashing requests.
+//! Encoding of the UDP datagrams that carry membership and lease messages, evidence against crashing
+//! requests, and the tokens of accounts.
 //!
-//! Evidence is JSON, all else the packed Cap'n Proto format. No datagram in that format begins with a
-//! brace: it would stand for a message of more than 60,000 segments. Daemons of older versions drop
-//! evidence as a datagram that cannot be decoded.
+//! Evidence and tokens are JSON, all else the packed Cap'n Proto format. No datagram in that format
+//! begins with a brace: it would stand for a message of more than 60,000 segments. A JSON datagram's
+//! kind follows from its fields, and fields that are not known are ignored. Daemons of older versions
+//! drop kinds that they do not know as datagrams that cannot be decoded.
 //!
 //! The structs of `peer.capnp` are converted to and from the types of the core crate. Some names of
 //! the schema differ from those of the core, because names on the wire never change.
@@ -13,6 +14,7 @@
     capnp::{message, serialize_packed},
     rattanturn_core::{
         NodeId,
+        allowance::{Ask, Lent},
         lease::{LeaseRequest, LeaseTerm, UnitId, Vote},
         membership::{Endpoints, MemberRecord, Message, MessageKind, State, Versions},
         quarantine::Evidence,
@@ -32,13 +34,26 @@
     LeaseVotes(NodeId, Vec<Vote>),
     /// Evidence against requests, with the id of the daemon that sends it.
     Evidence(NodeId, Vec<Evidence>),
+    /// Requests for tokens of accounts, with the id of the daemon that asks.
+    Borrow(NodeId, Vec<Ask>),
+    /// Answers to such requests, with the id of the daemon that answers.
+    Lent(NodeId, Vec<Lent>),
 }
 
-/// Evidence as it is sent.
+/// A JSON datagram as it is sent; the name of its list says of which kind it is.
 #[derive(Serialize, Deserialize)]
-struct EvidenceMessage {
+struct JsonMessage {
     from: NodeId,
-    evidence: Vec<Evidence>,
+    #[serde(flatten)]
+    list: JsonList,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum JsonList {
+    Evidence(Vec<Evidence>),
+    Borrow(Vec<Ask>),
+    Lent(Vec<Lent>),
 }
 
 /// Encodes a datagram.
@@ -56,7 +71,9 @@
         Datagram::Gossip(m) => write_gossip(root.init_gossip(), m),
         Datagram::LeaseRequests(from, list) => write_requests(root, *from, list),
         Datagram::LeaseVotes(from, list) => write_votes(root, *from, list),
-        Datagram::Evidence(from, list) => return encode_evidence(*from, list),
+        Datagram::Evidence(from, list) => return json(*from, JsonList::Evidence(list.clone())),
+        Datagram::Borrow(from, list) => return json(*from, JsonList::Borrow(list.clone())),
+        Datagram::Lent(from, list) => return json(*from, JsonList::Lent(list.clone())),
     }
     let mut out = Vec::new();
     // Writing to a `Vec` is infallible.
@@ -64,26 +81,26 @@
     out
 }
 
-fn encode_evidence(from: NodeId, list: &[Evidence]) -> Vec<u8> {
-    let message = EvidenceMessage {
-        from,
-        evidence: list.to_vec(),
-    };
+fn json(from: NodeId, list: JsonList) -> Vec<u8> {
     // Writing plain data to a `Vec` is infallible.
-    serde_json::to_vec(&message).unwrap_or_default()
+    serde_json::to_vec(&JsonMessage { from, list }).unwrap_or_default()
 }
 
 /// Decodes a datagram.
 ///
 /// # Errors
 ///
-/// The bytes are no valid datagram of this schema, or a member in it has an unknown state or an
+/// The bytes are no valid datagram of this schema, a JSON datagram is of an unknown kind, or a member in it has an unknown state or an
 /// invalid gossip address.
 pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
     if bytes.first() == Some(&b'{') {
-        let message: EvidenceMessage = serde_json::from_slice(bytes)
-            .map_err(|error| capnp::Error::failed(format!("invalid evidence: {error}")))?;
-        return Ok(Datagram::Evidence(message.from, message.evidence));
+        let message: JsonMessage = serde_json::from_slice(bytes)
+            .map_err(|error| capnp::Error::failed(format!("invalid JSON datagram: {error}")))?;
+        return Ok(match message.list {
+            JsonList::Evidence(list) => Datagram::Evidence(message.from, list),
+            JsonList::Borrow(list) => Datagram::Borrow(message.from, list),
+            JsonList::Lent(list) => Datagram::Lent(message.from, list),
+        });
     }
     let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
     let root = reader.get_root::<datagram::Reader<'_>>()?;
