Limit the requests of accounts over all daemons

It gives the token back if no target ran it. Control exchanges tokens with the owners; the state dump, a metric, a log line and `rattanturn accounts` show the use. Requests have no account yet, so nothing is limited before keys are read.

--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -119,6 +119,35 @@
     Ok(())
 }
 
+/// Prints a row for each account with a limit that the daemon at `admin` has used.
+pub(crate) async fn accounts(admin: SocketAddr) -> CommandResult {
+    let state = get(admin, "/state").await?;
+    let columns = [
+        "account", "rate", "burst", "ran", "refused", "leased", "unpaid", "owner", "tokens", "lent",
+    ];
+    println!("{}", account_row(columns.map(String::from)));
+    for account in state["accounts"].as_array().into_iter().flatten() {
+        println!("{}", account_row(columns.map(|c| cell(&account[c]))));
+    }
+    Ok(())
+}
+
+fn account_row(cells: [String; 10]) -> String {
+    let [name, numbers @ ..] = cells;
+    let numbers = numbers.map(|n| format!(" {n:>9}"));
+    format!("{name:<20}{}", numbers.concat())
+}
+
+/// Text of a value; `-` if the daemon does not know it, and one decimal for what is not whole.
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.clone(),
+        Value::Number(n) if n.is_f64() => format!("{:.1}", n.as_f64().unwrap_or_default()),
+        other => other.to_string(),
+    }
+}
+
 /// Replays the recorded trace of one query and checks the outcome that the trace states.
 pub(crate) fn replay(path: &Path) -> CommandResult {
     let text = std::fs::read_to_string(path).map_err(|e| {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -91,6 +91,12 @@
                 /// Prints JSON instead of a table.
                 optional --json
             }
+            /// Prints the accounts with a limit that one daemon knows of: their limit, use, refused
+            /// requests and leased tokens.
+            cmd accounts {
+                /// Address on which the daemon serves operators.
+                required --admin addr: SocketAddr
+            }
             /// Explains from the daemons' log files how one request ended and why.
             cmd explain {
                 /// Id of the request, as the caller sent it.
@@ -180,6 +186,7 @@
         Cmd::Addresses(c) => daemon::addresses(c.daemon, c.centre.as_deref()).await,
         Cmd::State(c) => daemon::state(c.admin).await,
         Cmd::Status(c) => daemon::status(c.admin, c.json).await,
+        Cmd::Accounts(c) => daemon::accounts(c.admin).await,
         Cmd::Explain(c) => explain(&c),
         Cmd::Worst(c) => worst(&c),
         Cmd::Report(c) => report(&c),
--- a/crates/core/src/allowance/borrower.rs
+++ b/crates/core/src/allowance/borrower.rs
@@ -97,6 +97,8 @@
     loans: HashMap<String, Loan>,
     /// Accounts for which tokens may have to be asked for.
     due: BTreeSet<String>,
+    /// Whether a request since the last [`Self::take_news`] may have something to ask.
+    news: bool,
     seq: u32,
 }
 
@@ -109,6 +111,7 @@
             fraction: 0.0,
             loans: HashMap::new(),
             due: BTreeSet::new(),
+            news: false,
             seq: 0,
         }
     }
@@ -157,8 +160,13 @@
             loan.waiting += 1;
             Take::Wait
         };
-        if loan.wanted(now, rules.life()) > 0 && !self.due.contains(account) {
+        let is_due = self.due.contains(account);
+        if !is_due && loan.wanted(now, rules.life()) > 0 {
             self.due.insert(account.to_owned());
+            self.news = true;
+        } else if is_due && !first {
+            // The owner may not have got the question.
+            self.news = true;
         }
         out
     }
@@ -197,10 +205,9 @@
         }
     }
 
-    /// Whether [`Self::asks`] may have something to ask.
-    #[must_use]
-    pub fn has_asks(&self) -> bool {
-        !self.due.is_empty()
+    /// Whether requests since the last call may have something to ask.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.news)
     }
 
     /// What to ask owners for now.
--- a/crates/core/src/allowance/daemon.rs
+++ b/crates/core/src/allowance/daemon.rs
@@ -109,10 +109,9 @@
         }
     }
 
-    /// Whether there may be something to ask owners for.
-    #[must_use]
-    pub fn has_asks(&self) -> bool {
-        self.borrower.has_asks()
+    /// Whether requests since the last call may have something to ask owners for.
+    pub fn take_news(&mut self) -> bool {
+        self.borrower.take_news()
     }
 
     /// What to ask each owner for now.
--- a/crates/core/tests/allowance.rs
+++ b/crates/core/tests/allowance.rs
@@ -465,7 +465,7 @@
                 self.push(now + ASK_AGAIN, Event::Wake(id));
             }
         }
-        if self.daemons[d].state.has_asks() && !self.daemons[d].flushing {
+        if self.daemons[d].state.take_news() && !self.daemons[d].flushing {
             self.daemons[d].flushing = true;
             self.push(now + FLUSH_DELAY, Event::Flush(d));
         }
@@ -542,6 +542,7 @@
                         self.wake(id);
                     }
                 }
+                self.flush(to);
             }
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -249,7 +249,7 @@
                     self.leases.count_votes(now, sets, voter, &list);
                 }
             }
-            Datagram::Evidence(..) => {
+            Datagram::Evidence(..) | Datagram::Borrow(..) | Datagram::Lent(..) => {
                 tracing::debug!(%from, "dropped a datagram that is for the tier");
             }
         }
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -11,11 +11,12 @@
 mod evidence;
 mod members;
 mod problems;
+mod quotas;
 mod shutdown;
 mod stored_evidence;
 
 use {
-    self::{evidence::EvidenceExchange, stored_evidence::StoredRequests},
+    self::{evidence::EvidenceExchange, quotas::QuotaExchange, stored_evidence::StoredRequests},
     crate::{
         admin, clock,
         control::{self, Event},
@@ -26,6 +27,7 @@
             peer_sync::PeerSync,
             peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
             quarantine::SharedQuarantine,
+            quota::SharedQuotas,
             register::StaleEntries,
             sources::{StoreEvent, session},
             view::{Gauges, Phase, SharedView, View},
@@ -93,6 +95,7 @@
     pub(crate) events: mpsc::UnboundedSender<Event>,
     pub(crate) gauges: Arc<Gauges>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) quotas: Arc<SharedQuotas>,
 }
 
 struct Control {
@@ -135,6 +138,8 @@
     gauges: Arc<Gauges>,
     quarantine: Arc<SharedQuarantine>,
     evidence: EvidenceExchange,
+    quotas: Arc<SharedQuotas>,
+    quota_exchange: QuotaExchange,
     stored: StoredRequests,
 }
 
@@ -221,9 +226,12 @@
         gauges: start.gauges,
         quarantine: start.quarantine,
         evidence: EvidenceExchange::default(),
+        quotas: start.quotas,
+        quota_exchange: QuotaExchange::default(),
         stored: StoredRequests::default(),
     };
     let quarantine = control.quarantine.clone();
+    let quotas = control.quotas.clone();
     actix_rt::spawn(peers::serve(start.rpc, objects, targets));
     let mut buffer = vec![0; control::MAX_DATAGRAM_BYTES];
     let mut next = clock::now();
@@ -231,21 +239,11 @@
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((len, from)) = received {
-                    match decode(&buffer[..len]) {
-                        Ok(Datagram::Gossip(message)) => {
-                            meters::count_datagram("received", message.kind, len);
-                            control.receive_gossip(&socket, from, &message).await;
-                        }
-                        Ok(Datagram::Evidence(from, reports)) => {
-                            control.receive_evidence(&socket, from, &reports).await;
-                        }
-                        Ok(_) | Err(_) => {
-                            tracing::debug!(%from, "dropped a datagram that is not for the tier");
-                        }
-                    }
+                    control.receive(&socket, from, &buffer[..len]).await;
                 }
             }
             () = quarantine.wait_news() => control.send_evidence_news(&socket).await,
+            () = quotas.wait_news() => control.send_asks(&socket).await,
             Some(event) = store_events.recv() => control.handle_store_event(&socket, event).await,
             Some(event) = targets_events.recv() => {
                 control.handle_targets_event(&socket, event).await;
@@ -265,8 +263,26 @@
 }
 
 impl Control {
+    async fn receive(&mut self, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
+        match decode(bytes) {
+            Ok(Datagram::Gossip(message)) => {
+                meters::count_datagram("received", message.kind, bytes.len());
+                self.receive_gossip(socket, from, &message).await;
+            }
+            Ok(Datagram::Evidence(from, reports)) => {
+                self.receive_evidence(socket, from, &reports).await;
+            }
+            Ok(Datagram::Borrow(from, asks)) => self.receive_asks(socket, from, &asks).await,
+            Ok(Datagram::Lent(_, answers)) => self.receive_tokens(socket, &answers).await,
+            Ok(_) | Err(_) => {
+                tracing::debug!(%from, "dropped a datagram that is not for the tier");
+            }
+        }
+    }
+
     async fn receive_gossip(&mut self, socket: &UdpSocket, from: SocketAddr, message: &Message) {
         let now = clock::now();
+        self.note_heard();
         let out = self.membership.receive(now, from, message);
         self.compare_versions(now, message);
         send(socket, out).await;
@@ -503,6 +519,7 @@
         self.share_state();
         self.send_evidence_news(socket).await;
         self.repeat_evidence(socket, now).await;
+        self.update_quotas(socket, now).await;
         if now.since(self.gauges_set) >= GAUGES_INTERVAL {
             self.gauges_set = now;
             self.gauge_values(now).export();
@@ -623,6 +640,7 @@
             "out": self.cluster.evacuated,
             "members": members,
             "problems": self.problems(),
+            "accounts": self.dump_accounts(),
             "store_failures": self.cluster.failures,
             "requests": self.gauges.open_requests.load(Ordering::Relaxed),
             "links": self.gauges.upstreams.load(Ordering::Relaxed),
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -76,10 +76,14 @@
 
     /// A 503 answer, which states that the request has not run and may be retried after a time.
     pub(crate) fn not_run(text: &'static str, after: Duration) -> Self {
-        let mut out = Self::text(503, text);
+        Self::text(503, text).with_retry_after(after)
+    }
+
+    /// Adds the time after which the request may be retried.
+    pub(crate) fn with_retry_after(mut self, after: Duration) -> Self {
         let (name, value) = retry_after(after);
-        out.headers.insert(name, value);
-        out
+        self.headers.insert(name, value);
+        self
     }
 }
 
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -190,6 +190,21 @@
         .increment(bytes as u64);
 }
 
+/// Counts a request of an account with a limit; `outcome` is `taken` for one that took a token, or
+/// `refused`. The caller bounds the number of accounts.
+pub(crate) fn count_account(account: String, outcome: &'static str) {
+    counter!("rattanturn_account_requests_total", "account" => account, "outcome" => outcome)
+        .increment(1);
+}
+
+/// Counts a datagram that asks for tokens of accounts or answers such a question.
+pub(crate) fn count_token_datagram(bytes: usize) {
+    counter!("rattanturn_peer_datagrams_total", "direction" => "sent", "kind" => "tokens")
+        .increment(1);
+    counter!("rattanturn_peer_datagram_bytes_total", "direction" => "sent", "kind" => "tokens")
+        .increment(bytes as u64);
+}
+
 /// Sets the number of requests that are refused because they end the targets that run them.
 pub(crate) fn set_quarantined_requests(count: usize) {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod quarantine;
 mod query;
+mod quota;
 mod register;
 mod relay;
 mod sources;
@@ -29,6 +30,7 @@
     actix_rt::Arbiter,
     eyre::Context,
     quarantine::SharedQuarantine,
+    quota::SharedQuotas,
     rattanturn_core::membership::Endpoints,
     rattanturn_tables::{Settings, TierSettings},
     std::{
@@ -108,6 +110,7 @@
         let shared: SharedView = Arc::new(arc_swap::ArcSwap::from_pointee(View::default()));
         let gauges: Arc<Gauges> = Arc::default();
         let quarantine: Arc<SharedQuarantine> = Arc::default();
+        let quotas = Arc::new(SharedQuotas::new(me, tier.quotas));
         let (events, inbox) = mpsc::unbounded_channel();
         let addresses = TierAddresses {
             front: front.local_addr()?,
@@ -134,6 +137,7 @@
             events: events.clone(),
             gauges: gauges.clone(),
             quarantine: quarantine.clone(),
+            quotas: quotas.clone(),
         };
         let control = Arbiter::new();
         control.spawn_fn(move || {
@@ -145,7 +149,8 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::new(shared, gauges, quarantine, &tier, centre);
+            let traffic =
+                traffic::Traffic::new(shared, gauges, (quarantine, quotas), &tier, centre);
             let reporter = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -12,6 +12,7 @@
             front::{Incoming, RETRY_AFTER, Reply},
             meters::{self, RequestOutcome},
             quarantine::TrialPermit,
+            quota::QuotaPermit,
             relay::{RELAYED, Relayed, relayed_attempts},
             traffic::Traffic,
             upstream::Call,
@@ -21,7 +22,9 @@
     actix_http::{RequestHead, header::HeaderMap},
     bytes::Bytes,
     rattanturn_core::{
-        Time, addresses,
+        Time,
+        accounts::Account,
+        addresses,
         catalog::{Destination, Gather, Route},
         fingerprint::Fingerprint,
         gather::{Cutoff, MissingReason},
@@ -36,6 +39,7 @@
         cell::{OnceCell, RefCell},
         collections::BTreeMap,
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::time::timeout,
@@ -57,6 +61,8 @@
     view: &'a View,
     route: &'a Route,
     incoming: &'a Incoming,
+    /// The account of the caller, if the configuration names accounts.
+    account: Option<Arc<Account>>,
     /// Time by which the answer must be sent.
     deadline: Time,
     /// Service and time of each call that was sent.
@@ -88,6 +94,7 @@
         view: &view,
         route,
         incoming: &incoming,
+        account: None,
         deadline: fan_out::deadline(route, incoming.arrived, deadline(head))
             - RESPONSE_TRANSIT_TIME,
         sent: RefCell::default(),
@@ -98,12 +105,51 @@
         version: catalog.version(),
         answered: false,
     };
+    let permit = match query.admit_account().await {
+        Ok(permit) => permit,
+        Err(after) => {
+            guard.answered = true;
+            return query.over_limit(after);
+        }
+    };
+    let used = AccountUse {
+        sent: &query.sent,
+        permit,
+    };
     let (answer, summary) = query.run().await;
     guard.answered = true;
+    used.end(&answer, &summary);
     query.log(&answer, &summary, catalog.version());
     answer
 }
 
+/// The token of a request's account. Dropping it gives the token back if no call was sent, as when the
+/// caller left before.
+struct AccountUse<'a> {
+    sent: &'a RefCell<Vec<(usize, Time)>>,
+    permit: Option<QuotaPermit<'a>>,
+}
+
+impl AccountUse<'_> {
+    /// Ends the use with the answer. The token goes back if no target ran the request here: a peer
+    /// that ran it has taken one of its own.
+    fn end(mut self, answer: &Reply, summary: &RequestSummary) {
+        if answer.status == 503 || summary.relayed {
+            self.permit = None;
+        }
+    }
+}
+
+impl Drop for AccountUse<'_> {
+    fn drop(&mut self) {
+        if let Some(permit) = &mut self.permit
+            && !self.sent.borrow().is_empty()
+        {
+            permit.keep();
+        }
+    }
+}
+
 /// Whether a request may run.
 enum Admission<'a> {
     Run,
@@ -216,6 +262,30 @@
         }
     }
 
+    /// Takes a token of the request's account, if it has a limit.
+    ///
+    /// # Errors
+    ///
+    /// The account is over its limit; the time says when it may have a token.
+    async fn admit_account(&self) -> Result<Option<QuotaPermit<'_>>, Duration> {
+        let Some(account) = &self.account else {
+            return Ok(None);
+        };
+        let quotas = &self.traffic.quotas;
+        quotas
+            .admit(account, self.route.latency_goal, self.deadline)
+            .await
+    }
+
+    /// Refuses a request whose account is over its limit. The refusals are logged by account, see
+    /// [`crate::tier::quota`].
+    fn over_limit(&self, after: Duration) -> Reply {
+        let took = clock::now().since(self.incoming.arrived);
+        let meters = &self.traffic.meters;
+        meters.record_request(&self.route.name, RequestOutcome::NotRun, took);
+        Reply::text(429, "the account is over its limit\n").with_retry_after(after)
+    }
+
     /// Decides whether the request may run. Waits while another copy of it is on trial.
     async fn admit(&self) -> Admission<'_> {
         let quarantine = &self.traffic.quarantine;
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -12,6 +12,7 @@
             connection::Answer,
             meters::{self, Meters},
             quarantine::{SharedQuarantine, Trials},
+            quota::SharedQuotas,
             relay::RelayClient,
             upstream::{SharedCalls, Upstream},
             view::{Gauges, Phase, SharedView, View},
@@ -98,6 +99,7 @@
     lost: Notify,
     pub(crate) relay: RelayClient,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) trials: Trials,
     gauges: Arc<Gauges>,
     pub(crate) meters: Meters,
@@ -109,7 +111,7 @@
     pub(crate) fn new(
         shared: SharedView,
         gauges: Arc<Gauges>,
-        quarantine: Arc<SharedQuarantine>,
+        (quarantine, quotas): (Arc<SharedQuarantine>, Arc<SharedQuotas>),
         tier: &TierSettings,
         centre: String,
     ) -> Rc<Self> {
@@ -142,6 +144,7 @@
             lost: Notify::new(),
             relay: RelayClient::default(),
             quarantine,
+            quotas,
             trials: Trials::default(),
             gauges,
             meters: Meters::default(),
--- a/crates/tables/src/lib.rs
+++ b/crates/tables/src/lib.rs
@@ -20,6 +20,6 @@
 pub use {
     finding::{Finding, Findings, Severity},
     object::TablesObject,
-    settings::{LogFormat, Settings, SlotPolicy, TierSettings},
+    settings::{LogFormat, QuotaSettings, Settings, SlotPolicy, TierSettings},
     tables::{DataCentre, Pool, Route, RouteKind, Service, Tables, Target, parse_tables},
 };
