--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -63,8 +63,6 @@
     view: &'a View,
     route: &'a Route,
     incoming: &'a Incoming,
-    /// The account of the caller, if the configuration names accounts.
-    account: Option<Arc<Account>>,
     /// Time by which the answer must be sent.
     deadline: Time,
     /// Service and time of each call that was sent.
@@ -109,7 +107,6 @@
         view: &view,
         route,
         incoming: &incoming,
-        account: None,
         deadline: fan_out::deadline(route, incoming.arrived, deadline(head))
             - RESPONSE_TRANSIT_TIME,
         sent: RefCell::default(),
--- a/crates/daemon/src/tier/quota.rs
+++ b/crates/daemon/src/tier/quota.rs
@@ -9,6 +9,7 @@
         NodeId, Time,
         accounts::Account,
         allowance::{ASK_AGAIN, Allowance, Ask, Lent, Limit, Permit, Rules, Standing, Take},
+        line_limit::LineLimit,
     },
     rattanturn_tables::QuotaSettings,
     serde_json::{Value, json},
@@ -49,7 +50,7 @@
     /// Wakes the requests of an account that wait for tokens.
     waiting: HashMap<String, Arc<Notify>>,
     counts: BTreeMap<String, Counts>,
-    log: RefusalLog,
+    log: LineLimit,
 }
 
 /// Requests of an account at this daemon.
@@ -60,30 +61,6 @@
     refused: u64,
 }
 
-/// Limits the log lines on refusals.
-#[derive(Debug, Default)]
-struct RefusalLog {
-    second: Time,
-    lines: u32,
-    left_out: u64,
-}
-
-impl RefusalLog {
-    /// Whether a line may be written now, and how many were left out since the last one.
-    fn line(&mut self, now: Time) -> Option<u64> {
-        if now.since(self.second) >= Duration::from_secs(1) {
-            self.second = now;
-            self.lines = 0;
-        }
-        self.lines += 1;
-        if self.lines > MAX_LOG_LINES {
-            self.left_out += 1;
-            return None;
-        }
-        Some(std::mem::take(&mut self.left_out))
-    }
-}
-
 impl Inner {
     fn count(&mut self, account: &str, change: impl FnOnce(&mut Counts)) {
         let known = self.counts.contains_key(account) || self.counts.len() < MAX_NAMES;
@@ -118,7 +95,7 @@
                 allowance: Allowance::new(me, rules),
                 waiting: HashMap::new(),
                 counts: BTreeMap::new(),
-                log: RefusalLog::default(),
+                log: LineLimit::new(MAX_LOG_LINES),
             }),
             news: Notify::new(),
         }
@@ -201,7 +178,7 @@
         let line = self.with(|s| {
             s.count(account, |c| c.refused += 1);
             meters::count_account(s.label(account), "refused");
-            s.log.line(clock::now())
+            s.log.admit(clock::now())
         });
         if let Some(left_out) = line {
             tracing::warn!(
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -4,6 +4,7 @@
 mod crashing_request;
 mod endless_answers;
 mod late_configuration;
+mod quotas;
 mod rate_limits;
 mod stranded;
 
