--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -249,7 +249,10 @@
                     self.leases.count_votes(now, sets, voter, &list);
                 }
             }
-            Datagram::Evidence(..) | Datagram::Rollouts(..) => {
+            Datagram::Evidence(..)
+            | Datagram::Rollouts(..)
+            | Datagram::Borrow(..)
+            | Datagram::Lent(..) => {
                 tracing::debug!(%from, "dropped a datagram that is for the tier");
             }
         }
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod quarantine;
 mod query;
+mod quota;
 mod register;
 mod relay;
 mod rollouts;
@@ -32,6 +33,7 @@
     actix_rt::Arbiter,
     eyre::Context,
     quarantine::SharedQuarantine,
+    quota::SharedQuotas,
     rattanturn_core::membership::Endpoints,
     rattanturn_tables::{Settings, TierSettings},
     std::{
@@ -112,6 +114,7 @@
         let gauges: Arc<Gauges> = Arc::default();
         let quarantine: Arc<SharedQuarantine> = Arc::default();
         let rollouts: Arc<rollouts::SharedRollouts> = Arc::default();
+        let quotas = Arc::new(SharedQuotas::new(me, tier.quotas));
         let (events, inbox) = mpsc::unbounded_channel();
         let addresses = TierAddresses {
             front: front.local_addr()?,
@@ -139,6 +142,7 @@
             gauges: gauges.clone(),
             quarantine: quarantine.clone(),
             rollouts: rollouts.clone(),
+            quotas: quotas.clone(),
         };
         let control = Arbiter::new();
         control.spawn_fn(move || {
@@ -150,8 +154,13 @@
         });
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic =
-                traffic::Traffic::new(shared, gauges, quarantine, rollouts, &tier, centre);
+            let traffic = traffic::Traffic::new(
+                shared,
+                gauges,
+                (quarantine, quotas, rollouts),
+                &tier,
+                centre,
+            );
             let reporter = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -13,6 +13,7 @@
             connection::Answer,
             meters::{self, Meters},
             quarantine::{SharedQuarantine, Trials},
+            quota::SharedQuotas,
             relay::RelayClient,
             rollouts::{SharedRollouts, TrafficRollouts},
             upstream::{SharedCalls, Upstream},
@@ -100,6 +101,7 @@
     lost: Notify,
     pub(crate) relay: RelayClient,
     pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) trials: Trials,
     pub(crate) key_checks: KeyChecks,
     pub(crate) rollouts: TrafficRollouts,
@@ -113,8 +115,11 @@
     pub(crate) fn new(
         shared: SharedView,
         gauges: Arc<Gauges>,
-        quarantine: Arc<SharedQuarantine>,
-        rollouts: Arc<SharedRollouts>,
+        (quarantine, quotas, rollouts): (
+            Arc<SharedQuarantine>,
+            Arc<SharedQuotas>,
+            Arc<SharedRollouts>,
+        ),
         tier: &TierSettings,
         centre: String,
     ) -> Rc<Self> {
@@ -148,6 +153,7 @@
             lost: Notify::new(),
             relay: RelayClient::default(),
             quarantine,
+            quotas,
             trials: Trials::default(),
             key_checks,
             rollouts: TrafficRollouts::new(rollouts),
