Send a request id in the tests of quotas

Cause: servers answer a request without an id, and the daemon does not accept an answer that does not name its request, so no answer had status 200. Change: the tests send an id.

--- a/crates/demo/tests/tier/quotas.rs
+++ b/crates/demo/tests/tier/quotas.rs
@@ -45,6 +45,7 @@
     let request = Client::default().get(format!("http://{at}/one/x"));
     let request = request
         .insert_header(("host", HOST))
+        .insert_header(("x-request-id", format!("{:016x}", rand::random::<u64>())))
         .insert_header(("authorization", format!("Bearer {key}")));
     let answer = request.send().await.ok()?;
     let after = answer.headers().get("retry-after");
