--- a/crates/demo/tests/tier/rollouts.rs
+++ b/crates/demo/tests/tier/rollouts.rs
@@ -188,6 +188,10 @@
 /// Pause between two requests of a load that lasts a whole roll-out.
 const REQUEST_PAUSE: Duration = Duration::from_millis(10);
 
+/// Paths of a load in turn, on two routes and on a single one.
+const TWO_ROUTES: [&str; 2] = ["/one/x", "/once/x"];
+const ONE_ROUTE: [&str; 2] = ["/one/x", "/one/y"];
+
 /// Result of an order that was carried out under load.
 struct Outcome {
     /// State in the store after the duration.
@@ -200,7 +204,12 @@
 }
 
 /// Orders version `v2` with servers of this flaw, and sends requests until the order's time is over.
-async fn carry_out(cluster: &mut TierCluster, flaw: Option<&Flaw>, kill: bool) -> Outcome {
+async fn carry_out(
+    cluster: &mut TierCluster,
+    paths: &'static [&'static str],
+    flaw: Option<&Flaw>,
+    kill: bool,
+) -> Outcome {
     order_rollout(&cluster.store, PLAIN, "v2", DURATION.as_secs_f64());
     let new = cluster.start_version(PLAIN, "v2", flaw).await.unwrap();
     let start = Instant::now();
@@ -213,11 +222,7 @@
         }
         let at = front_addr(cluster, open.len() % cluster.daemons.len());
         let id = format!("c{}", open.len());
-        let path = if open.len() % 2 == 0 {
-            "/one/x"
-        } else {
-            "/once/x"
-        };
+        let path = paths[open.len() % paths.len()];
         open.push(actix_rt::spawn(
             async move { request(at, path, &id, "").await },
         ));
@@ -250,7 +255,7 @@
 #[test]
 fn a_good_version_is_done_in_time() {
     with_rollouts(3, SETTINGS, async |cluster| {
-        let outcome = carry_out(cluster, None, false).await;
+        let outcome = carry_out(cluster, &TWO_ROUTES, None, false).await;
         assert_eq!(outcome.state, "done");
         assert_eq!(outcome.served, outcome.sent);
     });
@@ -260,7 +265,7 @@
 #[test]
 fn a_good_version_is_done_although_a_daemon_is_killed() {
     with_rollouts(4, SETTINGS, async |cluster| {
-        let outcome = carry_out(cluster, None, true).await;
+        let outcome = carry_out(cluster, &TWO_ROUTES, None, true).await;
         assert_eq!(outcome.state, "done");
     });
 }
@@ -276,7 +281,7 @@
     ];
     for flaw in flaws {
         with_rollouts(3, SETTINGS, async |cluster| {
-            let outcome = carry_out(cluster, Some(&flaw), false).await;
+            let outcome = carry_out(cluster, &TWO_ROUTES, Some(&flaw), false).await;
             assert_eq!(outcome.state, "reverted", "{flaw:?}");
             let all = f64::from(u32::try_from(outcome.sent).unwrap());
             let exposed = f64::from(u32::try_from(outcome.exposed).unwrap());
@@ -284,3 +289,17 @@
         });
     }
 }
+
+/// Guards against a version that fails on some requests of a route only and gets more than its exposure,
+/// because the route's other requests hide it.
+#[test]
+fn a_version_that_is_bad_on_a_part_of_a_route_keeps_to_its_exposure() {
+    with_rollouts(3, SETTINGS, async |cluster| {
+        let flaw = Flaw::Route("/one/y".into());
+        let outcome = carry_out(cluster, &ONE_ROUTE, Some(&flaw), false).await;
+        let all = f64::from(u32::try_from(outcome.sent).unwrap());
+        let exposed = f64::from(u32::try_from(outcome.exposed).unwrap());
+        assert!(exposed <= all * 0.1 + 50.0, "{exposed} of {all}");
+        assert_eq!(outcome.state, "reverted");
+    });
+}
