Answer "unknown" to non-idempotent requests whose table was not asked

Cause: a daemon that found no owner of a request's partition within 500 ms answered "not run". That holds for this attempt, but a retry's first attempt may have run elsewhere: only the deduplication table can tell. Refusals for overload and without tables had the same fault.

Test: retry_is_not_reported_as_not_run_while_its_partition_has_no_owner failed before the change (6 of 10 retries of requests that ran got "not run"), and passes after it.

--- a/crates/daemon/src/traffic/caller_frontend.rs
+++ b/crates/daemon/src/traffic/caller_frontend.rs
@@ -266,7 +266,8 @@
             return Err(if known {
                 refuse(404, "not-run", &format!("there is no route `{name}`"))
             } else {
-                refuse_for_now(Duration::from_secs(1), "no tables are known yet")
+                let outcome = refusal_outcome(header(request, "x-issued").is_some());
+                refuse_for_now(outcome, Duration::from_secs(1), "no tables are known yet")
             });
         };
         let deadline = arrived + time_limit(request, &route)?;
@@ -284,7 +285,12 @@
         } else {
             Some(once_headers(request)?)
         };
-        let permit = self.admit(&route, priority, deadline).await?;
+        let permit = self
+            .admit(&route, priority, deadline)
+            .await
+            .map_err(|(wait, reason)| {
+                refuse_for_now(refusal_outcome(once.is_some()), wait, reason)
+            })?;
         let Some((id, issued)) = once else {
             self.sequence.set(self.sequence.get() + 1);
             let tie_break = self.sequence.get();
@@ -314,13 +320,14 @@
         Ok(render_once(outcome))
     }
 
-    /// Waits until the request may run on the route's pool, or refuses it.
+    /// Waits until the request may run on the route's pool. An error is the time after which to retry
+    /// and the reason.
     async fn admit(
         self: &Rc<Self>,
         route: &Route,
         priority: Priority,
         deadline: Time,
-    ) -> Result<AdmissionPermit, Refused> {
+    ) -> Result<AdmissionPermit, (Duration, &'static str)> {
         self.sequence.set(self.sequence.get() + 1);
         let id = RequestId(self.sequence.get());
         let admitted = {
@@ -328,7 +335,7 @@
             let pool = pools.entry(route.pool.clone()).or_default();
             match pool.admission.submit(clock::now(), id, priority, deadline) {
                 Verdict::Start => None,
-                Verdict::Refused(wait) => return Err(refuse_for_now(wait, "overloaded")),
+                Verdict::Refused(wait) => return Err((wait, "overloaded")),
                 Verdict::Queued => {
                     let (send, receive) = oneshot::channel();
                     pool.waiting.insert(id, send);
@@ -339,8 +346,8 @@
         if let Some(receive) = admitted {
             match receive.await {
                 Ok(Ok(())) => {}
-                Ok(Err(wait)) => return Err(refuse_for_now(wait, "overloaded")),
-                Err(_) => return Err(refuse_for_now(Duration::from_secs(1), "the daemon stops")),
+                Ok(Err(wait)) => return Err((wait, "overloaded")),
+                Err(_) => return Err((Duration::from_secs(1), "the daemon stops")),
             }
         }
         Ok(AdmissionPermit {
@@ -408,10 +415,16 @@
     Refused(response(status, &headers, body.to_string()))
 }
 
-/// The response to a request that was not run and can be retried after `wait`.
-fn refuse_for_now(wait: Duration, reason: &str) -> Refused {
+/// Outcome of a request that is refused before its deduplication table was asked. An earlier attempt
+/// of a non-idempotent request may have run.
+fn refusal_outcome(once: bool) -> &'static str {
+    if once { "unknown" } else { "not-run" }
+}
+
+/// The response to a request that is not run now and can be retried after `wait`.
+fn refuse_for_now(outcome: &str, wait: Duration, reason: &str) -> Refused {
     let wait_ms = clock::millis(wait).max(1);
-    let body = json!({"outcome": "not-run", "reason": reason, "retry_after_ms": wait_ms});
+    let body = json!({"outcome": outcome, "reason": reason, "retry_after_ms": wait_ms});
     let headers = [
         ("content-type", "application/json".to_owned()),
         ("retry-after", wait_ms.div_ceil(1_000).to_string()),
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -244,8 +244,9 @@
 
 /// Has a request run by the owner of its partition, on this thread or over RPC.
 ///
-/// While a partition moves to another daemon it has no owner for a moment. The request has not been
-/// run then, so it is retried until the new owner accepts it.
+/// While a partition moves to another daemon it has no owner for a moment. The request is retried
+/// until the new owner accepts it. Without an owner the outcome is unknown: only the table tells
+/// whether an earlier attempt has run.
 pub(crate) async fn ask_owner(
     routing: &SharedRouting,
     calls: &Calls,
@@ -258,7 +259,7 @@
             return outcome;
         }
         if clock::now() + OWNER_RETRY_DELAY >= wait_until {
-            return Outcome::NotRun("no daemon keeps the request's journal".into());
+            return Outcome::Unknown;
         }
         actix_rt::time::sleep(OWNER_RETRY_DELAY).await;
     }
--- a/crates/demo/tests/promises/once.rs
+++ b/crates/demo/tests/promises/once.rs
@@ -118,6 +118,26 @@
     });
 }
 
+/// Without a majority no daemon can take over the partitions of the killed ones. A daemon that reaches
+/// no owner knows nothing of earlier attempts, so it must not answer "not run" to a retry.
+#[test]
+fn retry_is_not_reported_as_not_run_while_its_partition_has_no_owner() {
+    with_cluster(3, async |cluster| {
+        sleep(Duration::from_secs(2)).await;
+        let issued = unix_ms();
+        let other = cluster.frontends()[2];
+        for n in 0..10 {
+            assert_eq!(renew(other, &format!("r{n}"), issued).await, "ran");
+        }
+        cluster.kill(0);
+        cluster.kill(1);
+        let retries = (0..10).map(|n| async move { renew(other, &format!("r{n}"), issued).await });
+        let outcomes = futures::future::join_all(retries).await;
+        let wrong = outcomes.iter().filter(|o| *o == "not-run").count();
+        assert_eq!(wrong, 0, "requests that ran: {outcomes:?}");
+    });
+}
+
 /// Two daemons are replaced while both kinds of requests run.
 #[test]
 fn graceful_stops_under_load_lose_no_request() {
