Move Reply, Incoming and FanOut below the modules that use them

Cause: tier::{front, query, fan_out, relay, traffic} imported one another in a circle, through accounts and upstream as well. Change: the three types and RETRY_AFTER are in tier::request; accounts::refusal becomes Reply::denied, so that accounts needs no reply. Behaviour is unchanged.

--- a/crates/daemon/src/tier/accounts.rs
+++ b/crates/daemon/src/tier/accounts.rs
@@ -10,7 +10,6 @@
     crate::{
         clock,
         tier::{
-            front::{RETRY_AFTER, Reply},
             meters,
             view::{Gauges, SharedView},
         },
@@ -25,7 +24,7 @@
         catalog::{Catalog, Route},
         line_limit::LineLimit,
     },
-    rattanturn_platform::http::{credential, key_challenge, relayed_credentials},
+    rattanturn_platform::http::{credential, relayed_credentials},
     rattanturn_tables::TierSettings,
     std::{
         cell::{Cell, RefCell},
@@ -115,22 +114,6 @@
     }
 }
 
-/// Answer to a request that is refused for its key. It has not run.
-pub(crate) fn refusal(denial: Denial) -> Reply {
-    let text = match denial {
-        Denial::NoKey => "a key is required: authorization: bearer KEY\n",
-        Denial::AmbiguousKey => "the request has several authorization headers that differ\n",
-        Denial::UnknownKey => "the key is not known\n",
-        Denial::Unconfirmed => {
-            return Reply::not_run("keys cannot be checked at the moment\n", RETRY_AFTER);
-        }
-    };
-    let mut reply = Reply::text(401, text);
-    let (name, value) = key_challenge();
-    reply.headers.insert(name, value);
-    reply
-}
-
 /// The caller of a request, where the configuration names accounts.
 struct Caller {
     key: Option<Box<[u8]>>,
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -12,6 +12,7 @@
         tier::{
             connection::Answer,
             meters::{self, Cause},
+            request::FanOut,
             traffic::Traffic,
             upstream::{Call, Outcome, Upstream},
         },
@@ -20,11 +21,9 @@
     rattanturn_core::{
         Time,
         catalog::Route,
-        gather::{
-            Action, AttemptId, Counts, Cutoff, Gather, MissingReason, Part, Plan, Reply, max_ended,
-        },
+        gather::{Action, AttemptId, Counts, Gather, MissingReason, Part, Plan, Reply, max_ended},
     },
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
 };
 
 /// Snapshot of every call: in the tier all targets of a service have the same version, which the
@@ -40,21 +39,6 @@
 /// followed by a hedge or retry.
 const STALLED_RELATIVE_LATENCY: f64 = 6.0;
 
-/// A request to run: the same call to every service.
-pub(crate) struct FanOut<'a> {
-    pub(crate) route: &'a Route,
-    pub(crate) services: &'a [String],
-    pub(crate) call: Call,
-    /// When an incomplete answer is final; `None` waits for all services until the deadline.
-    pub(crate) cutoff: Option<Cutoff>,
-    /// How many targets of each service may be called.
-    pub(crate) max_attempts: u32,
-    /// A single call decides about the request, see [`rattanturn_core::quarantine`].
-    pub(crate) trial: bool,
-    /// Gets the service and the time of each call that is sent.
-    pub(crate) sent: &'a RefCell<Vec<(usize, Time)>>,
-}
-
 /// Result of a request.
 pub(crate) struct FanOutResult {
     /// Successful answers in the order of the services.
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -8,17 +8,21 @@
 use {
     crate::{
         clock,
-        tier::{meters, query, relay, traffic::Traffic, view::Phase},
+        tier::{
+            meters, query, relay,
+            request::{Incoming, Reply},
+            traffic::Traffic,
+            view::Phase,
+        },
     },
     actix_http::{
-        Request, RequestHead, Response, StatusCode,
+        Request, Response, StatusCode,
         body::BodySize,
         h1::{Codec, Message, MessageType},
-        header::HeaderMap,
     },
     bytes::{Bytes, BytesMut},
-    rattanturn_core::{Time, catalog::CallerLimits},
-    rattanturn_platform::http::{echo_request_id, retry_after},
+    rattanturn_core::catalog::CallerLimits,
+    rattanturn_platform::http::echo_request_id,
     std::{io, net::TcpListener, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -39,54 +43,6 @@
 const CLOSING_POLL: Duration = Duration::from_millis(200);
 /// Delay after a failed accept, for which the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time after which callers are told to retry a refused request, if nothing better is known.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// A request as read from a caller's connection.
-pub(crate) struct Incoming {
-    pub(crate) request: Request,
-    pub(crate) body: Bytes,
-    /// When the request's first byte had been read.
-    pub(crate) arrived: Time,
-}
-
-impl Incoming {
-    pub(crate) fn head(&self) -> &RequestHead {
-        self.request.head()
-    }
-}
-
-/// An answer to a caller.
-#[derive(Debug)]
-pub(crate) struct Reply {
-    pub(crate) status: u16,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-impl Reply {
-    /// An answer of the daemon itself rather than of a target.
-    pub(crate) fn text(status: u16, text: &'static str) -> Self {
-        Self {
-            status,
-            headers: HeaderMap::new(),
-            body: Bytes::from_static(text.as_bytes()),
-        }
-    }
-
-    /// A 503 answer, which states that the request has not run and may be retried after a time.
-    pub(crate) fn not_run(text: &'static str, after: Duration) -> Self {
-        Self::text(503, text).with_retry_after(after)
-    }
-
-    /// Adds the time after which the request may be retried.
-    pub(crate) fn with_retry_after(mut self, after: Duration) -> Self {
-        let (name, value) = retry_after(after);
-        self.headers.insert(name, value);
-        self
-    }
-}
-
 /// Accepts callers' connections until the daemon closes.
 ///
 /// # Errors
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -22,6 +22,7 @@
 mod quota;
 mod register;
 mod relay;
+mod request;
 mod rollouts;
 mod sources;
 mod traffic;
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -7,14 +7,14 @@
     crate::{
         clock,
         tier::{
-            accounts::{self, Access},
+            accounts::Access,
             connection::Answer,
-            fan_out::{self, FanOut, FanOutResult},
-            front::{Incoming, RETRY_AFTER, Reply},
+            fan_out::{self, FanOutResult},
             meters::{self, RequestOutcome},
             quarantine::TrialPermit,
             quota::QuotaPermit,
             relay::{RELAYED, Relayed, relayed_attempts},
+            request::{FanOut, Incoming, RETRY_AFTER, Reply},
             traffic::Traffic,
             upstream::Call,
             view::{Phase, View},
@@ -99,7 +99,7 @@
         Err(denial) => {
             let id = request_id(head).unwrap_or("");
             traffic.key_checks.record_refusal(id, &route.name, denial);
-            return accounts::refusal(denial);
+            return Reply::denied(denial);
         }
     };
     let query = Query {
@@ -272,7 +272,7 @@
                 let id = request_id(self.incoming.head()).unwrap_or("");
                 let checks = &self.traffic.key_checks;
                 checks.record_refusal(id, &self.route.name, denial);
-                (accounts::refusal(denial), summary)
+                (Reply::denied(denial), summary)
             }
             _ => (answer, summary),
         }
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -9,8 +9,8 @@
         clock,
         tier::{
             connection::{Answer, OpenBytes, TargetConnection},
-            front::Reply,
             meters,
+            request::Reply,
             upstream::Call,
             view::View,
         },
