--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -153,15 +153,14 @@
                 }
             });
         });
+        let states = traffic::SharedStates {
+            quarantine,
+            quotas,
+            rollouts,
+        };
         let traffic = Arbiter::new();
         traffic.spawn_fn(move || {
-            let traffic = traffic::Traffic::new(
-                shared,
-                gauges,
-                (quarantine, quotas, rollouts),
-                &tier,
-                centre,
-            );
+            let traffic = traffic::Traffic::new(shared, gauges, states, &tier, centre);
             let reporter = traffic.clone();
             actix_rt::spawn(async move {
                 loop {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -67,6 +67,13 @@
 /// this often, without a request.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// States that traffic shares with control, which exchanges them with other daemons.
+pub(crate) struct SharedStates {
+    pub(crate) quarantine: Arc<SharedQuarantine>,
+    pub(crate) quotas: Arc<SharedQuotas>,
+    pub(crate) rollouts: Arc<SharedRollouts>,
+}
+
 /// State of one traffic thread, shared by all its requests.
 pub(crate) struct Traffic {
     shared: SharedView,
@@ -115,11 +122,7 @@
     pub(crate) fn new(
         shared: SharedView,
         gauges: Arc<Gauges>,
-        (quarantine, quotas, rollouts): (
-            Arc<SharedQuarantine>,
-            Arc<SharedQuotas>,
-            Arc<SharedRollouts>,
-        ),
+        states: SharedStates,
         tier: &TierSettings,
         centre: String,
     ) -> Rc<Self> {
@@ -152,11 +155,11 @@
             silence: RefCell::default(),
             lost: Notify::new(),
             relay: RelayClient::default(),
-            quarantine,
-            quotas,
+            quarantine: states.quarantine,
+            quotas: states.quotas,
             trials: Trials::default(),
             key_checks,
-            rollouts: TrafficRollouts::new(rollouts),
+            rollouts: TrafficRollouts::new(states.rollouts),
             gauges,
             meters: Meters::default(),
             open_requests: Cell::new(0),
