Move the log lines and counts of requests to tier::query::log

The target of these log lines is now tier::query::log, which filters on tier::query include. Behaviour is otherwise unchanged.

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -1,9 +1,12 @@
-//! Serves one request: finds its route, runs the calls, and builds, logs and counts the answer.
+//! Serves one request: finds its route, runs the calls and builds the answer.
 //!
 //! A request of a gather route is answered with the merged records of all shards, or, from the
 //! cutoff on, of as many as the route's minimum coverage needs.
 
+mod log;
+
 use {
+    self::log::{CallerLeftLog, RequestSummary, log_refused},
     crate::{
         clock,
         tier::{
@@ -31,7 +34,6 @@
         gather::{Cutoff, MissingReason},
         merge::top_records,
         quarantine::{Verdict, is_turn_of},
-        rendezvous,
     },
     rattanturn_platform::http::{
         RECORD_BYTES, deadline, forward_headers, merged_headers, remove_caller, request_id,
@@ -54,9 +56,6 @@
 const CUTOFF_MARGIN: Duration = Duration::from_millis(4);
 /// An answer is sent this long before the caller's deadline, so that it arrives in time.
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(15);
-/// One in this many complete answers is logged; all other outcomes are logged always.
-const LOG_ONE_IN: u64 = 256;
-
 /// A request and its route.
 struct Query<'a> {
     traffic: &'a Rc<Traffic>,
@@ -173,94 +172,6 @@
     Refuse(Duration),
 }
 
-/// Logs and counts a request whose future is dropped before its answer, because its caller left.
-struct CallerLeftLog<'a> {
-    query: &'a Query<'a>,
-    version: u64,
-    answered: bool,
-}
-
-impl Drop for CallerLeftLog<'_> {
-    fn drop(&mut self) {
-        if self.answered {
-            return;
-        }
-        let query = self.query;
-        let took = clock::now().since(query.incoming.arrived);
-        let outcome = RequestOutcome::CallerLeft;
-        query
-            .traffic
-            .meters
-            .record_request(&query.route.name, outcome, took);
-        tracing::info!(
-            request = request_id(query.incoming.head()).unwrap_or(""),
-            route = %query.route.name,
-            version = self.version,
-            outcome = outcome.as_str(),
-            took_ms = clock::millis(took),
-            "request"
-        );
-    }
-}
-
-/// Logs and counts a request that was refused before its route was known.
-fn log_refused(request: Option<&str>, reason: &'static str) {
-    meters::count_refused(reason);
-    tracing::info!(request = request.unwrap_or(""), reason, "request refused");
-}
-
-/// What is logged of a request's calls.
-#[derive(Default)]
-struct RequestSummary {
-    /// Number of services that answered.
-    parts: usize,
-    /// Number of services that were asked.
-    services: usize,
-    /// Number of all calls.
-    calls: u32,
-    /// Number of hedges and retries among the calls.
-    extra: u32,
-    /// Reasons of the services without an answer.
-    missing: Vec<MissingReason>,
-    /// The calls to services without an answer and how each ended.
-    tried: String,
-    /// Whether too few of the services have a target that this daemon can reach, and a peer may run
-    /// the request.
-    unreachable: bool,
-    /// Whether a peer answered the request.
-    relayed: bool,
-    /// Whether targets end when they run the request, as far as is known, so that it got no more than
-    /// a trial.
-    suspected: bool,
-}
-
-impl RequestSummary {
-    fn new(result: &FanOutResult) -> Self {
-        let counts = result.counts;
-        Self {
-            parts: result.answers.iter().flatten().count(),
-            services: result.answers.len(),
-            calls: counts.first + counts.hedges + counts.retries,
-            extra: counts.hedges + counts.retries,
-            missing: result.missing.clone(),
-            tried: result.tried.clone(),
-            unreachable: false,
-            relayed: false,
-            suspected: false,
-        }
-    }
-
-    /// How often each reason occurs, as `reason:count,...`.
-    fn missing_counts(&self) -> String {
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        for reason in &self.missing {
-            *counts.entry(reason.as_str()).or_default() += 1;
-        }
-        let texts: Vec<String> = counts.iter().map(|(r, n)| format!("{r}:{n}")).collect();
-        texts.join(",")
-    }
-}
-
 impl Query<'_> {
     /// Runs the request. If its key is revoked while it waits, so that no target ran it, the answer
     /// says so.
@@ -572,49 +483,6 @@
         let out = Reply::not_run("targets crash when they run this request\n", wait);
         (out, summary)
     }
-
-    /// Counts the request, and logs it unless it is complete and not sampled.
-    fn log(&self, answer: &Reply, summary: &RequestSummary, version: u64) {
-        let took = clock::now().since(self.incoming.arrived);
-        let outcome = match answer.status {
-            200..=299 if summary.parts < summary.services => RequestOutcome::Partial,
-            200..=299 => RequestOutcome::Complete,
-            503 => RequestOutcome::NotRun,
-            504 => RequestOutcome::TimedOut,
-            _ => RequestOutcome::Failed,
-        };
-        self.traffic
-            .meters
-            .record_request(&self.route.name, outcome, took);
-        meters::count_missing_parts(&summary.missing);
-        let id = request_id(self.incoming.head()).unwrap_or("");
-        let sampled = rendezvous::key(id).is_multiple_of(LOG_ONE_IN);
-        if outcome == RequestOutcome::Complete && !sampled {
-            return;
-        }
-        tracing::info!(
-            request = id,
-            route = %self.route.name,
-            version,
-            daemons = self.view.daemons.len(),
-            outcome = outcome.as_str(),
-            status = answer.status,
-            parts = summary.parts,
-            of = summary.services,
-            missing = %summary.missing_counts(),
-            tried = %summary.tried,
-            read_ms = clock::millis(self.traffic.targets_age(clock::now())),
-            calls = summary.calls,
-            extra = summary.extra,
-            relayed = summary.relayed,
-            suspected = summary.suspected,
-            account = self.account.as_ref().map(|a| a.name.as_str()),
-            priority = self.account.as_ref().and_then(|a| a.priority),
-            took_ms = clock::millis(took),
-            stands_for = if outcome == RequestOutcome::Complete { LOG_ONE_IN } else { 1 },
-            "request"
-        );
-    }
 }
 
 /// Request head that targets get, made of the caller's, without what identifies the caller if that
