--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -1,4 +1,4 @@
-//! The control loop of the tier: builds the view for traffic from the store and from peers.
+//! The control loop of the tier: follows the store and the peers, and publishes the view for traffic.
 //!
 //! Only a few daemons read the store; they are chosen by [`rattanturn_core::readers`]. A reader
 //! announces new versions as soon as it reads a relevant change, to the daemons that
@@ -8,9 +8,11 @@
 //! message carries the versions too, so a daemon that misses an announcement catches up with the next
 //! message.
 
+mod dump;
 mod evidence;
 mod members;
 mod problems;
+mod publish;
 mod quotas;
 mod rollouts;
 mod shutdown;
@@ -18,8 +20,8 @@
 
 use {
     self::{
-        evidence::EvidenceExchange, quotas::QuotaExchange, rollouts::RolloutControl,
-        stored_evidence::StoredRequests,
+        evidence::EvidenceExchange, publish::ViewInputs, quotas::QuotaExchange,
+        rollouts::RolloutControl, stored_evidence::StoredRequests,
     },
     crate::{
         admin, clock,
@@ -35,25 +37,21 @@
             register::StaleEntries,
             rollouts::SharedRollouts,
             sources::{StoreEvent, session},
-            view::{Gauges, Phase, SharedView, View},
+            view::{Gauges, Phase, SharedView},
         },
         traffic::rpc::SharedObjects,
     },
     rattanturn_core::{
-        NodeId, Time,
-        addresses::{self, Frontend},
-        discovery::Target,
+        NodeId, Time, addresses,
         dissemination::{self, Peer},
         membership::{Endpoints, Envelope, Membership, Message, MessageKind, State, Versions},
-        quota,
         readers::{self, ReaderRole},
     },
     rattanturn_platform::Store,
     rattanturn_tables::{Settings, TierSettings},
     rattanturn_wire::{Datagram, decode, encode},
-    serde_json::{Value, json},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::BTreeMap,
         net::{SocketAddr, TcpListener},
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -151,31 +149,6 @@
     shared_rollouts: Arc<SharedRollouts>,
 }
 
-/// What the current view was built from; the view is rebuilt only if this changes.
-#[derive(Default, PartialEq)]
-struct ViewInputs {
-    /// Version of the configuration.
-    version: u64,
-    /// Change counter of the targets.
-    targets: u64,
-    /// Change counter of the members.
-    members: u64,
-    evacuated: BTreeSet<String>,
-    /// Digest of the registered daemons.
-    daemons: u64,
-    /// Change counter of the roll-outs.
-    rollouts: u64,
-    phase: Phase,
-}
-
-impl ViewInputs {
-    /// Change counter of the members and digest of the registered daemons: if neither changes, the
-    /// choice of readers cannot change either.
-    fn reader_inputs(&self) -> (u64, u64) {
-        (self.members, self.daemons)
-    }
-}
-
 /// Runs the control loop until the daemon stops.
 ///
 /// # Errors
@@ -567,123 +540,6 @@
             reads_store: self.read_session.is_some(),
         }
     }
-
-    /// All present daemons, with whether each accepts callers.
-    fn frontends(&self) -> Vec<Frontend> {
-        // A suspect daemon is advertised only while no daemon is alive: it takes seconds to
-        // confirm that it is dead, and callers would be sent to it meanwhile.
-        let mut others = self.membership.present().filter(|m| m.record.id != self.me);
-        let others_alive = others.any(|m| m.record.state == State::Alive);
-        let alive = others_alive || self.phase == Phase::Serving;
-        let accepts = |state| state == State::Alive || (state == State::Suspect && !alive);
-        let frontends = self.membership.present().map(|m| Frontend {
-            id: m.record.id,
-            addr: SocketAddr::new(m.record.endpoints.gossip.ip(), m.record.endpoints.http),
-            centre: m.record.endpoints.centre.clone(),
-            accepting: if m.record.id == self.me {
-                // A withdrawn daemon is still better than none.
-                self.phase == Phase::Serving && (!self.withdrawn || !others_alive)
-            } else {
-                accepts(m.record.state)
-            },
-            capacity: self.capacity(&m.record.endpoints.name),
-        });
-        frontends.collect()
-    }
-
-    /// Publishes a new view for traffic if something changed.
-    fn publish_view(&mut self) {
-        let inputs = ViewInputs {
-            version: self.cluster.config_version(),
-            targets: self.cluster.targets.changes(),
-            members: self.membership.changes(),
-            evacuated: self.cluster.evacuated.clone(),
-            daemons: self.cluster.daemons_digest,
-            rollouts: self.cluster.rollouts.changes(),
-            phase: self.phase,
-        };
-        if inputs == self.view_inputs {
-            return;
-        }
-        self.view_inputs = inputs;
-        let mut services: HashMap<String, Vec<Arc<Target>>> = HashMap::new();
-        let uses_rollouts = self.tier.rollouts.is_some();
-        let rollouts = &mut self.cluster.rollouts;
-        if uses_rollouts {
-            rollouts.update_versions(&self.cluster.targets);
-        }
-        let allowed = |t: &Target| !uses_rollouts || rollouts.allows(&t.service, &t.version);
-        for target in self.cluster.targets.targets() {
-            let evacuated = self.cluster.evacuated.contains(&target.centre);
-            if !target.leaving && !evacuated && allowed(target) {
-                let list = services.entry(target.service.clone()).or_default();
-                list.push(Arc::new(target.clone()));
-            }
-        }
-        let orders = rollouts.orders().iter();
-        let rollouts = orders.map(|(s, o)| (s.clone(), o.current.clone()));
-        let rollouts = rollouts.collect();
-        let now = clock::now();
-        let recent = self
-            .membership
-            .members()
-            .filter(|m| m.record.state != State::Dead || now.since(m.changed) < DEAD_MEMBER_GRACE);
-        let daemons: Vec<NodeId> = recent.map(|m| m.record.id).collect();
-        let frontends = self.frontends();
-        let advertised = addresses::advertised(&frontends);
-        let recorded: Vec<f64> = self.cluster.daemons.values().copied().collect();
-        let view = View {
-            sharing_daemons: quota::sharing_daemons(advertised.len(), &recorded),
-            calling_daemons: quota::sharing_daemons(daemons.len(), &vec![1.0; recorded.len()]),
-            advertised: advertised.iter().any(|e| e.id == self.me),
-            catalog: self.cluster.catalog.clone(),
-            services,
-            rollouts,
-            uses_rollouts,
-            frontends,
-            daemons,
-            me: self.me,
-            phase: self.phase,
-        };
-        self.shared.store(Arc::new(view));
-    }
-
-    fn dump(&self) -> Value {
-        let members: Vec<Value> = self
-            .membership
-            .members()
-            .map(|m| {
-                let endpoints = &m.record.endpoints;
-                json!({
-                    "name": endpoints.name,
-                    "centre": endpoints.centre,
-                    "admin": SocketAddr::new(endpoints.gossip.ip(), endpoints.admin),
-                    "state": format!("{:?}", m.record.state),
-                    "tables": m.versions.tables,
-                    "panels": m.versions.voter_sets,
-                })
-            })
-            .collect();
-        json!({
-            "name": self.settings.name,
-            "front": self.front,
-            "phase": format!("{:?}", self.phase),
-            "centre": self.settings.centre,
-            "tables": self.cluster.config_version(),
-            "fleet_revision": self.cluster.revision,
-            "reads_store": self.read_session.is_some(),
-            "targets": self.cluster.targets.targets().count(),
-            "out": self.cluster.evacuated,
-            "rollouts": self.rollouts_dump(),
-            "members": members,
-            "problems": self.problems(),
-            "accounts": self.dump_accounts(),
-            "store_failures": self.cluster.failures,
-            "requests": self.gauges.open_requests.load(Ordering::Relaxed),
-            "links": self.gauges.upstreams.load(Ordering::Relaxed),
-            "connections": self.gauges.connections.load(Ordering::Relaxed),
-        })
-    }
 }
 
 async fn send_to_all(socket: &UdpSocket, message: Message, audience: &[SocketAddr]) {
