Name what is not settled when daemons of a test do not agree

The error of wait_ready did not say whether members, tables or holders of units were missing, so a failure of a known red test could not be traced.

--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -277,12 +277,12 @@
         let start = Instant::now();
         loop {
             let states = self.states().await;
-            if self.is_settled(&states) {
+            let Some(problem) = self.unsettled(&states) else {
                 return Ok(());
-            }
+            };
             ensure!(
                 start.elapsed() < READY_TIMEOUT,
-                "the daemons did not agree on members, tables and leases in time"
+                "the daemons did not agree on members, tables and leases in time: {problem}"
             );
             actix_rt::time::sleep(Duration::from_millis(50)).await;
         }
@@ -330,7 +330,8 @@
         }
     }
 
-    fn is_settled(&self, states: &[serde_json::Value]) -> bool {
+    /// What the daemons do not agree on yet.
+    fn unsettled(&self, states: &[serde_json::Value]) -> Option<String> {
         let mut held: BTreeMap<&str, u32> = BTreeMap::new();
         for state in states {
             let alive = state["members"]
@@ -338,7 +339,10 @@
                 .map_or(0, |m| m.iter().filter(|m| m["state"] == "Alive").count());
             let newest = self.platform.get(TABLES_KEY).map_or(0, |(v, _)| v);
             if alive != states.len() || state["tables"].as_u64() != Some(newest) {
-                return false;
+                let (daemons, tables) = (states.len(), &state["tables"]);
+                return Some(format!(
+                    "{alive} of {daemons} alive, tables {tables} of {newest}"
+                ));
             }
             for unit in state["units"].as_array().into_iter().flatten() {
                 let count = held.entry(unit["unit"].as_str().unwrap_or("")).or_default();
@@ -349,7 +353,11 @@
             SlotPolicy::Leased => 1,
             SlotPolicy::StaticShares => u32::try_from(states.len()).unwrap_or(u32::MAX),
         };
-        !held.is_empty() && held.values().all(|n| *n == holders)
+        if held.is_empty() {
+            return Some("no units are known".into());
+        }
+        held.retain(|_, n| *n != holders);
+        (!held.is_empty()).then(|| format!("holders of units: {held:?}"))
     }
 }
 
