Return the token of a request whose calls were never sent

Cause: the token of an account counted as used as soon as a call was planned. Change: the token is kept only if a call was written to a target's connection, or may still be. Result: as many requests are counted as ran.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -74,7 +74,7 @@
         let endpoints = Endpoints {
             name: settings.name.clone(),
             centre: settings.centre.clone(),
-            gossip: gossip.local_addr()?,
+            gossip: settings.advertised_gossip(gossip.local_addr()?),
             http: http.local_addr()?.port(),
             admin: admin.local_addr()?.port(),
             rpc: settings
@@ -85,7 +85,7 @@
         let addresses = Addresses {
             http: http.local_addr()?,
             admin: admin.local_addr()?,
-            gossip: endpoints.gossip,
+            gossip: gossip.local_addr()?,
             rpc: rpc[0].local_addr()?,
         };
         let me = identity(&settings.name, endpoints.gossip);
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -358,6 +358,10 @@
             })
             .collect();
         if open {
+            // One that still waits for a connection may be sent until the deadline.
+            if clock::now() < self.request.call.deadline {
+                self.request.call.was_sent.set(true);
+            }
             let mut calls = self.calls;
             let (traffic, call) = (self.traffic.clone(), self.request.call.clone());
             let trial = self.request.trial;
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -101,7 +101,7 @@
         let endpoints = Endpoints {
             name: settings.name.clone(),
             centre: settings.centre.clone(),
-            gossip: gossip.local_addr()?,
+            gossip: settings.advertised_gossip(gossip.local_addr()?),
             http: front.local_addr()?.port(),
             admin: admin.local_addr()?.port(),
             rpc: settings
@@ -122,7 +122,7 @@
             directory: directory.local_addr()?,
             admin: admin.local_addr()?,
             metrics: metrics.as_ref().and_then(|m| m.local_addr().ok()),
-            gossip: endpoints.gossip,
+            gossip: gossip.local_addr()?,
             rpc: rpc.local_addr()?,
         };
         let centre = endpoints.centre.clone();
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -38,7 +38,7 @@
         return_headers,
     },
     std::{
-        cell::{OnceCell, RefCell},
+        cell::{Cell, OnceCell, RefCell},
         collections::BTreeMap,
         rc::Rc,
         sync::Arc,
@@ -67,6 +67,8 @@
     deadline: Time,
     /// Service and time of each call that was sent.
     sent: RefCell<Vec<(usize, Time)>>,
+    /// Whether a call was written to a target's connection. `sent` also has calls that still wait.
+    was_sent: Rc<Cell<bool>>,
     /// The caller's right to the request, as checked last.
     access: Rc<Access>,
     /// Account of the caller; `None` on a public route without a valid key, and where the
@@ -110,6 +112,7 @@
         deadline: fan_out::deadline(route, incoming.arrived, deadline(head))
             - RESPONSE_TRANSIT_TIME,
         sent: RefCell::default(),
+        was_sent: Rc::default(),
         account: access.account().cloned(),
         access,
         identity: Rc::default(),
@@ -127,7 +130,7 @@
         }
     };
     let used = AccountUse {
-        sent: &query.sent,
+        was_sent: query.was_sent.clone(),
         permit,
     };
     let (answer, summary) = query.run().await;
@@ -138,9 +141,9 @@
 }
 
 /// The token of a request's account. Dropping it gives the token back if no call was sent, as when the
-/// caller left before.
+/// caller left or its key was revoked before.
 struct AccountUse<'a> {
-    sent: &'a RefCell<Vec<(usize, Time)>>,
+    was_sent: Rc<Cell<bool>>,
     permit: Option<QuotaPermit<'a>>,
 }
 
@@ -157,7 +160,7 @@
 impl Drop for AccountUse<'_> {
     fn drop(&mut self) {
         if let Some(permit) = &mut self.permit
-            && !self.sent.borrow().is_empty()
+            && self.was_sent.get()
         {
             permit.keep();
         }
@@ -528,6 +531,7 @@
             non_idempotent: !self.route.idempotent,
             identity: self.identity.clone(),
             access: self.access.clone(),
+            was_sent: self.was_sent.clone(),
         }
     }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -86,6 +86,8 @@
     pub(crate) identity: Rc<OnceCell<Fingerprint>>,
     /// The caller's right to the call; checked right before it is sent.
     pub(crate) access: Rc<Access>,
+    /// Set when a target may have got the call.
+    pub(crate) was_sent: Rc<Cell<bool>>,
 }
 
 impl Call {
@@ -370,6 +372,7 @@
             extra.insert(name, value);
         }
         let head = RequestHeadType::Rc(call.head.clone(), Some(extra));
+        call.was_sent.set(true);
         match connection
             .round_trip(
                 head,
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -241,6 +241,7 @@
             admin_port: 0,
             metrics_port: None,
             advertised_rpc_port: advertised_port,
+            advertised_gossip_port: None,
             rpc_port: 0,
             gossip_port: 0,
             platform: self.platform_addr,
--- a/crates/demo/src/tier_cluster.rs
+++ b/crates/demo/src/tier_cluster.rs
@@ -10,13 +10,15 @@
     eyre::{Context, ensure, eyre},
     rattanturn_daemon::{Tier, TierAddresses},
     rattanturn_standins::{
+        datagram_links::DatagramLinks,
         operator::{ConfigBuilder, HOST, register_target},
         platform,
-        proxy::Proxy,
+        proxy::{LinkMode, Proxy},
         shard,
     },
     rattanturn_tables::Settings,
     std::{
+        collections::BTreeMap,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{Arc, mpsc},
         time::{Duration, Instant},
@@ -67,6 +69,10 @@
     /// Proxies through which the daemons started by [`TierCluster::start_behind_gateway`] reach the
     /// servers, one for each server.
     pub gateway: Vec<Proxy>,
+    /// Links between the daemons started by [`TierCluster::start_isolatable`].
+    pub links: DatagramLinks,
+    /// Gossip address that other daemons are told, of each daemon started so, by its own address.
+    public_gossip: BTreeMap<SocketAddr, SocketAddr>,
     started: usize,
     /// Lines in the section `[tier]` of all daemons' settings.
     tier_settings: String,
@@ -148,6 +154,8 @@
             daemons: Vec::new(),
             proxies: Vec::new(),
             gateway: Vec::new(),
+            links: DatagramLinks::default(),
+            public_gossip: BTreeMap::new(),
             started: 0,
             tier_settings: tier_settings.into(),
             standins,
@@ -251,14 +259,87 @@
     ///
     /// A listener of a daemon or of the gateway cannot be bound.
     pub async fn start_behind_gateway(&mut self, count: usize) -> eyre::Result<()> {
+        let setting = self.open_gateway().await?;
+        (0..count).try_for_each(|_| self.start_with(self.store_addr, 1.0, "", &setting))
+    }
+
+    /// Starts more daemons that are proxied as by [`Self::start_proxied`] and exchange datagrams over
+    /// [`TierCluster::links`], so that a test can cut each of them off from the store and the others.
+    /// All daemons of the cluster must be started so. With `gateway`, they reach the servers as by
+    /// [`Self::start_behind_gateway`].
+    ///
+    /// # Errors
+    ///
+    /// A listener of a daemon, of a proxy or of a link cannot be bound.
+    pub async fn start_isolatable(&mut self, count: usize, gateway: bool) -> eyre::Result<()> {
+        let tier = if gateway {
+            self.open_gateway().await?
+        } else {
+            String::new()
+        };
+        for _ in 0..count {
+            let store = Proxy::bind(ANY_PORT, self.store_addr).await?;
+            let rpc = Proxy::bind(ANY_PORT, ANY_PORT).await?;
+            let public = self.links.bind(ANY_PORT).await?;
+            let setting = format!(
+                "advertised-rpc-port = {}\nadvertised-gossip-port = {}\n",
+                rpc.addr.port(),
+                public.port()
+            );
+            self.start_with(store.addr, 1.0, &setting, &tier)?;
+            if let Some(daemon) = self.daemons.last() {
+                let addresses = daemon.addresses();
+                rpc.set_server(addresses.rpc);
+                self.links.set_daemon(public, addresses.gossip);
+                self.public_gossip.insert(addresses.gossip, public);
+            }
+            self.proxies.extend([store, rpc]);
+        }
+        Ok(())
+    }
+
+    /// Cuts a daemon started by [`Self::start_isolatable`] off from the other daemons, or reconnects
+    /// it. `number` counts the daemons so started.
+    pub fn set_isolated(&self, number: usize, isolated: bool) {
+        let own = self.daemons[number].addresses().gossip;
+        if let Some(public) = self.public_gossip.get(&own) {
+            self.links.set_isolated(*public, isolated);
+        }
+        let rpc = self.proxies.iter().skip(1).step_by(2);
+        for (n, proxy) in rpc.enumerate() {
+            // What it asks the others for goes through their proxies.
+            if n == number || self.daemons.len() == 2 {
+                proxy.set_mode(if isolated {
+                    LinkMode::Reset
+                } else {
+                    LinkMode::Normal
+                });
+                proxy.set_accepting(!isolated);
+            }
+        }
+    }
+
+    /// Cuts a daemon started by [`Self::start_isolatable`] off from the store, or reconnects it.
+    pub fn set_store_lost(&self, number: usize, lost: bool) {
+        if let Some(proxy) = self.proxies.get(number * 2) {
+            proxy.set_mode(if lost {
+                LinkMode::Reset
+            } else {
+                LinkMode::Normal
+            });
+            proxy.set_accepting(!lost);
+        }
+    }
+
+    /// Starts the gateway if there is none; returns the line for the section `[tier]`.
+    async fn open_gateway(&mut self) -> eyre::Result<String> {
         if self.gateway.is_empty() {
             for server in &self.servers {
                 let at = SocketAddr::new(GATEWAY, server.addr().port());
                 self.gateway.push(Proxy::bind(at, server.addr()).await?);
             }
         }
-        let setting = format!("target-gateway = {GATEWAY}\n");
-        (0..count).try_for_each(|_| self.start_with(self.store_addr, 1.0, "", &setting))
+        Ok(format!("target-gateway = {GATEWAY}\n"))
     }
 
     /// Starts a daemon with `extra` lines in the section `[daemon]` of its settings.
@@ -278,7 +359,8 @@
             .daemons
             .iter()
             .take(2)
-            .map(|d| d.addresses().gossip.to_string())
+            .map(|d| d.addresses().gossip)
+            .map(|own| self.public_gossip.get(&own).unwrap_or(&own).to_string())
             .collect();
         let (number, centre) = (self.started, CENTRES[self.started % CENTRES.len()]);
         let text = format!(
--- a/crates/demo/tests/tier/accounts.rs
+++ b/crates/demo/tests/tier/accounts.rs
@@ -13,20 +13,20 @@
     },
 };
 
-const KEY: &str = "takhi73vr5y2dexhif8t";
-const SECOND_KEY: &str = "second7key9of0the1account";
-const OTHER_KEY: &str = "other4key5of6another7one";
+pub(super) const KEY: &str = "takhi73vr5y2dexhif8t";
+pub(super) const SECOND_KEY: &str = "second7key9of0the1account";
+pub(super) const OTHER_KEY: &str = "other4key5of6another7one";
 
 /// Requests that are sent at once, more than all connections to the servers.
 const WAITING: usize = 120;
 
 /// Number of requests that reached the servers of `/one/`.
-fn arrivals(cluster: &TierCluster) -> u64 {
+pub(super) fn arrivals(cluster: &TierCluster) -> u64 {
     plain_servers(cluster).iter().map(|s| s.arrivals()).sum()
 }
 
 /// One account with these keys, and another one.
-fn accounts(keys: &[&str]) -> Value {
+pub(super) fn accounts(keys: &[&str]) -> Value {
     json!([
         {"name": "ralo620", "apiKeys": keys, "priority": 1},
         {"name": "other", "apiKeys": [OTHER_KEY]},
@@ -34,22 +34,22 @@
 }
 
 /// Writes a configuration with these accounts and a public route, and waits until it is applied.
-async fn set_accounts(cluster: &mut TierCluster, list: Value) {
+pub(super) async fn set_accounts(cluster: &mut TierCluster, list: Value) {
     cluster.config = cluster.config.clone().accounts(Some(list));
     cluster.config.write(&cluster.store);
     sleep(CONFIG_APPLY_TIME).await;
 }
 
 /// A caller's kept-alive connection.
-struct Caller(TcpStream);
+pub(super) struct Caller(TcpStream);
 
 impl Caller {
-    async fn connect(at: SocketAddr) -> Self {
+    pub(super) async fn connect(at: SocketAddr) -> Self {
         Self(TcpStream::connect(at).await.unwrap())
     }
 
     /// Sends a GET with these header lines; returns the status.
-    async fn send(&mut self, path: &str, lines: &[&[u8]]) -> u16 {
+    pub(super) async fn send(&mut self, path: &str, lines: &[&[u8]]) -> u16 {
         let head = format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: r1\r\n");
         let lines: Vec<u8> = lines
             .iter()
@@ -84,7 +84,7 @@
 }
 
 /// The `Authorization` line of a key.
-fn bearer(key: &str) -> Vec<u8> {
+pub(super) fn bearer(key: &str) -> Vec<u8> {
     format!("authorization: Bearer {key}").into_bytes()
 }
 
@@ -98,7 +98,7 @@
     seen.pop().unwrap().last_headers
 }
 
-fn account_lines(cluster: &TierCluster) -> Vec<String> {
+pub(super) fn account_lines(cluster: &TierCluster) -> Vec<String> {
     let lines = last_lines(cluster).into_iter();
     let lines = lines.map(|l| l.to_ascii_lowercase().replace('_', "-"));
     lines
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -4,8 +4,10 @@
 mod cluster;
 mod crashing_request;
 mod endless_answers;
+mod keys_under_failure;
 mod late_configuration;
 mod quotas;
+mod quotas_under_failure;
 mod rate_limits;
 mod rollouts;
 mod stranded;
@@ -33,13 +35,21 @@
 
 /// Runs a test against a tier of four shards and the given number of daemons.
 fn with_cluster<F>(daemons: usize, test: F)
+where
+    F: AsyncFnOnce(&mut TierCluster),
+{
+    with_settings(daemons, "", test);
+}
+
+/// Like [`with_cluster`], with `settings` as lines in the section `[tier]` of all daemons' settings.
+fn with_settings<F>(daemons: usize, settings: &str, test: F)
 where
     F: AsyncFnOnce(&mut TierCluster),
 {
     System::new().block_on(async {
         let options = Options { shards: 4, daemons };
-        let mut cluster = TierCluster::spawn(options).await.unwrap();
-        test(&mut cluster).await;
+        let cluster = TierCluster::spawn_with(options, settings).await;
+        test(&mut cluster.unwrap()).await;
     });
 }
 
--- /dev/null
+++ b/crates/demo/tests/tier/quotas_under_failure.rs
@@ -0,0 +1,251 @@
+//! Quotas of accounts while datagrams are lost, callers leave, no target is left and limits change.
+
+use {
+    super::{
+        CONFIG_APPLY_TIME, front_addr,
+        keys_under_failure::{account_sum, call, ran_ids},
+        plain_servers, with_cluster,
+    },
+    actix_rt::time::sleep,
+    rattanturn_demo::tier_cluster::{PLAIN, TierCluster},
+    rattanturn_standins::operator::HOST,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{io::AsyncWriteExt, net::TcpStream},
+};
+
+const HOT_KEY: &str = "key-of-the-hot-account";
+const OTHER_KEY: &str = "key-of-another-account";
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// What may run in a window.
+fn bound(rate: f64, burst: f64) -> f64 {
+    (rate * WINDOW.as_secs_f64() + burst) * 1.1 + 20.0
+}
+
+/// Writes a configuration with a limit of the hot account; another account has 20 a second.
+fn write_limit(cluster: &TierCluster, version: u64, rate: f64, burst: f64) {
+    let account = |name: &str, key: &str, rate: f64, burst: f64| json!({"name": name, "apiKeys": [key], "ratePerS": rate, "burst": burst});
+    let route = |name: &str, kind: &str| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "type": kind,
+            "service": PLAIN, "timeoutMs": 1500, "maxAttempts": 2, "priority": 2,
+        })
+    };
+    let spec = json!({
+        "version": version,
+        "routes": [route("one", "idempotent"), route("once", "non_idempotent")],
+        "services": [{"name": PLAIN, "healthPath": "/healthz", "maxConns": 30}],
+        "tenants": [
+            account("hot", HOT_KEY, rate, burst),
+            account("other", OTHER_KEY, 20.0, 10.0),
+        ],
+    });
+    cluster.store.write("config", "main", spec);
+}
+
+/// Sends requests to all daemons in turn; returns their ids with the answers.
+async fn load(
+    cluster: &TierCluster,
+    key: &'static str,
+    per_second: u32,
+    time: Duration,
+) -> Vec<(u16, Option<f64>)> {
+    let fronts: Vec<SocketAddr> = (0..cluster.daemons.len())
+        .map(|d| front_addr(cluster, d))
+        .collect();
+    let end = Instant::now() + time;
+    let mut open = Vec::new();
+    let mut next = Instant::now();
+    while Instant::now() < end {
+        let at = fronts[open.len() % fronts.len()];
+        let id = format!("{:016x}", rand::random::<u64>());
+        open.push(actix_rt::spawn(async move {
+            call(at, "/once/x", &id, key).await.unwrap_or((0, None))
+        }));
+        next += Duration::from_secs(1) / per_second;
+        actix_rt::time::sleep_until(next.into()).await;
+    }
+    let answers = futures::future::join_all(open).await;
+    answers.into_iter().map(Result::unwrap).collect()
+}
+
+fn count(answers: &[(u16, Option<f64>)], status: u16) -> f64 {
+    let count = answers.iter().filter(|a| a.0 == status).count();
+    f64::from(u32::try_from(count).unwrap())
+}
+
+/// Asserts that exactly the requests that ran are counted as such.
+async fn assert_counts(cluster: &TierCluster) {
+    let ran = u32::try_from(ran_ids(cluster).len()).unwrap();
+    let counted = account_sum(cluster, "hot", "ran").await;
+    println!("{ran} ran, {counted} counted");
+    assert!((counted - f64::from(ran)).abs() < 0.5, "{counted} of {ran}");
+}
+
+/// Number of the daemon that owns the hot account, once it is in use.
+async fn owner(cluster: &TierCluster) -> usize {
+    let state = cluster.daemons[0].state().await.unwrap();
+    let rows = state["accounts"].as_array().unwrap();
+    let row = rows.iter().find(|r| r["account"] == "hot").unwrap();
+    let name = row["owner"].as_str().unwrap();
+    name.trim_start_matches('d').parse().unwrap()
+}
+
+/// Sends a request and closes the connection after `time`.
+async fn leave_after(at: SocketAddr, id: String, time: Duration) {
+    let mut stream = TcpStream::connect(at).await.unwrap();
+    let head = format!(
+        "GET /once/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\nauthorization: Bearer {HOT_KEY}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    sleep(time).await;
+}
+
+/// Guards against tokens that are asked for, or kept, on behalf of callers that left while their
+/// requests waited for them.
+#[test]
+fn caller_that_leaves_while_it_waits_for_a_token_costs_none() {
+    with_cluster(0, async |cluster| {
+        cluster.start_isolatable(2, false).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        write_limit(cluster, 1_000, 5.0, 20.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        call(front_addr(cluster, 0), "/once/x", "first", HOT_KEY).await;
+        let borrower = 1 - owner(cluster).await;
+        let at = front_addr(cluster, borrower);
+        sleep(CONFIG_APPLY_TIME).await;
+        // The owner does not hear the questions, so that requests wait once the credit is used up.
+        cluster.links.set_json_loss(1.0);
+        for n in 0..4 {
+            let answer = call(at, "/once/x", &format!("credit{n}"), HOT_KEY).await;
+            assert_eq!(answer.unwrap().0, 200);
+        }
+        let started = Instant::now();
+        let answer = call(at, "/once/x", "waits", HOT_KEY).await;
+        assert_eq!(answer.unwrap().0, 429);
+        assert!(
+            started.elapsed() >= Duration::from_millis(50),
+            "did not wait"
+        );
+        let left = (0..40).map(|n| leave_after(at, format!("left{n}"), Duration::from_millis(20)));
+        futures::future::join_all(left).await;
+        // Tokens are leased ahead by the requests of the last half second.
+        sleep(Duration::from_secs(1)).await;
+        cluster.links.set_json_loss(0.0);
+        let before = account_sum(cluster, "hot", "lent").await;
+        let answer = call(at, "/once/x", "after", HOT_KEY).await;
+        assert_eq!(answer.unwrap().0, 200);
+        sleep(Duration::from_millis(300)).await;
+        let leased = account_sum(cluster, "hot", "lent").await - before;
+        println!("{leased} tokens lent after the callers left");
+        // Four pay for what ran on credit, one for the last request.
+        assert!(leased <= 6.0, "{leased} tokens lent");
+        assert_counts(cluster).await;
+    });
+}
+
+/// Guards against tokens that are lost with callers that left before their request was sent to a
+/// target.
+#[test]
+fn caller_that_leaves_while_it_waits_for_a_connection_costs_no_token() {
+    with_cluster(1, async |cluster| {
+        write_limit(cluster, 1_000, 100.0, 150.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        for server in plain_servers(cluster) {
+            server.set_slow(100.0);
+        }
+        let at = front_addr(cluster, 0);
+        let left = (0..120).map(|n| leave_after(at, format!("l{n}"), Duration::from_millis(300)));
+        futures::future::join_all(left).await;
+        sleep(Duration::from_millis(500)).await;
+        assert!(ran_ids(cluster).len() < 120, "no request had to wait");
+        assert_counts(cluster).await;
+    });
+}
+
+/// Guards against a limit that multiplies, or an account that is refused within its limit, because
+/// datagrams between daemons are lost.
+#[test]
+fn quotas_hold_while_half_of_the_datagrams_is_lost() {
+    with_cluster(0, async |cluster| {
+        cluster.start_isolatable(4, false).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        write_limit(cluster, 1_000, 20.0, 10.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        for all in [false, true] {
+            if all {
+                cluster.links.set_loss(0.5);
+            } else {
+                cluster.links.set_json_loss(0.5);
+            }
+            let (hot, other) = futures::join!(
+                load(cluster, HOT_KEY, 100, WINDOW),
+                load(cluster, OTHER_KEY, 8, WINDOW)
+            );
+            let served = count(&hot, 200);
+            let (fine, refused) = (count(&other, 200), count(&other, 429));
+            println!("all: {all}: hot {served}, other {fine} served, {refused} refused");
+            assert!(served <= bound(20.0, 10.0), "{served} served");
+            if !all {
+                assert!(served >= 80.0, "{served} served");
+                assert!(refused <= 2.0, "{refused} of the other account refused");
+            }
+        }
+    });
+}
+
+/// Guards against daemons that go on with an earlier limit.
+#[test]
+fn lowered_and_raised_limits_hold_under_load() {
+    with_cluster(4, async |cluster| {
+        write_limit(cluster, 1_000, 20.0, 10.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        let change = async |version: u64, rate: f64, burst: f64| {
+            write_limit(cluster, version, rate, burst);
+            // It binds one window after all daemons have applied it.
+            load(cluster, HOT_KEY, 80, CONFIG_APPLY_TIME + WINDOW).await;
+            let served = count(&load(cluster, HOT_KEY, 80, WINDOW).await, 200);
+            println!("{rate} a second: {served} served in a window");
+            assert!(served <= bound(rate, burst), "{served} served at {rate}");
+            assert!(served >= rate * 4.0, "{served} served at {rate}");
+        };
+        change(1_001, 4.0, 2.0).await;
+        change(1_002, 40.0, 20.0).await;
+        change(1_003, 10.0, 0.0).await;
+    });
+}
+
+/// Guards against a `retry-after` at which the request is refused again, although nobody else of the
+/// account sends requests.
+#[test]
+fn request_sent_again_at_its_retry_after_runs() {
+    with_cluster(4, async |cluster| {
+        write_limit(cluster, 1_000, 4.0, 3.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        let mut false_times = Vec::new();
+        for round in 0..12 {
+            load(cluster, HOT_KEY, 60, Duration::from_millis(700)).await;
+            let at = front_addr(cluster, round % 4);
+            let after = loop {
+                let id = format!("r{:016x}", rand::random::<u64>());
+                let (status, after) = call(at, "/once/x", &id, HOT_KEY).await.unwrap();
+                if status == 429 {
+                    break after.unwrap();
+                }
+            };
+            assert!(after > 0.0);
+            sleep(Duration::from_secs_f64(after)).await;
+            let id = format!("again{round}");
+            let (status, next) = call(at, "/once/x", &id, HOT_KEY).await.unwrap();
+            println!("round {round}: after {after} s: {status} {next:?}");
+            if status != 200 {
+                false_times.push((round, after, next));
+            }
+        }
+        assert!(false_times.is_empty(), "{false_times:?}");
+    });
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -283,6 +283,18 @@
         })
     }
 
+    /// Spec and status of all versions of all objects, except those of the kinds in `except`.
+    #[must_use]
+    pub fn contents(&self, except: &[&str]) -> Vec<String> {
+        self.with(|i| {
+            let objects = i.objects.iter();
+            let objects = objects.filter(|((kind, _), _)| !except.contains(&kind.as_str()));
+            let versions = objects.flat_map(|(_, versions)| versions);
+            let text = |v: &Version| format!("{:?} {}", v.spec, v.status);
+            versions.map(text).collect()
+        })
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -57,6 +57,9 @@
     pub advertised_rpc_port: Option<u16>,
     /// Port for membership and lease messages (UDP).
     pub gossip_port: u16,
+    /// Port that other daemons are told to use instead of `gossip_port`, for example because a
+    /// forwarder receives their datagrams.
+    pub advertised_gossip_port: Option<u16>,
     /// Address of the platform's object store.
     pub platform: SocketAddr,
     /// Gossip addresses of other daemons, used to join the deployment.
@@ -162,6 +165,15 @@
 }
 
 impl Settings {
+    /// The address that other daemons are told for datagrams, if the socket is bound to `bound`.
+    #[must_use]
+    pub fn advertised_gossip(&self, bound: SocketAddr) -> SocketAddr {
+        SocketAddr::new(
+            bound.ip(),
+            self.advertised_gossip_port.unwrap_or(bound.port()),
+        )
+    }
+
     /// Parses settings from INI text and returns them with the warnings.
     ///
     /// `file` is the file name that findings give.
@@ -220,6 +232,7 @@
         admin_port: daemon.parse("admin-port", 8081, "a port"),
         metrics_port: None,
         advertised_rpc_port: None,
+        advertised_gossip_port: None,
         rpc_port: daemon.parse("rpc-port", 8090, "a port"),
         gossip_port: daemon.parse("gossip-port", 8082, "a port"),
         platform: platform.parse("address", placeholder, "IP:PORT"),
@@ -246,6 +259,7 @@
     settings.metrics_port = port("metrics-port");
     settings.peer_port = port("peer-port");
     settings.advertised_rpc_port = port("advertised-rpc-port");
+    settings.advertised_gossip_port = port("advertised-gossip-port");
     if let Some(tier) = reader.sections("tier").first() {
         settings.tier = Some(read_tier(tier));
     }
