Let callers of the soak have keys and accounts quotas

The targets record their calls, so that keys, account names and quotas are checked there.

The check of statuses that say 'not run' now covers 401 and 429 beside 503.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,6 +22,8 @@
 
 /// Upper bound of a caller's think time between two requests, exclusive.
 const MAX_THINK_MS: u64 = 60;
+/// Time between two requests of a caller that stays at one daemon.
+const LOYAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a caller uses the addresses that a directory returned.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
 /// Longest time for which a directory may still return the address of a dead daemon. The platform's
@@ -30,7 +32,7 @@
 
 impl Runner {
     /// Sends requests of random kinds as one caller until the run is finished.
-    pub(crate) async fn caller(self: Rc<Self>, mut rng: ChaCha8Rng) {
+    pub(crate) async fn caller(self: Rc<Self>, account: usize, mut rng: ChaCha8Rng) {
         let mut connection = Connection::default();
         let (mut addresses, mut resolved_at) = (Vec::new(), Instant::now());
         while !self.finished.get() {
@@ -45,6 +47,7 @@
             let to = addresses[rng.random_range(0..addresses.len())];
             let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
             if let Some(daemon) = self.daemon_at(to) {
+                connection.key = self.draw_key(account, &mut rng);
                 let status = self.send_request(&mut connection, daemon, kind).await;
                 if !matches!(status, Some(code) if code < 500) {
                     addresses.retain(|a| *a != to);
@@ -53,6 +56,29 @@
         }
     }
 
+    /// Draws the key of a request, if callers have keys.
+    fn draw_key(&self, account: usize, rng: &mut ChaCha8Rng) -> Option<String> {
+        let book = self.accounts.as_ref()?;
+        Some(book.borrow().draw_key(account, rng))
+    }
+
+    /// Sends requests to one daemon on one connection, with one key until it is refused, so that it
+    /// is revoked while the connection is open.
+    pub(crate) async fn loyal_caller(self: Rc<Self>, daemon: usize, account: usize) {
+        let Some(book) = &self.accounts else { return };
+        let mut connection = Connection::default();
+        while !self.finished.get() {
+            sleep(LOYAL_INTERVAL).await;
+            let key = connection.key.take();
+            let key = key.unwrap_or_else(|| book.borrow().oldest_key(account));
+            connection.key = Some(key);
+            let kind = RequestKind::Single;
+            if self.send_request(&mut connection, daemon, kind).await == Some(401) {
+                connection.key = None;
+            }
+        }
+    }
+
     /// Index of the daemon that accepts requests at an address.
     fn daemon_at(&self, front: SocketAddr) -> Option<usize> {
         self.daemons
@@ -76,6 +102,9 @@
             (daemons[daemon].front(), daemons[daemon].incarnation)
         };
         self.checks.borrow_mut().count_request(kind);
+        if let Some(key) = &connection.key {
+            self.checks.borrow_mut().note_key(&id, key);
+        }
         let sent_at = Instant::now();
         let body = if kind == RequestKind::Once {
             "once"
@@ -89,6 +118,7 @@
             kind,
             daemon,
             incarnation,
+            key: connection.key.clone(),
             sent_at,
             opened_at: connection.opened_at,
             outcome,
@@ -98,10 +128,7 @@
         self.checks
             .borrow_mut()
             .check_request(&env, &daemons[daemon], &request);
-        match request.outcome {
-            Outcome::Answered(answer) => Some(answer.status),
-            _ => None,
-        }
+        request.outcome.status()
     }
 
     /// Asks a random daemon's directory for the addresses that callers should use, and checks them;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         CATCH_UP_TIME, START_TIME,
+        accounts::{AccountChecks, Accounts},
         connection::{Answer, Outcome},
         daemons::{Daemon, MIN_SERVING},
         environment::{Environment, ONCE_SERVICE, SHARD_COUNT, SINGLE_SERVICES},
@@ -80,6 +81,7 @@
     pub(crate) daemon: usize,
     /// Incarnation of that daemon when the request was sent.
     pub(crate) incarnation: u32,
+    pub(crate) key: Option<String>,
     pub(crate) sent_at: Instant,
     /// When the caller last opened a connection; `None` if it has never had one.
     pub(crate) opened_at: Option<Instant>,
@@ -88,6 +90,9 @@
 
 /// A configuration that the store has accepted.
 pub(crate) struct ConfigChange {
+    /// Index of the service of the route `/one/`.
+    pub(crate) number: usize,
+    pub(crate) accounts: Option<Accounts>,
     pub(crate) accepted_at: Instant,
     /// From when on every daemon must use it; `None` while a fault holds it up.
     pub(crate) due: Option<Instant>,
@@ -106,10 +111,13 @@
 
 impl ConfigSchedule {
     /// Adds a configuration that the store has just accepted.
-    pub(crate) fn accept(&mut self, now: Instant) {
+    pub(crate) fn accept(&mut self, number: usize, accounts: Option<Accounts>) {
+        let now = Instant::now();
         let caught_up = self.calm_since.map(|at| at + CATCH_UP_TIME);
         let due = caught_up.max(Some(now + MAX_PROPAGATION));
         self.changes.push(ConfigChange {
+            number,
+            accounts,
             accepted_at: now,
             due: due.filter(|_| self.faults == 0),
         });
@@ -155,11 +163,16 @@
     /// Concurrent callers. Each may have one request in flight when a budget window begins, whose
     /// call is then counted without its request.
     pub(crate) callers: u64,
-    /// Requests that were answered with 503, so they must not have run.
-    not_executed: Vec<(RequestKind, String)>,
+    /// Requests that must not have run, and why.
+    not_executed: Vec<(RequestKind, String, String)>,
     /// Ids of the requests that must not run twice.
     once_ids: Vec<String>,
     pub(crate) config: ConfigSchedule,
+    pub(crate) accounts: AccountChecks,
+    /// Whether accounts or versions have to be checked at the targets.
+    pub(crate) records_calls: bool,
+    /// Whether the last fault has been undone for as long as the daemons may feel it.
+    pub(crate) calm: bool,
     /// Numbers of the configurations that answers showed, and when the answers arrived, for each
     /// daemon and incarnation.
     observed: BTreeMap<(usize, u32), Vec<(Instant, usize)>>,
@@ -181,6 +194,14 @@
             other => format!("{other:?}"),
         };
         *self.outcomes.entry(name).or_default() += 1;
+        let from = earlier(request.sent_at, MAX_PROPAGATION + CATCH_UP_TIME);
+        let starting = daemon.started_since(earlier(request.sent_at, START_TIME));
+        let exempt = starting || daemon.had_outage(from, now);
+        if self.check_key(request, exempt) {
+            let reason = "its key is unknown or was revoked".into();
+            self.not_executed
+                .push((request.kind, request.id.clone(), reason));
+        }
         if daemon.incarnation != request.incarnation || daemon.had_outage(request.sent_at, now) {
             // The process was replaced or stalled during the request, so the request may fail. An
             // answer that did arrive must still be correct.
@@ -206,9 +227,7 @@
             )),
         }
         self.check_content(env, request);
-        let from = earlier(request.sent_at, MAX_PROPAGATION + CATCH_UP_TIME);
-        let starting = daemon.started_since(earlier(request.sent_at, START_TIME));
-        self.check_config(env, request, starting || daemon.had_outage(from, now));
+        self.check_config(env, request, exempt);
     }
 
     /// Checks that an answer belongs to its request, that its body is complete, and that it reports
@@ -217,8 +236,10 @@
         let Outcome::Answered(answer) = &request.outcome else {
             return;
         };
-        if answer.status == 503 {
-            self.not_executed.push((request.kind, request.id.clone()));
+        if matches!(answer.status, 401 | 429 | 503) {
+            let reason = format!("answered with {}", answer.status);
+            self.not_executed
+                .push((request.kind, request.id.clone(), reason));
         }
         if answer.status != 200 {
             return;
@@ -266,9 +287,10 @@
         observed.push((Instant::now(), used));
         let is_due = |e: &ConfigChange| e.due.is_some_and(|due| request.sent_at > due);
         let changes = &self.config.changes;
-        let expected = changes.iter().rposition(is_due).unwrap_or(0);
+        let due = changes.iter().rposition(is_due).unwrap_or(0);
+        let expected = changes[due].number;
         if used < expected && !exempt {
-            let since = request.sent_at - changes[expected].accepted_at;
+            let since = request.sent_at - changes[due].accepted_at;
             let text = format!(
                 "request {}: answered under configuration {used}; expected {expected} or later, \
                  which the store had accepted {since:?} before the request was sent",
@@ -279,7 +301,7 @@
     }
 
     /// Checks what only the targets know; call it once all calls have ended.
-    pub(crate) fn check_targets(&mut self, env: &Environment) {
+    pub(crate) fn check_targets(&mut self, env: &Environment, daemons: &[Daemon]) {
         for id in std::mem::take(&mut self.once_ids) {
             let runs = env.run_count(ONCE_SERVICE, &id);
             if runs > 1 {
@@ -288,16 +310,16 @@
                 ));
             }
         }
-        for (kind, id) in std::mem::take(&mut self.not_executed) {
+        for (kind, id, reason) in std::mem::take(&mut self.not_executed) {
             let runs = env.run_count(kind.service_prefix(), &id);
             if runs > 0 {
                 self.add_violation(format!(
-                    "{kind:?} request {id}: answered with 503 (not executed), but ran {runs} times \
-                     at targets"
+                    "{kind:?} request {id}: must not run ({reason}), but ran {runs} times at targets"
                 ));
             }
         }
         self.check_budgets();
+        self.check_quotas(daemons);
     }
 
     /// Records how many requests were sent and how many calls arrived at targets so far.
@@ -305,6 +327,11 @@
         let mut arrivals: BTreeMap<String, u64> = BTreeMap::new();
         for target in &env.targets {
             let service = target.state.config().service.clone();
+            if self.records_calls {
+                for call in target.state.take_calls() {
+                    self.check_call(&target.state.config().id, &call);
+                }
+            }
             *arrivals.entry(service).or_default() += target.state.arrivals();
         }
         self.samples.push(Sample {
@@ -362,7 +389,7 @@
     from.checked_sub(by).unwrap_or(from)
 }
 
-fn to_f64(n: u64) -> f64 {
+pub(crate) fn to_f64(n: u64) -> f64 {
     f64::from(u32::try_from(n).unwrap_or(u32::MAX))
 }
 
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -5,6 +5,7 @@
 //! an answer must have a `content-length`.
 
 use {
+    crate::accounts::FORGED_NAME,
     rattanturn_platform::caller::{AnswerSource, answer_source},
     rattanturn_standins::operator::HOST,
     std::{
@@ -37,6 +38,16 @@
     TimedOut,
 }
 
+impl Outcome {
+    /// Status of the answer, if there was one.
+    pub(crate) fn status(&self) -> Option<u16> {
+        match self {
+            Self::Answered(answer) => Some(answer.status),
+            _ => None,
+        }
+    }
+}
+
 /// A complete answer.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -63,6 +74,8 @@
 #[derive(Default)]
 pub(crate) struct Connection {
     open: Option<(SocketAddr, TcpStream)>,
+    /// Key that requests carry, beside a forged name of an account.
+    pub(crate) key: Option<String>,
     /// When it last opened a connection; `None` if it has never had one.
     pub(crate) opened_at: Option<Instant>,
 }
@@ -92,8 +105,11 @@
             },
         };
         let method = if body.is_empty() { "GET" } else { "POST" };
+        let account = self.key.as_ref().map_or(String::new(), |key| {
+            format!("authorization: Bearer {key}\r\nx_tenant: {FORGED_NAME}\r\n")
+        });
         let text = format!(
-            "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n\
+            "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n{account}\
              content-length: {}\r\n\r\n{body}",
             body.len()
         );
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -213,6 +213,14 @@
         self.outages.iter().any(overlaps)
     }
 
+    /// End of the last outage that overlaps the time between two instants; now if it lasts.
+    pub(crate) fn last_outage(&self, from: Instant, until: Instant) -> Option<Instant> {
+        let ends = self.outages.iter().filter(|d| d.from <= until);
+        ends.map(|d| d.until.unwrap_or_else(Instant::now))
+            .filter(|end| *end >= from)
+            .max()
+    }
+
     /// Whether its current process was started after an instant.
     pub(crate) fn started_since(&self, at: Instant) -> bool {
         self.started.is_some_and(|s| s > at)
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,12 +4,14 @@
 //! that can inject network faults. Each daemon has a proxy of its own for the store.
 
 use {
+    crate::accounts::{self, Accounts},
     rattanturn_standins::{
         operator::{ConfigBuilder, deregister_target, register_target_at},
         platform::{self, Platform},
         proxy::Proxy,
         shard::{self, TargetConfig},
     },
+    serde_json::json,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
@@ -54,7 +56,7 @@
 }
 
 impl Environment {
-    /// Starts the store and all targets, announces the targets and writes configuration 0.
+    /// Starts the store and all targets, and announces the targets.
     pub(crate) async fn spawn() -> eyre::Result<Self> {
         let platform = Platform::spawn()?;
         let shards: Vec<String> = (0..SHARD_COUNT).map(|i| format!("shard-{i}")).collect();
@@ -88,7 +90,6 @@
         for i in 0..environment.targets.len() {
             environment.announce(i, "ready");
         }
-        environment.write_config(0);
         Ok(environment)
     }
 
@@ -97,14 +98,30 @@
         Ok(Proxy::bind(ANY_PORT, self.platform.addr()).await?)
     }
 
+    /// Lets the targets record their calls from now on, if asked for.
+    pub(crate) fn record_calls(&self, on: bool) {
+        for target in self.targets.iter().filter(|_| on) {
+            // Nothing was recorded before.
+            let _ = target.state.take_calls();
+        }
+    }
+
     /// Lets the open connections to all targets fall silent.
     pub(crate) fn silence_targets(&self) {
         self.targets.iter().for_each(|t| t.proxy.silence_open());
     }
 
     /// Writes a configuration into the store; `number` selects the service of the route `/one/`.
-    pub(crate) fn write_config(&mut self, number: usize) {
+    pub(crate) fn write_config(&mut self, number: usize, accounts: Option<&Accounts>) {
+        let list = accounts.map(|accounts| {
+            let all = accounts::listed(accounts).map(|(name, keys, rate)| {
+                let rate = rate.unwrap_or(0.0);
+                json!({"name": name, "apiKeys": keys, "ratePerS": rate, "burst": rate})
+            });
+            all.collect()
+        });
         let config = std::mem::take(&mut self.config).clear_routes();
+        let config = config.accounts(list);
         self.config = config
             .gather_route("/all/", &self.shards, LATENCY_GOAL_MS)
             .single_route("/one/", SINGLE_SERVICES[number], true)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 //! Faults of disks and clocks are not injected: daemons use no disk, and their only clocks are
 //! those of the machine, which a program without privileges cannot set.
 
+mod accounts;
 mod callers;
 mod checks;
 mod connection;
@@ -51,6 +52,8 @@
     /// asked to stop takes up to its drain limit, and the daemons start before and recover after
     /// the faults.
     pub fault_window: Duration,
+    /// Whether callers have keys and accounts have quotas.
+    pub accounts: bool,
     /// Folder in which a run makes its own folder for settings and logs. That one is removed at the
     /// end unless the run found a violation.
     pub folder: PathBuf,
@@ -66,6 +69,7 @@
             daemons: 5,
             callers: 12,
             fault_window: Duration::from_secs(15),
+            accounts: false,
             folder: std::env::temp_dir(),
         }
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -27,6 +27,8 @@
             optional --daemons count: u8
             /// Number of concurrent callers; 12 if not given.
             optional --callers count: usize
+            /// Give callers keys and accounts quotas.
+            optional --accounts
             /// Seconds in which faults begin; 15 if not given.
             optional --seconds time: u64
         }
@@ -57,6 +59,7 @@
     options.fault_window = flags
         .seconds
         .map_or(options.fault_window, Duration::from_secs);
+    options.accounts = flags.accounts;
     let first = flags.first.unwrap_or(1);
     let mut passed = true;
     for seed in first..first + flags.count.unwrap_or(1) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,7 +5,10 @@
 //! worth running again: any change to a draw, its range or the order of draws changes all seeds.
 
 use {
-    crate::environment::{CENTRES, SINGLE_SERVICES},
+    crate::{
+        accounts::{AccountEdit, draw_edit},
+        environment::{CENTRES, SINGLE_SERVICES},
+    },
     rand::RngExt,
     rand_chacha::ChaCha8Rng,
     rattanturn_standins::{platform::Mode, proxy::LinkMode, shard},
@@ -16,6 +19,8 @@
 const MAX_FAULT_MS: u64 = 4_000;
 /// Mean time between the starts of two faults.
 const MEAN_INTERVAL_MS: u64 = 500;
+/// Mean time between two edits of the accounts.
+const MEAN_EDIT_INTERVAL_MS: u64 = 1_500;
 
 /// What is done to the system, and undone when the fault's duration is over unless said otherwise.
 ///
@@ -61,6 +66,8 @@
     ChangeConfig,
     /// Evacuates a data centre.
     Evacuate(usize),
+    /// Changes keys or limits of accounts; nothing is undone.
+    EditAccounts(AccountEdit),
 }
 
 /// A fault that is to be injected.
@@ -101,6 +108,24 @@
     out
 }
 
+/// Adds the operator's edits of accounts to the faults. They come from a generator of their own, so
+/// that a seed's faults are the same with and without accounts.
+pub(crate) fn add_account_edits(faults: &mut Vec<Fault>, rng: &mut ChaCha8Rng, window: Duration) {
+    let mut start = Duration::ZERO;
+    loop {
+        start += Duration::from_millis(rng.random_range(0..2 * MEAN_EDIT_INTERVAL_MS));
+        if start >= window {
+            break;
+        }
+        faults.push(Fault {
+            start,
+            duration: Duration::ZERO,
+            kind: FaultKind::EditAccounts(draw_edit(rng)),
+        });
+    }
+    faults.sort_by_key(|f| f.start);
+}
+
 fn draw_kind(rng: &mut ChaCha8Rng, daemons: usize, targets: usize) -> FaultKind {
     let daemon = rng.random_range(0..daemons);
     let target = rng.random_range(0..targets);
@@ -158,3 +183,33 @@
     ];
     all[rng.random_range(0..all.len())]
 }
+
+#[cfg(test)]
+mod tests {
+    use {super::*, rand::SeedableRng};
+
+    /// Guards against a change of the faults of all seeds, also by edits of accounts.
+    #[test]
+    fn a_seed_keeps_its_faults() {
+        let window = Duration::from_secs(2);
+        let mut rng = ChaCha8Rng::seed_from_u64(11);
+        let mut faults = draw_faults(&mut rng, window, 5, 33);
+        let lines = |faults: &[Fault]| -> Vec<String> {
+            let line = |f: &Fault| format!("{:?} {:?} {:?}", f.start, f.duration, f.kind);
+            faults.iter().map(line).collect()
+        };
+        let before = lines(&faults);
+        assert_eq!(
+            before,
+            [
+                "178ms 2.258s Target(2, Unframed)",
+                "387ms 3.96s RemoveTarget(28)",
+                "917ms 1.406s Kill(4)",
+                "1.904s 2.926s RemoveTarget(13)",
+            ]
+        );
+        add_account_edits(&mut faults, &mut rng, window);
+        faults.retain(|f| !matches!(f.kind, FaultKind::EditAccounts(_)));
+        assert_eq!(lines(&faults), before);
+    }
+}
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -7,13 +7,14 @@
 use {
     crate::{
         CATCH_UP_TIME, Options, RECOVERY_TIME, Report,
+        accounts::{self, AccountBook, AccountEdit, account_of_caller},
         checks::{Checks, MAX_PROPAGATION, RequestKind},
         connection::{Connection, Outcome},
         daemons::{DRAIN_LIMIT, Daemon, DaemonSetup},
         environment::{CENTRES, Environment},
         plan::{self, Fault, FaultKind},
     },
-    actix_rt::time::sleep,
+    actix_rt::{task::JoinHandle, time::sleep},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     rattanturn_platform::http::READY_PATH,
@@ -39,6 +40,8 @@
 pub(crate) const ANSWER_SLACK: Duration = Duration::from_secs(1);
 /// Factor by which a slow target's service time is multiplied.
 const SLOW: f64 = 30.0;
+/// Stream of the seed's generator from which edits of accounts are drawn.
+const ACCOUNT_STREAM: u64 = 1;
 /// Consecutive rounds of good answers from all daemons that count as recovery.
 const GOOD_ROUNDS: usize = 5;
 /// Time beyond its drain limit within which the process of a stopping daemon must exit.
@@ -57,6 +60,8 @@
     /// The proxies through which daemons reach each other by RPC, by index of the daemon called.
     peer_proxies: Vec<Proxy>,
     pub(crate) checks: RefCell<Checks>,
+    /// `None` if callers have no keys.
+    pub(crate) accounts: Option<RefCell<AccountBook>>,
     /// Configurations written after the first one; also the number of the newest.
     change_count: Cell<usize>,
     /// Number in the id of the next request.
@@ -94,26 +99,32 @@
         store_proxies.push(proxy);
     }
     let targets = environment.targets.len();
-    let faults = plan::draw_faults(&mut rng, options.fault_window, daemons.len(), targets);
+    let mut faults = plan::draw_faults(&mut rng, options.fault_window, daemons.len(), targets);
+    if options.accounts {
+        let mut own = ChaCha8Rng::seed_from_u64(seed);
+        own.set_stream(ACCOUNT_STREAM);
+        plan::add_account_edits(&mut faults, &mut own, options.fault_window);
+    }
+    let accounts = options.accounts.then(AccountBook::new);
     let run = Rc::new(Runner {
         environment: RefCell::new(environment),
         daemons: RefCell::new(daemons),
         store_proxies,
         peer_proxies,
         checks: RefCell::default(),
+        accounts: accounts.map(RefCell::new),
         change_count: Cell::new(0),
         next_id: Cell::new(0),
         finished: Cell::new(false),
         fault_log: RefCell::default(),
         started: Instant::now(),
     });
-    run.checks.borrow_mut().config.accept(Instant::now());
-    run.checks.borrow_mut().callers = u64::try_from(options.callers).unwrap_or(u64::MAX);
+    run.checks.borrow_mut().records_calls = options.accounts;
+    run.environment.borrow().record_calls(options.accounts);
+    run.publish_config();
     run.start_all()?;
     run.await_recovery().await;
-    let callers: Vec<_> = (0..options.callers)
-        .map(|_| actix_rt::spawn(run.clone().caller(ChaCha8Rng::seed_from_u64(rng.random()))))
-        .collect();
+    let callers = run.start_callers(options, &mut rng);
     let monitor = actix_rt::spawn(run.clone().monitor());
     run.clone().inject_faults(&faults).await;
     run.await_recovery().await;
@@ -124,9 +135,7 @@
     }
     monitor.await?;
     sleep(ANSWER_SLACK).await;
-    run.checks
-        .borrow_mut()
-        .check_targets(&run.environment.borrow());
+    run.check_targets();
     run.daemons.borrow_mut().iter_mut().for_each(Daemon::kill);
     let checks = run.checks.take();
     let report = Report {
@@ -151,6 +160,40 @@
 }
 
 impl Runner {
+    /// Starts the callers, and with accounts one more for each daemon.
+    fn start_callers(
+        self: &Rc<Self>,
+        options: &Options,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<JoinHandle<()>> {
+        let loyal = match self.accounts {
+            Some(_) => usize::from(options.daemons),
+            None => 0,
+        };
+        self.checks.borrow_mut().callers = (options.callers + loyal) as u64;
+        let mut callers = Vec::new();
+        for i in 0..options.callers {
+            let rng = ChaCha8Rng::seed_from_u64(rng.random());
+            let caller = self.clone().caller(account_of_caller(i), rng);
+            callers.push(actix_rt::spawn(caller));
+        }
+        for i in 0..loyal {
+            let caller = self.clone().loyal_caller(i, account_of_caller(i + 1));
+            callers.push(actix_rt::spawn(caller));
+        }
+        callers
+    }
+
+    /// Checks what only the targets know, once all calls have ended.
+    fn check_targets(&self) {
+        let env = self.environment.borrow();
+        let mut checks = self.checks.borrow_mut();
+        if checks.records_calls {
+            checks.sample(&env);
+        }
+        checks.check_targets(&env, &self.daemons.borrow());
+    }
+
     /// Starts the daemons that are not running.
     fn start_all(&self) -> eyre::Result<()> {
         let mut all = self.daemons.borrow_mut();
@@ -196,6 +239,7 @@
             FaultKind::Reload(i) => self.daemons.borrow_mut()[i].signal(Signal::HUP),
             FaultKind::CompactStore => self.environment.borrow().store.compact(),
             FaultKind::ChangeConfig => self.change_config(),
+            FaultKind::EditAccounts(edit) => self.edit_accounts(edit),
             FaultKind::Store(mode) => {
                 self.begin_store_fault();
                 self.environment.borrow().store.set_mode(mode);
@@ -260,18 +304,39 @@
 
     /// Writes the next configuration into the store.
     fn change_config(&self) {
-        let next = self.change_count.get() + 1;
-        self.change_count.set(next);
-        self.environment.borrow_mut().write_config(next);
-        self.checks.borrow_mut().config.accept(Instant::now());
+        self.change_count.set(self.change_count.get() + 1);
+        self.publish_config();
+    }
+
+    /// Writes the newest configuration, with the accounts as they are now.
+    fn publish_config(&self) {
+        let number = self.change_count.get();
+        let accounts = self.accounts.as_ref().map(|b| b.borrow().current.clone());
+        let mut env = self.environment.borrow_mut();
+        env.write_config(number, accounts.as_ref());
+        self.checks.borrow_mut().config.accept(number, accounts);
+    }
+
+    fn edit_accounts(&self, edit: AccountEdit) {
+        if let Some(book) = &self.accounts {
+            book.borrow_mut().apply(edit);
+            self.publish_config();
+        }
     }
 
     /// Writes a last configuration after all faults, with nothing to excuse that it is late: what
     /// faults left behind must not hold it up.
     async fn change_config_in_calm(&self) {
         sleep(CATCH_UP_TIME).await;
+        self.checks.borrow_mut().calm = true;
+        for edit in accounts::LAST_EDITS {
+            self.edit_accounts(edit);
+        }
         self.change_config();
         sleep(MAX_PROPAGATION + LAST_CHECK_TIME).await;
+        if self.accounts.is_some() {
+            sleep(2 * accounts::QUOTA_WINDOW).await;
+        }
     }
 
     /// Begins a fault of the store or of a link that configurations take.
@@ -415,6 +480,11 @@
                 let id = format!("r{number}");
                 let mut connection = Connection::default();
                 self.checks.borrow_mut().count_request(kind);
+                if let Some(book) = &self.accounts {
+                    let key = book.borrow().oldest_key(accounts::PROBE);
+                    self.checks.borrow_mut().note_key(&id, &key);
+                    connection.key = Some(key);
+                }
                 let outcome = connection.send(front, kind.path(), &id, "", limit).await;
                 match outcome {
                     Outcome::Answered(a) if a.status == 200 && is_complete(kind, &a) => {}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 //! and the command-line tool send. The network of [`gossip`] runs in virtual time instead, so that
 //! it can simulate hundreds of daemons.
 
+pub mod calls;
 pub mod gossip;
 pub mod operator;
 pub mod platform;
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -15,7 +15,11 @@
 //! framing of HTTP.
 
 use {
-    crate::{operator::register_target, platform},
+    crate::{
+        calls::{Call, CallLog},
+        operator::register_target,
+        platform,
+    },
     actix_http::{
         Request,
         h1::{Codec, Message, MessageType},
@@ -176,6 +180,7 @@
     /// Number of times that the process has started again.
     restarts: u64,
     counters: Counters,
+    calls: CallLog,
     /// Number of answers so far; it makes each signature unique.
     answer_count: u64,
 }
@@ -267,6 +272,12 @@
         self.with(|i| i.counters.clone())
     }
 
+    /// The calls since the last time that this was called; from the first time on, calls are recorded.
+    #[must_use]
+    pub fn take_calls(&self) -> Vec<Call> {
+        self.with(|i| i.calls.take())
+    }
+
     /// Number of times that the request with this id ran.
     #[must_use]
     pub fn runs(&self, id: &str) -> u32 {
@@ -429,17 +440,22 @@
             let value = String::from_utf8_lossy(value.as_bytes());
             format!("{name}: {value}")
         });
-        let lines = lines.collect();
-        state.with(|i| i.counters.last_headers = lines);
+        let lines: Vec<String> = lines.collect();
+        state.with(|i| i.counters.last_headers.clone_from(&lines));
         let (fault, run_time) = state.with(|i| record_arrival(i, &state.config, deadline));
+        let mut call = Call::new(id.clone(), lines, fault != Fault::Refused);
         if fault == Fault::Refused {
+            state.with(|i| i.calls.add(call));
             stream
                 .write_all(&head(state, 503, &id, ("x-not-executed", "1"), Some(0)))
                 .await?;
             continue;
         }
         state.with(|i| *i.counters.runs.entry(id.clone()).or_default() += 1);
+        let plain = (fault, run_time);
         let (fault, run_time) = state.with(|i| i.apply_flaw(request.path(), fault, run_time));
+        call.flawed_at = ((fault, run_time) != plain).then(|| call.at + run_time);
+        state.with(|i| i.calls.add(call));
         let _open = OpenRequest::new(state);
         // A caller that closes its connection stops the request.
         let disconnected = tokio::select! {
