Roll out good and bad versions in the soak

The checks are made from the calls at the targets: the exposure, nothing later than 5 s after the 50th bad answer or after the end without success, and one final state. Only requests to connected daemons count, so the soak records when a daemon could not reach the store.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -97,6 +97,7 @@
         let number = self.next_id.get();
         self.next_id.set(number + 1);
         let id = format!("q{number}");
+        let path = kind.path(if self.has_orders { number } else { 0 });
         let (front, incarnation) = {
             let daemons = self.daemons.borrow();
             (daemons[daemon].front(), daemons[daemon].incarnation)
@@ -112,7 +113,11 @@
             ""
         };
         let limit = kind.limit() + ANSWER_SLACK;
-        let outcome = connection.send(front, kind.path(), &id, body, limit).await;
+        if self.has_orders {
+            let sent = &mut self.checks.borrow_mut().orders.sent;
+            sent.insert(id.clone(), (daemon, sent_at));
+        }
+        let outcome = connection.send(front, &path, &id, body, limit).await;
         let request = Request {
             id,
             kind,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -12,6 +12,7 @@
         connection::{Answer, Outcome},
         daemons::{Daemon, MIN_SERVING},
         environment::{Environment, ONCE_SERVICE, SHARD_COUNT, SINGLE_SERVICES},
+        rollouts::OrderChecks,
     },
     rattanturn_core::merge::top_records,
     std::{
@@ -47,14 +48,28 @@
 impl RequestKind {
     pub(crate) const ALL: [Self; 3] = [Self::Gather, Self::Single, Self::Once];
 
-    pub(crate) const fn path(self) -> &'static str {
+    /// Path of a request. The number selects one of the paths of the route, which lead to the same
+    /// services.
+    pub(crate) fn path(self, number: u64) -> String {
+        let name = if number.is_multiple_of(2) { "x" } else { "y" };
+        let route = self.route();
+        format!("{route}{name}")
+    }
+
+    const fn route(self) -> &'static str {
         match self {
-            Self::Gather => "/all/x",
-            Self::Single => "/one/x",
-            Self::Once => "/once/x",
+            Self::Gather => "/all/",
+            Self::Single => "/one/",
+            Self::Once => "/once/",
         }
     }
 
+    /// The kind of the requests that a service gets.
+    pub(crate) fn of_service(service: &str) -> Option<Self> {
+        let mut all = Self::ALL.into_iter();
+        all.find(|k| service.starts_with(k.service_prefix()))
+    }
+
     /// The route's time limit, within which the daemon must give a final answer.
     pub(crate) const fn limit(self) -> Duration {
         match self {
@@ -169,6 +184,7 @@
     once_ids: Vec<String>,
     pub(crate) config: ConfigSchedule,
     pub(crate) accounts: AccountChecks,
+    pub(crate) orders: OrderChecks,
     /// Whether accounts or versions have to be checked at the targets.
     pub(crate) records_calls: bool,
     /// Whether the last fault has been undone for as long as the daemons may feel it.
@@ -183,6 +199,10 @@
         self.violations.push(text);
     }
 
+    pub(crate) fn count_outcome(&mut self, name: String) {
+        *self.outcomes.entry(name).or_default() += 1;
+    }
+
     /// Checks a request's outcome; call it as soon as the request has ended.
     pub(crate) fn check_request(&mut self, env: &Environment, daemon: &Daemon, request: &Request) {
         let now = Instant::now();
@@ -193,7 +213,7 @@
             Outcome::Answered(answer) => answer.status.to_string(),
             other => format!("{other:?}"),
         };
-        *self.outcomes.entry(name).or_default() += 1;
+        self.count_outcome(name);
         let from = earlier(request.sent_at, MAX_PROPAGATION + CATCH_UP_TIME);
         let starting = daemon.started_since(earlier(request.sent_at, START_TIME));
         let exempt = starting || daemon.had_outage(from, now);
@@ -320,6 +340,7 @@
         }
         self.check_budgets();
         self.check_quotas(daemons);
+        self.check_orders(env, daemons);
     }
 
     /// Records how many requests were sent and how many calls arrived at targets so far.
@@ -329,7 +350,9 @@
             let service = target.state.config().service.clone();
             if self.records_calls {
                 for call in target.state.take_calls() {
-                    self.check_call(&target.state.config().id, &call);
+                    let config = target.state.config();
+                    self.check_call(&config.id, &call);
+                    self.note_call(config, &call);
                 }
             }
             *arrivals.entry(service).or_default() += target.state.arrivals();
@@ -351,10 +374,9 @@
                 continue;
             };
             for (service, count) in &last.arrivals {
-                let kind = RequestKind::ALL
-                    .into_iter()
-                    .find(|k| service.starts_with(k.service_prefix()));
-                let Some(kind) = kind else { continue };
+                let Some(kind) = RequestKind::of_service(service) else {
+                    continue;
+                };
                 let calls = count - first.arrivals.get(service).unwrap_or(&0);
                 let sent = |s: &Sample| s.requests.get(&kind).copied().unwrap_or(0);
                 let requests = sent(last) - sent(first);
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -26,6 +26,9 @@
 /// outage lasts until then.
 const RESUME_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time without a disturbance after which a daemon counts as connected.
+const CONNECTED_AFTER: Duration = Duration::from_secs(5);
+
 const FRONT_PORT: u16 = 8_104;
 const READY_PORT: u16 = 8_108;
 const DIRECTORY_PORT: u16 = 8_100;
@@ -43,6 +46,8 @@
     /// Second and third byte of the daemons' addresses in 127.0.0.0/8. Runs of different processes
     /// use different ones, so that they do not compete for the fixed ports.
     pub(crate) subnet: (u8, u8),
+    /// Further lines of the section `tier`.
+    pub(crate) settings: &'a str,
 }
 
 /// A time in which a process was dead or paused.
@@ -53,6 +58,12 @@
     until: Option<Instant>,
 }
 
+impl Outage {
+    fn overlaps(self, from: Instant, until: Instant) -> bool {
+        self.from <= until && self.until.is_none_or(|u| u >= from)
+    }
+}
+
 /// One daemon through all its incarnations.
 pub(crate) struct Daemon {
     pub(crate) name: String,
@@ -69,6 +80,8 @@
     pub(crate) paused: bool,
     /// In order of time; only the last one may still last.
     outages: Vec<Outage>,
+    /// Times in which the store was faulty or could not be reached well; they may overlap.
+    cut_offs: Vec<Outage>,
 }
 
 impl Daemon {
@@ -91,13 +104,14 @@
              peers = {}:{PEER_PORT}, {}:{PEER_PORT}\ndrain-limit = {}s\n\
              [tier]\nfront = {at}:{FRONT_PORT}\nready = {at}:{READY_PORT}\n\
              directory = {at}:{DIRECTORY_PORT}\n\
-             cores = 1\nrepeat-ratio = {}\nrepeat-slack = {}\n\
+             cores = 1\nrepeat-ratio = {}\nrepeat-slack = {}\n{}\
              [platform]\naddress = {store}\n[log]\nlevel = info\nformat = json\n",
             ip(0),
             ip(1),
             DRAIN_LIMIT.as_secs(),
             crate::EXTRA_CALL_RATIO,
             crate::EXTRA_CALL_SLACK,
+            setup.settings,
         );
         let settings = setup.folder.join(format!("{name}.ini"));
         fs::write(&settings, text)
@@ -114,6 +128,7 @@
             stopping: None,
             paused: false,
             outages: Vec::new(),
+            cut_offs: Vec::new(),
         })
     }
 
@@ -209,8 +224,29 @@
 
     /// Whether an outage overlaps the time between two instants.
     pub(crate) fn had_outage(&self, from: Instant, until: Instant) -> bool {
-        let overlaps = |d: &Outage| d.from <= until && d.until.is_none_or(|u| u >= from);
-        self.outages.iter().any(overlaps)
+        self.outages.iter().any(|o| o.overlaps(from, until))
+    }
+
+    /// Whether it was connected, by the platform's definition, all the time between two instants:
+    /// since 5 s before, its process ran undisturbed and reached a healthy store.
+    pub(crate) fn was_connected(&self, from: Instant, until: Instant) -> bool {
+        let from = from.checked_sub(CONNECTED_AFTER).unwrap_or(from);
+        let cut_off = self.cut_offs.iter().any(|c| c.overlaps(from, until));
+        !cut_off && !self.had_outage(from, until)
+    }
+
+    pub(crate) fn begin_cut_off(&mut self) {
+        let from = Instant::now();
+        self.cut_offs.push(Outage { from, until: None });
+    }
+
+    /// Ends the cut-off that began first. Of several that overlap, only the times of the first begin
+    /// and the last end matter.
+    pub(crate) fn end_cut_off(&mut self) {
+        let mut open = self.cut_offs.iter_mut().filter(|c| c.until.is_none());
+        if let Some(first) = open.next() {
+            first.until = Some(Instant::now());
+        }
     }
 
     /// End of the last outage that overlaps the time between two instants; now if it lasts.
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -31,7 +31,7 @@
 /// Latency goal of the scatter-gather route.
 const LATENCY_GOAL_MS: u64 = 250;
 /// Time that a target needs for one request.
-const SERVICE_TIME: Duration = Duration::from_millis(8);
+pub(crate) const SERVICE_TIME: Duration = Duration::from_millis(8);
 
 /// Lets a proxy listen on a free port.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -40,6 +40,8 @@
 pub(crate) struct Target {
     pub(crate) state: Arc<shard::State>,
     pub(crate) proxy: Proxy,
+    /// Whether it has left for good, so that it is not announced again.
+    retired: bool,
     /// Number of its last announcement; daemons take a higher one as newer.
     sequence: u64,
 }
@@ -64,20 +66,14 @@
         let names = shards.iter().map(String::as_str);
         for service in names.chain([ONCE_SERVICE]).chain(SINGLE_SERVICES) {
             for centre in CENTRES {
-                let state = shard::spawn(TargetConfig {
+                let config = TargetConfig {
                     id: format!("{service}-{centre}"),
                     service: service.into(),
                     centre: centre.into(),
                     service_time: SERVICE_TIME,
                     version: "v1".into(),
-                })
-                .await?;
-                let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
-                targets.push(Target {
-                    state,
-                    proxy,
-                    sequence: 0,
-                });
+                };
+                targets.push(Self::spawn_target(config).await?);
             }
         }
         let mut environment = Self {
@@ -93,6 +89,33 @@
         Ok(environment)
     }
 
+    /// Starts a target, which is not announced yet.
+    pub(crate) async fn spawn_target(config: TargetConfig) -> eyre::Result<Target> {
+        let state = shard::spawn(config).await?;
+        let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
+        Ok(Target {
+            state,
+            proxy,
+            retired: false,
+            sequence: 0,
+        })
+    }
+
+    /// Indices of the targets of a service.
+    pub(crate) fn targets_of(&self, service: &str) -> Vec<usize> {
+        let is_of = |i: &usize| self.targets[*i].state.config().service == service;
+        (0..self.targets.len()).filter(is_of).collect()
+    }
+
+    /// Removes the entries of targets and stops them for good.
+    pub(crate) fn retire(&mut self, targets: &[usize]) {
+        for i in targets {
+            self.remove_target(*i);
+            self.targets[*i].retired = true;
+            self.targets[*i].state.stop();
+        }
+    }
+
     /// Starts a proxy in front of the store, for one daemon.
     pub(crate) async fn spawn_store_proxy(&self) -> eyre::Result<Proxy> {
         Ok(Proxy::bind(ANY_PORT, self.platform.addr()).await?)
@@ -133,6 +156,9 @@
     /// of its proxy.
     pub(crate) fn announce(&mut self, target: usize, state: &str) {
         let target = &mut self.targets[target];
+        if target.retired {
+            return;
+        }
         target.sequence += 1;
         let (server, addr) = (&target.state, target.proxy.addr);
         register_target_at(&self.store, server, state, target.sequence, addr);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod daemons;
 mod environment;
 mod plan;
+mod rollouts;
 mod runner;
 
 use std::{
@@ -54,6 +55,8 @@
     pub fault_window: Duration,
     /// Whether callers have keys and accounts have quotas.
     pub accounts: bool,
+    /// Whether new versions are rolled out, one beside the faults and one after them.
+    pub rollouts: bool,
     /// Folder in which a run makes its own folder for settings and logs. That one is removed at the
     /// end unless the run found a violation.
     pub folder: PathBuf,
@@ -70,6 +73,7 @@
             callers: 12,
             fault_window: Duration::from_secs(15),
             accounts: false,
+            rollouts: false,
             folder: std::env::temp_dir(),
         }
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -29,6 +29,8 @@
             optional --callers count: usize
             /// Give callers keys and accounts quotas.
             optional --accounts
+            /// Roll out new versions, good and bad ones.
+            optional --rollouts
             /// Seconds in which faults begin; 15 if not given.
             optional --seconds time: u64
         }
@@ -60,6 +62,7 @@
         .seconds
         .map_or(options.fault_window, Duration::from_secs);
     options.accounts = flags.accounts;
+    options.rollouts = flags.rollouts;
     let first = flags.first.unwrap_or(1);
     let mut passed = true;
     for seed in first..first + flags.count.unwrap_or(1) {
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -13,6 +13,7 @@
         daemons::{DRAIN_LIMIT, Daemon, DaemonSetup},
         environment::{CENTRES, Environment},
         plan::{self, Fault, FaultKind},
+        rollouts,
     },
     actix_rt::{task::JoinHandle, time::sleep},
     rand::{RngExt, SeedableRng},
@@ -31,6 +32,7 @@
         fs,
         net::SocketAddr,
         rc::Rc,
+        slice::SliceIndex,
         time::{Duration, Instant},
     },
 };
@@ -42,6 +44,8 @@
 const SLOW: f64 = 30.0;
 /// Stream of the seed's generator from which edits of accounts are drawn.
 const ACCOUNT_STREAM: u64 = 1;
+/// Stream of the seed's generator from which orders are drawn.
+const ORDER_STREAM: u64 = 2;
 /// Consecutive rounds of good answers from all daemons that count as recovery.
 const GOOD_ROUNDS: usize = 5;
 /// Time beyond its drain limit within which the process of a stopping daemon must exit.
@@ -60,6 +64,7 @@
     /// The proxies through which daemons reach each other by RPC, by index of the daemon called.
     peer_proxies: Vec<Proxy>,
     pub(crate) checks: RefCell<Checks>,
+    pub(crate) has_orders: bool,
     /// `None` if callers have no keys.
     pub(crate) accounts: Option<RefCell<AccountBook>>,
     /// Configurations written after the first one; also the number of the newest.
@@ -85,6 +90,11 @@
     let setup = DaemonSetup {
         program: &options.program,
         folder: &folder,
+        settings: if options.rollouts {
+            rollouts::SETTINGS
+        } else {
+            ""
+        },
         subnet: (64 + bytes[1] % 64 + bytes[2] % 128, bytes[0]),
     };
     let (mut daemons, mut store_proxies) = (Vec::new(), Vec::new());
@@ -105,6 +115,11 @@
         own.set_stream(ACCOUNT_STREAM);
         plan::add_account_edits(&mut faults, &mut own, options.fault_window);
     }
+    let plans = options.rollouts.then(|| {
+        let mut own = ChaCha8Rng::seed_from_u64(seed);
+        own.set_stream(ORDER_STREAM);
+        rollouts::draw_plans(&mut own)
+    });
     let accounts = options.accounts.then(AccountBook::new);
     let run = Rc::new(Runner {
         environment: RefCell::new(environment),
@@ -113,22 +128,22 @@
         peer_proxies,
         checks: RefCell::default(),
         accounts: accounts.map(RefCell::new),
+        has_orders: options.rollouts,
         change_count: Cell::new(0),
         next_id: Cell::new(0),
         finished: Cell::new(false),
         fault_log: RefCell::default(),
         started: Instant::now(),
     });
-    run.checks.borrow_mut().records_calls = options.accounts;
-    run.environment.borrow().record_calls(options.accounts);
+    let records = options.accounts || options.rollouts;
+    run.checks.borrow_mut().records_calls = records;
+    run.environment.borrow().record_calls(records);
     run.publish_config();
     run.start_all()?;
     run.await_recovery().await;
     let callers = run.start_callers(options, &mut rng);
     let monitor = actix_rt::spawn(run.clone().monitor());
-    run.clone().inject_faults(&faults).await;
-    run.await_recovery().await;
-    run.change_config_in_calm().await;
+    run.inject_all(&faults, plans).await?;
     run.finished.set(true);
     for caller in callers {
         caller.await?;
@@ -202,7 +217,7 @@
             .try_for_each(Daemon::start)
     }
 
-    fn log_fault(&self, text: &str) {
+    pub(crate) fn log_fault(&self, text: &str) {
         // Writing to a string cannot fail.
         let _ = writeln!(
             self.fault_log.borrow_mut(),
@@ -211,6 +226,27 @@
         );
     }
 
+    /// Injects all faults, checks the recovery, and gives orders meanwhile and afterwards.
+    async fn inject_all(
+        self: &Rc<Self>,
+        faults: &[Fault],
+        plans: Option<[rollouts::Plan; 2]>,
+    ) -> eyre::Result<()> {
+        let [first, last] = plans.map_or([None, None], |plans| plans.map(Some));
+        let first = first.map(|plan| actix_rt::spawn(self.clone().carry_out(plan)));
+        self.clone().inject_faults(faults).await;
+        if let Some(first) = first {
+            first.await?;
+        }
+        self.await_recovery().await;
+        let last = last.map(|plan| actix_rt::spawn(self.clone().carry_out(plan)));
+        self.change_config_in_calm().await;
+        if let Some(last) = last {
+            last.await?;
+        }
+        Ok(())
+    }
+
     /// Injects all faults at their times and returns when the last one is undone.
     async fn inject_faults(self: Rc<Self>, faults: &[Fault]) {
         let begun = Instant::now();
@@ -241,32 +277,33 @@
             FaultKind::ChangeConfig => self.change_config(),
             FaultKind::EditAccounts(edit) => self.edit_accounts(edit),
             FaultKind::Store(mode) => {
-                self.begin_store_fault();
+                self.begin_store_fault(..);
                 self.environment.borrow().store.set_mode(mode);
                 sleep(fault.duration).await;
                 self.environment.borrow().store.set_mode(Mode::Up);
-                self.end_store_fault();
+                self.end_store_fault(..);
             }
             FaultKind::StoreLink(i, link) => {
-                self.begin_store_fault();
+                self.begin_store_fault(i..=i);
                 self.store_proxies[i].set_mode(link);
                 sleep(fault.duration).await;
                 self.store_proxies[i].set_mode(LinkMode::Normal);
-                self.end_store_fault();
+                self.end_store_fault(i..=i);
             }
             FaultKind::PeerLink(i, link) => {
-                self.begin_store_fault();
+                // It does not cut the daemon off from the store.
+                self.begin_store_fault(0..0);
                 self.peer_proxies[i].set_mode(link);
                 sleep(fault.duration).await;
                 self.peer_proxies[i].set_mode(LinkMode::Normal);
-                self.end_store_fault();
+                self.end_store_fault(0..0);
             }
             FaultKind::Silence => {
-                self.begin_store_fault();
+                self.begin_store_fault(..);
                 let proxies = self.store_proxies.iter().chain(&self.peer_proxies);
                 proxies.for_each(Proxy::silence_open);
                 self.environment.borrow().silence_targets();
-                self.end_store_fault();
+                self.end_store_fault(..);
             }
             kind => self.inject_for(kind, fault.duration).await,
         }
@@ -339,14 +376,19 @@
         }
     }
 
-    /// Begins a fault of the store or of a link that configurations take.
-    fn begin_store_fault(&self) {
+    /// Begins a fault of the store or of a link that configurations take, which cuts these daemons
+    /// off from the store.
+    fn begin_store_fault(&self, daemons: impl SliceIndex<[Daemon], Output = [Daemon]>) {
         self.checks.borrow_mut().config.begin_fault(Instant::now());
+        let mut all = self.daemons.borrow_mut();
+        all[daemons].iter_mut().for_each(Daemon::begin_cut_off);
     }
 
     /// Ends such a fault.
-    fn end_store_fault(&self) {
+    fn end_store_fault(&self, daemons: impl SliceIndex<[Daemon], Output = [Daemon]>) {
         self.checks.borrow_mut().config.end_fault(Instant::now());
+        let mut all = self.daemons.borrow_mut();
+        all[daemons].iter_mut().for_each(Daemon::end_cut_off);
     }
 
     /// Stops a daemon's process with SIGSTOP for a time, unless it is paused or stopping already.
@@ -485,7 +527,7 @@
                     self.checks.borrow_mut().note_key(&id, &key);
                     connection.key = Some(key);
                 }
-                let outcome = connection.send(front, kind.path(), &id, "", limit).await;
+                let outcome = connection.send(front, &kind.path(0), &id, "", limit).await;
                 match outcome {
                     Outcome::Answered(a) if a.status == 200 && is_complete(kind, &a) => {}
                     Outcome::Answered(a) => {
