--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,9 +8,11 @@
 use {
     crate::{
         CATCH_UP_TIME, START_TIME,
+        accounts::{AccountChecks, Accounts},
         connection::{Answer, Outcome},
         daemons::{Daemon, MIN_SERVING},
         environment::{Environment, ONCE_SERVICE, SHARD_COUNT, SINGLE_SERVICES},
+        rollouts::OrderChecks,
     },
     rattanturn_core::merge::top_records,
     std::{
@@ -46,14 +48,28 @@
 impl RequestKind {
     pub(crate) const ALL: [Self; 3] = [Self::Gather, Self::Single, Self::Once];
 
-    pub(crate) const fn path(self) -> &'static str {
+    /// Path of a request. The number selects one of the paths of the route, which lead to the same
+    /// services.
+    pub(crate) fn path(self, number: u64) -> String {
+        let name = if number.is_multiple_of(2) { "x" } else { "y" };
+        let route = self.route();
+        format!("{route}{name}")
+    }
+
+    const fn route(self) -> &'static str {
         match self {
-            Self::Gather => "/all/x",
-            Self::Single => "/one/x",
-            Self::Once => "/once/x",
+            Self::Gather => "/all/",
+            Self::Single => "/one/",
+            Self::Once => "/once/",
         }
     }
 
+    /// The kind of the requests that a service gets.
+    pub(crate) fn of_service(service: &str) -> Option<Self> {
+        let mut all = Self::ALL.into_iter();
+        all.find(|k| service.starts_with(k.service_prefix()))
+    }
+
     /// The route's time limit, within which the daemon must give a final answer.
     pub(crate) const fn limit(self) -> Duration {
         match self {
@@ -80,6 +96,7 @@
     pub(crate) daemon: usize,
     /// Incarnation of that daemon when the request was sent.
     pub(crate) incarnation: u32,
+    pub(crate) key: Option<String>,
     pub(crate) sent_at: Instant,
     /// When the caller last opened a connection; `None` if it has never had one.
     pub(crate) opened_at: Option<Instant>,
@@ -88,6 +105,9 @@
 
 /// A configuration that the store has accepted.
 pub(crate) struct ConfigChange {
+    /// Index of the service of the route `/one/`.
+    pub(crate) number: usize,
+    pub(crate) accounts: Option<Accounts>,
     pub(crate) accepted_at: Instant,
     /// From when on every daemon must use it; `None` while a fault holds it up.
     pub(crate) due: Option<Instant>,
@@ -106,10 +126,13 @@
 
 impl ConfigSchedule {
     /// Adds a configuration that the store has just accepted.
-    pub(crate) fn accept(&mut self, now: Instant) {
+    pub(crate) fn accept(&mut self, number: usize, accounts: Option<Accounts>) {
+        let now = Instant::now();
         let caught_up = self.calm_since.map(|at| at + CATCH_UP_TIME);
         let due = caught_up.max(Some(now + MAX_PROPAGATION));
         self.changes.push(ConfigChange {
+            number,
+            accounts,
             accepted_at: now,
             due: due.filter(|_| self.faults == 0),
         });
@@ -155,11 +178,17 @@
     /// Concurrent callers. Each may have one request in flight when a budget window begins, whose
     /// call is then counted without its request.
     pub(crate) callers: u64,
-    /// Requests that were answered with 503, so they must not have run.
-    not_executed: Vec<(RequestKind, String)>,
+    /// Requests that must not have run, and why.
+    not_executed: Vec<(RequestKind, String, String)>,
     /// Ids of the requests that must not run twice.
     once_ids: Vec<String>,
     pub(crate) config: ConfigSchedule,
+    pub(crate) accounts: AccountChecks,
+    pub(crate) orders: OrderChecks,
+    /// Whether accounts or versions have to be checked at the targets.
+    pub(crate) records_calls: bool,
+    /// Whether the last fault has been undone for as long as the daemons may feel it.
+    pub(crate) calm: bool,
     /// Numbers of the configurations that answers showed, and when the answers arrived, for each
     /// daemon and incarnation.
     observed: BTreeMap<(usize, u32), Vec<(Instant, usize)>>,
@@ -170,6 +199,10 @@
         self.violations.push(text);
     }
 
+    pub(crate) fn count_outcome(&mut self, name: String) {
+        *self.outcomes.entry(name).or_default() += 1;
+    }
+
     /// Checks a request's outcome; call it as soon as the request has ended.
     pub(crate) fn check_request(&mut self, env: &Environment, daemon: &Daemon, request: &Request) {
         let now = Instant::now();
@@ -180,7 +213,15 @@
             Outcome::Answered(answer) => answer.status.to_string(),
             other => format!("{other:?}"),
         };
-        *self.outcomes.entry(name).or_default() += 1;
+        self.count_outcome(name);
+        let from = earlier(request.sent_at, MAX_PROPAGATION + CATCH_UP_TIME);
+        let starting = daemon.started_since(earlier(request.sent_at, START_TIME));
+        let exempt = starting || daemon.had_outage(from, now);
+        if self.check_key(request, exempt) {
+            let reason = "its key is unknown or was revoked".into();
+            self.not_executed
+                .push((request.kind, request.id.clone(), reason));
+        }
         if daemon.incarnation != request.incarnation || daemon.had_outage(request.sent_at, now) {
             // The process was replaced or stalled during the request, so the request may fail. An
             // answer that did arrive must still be correct.
@@ -206,9 +247,7 @@
             )),
         }
         self.check_content(env, request);
-        let from = earlier(request.sent_at, MAX_PROPAGATION + CATCH_UP_TIME);
-        let starting = daemon.started_since(earlier(request.sent_at, START_TIME));
-        self.check_config(env, request, starting || daemon.had_outage(from, now));
+        self.check_config(env, request, exempt);
     }
 
     /// Checks that an answer belongs to its request, that its body is complete, and that it reports
@@ -217,8 +256,10 @@
         let Outcome::Answered(answer) = &request.outcome else {
             return;
         };
-        if answer.status == 503 {
-            self.not_executed.push((request.kind, request.id.clone()));
+        if matches!(answer.status, 401 | 429 | 503) {
+            let reason = format!("answered with {}", answer.status);
+            self.not_executed
+                .push((request.kind, request.id.clone(), reason));
         }
         if answer.status != 200 {
             return;
@@ -266,9 +307,10 @@
         observed.push((Instant::now(), used));
         let is_due = |e: &ConfigChange| e.due.is_some_and(|due| request.sent_at > due);
         let changes = &self.config.changes;
-        let expected = changes.iter().rposition(is_due).unwrap_or(0);
+        let due = changes.iter().rposition(is_due).unwrap_or(0);
+        let expected = changes[due].number;
         if used < expected && !exempt {
-            let since = request.sent_at - changes[expected].accepted_at;
+            let since = request.sent_at - changes[due].accepted_at;
             let text = format!(
                 "request {}: answered under configuration {used}; expected {expected} or later, \
                  which the store had accepted {since:?} before the request was sent",
@@ -279,7 +321,7 @@
     }
 
     /// Checks what only the targets know; call it once all calls have ended.
-    pub(crate) fn check_targets(&mut self, env: &Environment) {
+    pub(crate) fn check_targets(&mut self, env: &Environment, daemons: &[Daemon]) {
         for id in std::mem::take(&mut self.once_ids) {
             let runs = env.run_count(ONCE_SERVICE, &id);
             if runs > 1 {
@@ -288,16 +330,17 @@
                 ));
             }
         }
-        for (kind, id) in std::mem::take(&mut self.not_executed) {
+        for (kind, id, reason) in std::mem::take(&mut self.not_executed) {
             let runs = env.run_count(kind.service_prefix(), &id);
             if runs > 0 {
                 self.add_violation(format!(
-                    "{kind:?} request {id}: answered with 503 (not executed), but ran {runs} times \
-                     at targets"
+                    "{kind:?} request {id}: must not run ({reason}), but ran {runs} times at targets"
                 ));
             }
         }
         self.check_budgets();
+        self.check_quotas(daemons);
+        self.check_orders(env, daemons);
     }
 
     /// Records how many requests were sent and how many calls arrived at targets so far.
@@ -305,6 +348,13 @@
         let mut arrivals: BTreeMap<String, u64> = BTreeMap::new();
         for target in &env.targets {
             let service = target.state.config().service.clone();
+            if self.records_calls {
+                for call in target.state.take_calls() {
+                    let config = target.state.config();
+                    self.check_call(&config.id, &call);
+                    self.note_call(config, &call);
+                }
+            }
             *arrivals.entry(service).or_default() += target.state.arrivals();
         }
         self.samples.push(Sample {
@@ -324,10 +374,9 @@
                 continue;
             };
             for (service, count) in &last.arrivals {
-                let kind = RequestKind::ALL
-                    .into_iter()
-                    .find(|k| service.starts_with(k.service_prefix()));
-                let Some(kind) = kind else { continue };
+                let Some(kind) = RequestKind::of_service(service) else {
+                    continue;
+                };
                 let calls = count - first.arrivals.get(service).unwrap_or(&0);
                 let sent = |s: &Sample| s.requests.get(&kind).copied().unwrap_or(0);
                 let requests = sent(last) - sent(first);
@@ -362,7 +411,7 @@
     from.checked_sub(by).unwrap_or(from)
 }
 
-fn to_f64(n: u64) -> f64 {
+pub(crate) fn to_f64(n: u64) -> f64 {
     f64::from(u32::try_from(n).unwrap_or(u32::MAX))
 }
 
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,12 +4,14 @@
 //! that can inject network faults. Each daemon has a proxy of its own for the store.
 
 use {
+    crate::accounts::{self, Accounts},
     rattanturn_standins::{
         operator::{ConfigBuilder, deregister_target, register_target_at},
         platform::{self, Platform},
         proxy::Proxy,
         shard::{self, TargetConfig},
     },
+    serde_json::json,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
@@ -29,7 +31,7 @@
 /// Latency goal of the scatter-gather route.
 const LATENCY_GOAL_MS: u64 = 250;
 /// Time that a target needs for one request.
-const SERVICE_TIME: Duration = Duration::from_millis(8);
+pub(crate) const SERVICE_TIME: Duration = Duration::from_millis(8);
 
 /// Lets a proxy listen on a free port.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -38,6 +40,8 @@
 pub(crate) struct Target {
     pub(crate) state: Arc<shard::State>,
     pub(crate) proxy: Proxy,
+    /// Whether it has left for good, so that it is not announced again.
+    retired: bool,
     /// Number of its last announcement; daemons take a higher one as newer.
     sequence: u64,
 }
@@ -54,7 +58,7 @@
 }
 
 impl Environment {
-    /// Starts the store and all targets, announces the targets and writes configuration 0.
+    /// Starts the store and all targets, and announces the targets.
     pub(crate) async fn spawn() -> eyre::Result<Self> {
         let platform = Platform::spawn()?;
         let shards: Vec<String> = (0..SHARD_COUNT).map(|i| format!("shard-{i}")).collect();
@@ -62,20 +66,14 @@
         let names = shards.iter().map(String::as_str);
         for service in names.chain([ONCE_SERVICE]).chain(SINGLE_SERVICES) {
             for centre in CENTRES {
-                let state = shard::spawn(TargetConfig {
+                let config = TargetConfig {
                     id: format!("{service}-{centre}"),
                     service: service.into(),
                     centre: centre.into(),
                     service_time: SERVICE_TIME,
                     version: "v1".into(),
-                })
-                .await?;
-                let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
-                targets.push(Target {
-                    state,
-                    proxy,
-                    sequence: 0,
-                });
+                };
+                targets.push(Self::spawn_target(config).await?);
             }
         }
         let mut environment = Self {
@@ -88,23 +86,65 @@
         for i in 0..environment.targets.len() {
             environment.announce(i, "ready");
         }
-        environment.write_config(0);
         Ok(environment)
     }
 
+    /// Starts a target, which is not announced yet.
+    pub(crate) async fn spawn_target(config: TargetConfig) -> eyre::Result<Target> {
+        let state = shard::spawn(config).await?;
+        let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
+        Ok(Target {
+            state,
+            proxy,
+            retired: false,
+            sequence: 0,
+        })
+    }
+
+    /// Indices of the targets of a service.
+    pub(crate) fn targets_of(&self, service: &str) -> Vec<usize> {
+        let is_of = |i: &usize| self.targets[*i].state.config().service == service;
+        (0..self.targets.len()).filter(is_of).collect()
+    }
+
+    /// Removes the entries of targets and stops them for good.
+    pub(crate) fn retire(&mut self, targets: &[usize]) {
+        for i in targets {
+            self.remove_target(*i);
+            self.targets[*i].retired = true;
+            self.targets[*i].state.stop();
+        }
+    }
+
     /// Starts a proxy in front of the store, for one daemon.
     pub(crate) async fn spawn_store_proxy(&self) -> eyre::Result<Proxy> {
         Ok(Proxy::bind(ANY_PORT, self.platform.addr()).await?)
     }
 
+    /// Lets the targets record their calls from now on, if asked for.
+    pub(crate) fn record_calls(&self, on: bool) {
+        for target in self.targets.iter().filter(|_| on) {
+            // Nothing was recorded before.
+            let _ = target.state.take_calls();
+        }
+    }
+
     /// Lets the open connections to all targets fall silent.
     pub(crate) fn silence_targets(&self) {
         self.targets.iter().for_each(|t| t.proxy.silence_open());
     }
 
     /// Writes a configuration into the store; `number` selects the service of the route `/one/`.
-    pub(crate) fn write_config(&mut self, number: usize) {
+    pub(crate) fn write_config(&mut self, number: usize, accounts: Option<&Accounts>) {
+        let list = accounts.map(|accounts| {
+            let all = accounts::listed(accounts).map(|(name, keys, rate)| {
+                let rate = rate.unwrap_or(0.0);
+                json!({"name": name, "apiKeys": keys, "ratePerS": rate, "burst": rate})
+            });
+            all.collect()
+        });
         let config = std::mem::take(&mut self.config).clear_routes();
+        let config = config.accounts(list);
         self.config = config
             .gather_route("/all/", &self.shards, LATENCY_GOAL_MS)
             .single_route("/one/", SINGLE_SERVICES[number], true)
@@ -116,6 +156,9 @@
     /// of its proxy.
     pub(crate) fn announce(&mut self, target: usize, state: &str) {
         let target = &mut self.targets[target];
+        if target.retired {
+            return;
+        }
         target.sequence += 1;
         let (server, addr) = (&target.state, target.proxy.addr);
         register_target_at(&self.store, server, state, target.sequence, addr);
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -7,13 +7,15 @@
 use {
     crate::{
         CATCH_UP_TIME, Options, RECOVERY_TIME, Report,
+        accounts::{self, AccountBook, AccountEdit, account_of_caller},
         checks::{Checks, MAX_PROPAGATION, RequestKind},
         connection::{Connection, Outcome},
         daemons::{DRAIN_LIMIT, Daemon, DaemonSetup},
         environment::{CENTRES, Environment},
         plan::{self, Fault, FaultKind},
+        rollouts,
     },
-    actix_rt::time::sleep,
+    actix_rt::{task::JoinHandle, time::sleep},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     rattanturn_platform::http::READY_PATH,
@@ -30,6 +32,7 @@
         fs,
         net::SocketAddr,
         rc::Rc,
+        slice::SliceIndex,
         time::{Duration, Instant},
     },
 };
@@ -39,6 +42,10 @@
 pub(crate) const ANSWER_SLACK: Duration = Duration::from_secs(1);
 /// Factor by which a slow target's service time is multiplied.
 const SLOW: f64 = 30.0;
+/// Stream of the seed's generator from which edits of accounts are drawn.
+const ACCOUNT_STREAM: u64 = 1;
+/// Stream of the seed's generator from which orders are drawn.
+const ORDER_STREAM: u64 = 2;
 /// Consecutive rounds of good answers from all daemons that count as recovery.
 const GOOD_ROUNDS: usize = 5;
 /// Time beyond its drain limit within which the process of a stopping daemon must exit.
@@ -57,6 +64,9 @@
     /// The proxies through which daemons reach each other by RPC, by index of the daemon called.
     peer_proxies: Vec<Proxy>,
     pub(crate) checks: RefCell<Checks>,
+    pub(crate) has_orders: bool,
+    /// `None` if callers have no keys.
+    pub(crate) accounts: Option<RefCell<AccountBook>>,
     /// Configurations written after the first one; also the number of the newest.
     change_count: Cell<usize>,
     /// Number in the id of the next request.
@@ -80,6 +90,11 @@
     let setup = DaemonSetup {
         program: &options.program,
         folder: &folder,
+        settings: if options.rollouts {
+            rollouts::SETTINGS
+        } else {
+            ""
+        },
         subnet: (64 + bytes[1] % 64 + bytes[2] % 128, bytes[0]),
     };
     let (mut daemons, mut store_proxies) = (Vec::new(), Vec::new());
@@ -94,39 +109,48 @@
         store_proxies.push(proxy);
     }
     let targets = environment.targets.len();
-    let faults = plan::draw_faults(&mut rng, options.fault_window, daemons.len(), targets);
+    let mut faults = plan::draw_faults(&mut rng, options.fault_window, daemons.len(), targets);
+    if options.accounts {
+        let mut own = ChaCha8Rng::seed_from_u64(seed);
+        own.set_stream(ACCOUNT_STREAM);
+        plan::add_account_edits(&mut faults, &mut own, options.fault_window);
+    }
+    let plans = options.rollouts.then(|| {
+        let mut own = ChaCha8Rng::seed_from_u64(seed);
+        own.set_stream(ORDER_STREAM);
+        rollouts::draw_plans(&mut own)
+    });
+    let accounts = options.accounts.then(AccountBook::new);
     let run = Rc::new(Runner {
         environment: RefCell::new(environment),
         daemons: RefCell::new(daemons),
         store_proxies,
         peer_proxies,
         checks: RefCell::default(),
+        accounts: accounts.map(RefCell::new),
+        has_orders: options.rollouts,
         change_count: Cell::new(0),
         next_id: Cell::new(0),
         finished: Cell::new(false),
         fault_log: RefCell::default(),
         started: Instant::now(),
     });
-    run.checks.borrow_mut().config.accept(Instant::now());
-    run.checks.borrow_mut().callers = u64::try_from(options.callers).unwrap_or(u64::MAX);
+    let records = options.accounts || options.rollouts;
+    run.checks.borrow_mut().records_calls = records;
+    run.environment.borrow().record_calls(records);
+    run.publish_config();
     run.start_all()?;
     run.await_recovery().await;
-    let callers: Vec<_> = (0..options.callers)
-        .map(|_| actix_rt::spawn(run.clone().caller(ChaCha8Rng::seed_from_u64(rng.random()))))
-        .collect();
+    let callers = run.start_callers(options, &mut rng);
     let monitor = actix_rt::spawn(run.clone().monitor());
-    run.clone().inject_faults(&faults).await;
-    run.await_recovery().await;
-    run.change_config_in_calm().await;
+    run.inject_all(&faults, plans).await?;
     run.finished.set(true);
     for caller in callers {
         caller.await?;
     }
     monitor.await?;
     sleep(ANSWER_SLACK).await;
-    run.checks
-        .borrow_mut()
-        .check_targets(&run.environment.borrow());
+    run.check_targets();
     run.daemons.borrow_mut().iter_mut().for_each(Daemon::kill);
     let checks = run.checks.take();
     let report = Report {
@@ -151,6 +175,40 @@
 }
 
 impl Runner {
+    /// Starts the callers, and with accounts one more for each daemon.
+    fn start_callers(
+        self: &Rc<Self>,
+        options: &Options,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<JoinHandle<()>> {
+        let loyal = match self.accounts {
+            Some(_) => usize::from(options.daemons),
+            None => 0,
+        };
+        self.checks.borrow_mut().callers = (options.callers + loyal) as u64;
+        let mut callers = Vec::new();
+        for i in 0..options.callers {
+            let rng = ChaCha8Rng::seed_from_u64(rng.random());
+            let caller = self.clone().caller(account_of_caller(i), rng);
+            callers.push(actix_rt::spawn(caller));
+        }
+        for i in 0..loyal {
+            let caller = self.clone().loyal_caller(i, account_of_caller(i + 1));
+            callers.push(actix_rt::spawn(caller));
+        }
+        callers
+    }
+
+    /// Checks what only the targets know, once all calls have ended.
+    fn check_targets(&self) {
+        let env = self.environment.borrow();
+        let mut checks = self.checks.borrow_mut();
+        if checks.records_calls {
+            checks.sample(&env);
+        }
+        checks.check_targets(&env, &self.daemons.borrow());
+    }
+
     /// Starts the daemons that are not running.
     fn start_all(&self) -> eyre::Result<()> {
         let mut all = self.daemons.borrow_mut();
@@ -159,7 +217,7 @@
             .try_for_each(Daemon::start)
     }
 
-    fn log_fault(&self, text: &str) {
+    pub(crate) fn log_fault(&self, text: &str) {
         // Writing to a string cannot fail.
         let _ = writeln!(
             self.fault_log.borrow_mut(),
@@ -168,6 +226,27 @@
         );
     }
 
+    /// Injects all faults, checks the recovery, and gives orders meanwhile and afterwards.
+    async fn inject_all(
+        self: &Rc<Self>,
+        faults: &[Fault],
+        plans: Option<[rollouts::Plan; 2]>,
+    ) -> eyre::Result<()> {
+        let [first, last] = plans.map_or([None, None], |plans| plans.map(Some));
+        let first = first.map(|plan| actix_rt::spawn(self.clone().carry_out(plan)));
+        self.clone().inject_faults(faults).await;
+        if let Some(first) = first {
+            first.await?;
+        }
+        self.await_recovery().await;
+        let last = last.map(|plan| actix_rt::spawn(self.clone().carry_out(plan)));
+        self.change_config_in_calm().await;
+        if let Some(last) = last {
+            last.await?;
+        }
+        Ok(())
+    }
+
     /// Injects all faults at their times and returns when the last one is undone.
     async fn inject_faults(self: Rc<Self>, faults: &[Fault]) {
         let begun = Instant::now();
@@ -196,33 +275,35 @@
             FaultKind::Reload(i) => self.daemons.borrow_mut()[i].signal(Signal::HUP),
             FaultKind::CompactStore => self.environment.borrow().store.compact(),
             FaultKind::ChangeConfig => self.change_config(),
+            FaultKind::EditAccounts(edit) => self.edit_accounts(edit),
             FaultKind::Store(mode) => {
-                self.begin_store_fault();
+                self.begin_store_fault(..);
                 self.environment.borrow().store.set_mode(mode);
                 sleep(fault.duration).await;
                 self.environment.borrow().store.set_mode(Mode::Up);
-                self.end_store_fault();
+                self.end_store_fault(..);
             }
             FaultKind::StoreLink(i, link) => {
-                self.begin_store_fault();
+                self.begin_store_fault(i..=i);
                 self.store_proxies[i].set_mode(link);
                 sleep(fault.duration).await;
                 self.store_proxies[i].set_mode(LinkMode::Normal);
-                self.end_store_fault();
+                self.end_store_fault(i..=i);
             }
             FaultKind::PeerLink(i, link) => {
-                self.begin_store_fault();
+                // It does not cut the daemon off from the store.
+                self.begin_store_fault(0..0);
                 self.peer_proxies[i].set_mode(link);
                 sleep(fault.duration).await;
                 self.peer_proxies[i].set_mode(LinkMode::Normal);
-                self.end_store_fault();
+                self.end_store_fault(0..0);
             }
             FaultKind::Silence => {
-                self.begin_store_fault();
+                self.begin_store_fault(..);
                 let proxies = self.store_proxies.iter().chain(&self.peer_proxies);
                 proxies.for_each(Proxy::silence_open);
                 self.environment.borrow().silence_targets();
-                self.end_store_fault();
+                self.end_store_fault(..);
             }
             kind => self.inject_for(kind, fault.duration).await,
         }
@@ -260,28 +341,54 @@
 
     /// Writes the next configuration into the store.
     fn change_config(&self) {
-        let next = self.change_count.get() + 1;
-        self.change_count.set(next);
-        self.environment.borrow_mut().write_config(next);
-        self.checks.borrow_mut().config.accept(Instant::now());
+        self.change_count.set(self.change_count.get() + 1);
+        self.publish_config();
+    }
+
+    /// Writes the newest configuration, with the accounts as they are now.
+    fn publish_config(&self) {
+        let number = self.change_count.get();
+        let accounts = self.accounts.as_ref().map(|b| b.borrow().current.clone());
+        let mut env = self.environment.borrow_mut();
+        env.write_config(number, accounts.as_ref());
+        self.checks.borrow_mut().config.accept(number, accounts);
+    }
+
+    fn edit_accounts(&self, edit: AccountEdit) {
+        if let Some(book) = &self.accounts {
+            book.borrow_mut().apply(edit);
+            self.publish_config();
+        }
     }
 
     /// Writes a last configuration after all faults, with nothing to excuse that it is late: what
     /// faults left behind must not hold it up.
     async fn change_config_in_calm(&self) {
         sleep(CATCH_UP_TIME).await;
+        self.checks.borrow_mut().calm = true;
+        for edit in accounts::LAST_EDITS {
+            self.edit_accounts(edit);
+        }
         self.change_config();
         sleep(MAX_PROPAGATION + LAST_CHECK_TIME).await;
+        if self.accounts.is_some() {
+            sleep(2 * accounts::QUOTA_WINDOW).await;
+        }
     }
 
-    /// Begins a fault of the store or of a link that configurations take.
-    fn begin_store_fault(&self) {
+    /// Begins a fault of the store or of a link that configurations take, which cuts these daemons
+    /// off from the store.
+    fn begin_store_fault(&self, daemons: impl SliceIndex<[Daemon], Output = [Daemon]>) {
         self.checks.borrow_mut().config.begin_fault(Instant::now());
+        let mut all = self.daemons.borrow_mut();
+        all[daemons].iter_mut().for_each(Daemon::begin_cut_off);
     }
 
     /// Ends such a fault.
-    fn end_store_fault(&self) {
+    fn end_store_fault(&self, daemons: impl SliceIndex<[Daemon], Output = [Daemon]>) {
         self.checks.borrow_mut().config.end_fault(Instant::now());
+        let mut all = self.daemons.borrow_mut();
+        all[daemons].iter_mut().for_each(Daemon::end_cut_off);
     }
 
     /// Stops a daemon's process with SIGSTOP for a time, unless it is paused or stopping already.
@@ -415,7 +522,12 @@
                 let id = format!("r{number}");
                 let mut connection = Connection::default();
                 self.checks.borrow_mut().count_request(kind);
-                let outcome = connection.send(front, kind.path(), &id, "", limit).await;
+                if let Some(book) = &self.accounts {
+                    let key = book.borrow().oldest_key(accounts::PROBE);
+                    self.checks.borrow_mut().note_key(&id, &key);
+                    connection.key = Some(key);
+                }
+                let outcome = connection.send(front, &kind.path(0), &id, "", limit).await;
                 match outcome {
                     Outcome::Answered(a) if a.status == 200 && is_complete(kind, &a) => {}
                     Outcome::Answered(a) => {
