Start successive owners of an account with fewer tokens

Cause: each new owner of an account started with 4 tokens, however many there were shortly before. Change: a new owner that knows of further changes of the owner within the window starts with half as many for each. New cases move the ownership back and forth and to one daemon after the other every 0.1 to 2.5 s, and pause the owner repeatedly.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -39,7 +39,8 @@
 
 /// Part of the slack for requests that run before their tokens arrive.
 const OVERDRAFT_PART: f64 = 0.4;
-/// Part of the slack that a new owner starts with.
+/// Part of the slack that a new owner starts with; half of it for each further change of the owner in
+/// a window, so that all of them together start with at most twice this.
 const START_PART: f64 = 0.2;
 /// Part of the slack for the burst of minorities, and the same again for their rate.
 const MARGIN_PART: f64 = 0.2;
--- a/crates/core/src/allowance/owner.rs
+++ b/crates/core/src/allowance/owner.rs
@@ -297,7 +297,8 @@
         let known = self.entries.get(account).map(|e| e.checked);
         if known != Some(changes) {
             let since = self.owned_since(account);
-            let start = capacity.min(self.rules.slack * START_PART);
+            let start = since.map_or(0.0, |_| self.start_tokens(now, account));
+            let start = capacity.min(start);
             let refills = since.map_or(now, |at| at + MAX_LIFE);
             let entry = self.entries.entry(account.to_owned());
             let entry = entry.or_insert_with(|| Entry {
@@ -329,6 +330,32 @@
         Some(entry)
     }
 
+    /// Tokens that a new owner of an account starts with: half as many for each further change of the
+    /// owner in a window, so that many owners one after the other lend no more than two at once.
+    fn start_tokens(&self, now: Time, account: &str) -> f64 {
+        let mut tokens = self.rules.slack * START_PART;
+        let mut sets = self.sets.iter().rev();
+        let Some(newest) = sets.next() else {
+            return tokens;
+        };
+        let (mut changed, mut owner) = (newest.0, owner_of(account, &newest.1));
+        let mut is_first = true;
+        for (at, set) in sets {
+            if now.since(changed) >= self.rules.window {
+                break;
+            }
+            let before = owner_of(account, set);
+            if before != owner && before.is_some() {
+                if !is_first {
+                    tokens /= 2.0;
+                }
+                is_first = false;
+            }
+            (changed, owner) = (*at, before);
+        }
+        tokens
+    }
+
     /// Since when this daemon has owned an account; `None` if it does not. Its age is at most that of
     /// the oldest set that is remembered.
     fn owned_since(&self, account: &str) -> Option<Time> {
--- a/crates/core/tests/allowance.rs
+++ b/crates/core/tests/allowance.rs
@@ -56,6 +56,13 @@
     Lowered,
     /// The owner pauses for two seconds several times, so that it loses and regains its accounts.
     Flapping,
+    /// The owner leaves and comes back every so many milliseconds, without a pause; a half of the
+    /// daemons learns it half of that time later.
+    BackAndForth(u64),
+    /// Every so many milliseconds the owner leaves for good, so that another daemon follows it.
+    Succession(u64),
+    /// The owner pauses for the first time, in milliseconds, in each period of the second one.
+    Pauses(u64, u64),
     /// No target takes a request, so that each gives its token back some milliseconds later.
     NoTargets,
 }
@@ -308,6 +315,47 @@
                     self.at(at, Event::Limit(d));
                 }
             }
+            Fault::BackAndForth(period) => {
+                let moves = (HEAL_MS - FAULT_MS) / period;
+                for round in 0..moves {
+                    let gone = if round % 2 == 0 { vec![owner] } else { vec![] };
+                    let set: Vec<usize> =
+                        (0..self.advertised).filter(|d| !gone.contains(d)).collect();
+                    for d in 0..n {
+                        let late = if d.is_multiple_of(2) { period / 2 } else { 0 };
+                        let at = FAULT_MS + round * period + late;
+                        self.at(at, Event::View(d, set.clone(), self.standing(n)));
+                    }
+                }
+                self.views(HEAL_MS + period, 600, &[], &[], n);
+            }
+            Fault::Succession(period) => {
+                let ids: Vec<NodeId> = self.daemons.iter().map(|d| d.id).collect();
+                let mut gone = Vec::new();
+                for round in 0..(HEAL_MS - FAULT_MS) / period {
+                    let left = (0..self.advertised).filter(|d| !gone.contains(d));
+                    let left: Vec<NodeId> = left.map(|d| ids[d]).collect();
+                    if left.len() < 2 {
+                        break;
+                    }
+                    let first = owner_of(&self.names[0], &left).unwrap();
+                    gone.push(ids.iter().position(|id| *id == first).unwrap());
+                    let gone = gone.clone();
+                    self.views(FAULT_MS + round * period, 200, &[], &gone, n);
+                }
+                self.views(HEAL_MS + period, 600, &[], &[], n);
+            }
+            Fault::Pauses(time, period) => {
+                for round in 0..(HEAL_MS - FAULT_MS) / period {
+                    let at = FAULT_MS + round * period;
+                    self.at(at, Event::Pause(owner, Duration::from_millis(time)));
+                    // A shorter pause is not noticed by others.
+                    if time > 1_000 {
+                        self.views(at + 800, 600, &[owner], &[owner], n - 1);
+                        self.views(at + time, 600, &[], &[], n);
+                    }
+                }
+            }
             Fault::Flapping => {
                 for round in 0..4 {
                     let at = FAULT_MS + round * 3_000;
@@ -721,6 +769,38 @@
     check_faults(82, 10, 0.05);
 }
 
+/// Guards against a limit that multiplies when the ownership moves again and again: each new owner
+/// starts with some tokens.
+#[test]
+fn ownership_that_moves_again_and_again_does_not_exceed_the_bound() {
+    let mut faults = Vec::new();
+    for period in [100, 250, 500, 1_000, 1_500, 2_500] {
+        faults.push(Fault::BackAndForth(period));
+        faults.push(Fault::Succession(period));
+    }
+    for (time, period) in [
+        (300, 500),
+        (700, 900),
+        (700, 2_000),
+        (1_500, 2_000),
+        (2_000, 4_000),
+    ] {
+        faults.push(Fault::Pauses(time, period));
+    }
+    for fault in faults {
+        for (rate, burst) in [(0.3, 1.0), (1.0, 30.0), (19.0, 19.0), (300.0, 100.0)] {
+            for daemons in [8, 82] {
+                check(Case {
+                    daemons,
+                    limit: Limit { rate, burst },
+                    fault,
+                    ..USUAL_CASE
+                });
+            }
+        }
+    }
+}
+
 /// Guards against tokens that are lost with requests that no target took: the account would be refused
 /// when its targets are back. `HOT` times the usual rate is 4.5 times the limit.
 #[test]
