Plant three faults that the soak must find

The daemon's feature planted-faults, which no other build has, and the variable RATTANTURN_PLANTED select one: each daemon grants the whole limit (whole-limit), a revoked key stays valid on open connections (kept-keys), a verdict uses the daemon's own evidence only (own-verdict).

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod clock;
 mod control;
+mod planted;
 mod routing;
 mod tier;
 mod traffic;
--- a/crates/daemon/src/tier/accounts.rs
+++ b/crates/daemon/src/tier/accounts.rs
@@ -9,6 +9,7 @@
 use {
     crate::{
         clock,
+        planted::KeptKeys,
         tier::{
             front::{RETRY_AFTER, Reply},
             meters,
@@ -42,6 +43,7 @@
 pub(crate) struct KeyChecks {
     state: SharedState,
     lines: RefCell<BTreeMap<&'static str, LineLimit>>,
+    kept: KeptKeys,
 }
 
 /// The configuration, and how long ago it was confirmed.
@@ -74,6 +76,7 @@
         Self {
             state,
             lines: RefCell::default(),
+            kept: KeptKeys::default(),
         }
     }
 
@@ -89,7 +92,9 @@
             return Ok(Access::new(state, catalog, route, None));
         };
         let stated = credential(&head.headers);
-        let account = admit(accounts, stated, route.public, state.is_confirmed())?.cloned();
+        let account = admit(accounts, stated, route.public, state.is_confirmed());
+        let account = account.map(Option::<&_>::cloned);
+        let account = self.kept.admit(head.peer_addr, stated, account)?;
         let caller = Caller {
             key: match stated {
                 Credential::Key(key) => Some(key.into()),
--- a/crates/daemon/src/tier/control/quotas.rs
+++ b/crates/daemon/src/tier/control/quotas.rs
@@ -7,6 +7,7 @@
     super::{Control, DEAD_MEMBER_GRACE, send_encoded},
     crate::{
         clock,
+        planted::{WHOLE_LIMIT, is_planted},
         tier::{meters, view::View},
     },
     rattanturn_core::{
@@ -83,7 +84,10 @@
             exchange.standing = standing;
             exchange.view = Some(view.clone());
             let advertised = addresses::advertised(&view.frontends);
-            let ids: Vec<NodeId> = advertised.iter().map(|f| f.id).collect();
+            let mut ids: Vec<NodeId> = advertised.iter().map(|f| f.id).collect();
+            if is_planted(WHOLE_LIMIT) {
+                ids = vec![self.me];
+            }
             let (sharing, calling) = (view.sharing_daemons, view.calling_daemons);
             let part = rate_share::fraction(sharing, calling, view.advertised);
             self.quotas.set_daemons(&ids, part, standing);
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        clock,
+        clock, planted,
         tier::{meters, query, relay, traffic::Traffic, view::Phase},
     },
     actix_http::{
@@ -233,7 +233,8 @@
         loop {
             let before = self.buffer.len();
             match self.codec.decode(&mut self.buffer) {
-                Ok(Some(Message::Item(request))) => {
+                Ok(Some(Message::Item(mut request))) => {
+                    planted::note_peer(&mut request, &self.stream);
                     if before - self.buffer.len() > limits.header_bytes {
                         return refuse(431, "the request's head is too large\n");
                     }
--- a/crates/daemon/src/tier/rollouts.rs
+++ b/crates/daemon/src/tier/rollouts.rs
@@ -11,6 +11,7 @@
 use {
     crate::{
         clock,
+        planted::{OWN_VERDICT, is_planted},
         tier::{
             meters,
             traffic::Traffic,
@@ -61,7 +62,9 @@
 
     /// Takes over counters of other daemons on an order.
     pub(crate) fn merge(&self, rollout: &Rollout, evidence: &Evidence) {
-        self.with(|all| tracked(all, rollout).evidence.merge(evidence));
+        if !is_planted(OWN_VERDICT) {
+            self.with(|all| tracked(all, rollout).evidence.merge(evidence));
+        }
     }
 
     /// All evidence on an order.
--- a/crates/soak/src/accounts.rs
+++ b/crates/soak/src/accounts.rs
@@ -195,7 +195,8 @@
 
 impl Checks {
     /// Checks how a request's key was answered. `exempt` lifts the time limit for a change, for a
-    /// daemon that is starting or had an outage. Returns whether the request must not have run.
+    /// daemon that is starting or had an outage. Returns whether the request must not have run, unless that
+    /// is already reported.
     pub(crate) fn check_key(&mut self, request: &Request, exempt: bool) -> bool {
         let Some(key) = &request.key else {
             return false;
@@ -228,7 +229,7 @@
             let text = format!("with key {key} to d{}, status {status:?}", request.daemon);
             self.add_account_violation(error, &request.id, &text);
         }
-        valid == 0
+        valid == 0 && error.is_empty()
     }
 
     /// Notes the account of a request, just before it is sent.
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        accounts::PROBE,
         checks::{Request, RequestKind},
         connection::{Connection, Outcome},
         environment::CENTRES,
@@ -24,6 +25,8 @@
 const MAX_THINK_MS: u64 = 60;
 /// Time between two requests of a caller that stays at one daemon.
 const LOYAL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two requests of an additional caller.
+const RUSH_PAUSE: Duration = Duration::from_millis(5);
 /// Time for which a caller uses the addresses that a directory returned.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
 /// Longest time for which a directory may still return the address of a dead daemon. The platform's
@@ -45,6 +48,8 @@
                 continue;
             }
             let to = addresses[rng.random_range(0..addresses.len())];
+            let focus = self.focus.get();
+            let to = focus.map_or(to, |d| self.daemons.borrow()[d].front());
             let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
             if let Some(daemon) = self.daemon_at(to) {
                 connection.key = self.draw_key(account, &mut rng);
@@ -79,6 +84,27 @@
         }
     }
 
+    /// Sends requests of a kind to one daemon, or to all in turn, with short pauses until an instant.
+    pub(crate) async fn rush(
+        self: Rc<Self>,
+        kind: RequestKind,
+        daemon: Option<usize>,
+        until: Instant,
+    ) {
+        let key = self.accounts.as_ref().map(|b| b.borrow().oldest_key(PROBE));
+        let count = self.daemons.borrow().len();
+        let mut connections: Vec<Connection> = (0..count).map(|_| Connection::default()).collect();
+        let mut next = 0;
+        while Instant::now() < until {
+            let daemon = daemon.unwrap_or(next % count);
+            connections[daemon].key.clone_from(&key);
+            self.send_request(&mut connections[daemon], daemon, kind)
+                .await;
+            next += 1;
+            sleep(RUSH_PAUSE).await;
+        }
+    }
+
     /// Index of the daemon that accepts requests at an address.
     fn daemon_at(&self, front: SocketAddr) -> Option<usize> {
         self.daemons
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,10 @@
 //! packets. A seed that failed may therefore pass the next time, and the cause of a failure has to
 //! be traced from the logs that its run kept.
 //!
+//! Callers may have keys and accounts quotas, and new versions may be rolled out; both are drawn
+//! beside the faults, so that a seed's faults do not depend on them. The daemon's feature
+//! `planted-faults` and the variable `RATTANTURN_PLANTED` give it a fault that the checks must find.
+//!
 //! Faults of disks and clocks are not injected: daemons use no disk, and their only clocks are
 //! those of the machine, which a program without privileges cannot set.
 
--- a/crates/soak/src/rollouts.rs
+++ b/crates/soak/src/rollouts.rs
@@ -41,6 +41,9 @@
 /// Time from the end of an order without success until its targets are gone. It is longer than
 /// [`ROLLBACK_LIMIT`], so that a daemon that goes on to use them is found.
 const REMOVAL_DELAY: Duration = Duration::from_secs(8);
+/// Additional callers during the order after the faults. With them, a bad version that is not given
+/// up has its 50 bad answers early enough for the check of the 5 s after it.
+pub(crate) const RUSH_CALLERS: usize = 3;
 /// Latest begin of the order that runs beside faults.
 const MAX_START_MS: u64 = 3_000;
 
@@ -51,20 +54,29 @@
     service: String,
     /// How its version is bad; `None` for a good one.
     flaw: Option<Flaw>,
+    /// Additional callers meanwhile.
+    rush: usize,
+    /// The only daemon that callers use meanwhile, so that most others know nothing of the version.
+    focus: Option<usize>,
 }
 
 /// Draws the order beside the faults and the one after them, for two different services.
-pub(crate) fn draw_plans(rng: &mut ChaCha8Rng) -> [Plan; 2] {
+pub(crate) fn draw_plans(rng: &mut ChaCha8Rng, daemons: usize) -> [Plan; 2] {
     let shard = format!("shard-{}", rng.random_range(0..SHARD_COUNT));
     let mut services = [ONCE_SERVICE.to_owned(), shard];
     if rng.random() {
         services.reverse();
     }
-    services.map(|service| Plan {
+    let mut plans = services.map(|service| Plan {
         start: Duration::from_millis(rng.random_range(0..MAX_START_MS)),
         flaw: draw_flaw(rng, &service),
         service,
-    })
+        rush: 0,
+        focus: None,
+    });
+    plans[1].rush = RUSH_CALLERS;
+    plans[1].focus = rng.random::<bool>().then(|| rng.random_range(0..daemons));
+    plans
 }
 
 fn draw_flaw(rng: &mut ChaCha8Rng, service: &str) -> Option<Flaw> {
@@ -125,6 +137,12 @@
             Ok(new) => new,
             Err(error) => return self.checks.borrow_mut().add_violation(error.to_string()),
         };
+        self.focus.set(plan.focus);
+        let kind = RequestKind::of_service(&plan.service);
+        let until = given_at + DURATION;
+        for kind in (0..plan.rush).filter_map(|_| kind) {
+            actix_rt::spawn(self.clone().rush(kind, plan.focus, until));
+        }
         let state = || -> String {
             let status = store.status("rollouts", &plan.service);
             status["state"].as_str().unwrap_or("none").to_owned()
@@ -153,9 +171,10 @@
                 .state
                 .set_flaw(None);
         }
+        self.focus.set(None);
         let mut checks = self.checks.borrow_mut();
         let name = format!("{:?}", plan.flaw);
-        let name = name.trim_start_matches("Some(").split('(').next();
+        let name = name.trim_start_matches("Some(").split(['(', ')']).next();
         checks.count_outcome(format!("{} version {end}", name.unwrap_or("")));
         checks.orders.orders[number].healed_at = Some(Instant::now());
     }
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -65,6 +65,8 @@
     peer_proxies: Vec<Proxy>,
     pub(crate) checks: RefCell<Checks>,
     pub(crate) has_orders: bool,
+    /// The only daemon that callers use now, if there is one.
+    pub(crate) focus: Cell<Option<usize>>,
     /// `None` if callers have no keys.
     pub(crate) accounts: Option<RefCell<AccountBook>>,
     /// Configurations written after the first one; also the number of the newest.
@@ -118,7 +120,7 @@
     let plans = options.rollouts.then(|| {
         let mut own = ChaCha8Rng::seed_from_u64(seed);
         own.set_stream(ORDER_STREAM);
-        rollouts::draw_plans(&mut own)
+        rollouts::draw_plans(&mut own, usize::from(options.daemons))
     });
     let accounts = options.accounts.then(AccountBook::new);
     let run = Rc::new(Runner {
@@ -129,6 +131,7 @@
         checks: RefCell::default(),
         accounts: accounts.map(RefCell::new),
         has_orders: options.rollouts,
+        focus: Cell::new(None),
         change_count: Cell::new(0),
         next_id: Cell::new(0),
         finished: Cell::new(false),
@@ -185,7 +188,12 @@
             Some(_) => usize::from(options.daemons),
             None => 0,
         };
-        self.checks.borrow_mut().callers = (options.callers + loyal) as u64;
+        let rush = if self.has_orders {
+            rollouts::RUSH_CALLERS
+        } else {
+            0
+        };
+        self.checks.borrow_mut().callers = (options.callers + loyal + rush) as u64;
         let mut callers = Vec::new();
         for i in 0..options.callers {
             let rng = ChaCha8Rng::seed_from_u64(rng.random());
