--- a/crates/daemon/src/tier/accounts.rs
+++ b/crates/daemon/src/tier/accounts.rs
@@ -9,6 +9,7 @@
 use {
     crate::{
         clock,
+        planted::KeptKeys,
         tier::{
             meters,
             view::{Gauges, SharedView},
@@ -41,6 +42,7 @@
 pub(crate) struct KeyChecks {
     state: SharedState,
     lines: RefCell<BTreeMap<&'static str, LineLimit>>,
+    kept: KeptKeys,
 }
 
 /// The configuration, and how long ago it was confirmed.
@@ -73,6 +75,7 @@
         Self {
             state,
             lines: RefCell::default(),
+            kept: KeptKeys::default(),
         }
     }
 
@@ -88,7 +91,9 @@
             return Ok(Access::new(state, catalog, route, None));
         };
         let stated = credential(&head.headers);
-        let account = admit(accounts, stated, route.public, state.is_confirmed())?.cloned();
+        let account = admit(accounts, stated, route.public, state.is_confirmed());
+        let account = account.map(Option::<&_>::cloned);
+        let account = self.kept.admit(head.peer_addr, stated, account)?;
         let caller = Caller {
             key: match stated {
                 Credential::Key(key) => Some(key.into()),
