--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,8 @@
 //! - [`addresses`]: which daemons callers are directed to.
 //! - [`admission`]: which requests start, wait or are refused under overload.
 //! - [`allowance`]: which requests of an account run, of those at all daemons together.
+//! - [`fair_queue`]: which requests of which accounts start, wait or are refused while targets have
+//!   too little capacity.
 //! - [`weighted`]: divides the requests of a route among services by weight.
 //! - [`rollout`]: which versions of a service's targets get its requests while a new one is rolled out.
 //! - [`selection`]: the order in which the targets of a service are tried.
@@ -70,6 +72,7 @@
 pub mod dedup;
 pub mod discovery;
 pub mod dissemination;
+pub mod fair_queue;
 pub mod fingerprint;
 pub mod gather;
 pub mod health;
