Let a target's stand-in have slots

Its load header always said that nothing waits, and it ran all requests at once, so no test could overload it. set_slots limits what runs; the others wait, and answers state the load. Without it, nothing changes.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod platform;
 pub mod proxy;
 pub mod shard;
+mod slots;
 pub mod target;
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -15,7 +15,7 @@
 //! framing of HTTP.
 
 use {
-    crate::{operator::register_target, platform},
+    crate::{operator::register_target, platform, slots::Slots},
     actix_http::{
         Request,
         h1::{Codec, Message, MessageType},
@@ -198,6 +198,7 @@
     addr: SocketAddr,
     /// Whether the process runs.
     running: watch::Sender<bool>,
+    slots: Slots,
     inner: Mutex<Inner>,
 }
 
@@ -250,6 +251,11 @@
         self.with(|i| i.slowdown = factor);
     }
 
+    /// Sets how many requests run at once, or no limit. The load that answers state follows it.
+    pub fn set_slots(&self, count: Option<usize>) {
+        self.slots.set(count);
+    }
+
     /// Delays the requests that arrive during the next `time` until it has passed.
     pub fn pause(&self, time: Duration) {
         self.with(|i| i.paused_until = Some(Instant::now() + time));
@@ -349,6 +355,7 @@
         config,
         addr: listener.local_addr()?,
         running,
+        slots: Slots::default(),
         inner: Mutex::new(Inner {
             slowdown: 1.0,
             ..Inner::default()
@@ -443,7 +450,7 @@
         let _open = OpenRequest::new(state);
         // A caller that closes its connection stops the request.
         let disconnected = tokio::select! {
-            () = sleep(run_time) => false,
+            () = state.slots.run(run_time) => false,
             read = stream.read_buf(&mut buffer) => matches!(read, Ok(0) | Err(_)),
         };
         if disconnected {
@@ -609,7 +616,8 @@
     let limit = limit.map_or(String::new(), |l| format!("server-limit: {l}\r\n"));
     format!(
         "HTTP/1.1 {status} Status\r\nx-request-id: {id}\r\n{name}: {value}\r\n\
-         x-server-load: 1,0,3\r\n{limit}{length}\r\n"
+         x-server-load: {}\r\n{limit}{length}\r\n",
+        state.slots.load()
     )
     .into_bytes()
 }
