Order requests by priority and account under overload

Callers that leave and keys that are revoked while a request waits end it without a call, and its token returns.

--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -360,6 +360,12 @@
         self.places.len()
     }
 
+    /// The limit of a pool; `None` without overload.
+    #[must_use]
+    pub fn limit(&self, pool: &str) -> Option<f64> {
+        self.pools.get(pool)?.limit
+    }
+
     /// Running requests and limit of each pool, in no order.
     pub fn pools(&self) -> impl Iterator<Item = (&str, usize, Option<f64>)> {
         let pools = self.pools.iter();
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -32,6 +32,8 @@
     Evacuated,
     /// Targets end when they run the request, so none is called.
     Quarantined,
+    /// Targets are overloaded, and other requests are more urgent or of accounts that ask for less.
+    Overload,
     /// The request's caller was refused before the call was sent, for example because its key was
     /// revoked.
     Unauthorized,
@@ -51,6 +53,7 @@
             Self::Failed => "failed",
             Self::Evacuated => "out",
             Self::Quarantined => "quarantined",
+            Self::Overload => "overload",
             Self::Unauthorized => "unauthorized",
         }
     }
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -36,7 +36,7 @@
 };
 
 /// Reasons that `not-run` can have, written as by [`MissingReason::as_str`].
-const REASONS: [MissingReason; 10] = [
+const REASONS: [MissingReason; 11] = [
     MissingReason::Deadline,
     MissingReason::Busy,
     MissingReason::Limited,
@@ -46,6 +46,7 @@
     MissingReason::Failed,
     MissingReason::Evacuated,
     MissingReason::Quarantined,
+    MissingReason::Overload,
     MissingReason::Unauthorized,
 ];
 
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -245,6 +245,7 @@
             let open = OpenCall(&traffic, index);
             let outcome = upstream.call(call).await;
             drop(open);
+            traffic.record_load(&upstream, &outcome);
             EndedCall {
                 attempt,
                 cause,
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -190,8 +190,9 @@
         .increment(bytes as u64);
 }
 
-/// Counts a request of an account with a limit; `outcome` is `taken` for one that took a token, or
-/// `refused`. The caller bounds the number of accounts.
+/// Counts a request of an account; `outcome` is `taken` or `refused` for one that took a token of the
+/// account's quota or got none, `waited` or `no-room` for one that waited or was refused under
+/// overload. The caller bounds the number of accounts.
 pub(crate) fn count_account(account: String, outcome: &'static str) {
     counter!("rattanturn_account_requests_total", "account" => account, "outcome" => outcome)
         .increment(1);
@@ -205,6 +206,14 @@
         .increment(bytes as u64);
 }
 
+/// Sets the numbers of requests that wait and of groups of services whose requests are limited, because
+/// targets are overloaded.
+pub(crate) fn set_overload(waiting: usize, limited: usize) {
+    let count = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+    gauge!("rattanturn_requests_waiting").set(count(waiting));
+    gauge!("rattanturn_overloaded_pools").set(count(limited));
+}
+
 /// Sets the number of requests that are refused because they end the targets that run them.
 pub(crate) fn set_quarantined_requests(count: usize) {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -7,6 +7,7 @@
 //! target's capacity on demand: each daemon uses a fixed quota of it.
 
 mod accounts;
+mod admission;
 mod connection;
 mod control;
 mod directory;
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -8,6 +8,7 @@
         clock,
         tier::{
             accounts::{self, Access},
+            admission,
             connection::Answer,
             fan_out::{self, FanOut, FanOutResult},
             front::{Incoming, RETRY_AFTER, Reply},
@@ -281,10 +282,10 @@
     /// Runs the request unless it is quarantined.
     async fn run_admitted(&self) -> (Reply, RequestSummary) {
         match self.admit().await {
-            Admission::Run => self.run_anywhere(false).await,
+            Admission::Run => self.run_in_turn(false).await,
             Admission::Trial(_permit) => {
                 meters::count_trial();
-                let (answer, mut summary) = self.run_anywhere(true).await;
+                let (answer, mut summary) = self.run_in_turn(true).await;
                 summary.suspected = true;
                 (answer, summary)
             }
@@ -292,6 +293,40 @@
         }
     }
 
+    /// Runs the request when its turn comes, or refuses it under overload.
+    async fn run_in_turn(&self, trial: bool) -> (Reply, RequestSummary) {
+        if !self.access.hides_caller() {
+            return self.run_anywhere(trial).await;
+        }
+        let services = admission::services(self.route);
+        let (account, arrived) = (self.account.as_deref(), self.incoming.arrived);
+        let entry = admission::Entry::new(self.route, &services, account, arrived, self.deadline);
+        let admitted = self.traffic.admission.admit(&entry).await;
+        // The key may have been revoked during the wait; `run` answers for that.
+        let denied = self.access.confirm().is_err();
+        match admitted {
+            Ok(_) if denied => Self::overloaded(RETRY_AFTER),
+            Ok(turn) => {
+                let (answer, summary) = self.run_anywhere(trial).await;
+                if summary.calls > 0 && !summary.relayed {
+                    turn.end(answer.status);
+                }
+                (answer, summary)
+            }
+            Err(wait) => Self::overloaded(wait),
+        }
+    }
+
+    /// Refuses a request without any call, because its targets are overloaded.
+    fn overloaded(wait: Duration) -> (Reply, RequestSummary) {
+        let summary = RequestSummary {
+            missing: vec![MissingReason::Overload],
+            ..RequestSummary::default()
+        };
+        let out = Reply::not_run("the targets are overloaded\n", wait);
+        (out, summary)
+    }
+
     /// Takes a token of the request's account, if it has a limit.
     ///
     /// # Errors
--- a/crates/daemon/src/tier/quota.rs
+++ b/crates/daemon/src/tier/quota.rs
@@ -32,6 +32,8 @@
 const MAX_NAMES: usize = 512;
 /// Name under which the others are counted. The platform's names of accounts have no such form.
 const OTHER_NAMES: &str = "(other)";
+/// Name under which requests without an account are counted.
+const NO_ACCOUNT: &str = "(none)";
 /// Most log lines on refusals in a second.
 const MAX_LOG_LINES: u32 = 3;
 
@@ -59,6 +61,17 @@
     taken: u64,
     given_back: u64,
     refused: u64,
+    waited: u64,
+    no_room: u64,
+}
+
+/// What happened to a request under overload.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum OverloadEvent {
+    /// It waited for its turn.
+    Waited,
+    /// It was refused and has not run.
+    Refused,
 }
 
 impl Inner {
@@ -192,6 +205,27 @@
         }
     }
 
+    /// Counts what happened to a request of an account under overload; the name is empty for one
+    /// without an account.
+    pub(crate) fn record_overload(&self, account: &str, event: OverloadEvent) {
+        let account = if account.is_empty() {
+            NO_ACCOUNT
+        } else {
+            account
+        };
+        self.with(|s| {
+            s.count(account, |c| match event {
+                OverloadEvent::Waited => c.waited += 1,
+                OverloadEvent::Refused => c.no_room += 1,
+            });
+            let outcome = match event {
+                OverloadEvent::Waited => "waited",
+                OverloadEvent::Refused => "no-room",
+            };
+            meters::count_account(s.label(account), outcome);
+        });
+    }
+
     /// Waits until there is something to ask other daemons for.
     pub(crate) async fn wait_news(&self) {
         self.news.notified().await;
@@ -263,6 +297,8 @@
                     "burst": limit.map(|l| l.burst),
                     "ran": counts.taken.saturating_sub(counts.given_back),
                     "refused": counts.refused,
+                    "waited": counts.waited,
+                    "no_room": counts.no_room,
                     "leased": leased,
                     "unpaid": unpaid,
                     "owner": owner_of(name),
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -10,6 +10,7 @@
         clock,
         tier::{
             accounts::KeyChecks,
+            admission::AdmissionQueue,
             connection::Answer,
             meters::{self, Meters},
             quarantine::{SharedQuarantine, Trials},
@@ -102,6 +103,7 @@
     pub(crate) relay: RelayClient,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) quotas: Arc<SharedQuotas>,
+    pub(crate) admission: AdmissionQueue,
     pub(crate) trials: Trials,
     pub(crate) key_checks: KeyChecks,
     pub(crate) rollouts: TrafficRollouts,
@@ -153,6 +155,7 @@
             lost: Notify::new(),
             relay: RelayClient::default(),
             quarantine,
+            admission: AdmissionQueue::new(quotas.clone()),
             quotas,
             trials: Trials::default(),
             key_checks,
@@ -418,6 +421,7 @@
             .store(self.open_requests.get(), Ordering::Release);
         gauges.upstreams.store(upstreams.len(), Ordering::Relaxed);
         gauges.connections.store(connections, Ordering::Relaxed);
+        self.admission.publish_gauges();
         let limited = upstreams.values().filter(|u| u.is_limited());
         meters::set_limited_targets(limited.count());
     }
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -5,6 +5,7 @@
 mod crashing_request;
 mod endless_answers;
 mod late_configuration;
+mod overload;
 mod quotas;
 mod rate_limits;
 mod rollouts;
