--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -119,11 +119,13 @@
     Ok(())
 }
 
-/// Prints a row for each account with a limit that the daemon at `admin` has used.
+/// Prints a row for each account that has used its limit, or waited or was refused under overload, at
+/// the daemon at `admin`.
 pub(crate) async fn accounts(admin: SocketAddr) -> CommandResult {
     let state = get(admin, "/state").await?;
     let columns = [
-        "account", "rate", "burst", "ran", "refused", "leased", "unpaid", "owner", "tokens", "lent",
+        "account", "rate", "burst", "ran", "refused", "waited", "no_room", "leased", "unpaid",
+        "owner", "tokens", "lent",
     ];
     println!("{}", account_row(columns.map(String::from)));
     for account in state["accounts"].as_array().into_iter().flatten() {
@@ -132,7 +134,7 @@
     Ok(())
 }
 
-fn account_row(cells: [String; 10]) -> String {
+fn account_row(cells: [String; 12]) -> String {
     let [name, numbers @ ..] = cells;
     let numbers = numbers.map(|n| format!(" {n:>9}"));
     format!("{name:<20}{}", numbers.concat())
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -139,6 +139,10 @@
     match request.text("outcome") {
         "whole" => format!("answered {status} with all {of} parts"),
         "partial" => format!("answered with {parts} of {of} parts; missing: {missing}"),
+        "not-run" if missing.contains("overload:") => format!(
+            "refused with {status}, nothing has run: targets were overloaded, and other requests were more \
+             urgent or of accounts that asked for less"
+        ),
         "not-run" => format!("refused with {status}, nothing has run; reasons: {missing}"),
         "late" => format!(
             "timed out with {status}, {parts} of {of} parts arrived in time; missing: {missing}"
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -92,8 +92,8 @@
                 /// Prints JSON instead of a table.
                 optional --json
             }
-            /// Prints the accounts with a limit that one daemon knows of: their limit, use, refused
-            /// requests and leased tokens.
+            /// Prints the accounts that have a limit or were held up by overload at one daemon: their
+            /// limit, use, refused and waiting requests and leased tokens.
             cmd accounts {
                 /// Address on which the daemon serves operators.
                 required --admin addr: SocketAddr
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -37,6 +37,18 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// Guards against an explanation that gives only the reason's name.
+#[test]
+fn explain_says_why_a_request_was_refused_under_overload() {
+    let line = r#"{"timestamp":"2026-05-04T18:11:12.5Z","fields":{"message":"request","request":"r1","route":"a","outcome":"not-run","status":503,"missing":"overload:1"}}"#;
+    let log = [("d0".to_owned(), line.to_owned())];
+    let text = rattanturn_cli::explain::explain("r1", &log).unwrap();
+    assert!(
+        text.contains("nothing has run: targets were overloaded"),
+        "{text}"
+    );
+}
+
 #[test]
 fn explain_exits_with_1_for_an_unknown_request_and_5_for_an_unreadable_file() {
     let folder = create_folder("explain");
