--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -6,6 +6,7 @@
 mod endless_answers;
 mod keys_under_failure;
 mod late_configuration;
+mod overload;
 mod quotas;
 mod quotas_under_failure;
 mod rate_limits;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod platform;
 pub mod proxy;
 pub mod shard;
+mod slots;
 pub mod target;
--- a/crates/standins/src/shard/answer.rs
+++ b/crates/standins/src/shard/answer.rs
@@ -112,7 +112,8 @@
     let limit = limit.map_or(String::new(), |l| format!("server-limit: {l}\r\n"));
     format!(
         "HTTP/1.1 {status} Status\r\nx-request-id: {id}\r\n{name}: {value}\r\n\
-         x-server-load: 1,0,3\r\n{limit}{length}\r\n"
+         x-server-load: {}\r\n{limit}{length}\r\n",
+        state.slots.load()
     )
     .into_bytes()
 }
