--- a/crates/demo/tests/tier/keys_under_failure.rs
+++ b/crates/demo/tests/tier/keys_under_failure.rs
@@ -133,6 +133,32 @@
     });
 }
 
+/// Guards against a passed-on request that costs two tokens, one at each daemon, or none.
+#[test]
+fn passed_on_request_costs_one_token() {
+    with_cluster(2, async |cluster| {
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        set_accounts(cluster, limited(&[KEY], 100.0, 100.0)).await;
+        let at = front_addr(cluster, 2);
+        assert_eq!(status(at, "/one/x", "before", KEY).await, 200);
+        cut_off_servers(cluster);
+        let settled = Instant::now() + RELAY_SETTLE_TIME;
+        while Instant::now() < settled {
+            let id = format!("early-{:016x}", rand::random::<u64>());
+            status(at, "/one/x", &id, KEY).await;
+            sleep(Duration::from_millis(30)).await;
+        }
+        let before = account_sum(cluster, "ralo620", "ran").await;
+        for n in 0..20 {
+            let id = format!("relayed{n}");
+            assert_eq!(status(at, "/once/x", &id, KEY).await, 200, "{id}");
+        }
+        let counted = account_sum(cluster, "ralo620", "ran").await - before;
+        assert!((counted - 20.0).abs() < 0.5, "{counted} of 20");
+    });
+}
+
 /// Guards against a peer that trusts the daemon that passes a request on: it must refuse a key that it
 /// does not know.
 #[test]
--- a/crates/demo/tests/tier/quotas_under_failure.rs
+++ b/crates/demo/tests/tier/quotas_under_failure.rs
@@ -7,6 +7,7 @@
         plain_servers, with_cluster,
     },
     actix_rt::time::sleep,
+    awc::Client,
     rattanturn_demo::tier_cluster::{PLAIN, TierCluster},
     rattanturn_standins::{
         operator::{HOST, deregister_target, register_target},
@@ -143,6 +144,45 @@
     });
 }
 
+/// Guards against a caller that exceeds its limit, or a route's attempts, because it says that a daemon
+/// passed its request on.
+#[test]
+fn forged_relay_header_does_not_exceed_limits() {
+    with_cluster(1, async |cluster| {
+        write_limit(cluster, 1_000, 0.2, 4.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        let at = front_addr(cluster, 0);
+        let send = async |id: String| {
+            let request = Client::default().get(format!("http://{at}/one/x"));
+            let request = request
+                .insert_header(("host", HOST))
+                .insert_header(("x-request-id", id))
+                .insert_header(("authorization", format!("Bearer {HOT_KEY}")))
+                .insert_header(("x-rattanturn-relayed", "99"));
+            request.send().await.unwrap().status().as_u16()
+        };
+        for server in plain_servers(cluster) {
+            server.set_fault(Fault::Failed);
+        }
+        send("failed".into()).await;
+        let runs: u32 = plain_servers(cluster)
+            .iter()
+            .map(|s| s.runs("failed"))
+            .sum();
+        assert!((1..=2).contains(&runs), "{runs} runs with two attempts");
+        for server in plain_servers(cluster) {
+            server.set_fault(Fault::None);
+        }
+        let mut refused = 0;
+        for n in 0..12 {
+            refused += u32::from(send(format!("forged{n}")).await == 429);
+        }
+        // One of four tokens is used, and one arrives in five seconds.
+        assert!(refused >= 8, "{refused} of 12 refused");
+        assert_counts(cluster).await;
+    });
+}
+
 /// Sends a request and closes the connection after `time`.
 async fn leave_after(at: SocketAddr, id: String, time: Duration) {
     let mut stream = TcpStream::connect(at).await.unwrap();
