Let the order after the faults use one daemon

Callers send to one daemon during that order, so that most daemons know nothing of the version by themselves.

--- a/crates/soak/src/rollouts.rs
+++ b/crates/soak/src/rollouts.rs
@@ -75,7 +75,7 @@
         focus: None,
     });
     plans[1].rush = RUSH_CALLERS;
-    plans[1].focus = rng.random::<bool>().then(|| rng.random_range(0..daemons));
+    plans[1].focus = Some(rng.random_range(0..daemons));
     plans
 }
 
