Read evidence on roll-outs from datagrams

No daemon could decode the evidence of another: the JSON message was a flattened enum, through which Serde cannot read maps with integers as keys. So each decider judged a version by its own answers only.

--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -47,21 +47,32 @@
     Lent(NodeId, Vec<Lent>),
 }
 
-/// A JSON datagram as it is sent; the name of its list says of which kind it is.
-#[derive(Serialize, Deserialize)]
+/// A JSON datagram as it is sent, with one list, whose name says of which kind it is.
+///
+/// It is not a flattened enum: Serde cannot read maps with integers as keys, which evidence on
+/// roll-outs has, through one.
+#[derive(Default, Serialize, Deserialize)]
 struct JsonMessage {
     from: NodeId,
-    #[serde(flatten)]
-    list: JsonList,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    evidence: Option<Vec<Evidence>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rollouts: Option<Vec<rollout::Evidence>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    borrow: Option<Vec<Ask>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lent: Option<Vec<Lent>>,
 }
 
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum JsonList {
-    Evidence(Vec<Evidence>),
-    Rollouts(Vec<rollout::Evidence>),
-    Borrow(Vec<Ask>),
-    Lent(Vec<Lent>),
+impl JsonMessage {
+    fn into_datagram(self) -> Option<Datagram> {
+        let from = self.from;
+        let evidence = self.evidence.map(|list| Datagram::Evidence(from, list));
+        evidence
+            .or_else(|| Some(Datagram::Rollouts(from, self.rollouts?)))
+            .or_else(|| Some(Datagram::Borrow(from, self.borrow?)))
+            .or_else(|| Some(Datagram::Lent(from, self.lent?)))
+    }
 }
 
 /// Encodes a datagram.
@@ -79,10 +90,34 @@
         Datagram::Gossip(m) => write_gossip(root.init_gossip(), m),
         Datagram::LeaseRequests(from, list) => write_requests(root, *from, list),
         Datagram::LeaseVotes(from, list) => write_votes(root, *from, list),
-        Datagram::Evidence(from, list) => return json(*from, JsonList::Evidence(list.clone())),
-        Datagram::Rollouts(from, list) => return json(*from, JsonList::Rollouts(list.clone())),
-        Datagram::Borrow(from, list) => return json(*from, JsonList::Borrow(list.clone())),
-        Datagram::Lent(from, list) => return json(*from, JsonList::Lent(list.clone())),
+        Datagram::Evidence(from, list) => {
+            return json(&JsonMessage {
+                from: *from,
+                evidence: Some(list.clone()),
+                ..JsonMessage::default()
+            });
+        }
+        Datagram::Rollouts(from, list) => {
+            return json(&JsonMessage {
+                from: *from,
+                rollouts: Some(list.clone()),
+                ..JsonMessage::default()
+            });
+        }
+        Datagram::Borrow(from, list) => {
+            return json(&JsonMessage {
+                from: *from,
+                borrow: Some(list.clone()),
+                ..JsonMessage::default()
+            });
+        }
+        Datagram::Lent(from, list) => {
+            return json(&JsonMessage {
+                from: *from,
+                lent: Some(list.clone()),
+                ..JsonMessage::default()
+            });
+        }
     }
     let mut out = Vec::new();
     // Writing to a `Vec` is infallible.
@@ -90,9 +125,9 @@
     out
 }
 
-fn json(from: NodeId, list: JsonList) -> Vec<u8> {
+fn json(message: &JsonMessage) -> Vec<u8> {
     // Writing plain data to a `Vec` is infallible.
-    serde_json::to_vec(&JsonMessage { from, list }).unwrap_or_default()
+    serde_json::to_vec(message).unwrap_or_default()
 }
 
 /// Decodes a datagram.
@@ -105,12 +140,8 @@
     if bytes.first() == Some(&b'{') {
         let message: JsonMessage = serde_json::from_slice(bytes)
             .map_err(|error| capnp::Error::failed(format!("invalid JSON datagram: {error}")))?;
-        return Ok(match message.list {
-            JsonList::Evidence(list) => Datagram::Evidence(message.from, list),
-            JsonList::Rollouts(list) => Datagram::Rollouts(message.from, list),
-            JsonList::Borrow(list) => Datagram::Borrow(message.from, list),
-            JsonList::Lent(list) => Datagram::Lent(message.from, list),
-        });
+        let unknown = || capnp::Error::failed("a JSON datagram of an unknown kind".into());
+        return message.into_datagram().ok_or_else(unknown);
     }
     let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
     let root = reader.get_root::<datagram::Reader<'_>>()?;
