Keep a bad version within its exposure while the verdict is open

Cause: steps.rs raised the share to a half and to all requests at fixed times unless the verdict was bad. A version whose verdict stayed open got far more than its exposure.

Change: core::rollout::budget compares the answers of the new version, and what it gets until a stop can be in force, with exposure x all answers + slack. The first share follows the rate of requests. Good: the test accepts all routes together and none leans to a bad version. Later steps are 0.25, 0.5 and 1, as late as the limit allows. After a restart of all daemons the slack counts as used. A daemon that saw the order without a status uses its monotonic clock alone.

--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 //! short step at half of the requests, and one that fails only under all requests is found too late
 //! to keep the limit on exposure if the service has many requests.
 
+mod budget;
 mod counters;
 mod evidence;
 mod latencies;
--- a/crates/core/src/rollout/steps.rs
+++ b/crates/core/src/rollout/steps.rs
@@ -1,26 +1,42 @@
 //! The steps of a roll-out: which status is to be written now.
 //!
-//! The times of the steps are fractions of the order's duration, so that they need no knowledge of the
-//! traffic. An order whose targets come too late for all steps is reverted rather than hurried.
+//! The times of the steps are fractions of the order's duration. A share is raised or kept only if the
+//! verdict is good or the [`Budget`] covers it; otherwise it falls to the first step's, which grows more
+//! slowly than the budget. An order whose targets or verdict come too late for all steps is reverted
+//! rather than hurried.
 
 use {
-    super::{Evidence, Rollout, State, Status, Verdict, verdict::judge},
+    super::{
+        Evidence, Rollout, State, Status, Verdict,
+        budget::Budget,
+        verdict::{Judgement, judge},
+    },
     std::{collections::BTreeSet, time::Duration},
 };
 
 /// Share of the first step, as a fraction of the largest exposure. The rest is for the later steps.
 pub const CANARY_FRACTION: f64 = 0.8;
-/// Fraction of the duration at which the first step ends.
-const CANARY_END: f64 = 0.6;
-/// Time by which the first step is prolonged while the evidence leans to a bad version, as a fraction
-/// of the duration.
-const CANARY_EXTENSION: f64 = 0.05;
+/// Part of the slack that the first step may use. The rest is for reaction times and later steps.
+const CANARY_SLACK: f64 = 0.75;
+/// Largest share of the first step.
+const MAX_CANARY: f64 = 0.4;
+/// Least factor by which the share of the first step grows in one change. Each is a write to the store.
+const MIN_CANARY_FACTOR: f64 = 1.25;
+/// Time after which the rate of requests is known well enough to choose the share of the first step.
+const RATE_TIME: Duration = Duration::from_millis(1_500);
 /// Shortest first step, as a fraction of the duration, for targets that come late.
 const MIN_CANARY: f64 = 0.05;
-/// Share of the second step, which reveals faults that need load.
-const LOAD_SHARE: f64 = 0.5;
-/// Length of the second step, as a fraction of the duration, if the exposure allows it.
-const LOAD_TIME: f64 = 0.1;
+/// Shares after the first step. Those before the last reveal faults that need load.
+const LOAD_SHARES: [f64; 3] = [0.25, 0.5, 1.0];
+/// Least factor between two shares; a smaller step is skipped.
+const MIN_FACTOR: f64 = 1.2;
+/// Time that all later steps leave for delays, as a fraction of the duration. They come as late as that
+/// allows for, as a version that shows its fault late has got fewest requests then.
+const LOAD_RESERVE: f64 = 0.05;
+/// Length of each later step but the last, as a fraction of the duration, at an exposure of 0.1 or more.
+const LOAD_TIME: f64 = 0.06;
+/// Exposure under which the later steps are shorter, in proportion.
+const LOAD_EXPOSURE: f64 = 0.1;
 /// Most of the step with all requests, as a fraction of the duration.
 const MAX_FULL_TIME: f64 = 0.15;
 /// Time before the limit at which a roll-out ends, as a fraction of the duration. The final status
@@ -32,6 +48,9 @@
 const APPLY_TIME: Duration = Duration::from_millis(300);
 /// Versions that are remembered as reverted. Targets of an earlier one are gone by then.
 const MAX_REVERTED: usize = 8;
+/// Time that a daemon has seen an order for before it lowers a share. Before that, evidence of others
+/// has not reached a daemon that has just started.
+const EVIDENCE_TIME: Duration = Duration::from_secs(1);
 /// Time without news after which a daemon does not raise a share.
 pub const STALE_AFTER: Duration = Duration::from_secs(2);
 
@@ -55,6 +74,9 @@
     pub now_ms: u64,
     /// Time since the daemon first saw the order, by its monotonic clock.
     pub seen_for: Duration,
+    /// Whether the daemon saw the order before its first status. It then needs no clock but the
+    /// monotonic one, which does not jump.
+    pub from_start: bool,
     /// Time for which the daemon has had no news from the store, or for which a daemon that is seen
     /// alive and has requests of the service has sent no evidence; the larger of both.
     pub silent: Duration,
@@ -81,6 +103,7 @@
 /// let situation = Situation {
 ///     now_ms: 1_000,
 ///     seen_for: Duration::ZERO,
+///     from_start: true,
 ///     silent: Duration::ZERO,
 ///     rollout: &Rollout { order, status: None, revision: 7 },
 ///     known: None,
@@ -160,55 +183,126 @@
     }
 
     fn running(&self, share: f64) -> Option<Status> {
-        let (verdict, suspected) = judge(self.evidence);
-        if let Verdict::Bad { route } = &verdict {
+        let judgement = judge(self.evidence);
+        if let Verdict::Bad { route } = &judgement.verdict {
             return self.change(State::Reverted, &self.bad_reason(route));
         }
-        let over = self.elapsed() >= self.end();
+        let budget = self.budget();
+        let is_over = self.elapsed() >= self.end();
         if share >= 1.0 {
             // The time until the end may still show a fault.
-            let kept = self.step_time() >= self.full_time() && verdict == Verdict::Good;
-            let done = || self.change(State::Done, "all requests were served by the version");
-            return (kept || over).then(done)?;
+            let is_kept = self.step_time() >= self.full_time();
+            if is_kept && judgement.verdict == Verdict::Good
+                || is_over && (judgement.is_trusted || budget.covers_all(self.time_left()))
+            {
+                return self.change(State::Done, "all requests were served by the version");
+            }
         }
-        if over {
-            return self.change(State::Reverted, "the time limit came before all steps");
+        if is_over {
+            return self.change(State::Reverted, end_reason(share, &judgement));
         }
-        if self.silent >= STALE_AFTER {
+        if !judgement.is_trusted && !budget.covers(share, Duration::ZERO) {
+            return self.lower(share, &budget);
+        }
+        if self.silent >= STALE_AFTER || share >= 1.0 {
+            return None;
+        }
+        self.raise(share, &judgement, &budget)
+    }
+
+    /// The share that the budget covers, if the present one is more.
+    fn lower(&self, share: f64, budget: &Budget) -> Option<Status> {
+        if self.seen_for < EVIDENCE_TIME.min(self.elapsed()) {
             return None;
         }
-        self.raise(share, suspected)
+        let least = self.least_share();
+        if budget.is_exceeded() {
+            let reason = format!(
+                "the verdict is open and the budget is used up: {:.0} of {:.0} requests",
+                budget.exposed, budget.requests
+            );
+            return self.change(State::Reverted, &reason);
+        }
+        let state = State::Running { share: least };
+        let reason = "the budget does not cover the share while the verdict is open";
+        (share > least).then(|| self.change(state, reason))?
     }
 
-    /// The next larger share, if it is due and the targets suffice.
-    fn raise(&self, share: f64, suspected: bool) -> Option<Status> {
+    /// The next larger share, if it is due, covered by the verdict or the budget, and the targets
+    /// suffice.
+    fn raise(&self, share: f64, judgement: &Judgement, budget: &Budget) -> Option<Status> {
         if share <= 0.0 {
             let share = self.canary_share()?;
             return self.change(State::Running { share }, "first step");
         }
-        if share < LOAD_SHARE {
-            let due = self.canary_is_over(suspected) && self.suffices(LOAD_SHARE);
-            let state = State::Running { share: LOAD_SHARE };
-            return due.then(|| self.change(state, "no fault in the first step"))?;
+        if judgement.leans_to_bad {
+            return None;
+        }
+        if !self.canary_is_over(share) {
+            let share = self.canary_for_budget(share, budget)?;
+            return self.change(
+                State::Running { share },
+                "first step, for the rate of requests",
+            );
         }
-        let latest = self.end().saturating_sub(self.full_time());
-        let over = self.step_time() >= self.load_time() || self.elapsed() >= latest;
-        let due = over && self.elapsed() <= latest + APPLY_TIME && self.suffices(1.0);
-        let state = State::Running { share: 1.0 };
-        due.then(|| self.change(state, "no fault under load"))?
+        let (left, next) = self.next_load(share)?;
+        let is_good = judgement.verdict == Verdict::Good;
+        let is_covered = is_good || budget.covers(next, self.load_time());
+        let is_due = self.elapsed() >= self.due(left) && self.step_time() >= self.load_time() / 2;
+        if !is_covered || !is_due || !self.suffices(next) {
+            return None;
+        }
+        let reason = if is_good {
+            "no fault so far"
+        } else {
+            "no fault so far, and the budget covers the step"
+        };
+        self.change(State::Running { share: next }, reason)
     }
 
-    fn canary_is_over(&self, suspected: bool) -> bool {
-        let longer = if suspected { CANARY_EXTENSION } else { 0.0 };
-        let elapsed = self.elapsed();
-        let latest = self.latest_load();
-        let kept = self.step_time() >= self.part(MIN_CANARY);
-        kept && elapsed >= self.part(CANARY_END + longer).min(latest) && elapsed <= latest
+    /// Whether the time of the first step is over. The later steps begin no lower than their first share.
+    fn canary_is_over(&self, share: f64) -> bool {
+        let kept = share >= LOAD_SHARES[0] || self.step_time() >= self.part(MIN_CANARY);
+        kept && self.elapsed() >= self.due(LOAD_SHARES.len() - 1)
+    }
+
+    /// The share after the present one, and the number of steps after it. One that would come too late
+    /// is skipped if the version has shown a part of the load.
+    fn next_load(&self, share: f64) -> Option<(usize, f64)> {
+        let mut later = LOAD_SHARES.iter().rev().enumerate().rev();
+        let next = later.find(|(left, next)| {
+            let is_larger = *left == 0 || **next >= share * MIN_FACTOR;
+            let is_late = self.elapsed() > self.latest(*left) + APPLY_TIME;
+            is_larger && !(is_late && share >= LOAD_SHARES[0])
+        });
+        let (left, next) = next?;
+        (self.elapsed() <= self.latest(left) + APPLY_TIME).then_some((left, *next))
+    }
+
+    /// The larger share of the first step that the rate of requests allows for.
+    fn canary_for_budget(&self, share: f64, budget: &Budget) -> Option<f64> {
+        if self.elapsed() < RATE_TIME || budget.requests <= 0.0 {
+            return None;
+        }
+        let end = self.due(LOAD_SHARES.len() - 1);
+        let left = end.saturating_sub(self.elapsed());
+        let left = left.max(self.part(MIN_CANARY));
+        let most = budget.share_for(share, CANARY_FRACTION, CANARY_SLACK, left);
+        // Rounded down for the log.
+        let next = (most.min(MAX_CANARY) * 1_000.0).floor() / 1_000.0;
+        let fits = next >= share * MIN_CANARY_FACTOR && budget.covers(next, Duration::ZERO);
+        (fits && self.suffices(next)).then_some(next)
+    }
+
+    /// Share of the first step at which the new version gets less than the budget grows by.
+    fn least_share(&self) -> f64 {
+        CANARY_FRACTION * self.limits.exposure.clamp(0.0, 1.0)
     }
 
     fn canary_share(&self) -> Option<f64> {
-        let share = CANARY_FRACTION * self.limits.exposure.clamp(0.0, 1.0);
-        let latest = self.latest_load().saturating_sub(self.part(MIN_CANARY));
+        let share = self.least_share();
+        let latest = self.latest(LOAD_SHARES.len() - 1);
+        let latest = latest.saturating_sub(self.part(MIN_CANARY));
         let due = share > 0.0 && self.elapsed() <= latest;
         (due && self.suffices(share)).then_some(share)
     }
@@ -225,13 +319,25 @@
         status.filter(|s| s.version == self.rollout.order.version)
     }
 
-    /// Time since the order, by the clock or by the monotonic clock, whichever is later.
+    /// Time since the order. A daemon that saw its beginning uses the monotonic clock alone, so that a
+    /// clock that jumps shortens no step; others use the later of both.
     fn elapsed(&self) -> Duration {
+        if self.from_start {
+            return self.seen_for;
+        }
         let since = self.current().map_or(self.now_ms, |s| s.since_ms);
         self.seen_for
             .max(Duration::from_millis(self.now_ms.saturating_sub(since)))
     }
 
+    fn time_left(&self) -> Duration {
+        self.rollout.order.duration.saturating_sub(self.elapsed())
+    }
+
+    fn budget(&self) -> Budget {
+        Budget::new(self.evidence, &self.limits, self.elapsed(), self.from_start)
+    }
+
     /// Time since the last change of the share.
     fn step_time(&self) -> Duration {
         let Some(status) = self.current() else {
@@ -247,20 +353,29 @@
         self.rollout.order.duration.saturating_sub(margin)
     }
 
-    /// Length of the second step: what the exposure leaves after the first one.
+    /// Length of each later step but the last.
     fn load_time(&self) -> Duration {
-        let left = self.limits.exposure.clamp(0.0, 1.0) * (1.0 - CANARY_FRACTION * CANARY_END);
-        self.part((left / LOAD_SHARE).min(LOAD_TIME))
+        let exposure = self.limits.exposure.clamp(0.0, LOAD_EXPOSURE);
+        self.part(LOAD_TIME * exposure / LOAD_EXPOSURE)
     }
 
     fn full_time(&self) -> Duration {
         self.limits.evacuation.min(self.part(MAX_FULL_TIME))
     }
 
-    /// Time after the order until which the second step may begin. It then has half of its length.
-    fn latest_load(&self) -> Duration {
-        self.end()
-            .saturating_sub(self.load_time() / 2 + self.full_time())
+    /// Time after the order at which a step is due that has `left` later ones.
+    fn due(&self, left: usize) -> Duration {
+        let steps = u32::try_from(left).unwrap_or(u32::MAX);
+        let later = self.load_time().saturating_mul(steps) + self.full_time();
+        self.end().saturating_sub(later + self.part(LOAD_RESERVE))
+    }
+
+    /// Time after the order until which a step may begin that has `left` later ones. Each but the last
+    /// then has half of its length.
+    fn latest(&self, left: usize) -> Duration {
+        let steps = u32::try_from(left).unwrap_or(u32::MAX);
+        let halves = self.load_time().saturating_mul(steps) / 2;
+        self.end().saturating_sub(halves + self.full_time())
     }
 
     fn part(&self, fraction: f64) -> Duration {
@@ -287,6 +402,14 @@
     }
 }
 
+fn end_reason(share: f64, judgement: &Judgement) -> &'static str {
+    if share > 0.0 && judgement.verdict == Verdict::Open {
+        "the time limit came while the verdict was open, and the budget did not cover all steps"
+    } else {
+        "the time limit came before all steps"
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/core/src/rollout/verdict.rs
+++ b/crates/core/src/rollout/verdict.rs
@@ -46,6 +46,12 @@
 /// Periods in a row in which a target has only bad answers, and which count as one bad answer: 2.5 s.
 /// A target that is paused for longer is avoided by then.
 const PAUSE_PERIODS: u32 = 5;
+/// Logarithm of the ratio from which on a route leans to a bad version: a bad answer among fewer than 14.
+/// At 0, one slow answer on a route with few requests would keep a good version back for too long.
+const MAX_LEAN: f64 = 1.0;
+/// Logarithm of the ratio, as a fraction of the lower bound, up to which a version that was accepted
+/// stays good: one bad answer does not take it back.
+const KEPT: f64 = 0.4;
 /// Name that stands for all routes together.
 const ALL_ROUTES: &str = "*";
 
@@ -71,30 +77,51 @@
 /// ```
 #[must_use]
 pub fn verdict(evidence: &Evidence) -> Verdict {
-    judge(evidence).0
+    judge(evidence).verdict
 }
 
-/// The verdict, and whether the evidence so far speaks for a bad version.
-pub(super) fn judge(evidence: &Evidence) -> (Verdict, bool) {
+/// The verdict, and what it leaves out.
+#[derive(Debug)]
+pub(super) struct Judgement {
+    pub(super) verdict: Verdict,
+    /// Whether the evidence speaks for a bad version, on a route or on all together.
+    pub(super) leans_to_bad: bool,
+    /// Whether the version was accepted at some time and no route leans to a bad version.
+    pub(super) is_trusted: bool,
+}
+
+/// The verdict. A version is good if the test accepts all routes together and none of them leans to a
+/// bad version: on routes with few requests, a test of their own would not end in time.
+pub(super) fn judge(evidence: &Evidence) -> Judgement {
     let series = all_series(evidence);
     let (lower, upper) = bounds(series.len());
-    let mut suspected = false;
-    let mut accepted = !series.is_empty();
+    let mut highest = lower;
     for (name, one) in &series {
-        let ratio = one.ratio(lower, upper);
+        let ratio = one.ratio(lower, upper).last;
         if ratio >= upper {
             let route = (*name).to_owned();
-            return (Verdict::Bad { route }, true);
+            return Judgement {
+                verdict: Verdict::Bad { route },
+                leans_to_bad: true,
+                is_trusted: false,
+            };
         }
-        suspected |= ratio > 0.0;
-        accepted &= ratio <= lower;
+        highest = highest.max(ratio);
     }
-    let verdict = if accepted {
+    let leans_to_bad = highest > MAX_LEAN;
+    let all = series.get(ALL_ROUTES).map(|s| s.ratio(lower, upper));
+    let all = all.filter(|r| r.least <= lower);
+    let is_accepted = all.as_ref().is_some_and(|r| r.last <= lower * KEPT);
+    let verdict = if is_accepted && !leans_to_bad {
         Verdict::Good
     } else {
         Verdict::Open
     };
-    (verdict, suspected)
+    Judgement {
+        verdict,
+        leans_to_bad,
+        is_trusted: all.is_some() && !leans_to_bad,
+    }
 }
 
 /// Bounds of the logarithm of the ratio. The probability of a false alarm is divided among the tests.
@@ -112,6 +139,14 @@
     periods: BTreeMap<u32, Period>,
 }
 
+/// Logarithm of a likelihood ratio.
+struct Ratio {
+    /// After all periods.
+    last: f64,
+    /// The least after any of them.
+    least: f64,
+}
+
 fn all_series(evidence: &Evidence) -> BTreeMap<&str, Series> {
     let mut all: BTreeMap<&str, Series> = BTreeMap::new();
     for (name, route) in evidence.nodes.values().flatten() {
@@ -127,9 +162,9 @@
 }
 
 impl Series {
-    /// Logarithm of the likelihood ratio of H1 to H0 after all periods.
-    fn ratio(&self, lower: f64, upper: f64) -> f64 {
-        let mut ratio = 0.0_f64;
+    /// Logarithm of the likelihood ratio of H1 to H0 over all periods.
+    fn ratio(&self, lower: f64, upper: f64) -> Ratio {
+        let (mut ratio, mut least) = (0.0_f64, 0.0_f64);
         let mut silent = BTreeMap::new();
         for (number, period) in &self.periods {
             let (answers, bad) = effective(period, *number, &mut silent);
@@ -143,12 +178,13 @@
                     upper
                 };
                 ratio = (ratio + step.min(most)).max(lower);
+                least = least.min(ratio);
             }
             if ratio >= upper {
                 break;
             }
         }
-        ratio
+        Ratio { last: ratio, least }
     }
 
     /// The old version's answers in a period and the ones beside it.
--- a/crates/daemon/src/tier/control/rollouts.rs
+++ b/crates/daemon/src/tier/control/rollouts.rs
@@ -145,6 +145,7 @@
         rollout::next(&Situation {
             now_ms: clock::unix_ms(),
             seen_for: now.since(order.first_seen),
+            from_start: order.from_start,
             silent: now.since(read?),
             rollout: &order.read,
             known: order.known_final.as_ref(),
--- a/crates/daemon/src/tier/known_rollouts.rs
+++ b/crates/daemon/src/tier/known_rollouts.rs
@@ -33,6 +33,8 @@
     pub(crate) known_final: Option<Rollout>,
     /// When this daemon first saw the order.
     pub(crate) first_seen: Time,
+    /// Whether it had no status then.
+    pub(crate) from_start: bool,
 }
 
 /// All orders, by service.
@@ -140,7 +142,11 @@
         let same = old
             .as_ref()
             .is_some_and(|o| !replaced && o.read.order == read.order);
-        let first_seen = old.as_ref().filter(|_| same).map_or(now, |o| o.first_seen);
+        let seen = old.as_ref().filter(|_| same);
+        let (first_seen, from_start) = seen.map_or_else(
+            || (now, read.current_state().is_none()),
+            |o| (o.first_seen, o.from_start),
+        );
         let mut known_final = old.as_ref().and_then(|o| o.known_final.clone());
         if replaced {
             observe_final(&mut known_final, None);
@@ -154,6 +160,7 @@
             current,
             known_final,
             first_seen,
+            from_start,
         };
         self.orders.insert(service, order);
     }
