Count the bad answers at the end of a target's pause as part of the pause

Cause: the first step is carried by one target, so a pause of it gave several independent bad answers in the period in which it ended, and a good version had too little time left to make up for them.

--- a/crates/core/src/rollout/verdict.rs
+++ b/crates/core/src/rollout/verdict.rs
@@ -243,8 +243,10 @@
             row.1 = number;
             silent(target, number - row.0)
         } else {
-            rows.remove(id);
-            independent(target)
+            let row = rows.remove(id);
+            let is_pause_over =
+                row.is_some_and(|(first, last)| last > first && last.saturating_add(1) >= number);
+            independent(target, is_pause_over)
         };
         sum = (sum.0 + answers, sum.1 + bad);
     }
@@ -261,11 +263,11 @@
 }
 
 /// Reduces a target's answers such that its bad ones count once for each 100 ms, with the fraction of
-/// bad ones unchanged.
-fn independent(target: &TargetCounts) -> (f64, f64) {
+/// bad ones unchanged. In the period in which a pause ends, the bad ones still belong to it.
+fn independent(target: &TargetCounts, is_pause_over: bool) -> (f64, f64) {
     let (answers, bad) = (float(target.counts.answers), float(target.counts.bad()));
-    if bad <= 0.0 {
-        return (answers, 0.0);
+    if bad <= 0.0 || is_pause_over {
+        return (answers - bad, 0.0);
     }
     let counted = slots(target).min(bad);
     (answers * counted / bad, counted)
