Read the evidence on roll-outs that other daemons send

Cause: a JSON datagram was decoded into a flattened enum. serde buffers that, and cannot read maps with numbers as keys from the buffer, so every datagram with answers was dropped. Each deciding daemon judged by its own answers alone: with three daemons, by a third of them.

Change: the message is decoded into a struct with one optional list of each kind. What is sent does not change.

--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -48,14 +48,36 @@
 }
 
 /// A JSON datagram as it is sent; the name of its list says of which kind it is.
-#[derive(Serialize, Deserialize)]
+#[derive(Serialize)]
 struct JsonMessage {
     from: NodeId,
     #[serde(flatten)]
     list: JsonList,
 }
 
-#[derive(Serialize, Deserialize)]
+/// The same as it is read. A flattened enum would be buffered, and maps in it whose keys are numbers, as
+/// in the evidence on roll-outs, could not be read.
+#[derive(Deserialize)]
+struct ReadMessage {
+    from: NodeId,
+    evidence: Option<Vec<Evidence>>,
+    rollouts: Option<Vec<rollout::Evidence>>,
+    borrow: Option<Vec<Ask>>,
+    lent: Option<Vec<Lent>>,
+}
+
+impl ReadMessage {
+    /// The list; `None` if it is of an unknown kind.
+    fn list(self) -> Option<JsonList> {
+        let evidence = self.evidence.map(JsonList::Evidence);
+        let rollouts = self.rollouts.map(JsonList::Rollouts);
+        let borrow = self.borrow.map(JsonList::Borrow);
+        let lent = self.lent.map(JsonList::Lent);
+        evidence.or(rollouts).or(borrow).or(lent)
+    }
+}
+
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 enum JsonList {
     Evidence(Vec<Evidence>),
@@ -103,13 +125,15 @@
 /// invalid gossip address.
 pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
     if bytes.first() == Some(&b'{') {
-        let message: JsonMessage = serde_json::from_slice(bytes)
+        let message: ReadMessage = serde_json::from_slice(bytes)
             .map_err(|error| capnp::Error::failed(format!("invalid JSON datagram: {error}")))?;
-        return Ok(match message.list {
-            JsonList::Evidence(list) => Datagram::Evidence(message.from, list),
-            JsonList::Rollouts(list) => Datagram::Rollouts(message.from, list),
-            JsonList::Borrow(list) => Datagram::Borrow(message.from, list),
-            JsonList::Lent(list) => Datagram::Lent(message.from, list),
+        let from = message.from;
+        let unknown = || capnp::Error::failed("JSON datagram of an unknown kind".into());
+        return Ok(match message.list().ok_or_else(unknown)? {
+            JsonList::Evidence(list) => Datagram::Evidence(from, list),
+            JsonList::Rollouts(list) => Datagram::Rollouts(from, list),
+            JsonList::Borrow(list) => Datagram::Borrow(from, list),
+            JsonList::Lent(list) => Datagram::Lent(from, list),
         });
     }
     let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
