Raise no share while a daemon that had requests sends no evidence

Cause: Situation::silent had only the time without news from the store, so a share was raised although the answers of a daemon were missing. And in real daemons the rate of requests was measured at half of its value after 1.5 s, so the first share was twice what the budget leaves.

Change: a daemon that is alive counts as silent after 2 s, and as long as five answers take at its rate, without evidence. One that has never sent any is not noticed: nothing tells that it has requests. The first share follows the rate after 2.5 s.

Silence has no test with real daemons.

--- a/crates/core/src/rollout/budget.rs
+++ b/crates/core/src/rollout/budget.rs
@@ -137,7 +137,7 @@
 
 /// Requests a second since the order; the newest are not counted yet.
 fn mean_rate(requests: f64, elapsed: Duration) -> f64 {
-    requests / (elapsed.as_secs_f64() - UNCOUNTED_S / 2.0).max(0.5)
+    requests / (elapsed.as_secs_f64() - UNCOUNTED_S).max(0.5)
 }
 
 // Numbers of answers are far below 2^52.
--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -11,6 +11,7 @@
 
 use {
     super::{
+        STALE_AFTER,
         counters::{Counts, Period, Route, is_empty},
         latencies::Latencies,
     },
@@ -223,6 +224,14 @@
         serde_json::to_vec(self).map_or(usize::MAX, |text| text.len())
     }
 
+    /// Number of answers of both versions that one daemon has counted.
+    #[must_use]
+    pub fn answers_of(&self, node: NodeId) -> u64 {
+        let routes = self.nodes.get(&node).into_iter().flat_map(BTreeMap::values);
+        let answers = routes.map(|r| r.old.answers.saturating_add(r.new.answers));
+        answers.fold(0, u64::saturating_add)
+    }
+
     /// Answers of the old and of the new version.
     #[must_use]
     pub fn totals(&self) -> (Counts, Counts) {
@@ -250,6 +259,28 @@
     }
 }
 
+/// Answers that a daemon would have had on average in its silence. That it had none at all by chance then
+/// has a probability of less than 0.01.
+const SILENT_ANSWERS: f64 = 5.0;
+
+/// Whether the evidence of a daemon is missing: it had `answers` in the time `heard` between its first
+/// and its newest evidence, and has sent none for `silent`. A daemon without requests sends none either.
+///
+/// ```
+/// use {rattanturn_core::rollout::is_overdue, std::time::Duration};
+/// let seconds = Duration::from_secs;
+/// assert!(is_overdue(100, seconds(4), seconds(3)));
+/// assert!(!is_overdue(100, seconds(4), seconds(1)));
+/// assert!(!is_overdue(4, seconds(4), seconds(3)), "it has few requests");
+/// ```
+#[must_use]
+pub fn is_overdue(answers: u64, heard: Duration, silent: Duration) -> bool {
+    // Numbers of answers are far below 2^52.
+    #[allow(clippy::cast_precision_loss)]
+    let rate = answers as f64 / heard.as_secs_f64().max(1.0);
+    silent >= STALE_AFTER && rate * silent.as_secs_f64() >= SILENT_ANSWERS
+}
+
 /// The period with the old version's answers only, if any, then one for each target.
 fn pieces(period: &Period) -> impl Iterator<Item = Period> {
     let old = Period {
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -20,7 +20,7 @@
 
 pub use {
     counters::Counts,
-    evidence::{Call, Evidence, Outcome, RouteCounts},
+    evidence::{Call, Evidence, Outcome, RouteCounts, is_overdue},
     share::{CONTACT_LIMIT, ShareCredit, Use, allowed, applied_share, carriers, choose},
     steps::{CANARY_FRACTION, Limits, STALE_AFTER, Situation, next, observe_final},
     verdict::{Verdict, verdict},
--- a/crates/core/src/rollout/steps.rs
+++ b/crates/core/src/rollout/steps.rs
@@ -22,8 +22,9 @@
 const MAX_CANARY: f64 = 0.4;
 /// Least factor by which the share of the first step grows in one change. Each is a write to the store.
 const MIN_CANARY_FACTOR: f64 = 1.25;
-/// Time after which the rate of requests is known well enough to choose the share of the first step.
-const RATE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which the rate of requests is known well enough to choose the share of the first step. With
+/// 1.5 s it was measured at half of its value: evidence is late, and daemons count from the first status on.
+const RATE_TIME: Duration = Duration::from_millis(2_500);
 /// Shortest first step, as a fraction of the duration, for targets that come late.
 const MIN_CANARY: f64 = 0.05;
 /// Shares after the first step. Those before the last reveal faults that need load.
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -284,7 +284,7 @@
             Ok(Datagram::Evidence(from, reports)) => {
                 self.receive_evidence(socket, from, &reports).await;
             }
-            Ok(Datagram::Rollouts(_, parts)) => self.receive_rollout_evidence(&parts),
+            Ok(Datagram::Rollouts(from, parts)) => self.receive_rollout_evidence(from, &parts),
             Ok(Datagram::Borrow(from, asks)) => self.receive_asks(socket, from, &asks).await,
             Ok(Datagram::Lent(_, answers)) => self.receive_tokens(socket, &answers).await,
             Ok(_) | Err(_) => {
--- a/crates/daemon/src/tier/control/rollouts.rs
+++ b/crates/daemon/src/tier/control/rollouts.rs
@@ -11,7 +11,7 @@
         tier::{known_rollouts::KnownOrder, rollouts::since_ms, sources::StoreEvent},
     },
     rattanturn_core::{
-        NodeId, Time, readers,
+        NodeId, Time, membership, readers,
         rollout::{self, Evidence, Limits, Rollout, Situation, State, Status, Verdict, verdict},
     },
     rattanturn_platform::{
@@ -68,11 +68,12 @@
     }
 
     /// Takes over evidence on the orders that are known here.
-    pub(super) fn receive_rollout_evidence(&self, parts: &[Evidence]) {
+    pub(super) fn receive_rollout_evidence(&self, from: NodeId, parts: &[Evidence]) {
+        let now = clock::now();
         for part in parts {
             let order = self.cluster.rollouts.orders().get(&part.service);
             if let Some(order) = order.filter(|o| is_about(part, &o.current)) {
-                self.shared_rollouts.merge(&order.current, part);
+                self.shared_rollouts.merge(now, from, &order.current, part);
             }
         }
     }
@@ -142,11 +143,16 @@
         let evidence = self.shared_rollouts.evidence(&order.read);
         let (old_slots, new_slots) = self.slots(&order.read);
         let read = self.cluster.own_reads.get(ROLLOUTS).copied();
+        let is_alive = |id| {
+            let member = self.membership.get(id);
+            member.is_some_and(|m| m.record.state == membership::State::Alive)
+        };
+        let unheard = self.shared_rollouts.silent(now, &order.read, is_alive);
         rollout::next(&Situation {
             now_ms: clock::unix_ms(),
             seen_for: now.since(order.first_seen),
             from_start: order.from_start,
-            silent: now.since(read?),
+            silent: now.since(read?).max(unheard),
             rollout: &order.read,
             known: order.known_final.as_ref(),
             evidence: &evidence,
--- a/crates/daemon/src/tier/rollouts.rs
+++ b/crates/daemon/src/tier/rollouts.rs
@@ -21,6 +21,7 @@
         NodeId, Time,
         rollout::{
             self, Evidence, Rollout, ShareCredit, State, Use, applied_share, carriers, choose,
+            is_overdue,
         },
     },
     std::{
@@ -43,6 +44,8 @@
     changed: bool,
     /// Whether a bad answer of the new version is among them.
     bad: bool,
+    /// When the first and the newest evidence of each other daemon came.
+    heard: BTreeMap<NodeId, (Time, Time)>,
 }
 
 /// Evidence on the running orders, shared by the traffic and the control thread.
@@ -60,8 +63,37 @@
     }
 
     /// Takes over counters of other daemons on an order.
-    pub(crate) fn merge(&self, rollout: &Rollout, evidence: &Evidence) {
-        self.with(|all| tracked(all, rollout).evidence.merge(evidence));
+    pub(crate) fn merge(&self, now: Time, from: NodeId, rollout: &Rollout, evidence: &Evidence) {
+        self.with(|all| {
+            let tracked = tracked(all, rollout);
+            tracked.evidence.merge(evidence);
+            let heard = tracked.heard.entry(from).or_insert((now, now));
+            heard.1 = now;
+        });
+    }
+
+    /// Longest time for which one of the daemons that `is_alive` accepts has sent no evidence although
+    /// it had requests of the service before, see [`is_overdue`].
+    pub(crate) fn silent(
+        &self,
+        now: Time,
+        rollout: &Rollout,
+        is_alive: impl Fn(NodeId) -> bool,
+    ) -> Duration {
+        self.with(|all| {
+            let Some(tracked) = all.get(&rollout.order.service) else {
+                return Duration::ZERO;
+            };
+            if tracked.evidence.since_ms != since_ms(rollout) {
+                return Duration::ZERO;
+            }
+            let overdue = tracked.heard.iter().filter(|(id, (first, last))| {
+                let answers = tracked.evidence.answers_of(**id);
+                is_alive(**id) && is_overdue(answers, last.since(*first), now.since(*last))
+            });
+            let silent = overdue.map(|(_, (_, last))| now.since(*last));
+            silent.max().unwrap_or_default()
+        })
     }
 
     /// All evidence on an order.
