--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 //! short step at half of the requests, and one that fails only under all requests is found too late
 //! to keep the limit on exposure if the service has many requests.
 
+mod budget;
 mod counters;
 mod evidence;
 mod latencies;
@@ -19,7 +20,7 @@
 
 pub use {
     counters::Counts,
-    evidence::{Call, Evidence, Outcome, RouteCounts},
+    evidence::{Call, Evidence, Outcome, RouteCounts, is_overdue},
     share::{CONTACT_LIMIT, ShareCredit, Use, allowed, applied_share, carriers, choose},
     steps::{CANARY_FRACTION, Limits, STALE_AFTER, Situation, next, observe_final},
     verdict::{Verdict, verdict},
--- a/crates/wire/tests/rollouts.rs
+++ b/crates/wire/tests/rollouts.rs
@@ -36,3 +36,23 @@
         assert_eq!(merged.totals().1.failed, 1);
     }
 }
+
+/// Guards against answers of the old version, or large ids, that are lost on the way.
+#[test]
+fn evidence_with_answers_survives_the_wire() {
+    let mut evidence = Evidence::new("a", "v2", 1_000);
+    for new in [false, true] {
+        let call = Call {
+            route: "search",
+            target: "i-1",
+            new,
+            cold: false,
+            outcome: Outcome::Failed,
+            latency: Duration::from_millis(20),
+            at_ms: 1_700,
+        };
+        evidence.record(NodeId(u64::MAX), &call);
+    }
+    let datagram = Datagram::Rollouts(NodeId(7), vec![evidence.of_node(NodeId(u64::MAX))]);
+    assert_eq!(decode(&encode(&datagram)).unwrap(), datagram);
+}
