Let a recent answer speak for a request whose targets end

A popular request whose targets a crashing one ended was suspected until its next answer, so that its copies waited for a trial. An answer of the last second now clears it at once, at all daemons. Traffic keeps answered requests for a second and computes their digests only when there is evidence.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -47,6 +47,11 @@
 /// answered the request meanwhile. When a data centre dies, most of its open requests succeed elsewhere
 /// so soon.
 const NEWS_DELAY: Duration = Duration::from_millis(100);
+/// Targets that end within this time after an answer to a request do not speak against it. A popular
+/// request that loses targets by chance is thus not suspected before its next answer.
+pub const ANSWER_MEMORY_TIME: Duration = Duration::from_secs(1);
+/// Most requests whose last answer is remembered.
+const MAX_ANSWERS: usize = 256;
 /// Evidence against a suspected request is dropped if no target ended under it for this time, which
 /// is longer than any pause.
 const MEMORY_TIME: Duration = Duration::from_hours(1);
@@ -188,6 +193,8 @@
     entries: HashMap<Fingerprint, Entry>,
     /// Requests whose evidence changed here since [`Quarantine::take_news`].
     news: BTreeSet<Fingerprint>,
+    /// When requests were last answered, as far as that is at most [`ANSWER_MEMORY_TIME`] ago.
+    answers: HashMap<Fingerprint, Time>,
 }
 
 impl Quarantine {
@@ -234,11 +241,63 @@
         entry.trials = entry.trials.saturating_add(u32::from(trial));
         entry.changed_at = now;
         self.news.insert(request);
-        change(before, entry.level())
+        let after = self.clear_if_answered(now, request);
+        change(before, after)
     }
 
     /// Records that a target answered the request, which clears it.
     pub fn record_answer(&mut self, now: Time, request: Fingerprint) -> Option<QuarantineChange> {
+        self.remember_answer(now, request, now);
+        self.clear(now, request)
+    }
+
+    /// Records that a target answered the request at an earlier time, which clears it unless a target
+    /// ended under it more than [`ANSWER_MEMORY_TIME`] later.
+    pub fn record_earlier_answer(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        at: Time,
+    ) -> Option<QuarantineChange> {
+        self.remember_answer(now, request, at);
+        let before = self.entries.get(&request)?.level();
+        let after = self.clear_if_answered(now, request);
+        change(before, after)
+    }
+
+    fn remember_answer(&mut self, now: Time, request: Fingerprint, at: Time) {
+        if now.since(at) > ANSWER_MEMORY_TIME {
+            return;
+        }
+        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains_key(&request) {
+            self.answers
+                .retain(|_, at| now.since(*at) <= ANSWER_MEMORY_TIME);
+            let oldest = self.answers.iter().min_by_key(|(r, at)| (**at, **r));
+            if self.answers.len() >= MAX_ANSWERS
+                && let Some(oldest) = oldest.map(|(r, _)| *r)
+            {
+                self.answers.remove(&oldest);
+            }
+        }
+        let last = self.answers.entry(request).or_insert(at);
+        *last = at.max(*last);
+    }
+
+    /// Clears the request if it was answered shortly before the last target ended under it. Returns its
+    /// level.
+    fn clear_if_answered(&mut self, now: Time, request: Fingerprint) -> u8 {
+        let Some(entry) = self.entries.get(&request) else {
+            return 0;
+        };
+        let answered = self.answers.get(&request);
+        if answered.is_some_and(|at| entry.changed_at <= *at + ANSWER_MEMORY_TIME) {
+            self.clear(now, request);
+        }
+        self.entries.get(&request).map_or(0, Entry::level)
+    }
+
+    /// Starts the next round of a request, without evidence.
+    fn clear(&mut self, now: Time, request: Fingerprint) -> Option<QuarantineChange> {
         let entry = self.entries.get_mut(&request)?;
         if entry.ended.is_empty() {
             return None;
@@ -284,7 +343,8 @@
         }
         entry.shared = true;
         let new = !known || old != (entry.round, entry.ended.clone(), entry.trials);
-        (new, change(before, entry.level()))
+        let after = self.clear_if_answered(now, report.request);
+        (new, change(before, after))
     }
 
     /// Makes the evidence against a request news, to be told to other daemons as well.
@@ -333,6 +393,8 @@
     /// Drops evidence that is too old.
     pub fn expire(&mut self, now: Time) {
         self.entries.retain(|_, e| !e.is_expired(now));
+        self.answers
+            .retain(|_, at| now.since(*at) <= ANSWER_MEMORY_TIME);
     }
 
     /// Whether there is any evidence.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -98,6 +98,45 @@
     assert_eq!(there[0].verdict(now, popular), Verdict::Clear);
 }
 
+/// Guards against copies of a popular request that are held back because a crashing one ended their
+/// targets.
+#[test]
+fn targets_that_end_shortly_after_an_answer_do_not_speak_against_a_request() {
+    let (popular, start) = (request("/popular"), Time::from_millis(1_000));
+    let (mut here, mut there) = (Quarantine::default(), [Quarantine::default()]);
+    here.record_earlier_answer(start, popular, start);
+    for target in ["i-1", "i-2"] {
+        there[0].record_end(start + Duration::from_millis(4), popular, target, false);
+    }
+    assert_eq!(there[0].verdict(start, popular), Verdict::Trial);
+    let now = start + Duration::from_millis(5);
+    tell(&mut there[0], std::slice::from_mut(&mut here), now);
+    assert_eq!(here.verdict(now, popular), Verdict::Clear);
+    tell(&mut here, &mut there, now);
+    assert_eq!(there[0].verdict(now, popular), Verdict::Clear);
+    let later = start + Duration::from_millis(1_001);
+    for target in ["i-3", "i-4"] {
+        here.record_end(later, popular, target, false);
+    }
+    assert_eq!(here.verdict(later, popular), Verdict::Trial);
+}
+
+/// An answer that is reported only after the ends that followed it counts as well, and one that is too
+/// old does not.
+#[test]
+fn an_answer_that_is_reported_late_clears_a_request_if_it_was_recent() {
+    let (popular, start) = (request("/popular"), Time::from_millis(5_000));
+    for (age, verdict) in [(900, Verdict::Clear), (1_100, Verdict::Trial)] {
+        let mut quarantine = Quarantine::default();
+        for target in ["i-1", "i-2"] {
+            quarantine.record_end(start, popular, target, false);
+        }
+        let at = start - Duration::from_millis(age);
+        quarantine.record_earlier_answer(start, popular, at);
+        assert_eq!(quarantine.verdict(start, popular), verdict, "{age} ms");
+    }
+}
+
 /// Plays a request that ends every target, at 302 daemons that get a copy each in turn every 20 ms
 /// and tell each other within 100 ms, for an hour.
 #[test]
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -402,6 +402,8 @@
 fn record_survivor(traffic: &Traffic, call: &Call) {
     if traffic.quarantine.is_active() {
         traffic.quarantine.record_answer(call.fingerprint());
+    } else {
+        traffic.answers.record(clock::now(), call);
     }
 }
 
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -5,14 +5,18 @@
 //! no lock.
 
 use {
-    crate::{clock, tier::meters},
+    crate::{
+        clock,
+        tier::{meters, upstream::Call},
+    },
     rattanturn_core::{
+        Time,
         fingerprint::Fingerprint,
-        quarantine::{Evidence, Quarantine, QuarantineChange, Verdict},
+        quarantine::{ANSWER_MEMORY_TIME, Evidence, Quarantine, QuarantineChange, Verdict},
     },
     std::{
         cell::RefCell,
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         rc::Rc,
         sync::{
             Mutex, PoisonError,
@@ -30,6 +34,8 @@
     active: AtomicBool,
     /// Wakes control when there is news for other daemons.
     news: Notify,
+    /// Wakes traffic when there is new evidence.
+    evidence: Notify,
 }
 
 impl SharedQuarantine {
@@ -49,6 +55,14 @@
         let change = self.with(|q| q.record_end(clock::now(), request, run, trial));
         log_change(request, change, "own");
         self.news.notify_one();
+        self.evidence.notify_one();
+    }
+
+    /// Records that a target answered a request at a time before there was evidence.
+    pub(crate) fn record_earlier_answer(&self, request: Fingerprint, at: Time) {
+        let change = self.with(|q| q.record_earlier_answer(clock::now(), request, at));
+        log_change(request, change, "own");
+        self.news.notify_one();
     }
 
     /// Records that a target answered a request.
@@ -66,6 +80,11 @@
             log_change(report.request, change, "peer");
             any_new |= new;
         }
+        if any_new {
+            self.evidence.notify_one();
+            // The reports may have met an answer that outdates them.
+            self.news.notify_one();
+        }
         any_new
     }
 
@@ -77,6 +96,11 @@
         }
     }
 
+    /// Waits until there is new evidence.
+    pub(crate) async fn wait_evidence(&self) {
+        self.evidence.notified().await;
+    }
+
     /// Waits until there is news for other daemons.
     pub(crate) async fn wait_news(&self) {
         self.news.notified().await;
@@ -129,6 +153,44 @@
     }
 }
 
+/// Most answered requests that a traffic thread remembers.
+const MAX_ANSWERED: usize = 256;
+/// Longest body of a request that is remembered, so that they take no more than 1 MiB together.
+const MAX_ANSWERED_BODY: usize = 4 << 10;
+
+/// Requests that targets have answered within [`ANSWER_MEMORY_TIME`], while there was no evidence
+/// against any request. Their fingerprints are computed only once there is.
+#[derive(Default)]
+pub(crate) struct RecentAnswers(RefCell<VecDeque<(Time, Call)>>);
+
+impl RecentAnswers {
+    /// Remembers a request that was just answered. Several answers to a fan-out count as one.
+    pub(crate) fn record(&self, now: Time, call: &Call) {
+        let mut answered = self.0.borrow_mut();
+        let repeated = answered
+            .back()
+            .is_some_and(|(_, last)| Rc::ptr_eq(&last.identity, &call.identity));
+        if repeated || call.body.len() > MAX_ANSWERED_BODY {
+            return;
+        }
+        while answered.len() >= MAX_ANSWERED
+            || answered
+                .front()
+                .is_some_and(|(at, _)| now.since(*at) > ANSWER_MEMORY_TIME)
+        {
+            answered.pop_front();
+        }
+        answered.push_back((now, call.clone()));
+    }
+
+    /// Moves what is remembered to the quarantine.
+    pub(crate) fn tell(&self, quarantine: &SharedQuarantine) {
+        for (at, call) in self.0.take() {
+            quarantine.record_earlier_answer(call.fingerprint(), at);
+        }
+    }
+}
+
 /// Trials that run on one traffic thread. Other copies of the request wait for the outcome.
 #[derive(Debug, Default)]
 pub(crate) struct Trials(RefCell<HashMap<Fingerprint, Rc<Notify>>>);
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -12,7 +12,7 @@
             accounts::KeyChecks,
             connection::Answer,
             meters::{self, Meters},
-            quarantine::{SharedQuarantine, Trials},
+            quarantine::{RecentAnswers, SharedQuarantine, Trials},
             quota::SharedQuotas,
             relay::RelayClient,
             rollouts::{SharedRollouts, TrafficRollouts},
@@ -110,6 +110,7 @@
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) trials: Trials,
+    pub(crate) answers: RecentAnswers,
     pub(crate) key_checks: KeyChecks,
     pub(crate) rollouts: TrafficRollouts,
     gauges: Arc<Gauges>,
@@ -158,6 +159,7 @@
             quarantine: states.quarantine,
             quotas: states.quotas,
             trials: Trials::default(),
+            answers: RecentAnswers::default(),
             key_checks,
             rollouts: TrafficRollouts::new(states.rollouts),
             gauges,
@@ -166,6 +168,7 @@
         });
         actix_rt::spawn(close_idle_connections(traffic.clone()));
         actix_rt::spawn(probe_down_targets(traffic.clone()));
+        actix_rt::spawn(watch_evidence(traffic.clone()));
         traffic
     }
 
@@ -439,6 +442,14 @@
     }
 }
 
+/// Tells the quarantine of recent answers when there is new evidence, without end.
+async fn watch_evidence(traffic: Rc<Traffic>) {
+    loop {
+        traffic.quarantine.wait_evidence().await;
+        traffic.answers.tell(&traffic.quarantine);
+    }
+}
+
 /// Closes idle connections that cannot be reused, without end.
 async fn close_idle_connections(traffic: Rc<Traffic>) {
     loop {
