Send a trial to one target for all daemons, never to the last of a service

Trials at several daemons at once ended one target each, and could end the last usable target of a service. Daemons now choose the target by rendezvous hashing, out of services with a second usable target that accepts a connection. A request waits until there is one, at most until its deadline. After 30 s a trial may go to the only target of a service, so that services with a single one are not left out.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -43,6 +43,9 @@
 /// Time for which one daemon may make a trial that is due; then it is the turn of the next one, which
 /// may be the one that callers send the request to.
 const TRIAL_TURN: Duration = Duration::from_secs(5);
+/// Time after the last end from which on a trial may go to the only usable target of a service, if no
+/// service has another one. Targets that start again are back by then.
+const LONE_TARGET_PAUSE: Duration = Duration::from_secs(30);
 /// A first target that ended under a request is told to others after this time, unless a target has
 /// answered the request meanwhile. When a data centre dies, most of its open requests succeed elsewhere
 /// so soon.
@@ -223,6 +226,13 @@
         }
     }
 
+    /// Whether a trial may go to the only usable target of a service, see [`trial_target`].
+    #[must_use]
+    pub fn may_try_lone_target(&self, now: Time, request: Fingerprint) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_none_or(|e| now.since(e.changed_at) >= LONE_TARGET_PAUSE)
+    }
+
     /// Records that a target ended while it had a call for the request. `target` identifies the run of
     /// its process, and `trial` tells whether the call was a trial.
     pub fn record_end(
@@ -470,3 +480,40 @@
     let at = (turn % count) as usize;
     ranked.get(at) == Some(&me)
 }
+
+/// Chooses the target of a trial by the ids of the usable targets of each service that the request may
+/// use.
+///
+/// The last usable target of a service is left to other requests, so there may be none, unless
+/// `lone_allowed`. Daemons that know the same targets choose the same one, so that trials at several
+/// daemons at once end a single target.
+///
+/// ```
+/// use rattanturn_core::{fingerprint::*, quarantine::trial_target};
+/// let parts = RequestParts { method: "GET", host: "a", path: "/b", caller: b"", body: b"" };
+/// let request = Fingerprint::of(&parts);
+/// assert_eq!(trial_target(request, &[vec!["i-1"], vec!["i-2"]], false), None);
+/// let chosen = trial_target(request, &[vec!["i-1"], vec!["i-2", "i-3"]], false);
+/// assert!(chosen == Some("i-2") || chosen == Some("i-3"));
+/// ```
+#[must_use]
+pub fn trial_target<'a>(
+    request: Fingerprint,
+    services: &[Vec<&'a str>],
+    lone_allowed: bool,
+) -> Option<&'a str> {
+    let best = |min: usize| {
+        let targets = services
+            .iter()
+            .filter(|s| s.len() >= min)
+            .flatten()
+            .copied();
+        targets.max_by_key(|id| {
+            (
+                rendezvous::score(NodeId(rendezvous::key(id)), request.key()),
+                *id,
+            )
+        })
+    };
+    best(2).or_else(|| best(1).filter(|_| lone_allowed))
+}
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -5,7 +5,7 @@
     rattanturn_core::{
         NodeId, Time,
         fingerprint::{Fingerprint, RequestParts},
-        quarantine::{Evidence, MAX_REQUESTS, Quarantine, Verdict, is_turn_of},
+        quarantine::{Evidence, MAX_REQUESTS, Quarantine, Verdict, is_turn_of, trial_target},
     },
     std::{
         collections::BTreeSet,
@@ -137,6 +137,53 @@
     }
 }
 
+/// Guards against trials that end the last usable target of a service, or a target of their own at each
+/// daemon.
+#[test]
+fn a_trial_goes_to_one_target_for_all_daemons_and_spares_the_last_of_a_service() {
+    let services = [vec!["i-1"], vec!["i-2", "i-3"], vec!["i-4", "i-5", "i-6"]];
+    let mut chosen = BTreeSet::new();
+    for n in 0..100 {
+        let request = request(&format!("/poison/{n}"));
+        let target = trial_target(request, &services, false).unwrap();
+        assert_ne!(target, "i-1");
+        // Daemons may know the targets in another order.
+        let mut other: Vec<Vec<&str>> = services.to_vec();
+        other.reverse();
+        for targets in &mut other {
+            targets.reverse();
+        }
+        assert_eq!(trial_target(request, &other, true), Some(target));
+        chosen.insert(target);
+    }
+    assert_eq!(
+        chosen.len(),
+        5,
+        "trials of many requests meet at few targets"
+    );
+    assert_eq!(
+        trial_target(request("/p"), &[vec!["i-1"], vec![]], false),
+        None
+    );
+    assert_eq!(
+        trial_target(request("/p"), &[vec!["i-1"], vec![]], true),
+        Some("i-1")
+    );
+}
+
+/// Guards against a request that is refused for an hour because its service has a single target.
+#[test]
+fn the_only_target_of_a_service_is_tried_once_no_other_one_came_back() {
+    let (suspect, start) = (request("/suspect"), Time::from_millis(1_000));
+    let mut quarantine = Quarantine::default();
+    for target in ["i-1", "i-2"] {
+        quarantine.record_end(start, suspect, target, false);
+    }
+    let soon = start + Duration::from_secs(29);
+    assert!(!quarantine.may_try_lone_target(soon, suspect));
+    assert!(quarantine.may_try_lone_target(soon + Duration::from_secs(1), suspect));
+}
+
 /// Plays a request that ends every target, at 302 daemons that get a copy each in turn every 20 ms
 /// and tell each other within 100 ms, for an hour.
 #[test]
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -136,15 +136,18 @@
         services: request
             .services
             .iter()
-            .map(|s| traffic.order_targets(now, s, request.max_attempts))
+            .map(|s| match request.trial {
+                Some(target) => vec![target],
+                None => traffic.order_targets(now, s, request.max_attempts),
+            })
             .collect(),
         hedge_delays: vec![delay; request.services.len()],
         deadline: request.call.deadline,
         snapshot: ONE_SNAPSHOT,
-        hedging: route.idempotent && request.max_attempts > 1 && !request.trial,
+        hedging: route.idempotent && request.max_attempts > 1 && request.trial.is_none(),
         idempotent: route.idempotent,
         max_attempts: request.max_attempts as usize,
-        max_ended: if request.trial {
+        max_ended: if request.trial.is_some() {
             1
         } else {
             max_ended(request.services.len())
@@ -307,7 +310,7 @@
                     upstream,
                     call,
                     ended.cause,
-                    self.request.trial,
+                    self.request.trial.is_some(),
                 );
                 Reply::Ended
             }
@@ -344,7 +347,7 @@
         if open {
             let mut calls = self.calls;
             let (traffic, call) = (self.traffic.clone(), self.request.call.clone());
-            let trial = self.request.trial;
+            let trial = self.request.trial.is_some();
             let route = self.request.route.name.clone();
             actix_rt::spawn(async move {
                 while let Some(ended) = calls.next().await {
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -49,6 +49,11 @@
         self.with(|q| q.verdict(clock::now(), request))
     }
 
+    /// Whether a trial may go to the only usable target of a service.
+    pub(crate) fn may_try_lone_target(&self, request: Fingerprint) -> bool {
+        self.with(|q| q.may_try_lone_target(clock::now(), request))
+    }
+
     /// Records that a target ended while it had a call for a request; `run` identifies the run of its
     /// process.
     pub(crate) fn record_end(&self, request: Fingerprint, run: &str, trial: bool) {
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -3,10 +3,14 @@
 //! A request of a gather route is answered with the merged records of all shards, or, from the
 //! cutoff on, of as many as the route's minimum coverage needs.
 
+mod admission;
 mod log;
 
 use {
-    self::log::{CallerLeftLog, RequestSummary, log_refused},
+    self::{
+        admission::{Admission, Mode},
+        log::{CallerLeftLog, RequestSummary, log_refused},
+    },
     crate::{
         clock,
         tier::{
@@ -14,7 +18,6 @@
             connection::Answer,
             fan_out::{self, FanOutResult},
             meters::{self, RequestOutcome},
-            quarantine::TrialPermit,
             quota::QuotaPermit,
             relay::{RELAYED, Relayed, relayed_attempts},
             request::{FanOut, Incoming, RETRY_AFTER, Reply},
@@ -28,12 +31,10 @@
     rattanturn_core::{
         Time,
         accounts::Account,
-        addresses,
         catalog::{Destination, Gather, Route},
         fingerprint::Fingerprint,
         gather::{Cutoff, MissingReason},
         merge::top_records,
-        quarantine::{Verdict, is_turn_of},
     },
     rattanturn_platform::http::{
         RECORD_BYTES, deadline, forward_headers, merged_headers, remove_caller, request_id,
@@ -46,7 +47,6 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::timeout,
 };
 
 /// Fraction of a route's latency goal after which a merged answer with enough parts is sent. The
@@ -163,15 +163,6 @@
     }
 }
 
-/// Whether a request may run.
-enum Admission<'a> {
-    Run,
-    /// With a single call, while no other copy is on trial.
-    Trial(TrialPermit<'a>),
-    /// Not before this time has passed.
-    Refuse(Duration),
-}
-
 impl Query<'_> {
     /// Runs the request. If its key is revoked while it waits, so that no target ran it, the answer
     /// says so.
@@ -192,10 +183,10 @@
     /// Runs the request unless it is quarantined.
     async fn run_admitted(&self) -> (Reply, RequestSummary) {
         match self.admit().await {
-            Admission::Run => self.run_anywhere(false).await,
-            Admission::Trial(_permit) => {
+            Admission::Run => self.run_anywhere(&Mode::All).await,
+            Admission::Trial(_permit, place) => {
                 meters::count_trial();
-                let (answer, mut summary) = self.run_anywhere(true).await;
+                let (answer, mut summary) = self.run_anywhere(&Mode::Trial(place)).await;
                 summary.suspected = true;
                 (answer, summary)
             }
@@ -227,45 +218,14 @@
         Reply::text(429, "the account is over its limit\n").with_retry_after(after)
     }
 
-    /// Decides whether the request may run. Waits while another copy of it is on trial.
-    async fn admit(&self) -> Admission<'_> {
-        let quarantine = &self.traffic.quarantine;
-        if !quarantine.is_active() {
-            return Admission::Run;
-        }
-        let request = self.call().fingerprint();
-        loop {
-            match quarantine.verdict(request) {
-                Verdict::Clear => return Admission::Run,
-                Verdict::Refuse { wait } => return Admission::Refuse(wait),
-                Verdict::TrialDue { turn, wait } if !self.has_turn(request, turn) => {
-                    return Admission::Refuse(wait);
-                }
-                Verdict::Trial | Verdict::TrialDue { .. } => {}
-            }
-            let left = self.deadline.since(clock::now());
-            match timeout(left, self.traffic.trials.start_or_wait(request)).await {
-                Ok(Some(permit)) => return Admission::Trial(permit),
-                Ok(None) => {}
-                Err(_) => return Admission::Refuse(RETRY_AFTER),
-            }
-        }
-    }
-
-    /// Whether it is this daemon's turn to try a quarantined request.
-    fn has_turn(&self, request: Fingerprint, turn: u64) -> bool {
-        let daemons = addresses::advertised(&self.view.frontends);
-        is_turn_of(self.view.me, daemons.iter().map(|f| f.id), request, turn)
-    }
-
     /// Runs the request, at a peer if this daemon has lost the targets.
-    async fn run_anywhere(&self, trial: bool) -> (Reply, RequestSummary) {
+    async fn run_anywhere(&self, mode: &Mode) -> (Reply, RequestSummary) {
         if relayed_attempts(self.incoming.head()).is_some() {
-            return self.run_here(trial).await;
+            return self.run_here(mode).await;
         }
         let (answer, mut summary) = tokio::select! {
             biased;
-            done = self.run_here(trial) => done,
+            done = self.run_here(mode) => done,
             // A call that must not run twice may have reached its target.
             () = self.traffic.targets_lost(), if self.route.idempotent => Self::targets_lost(),
         };
@@ -296,22 +256,24 @@
         self.route.max_attempts.saturating_sub(used)
     }
 
-    async fn run_here(&self, trial: bool) -> (Reply, RequestSummary) {
+    async fn run_here(&self, mode: &Mode) -> (Reply, RequestSummary) {
+        if let Mode::Trial(place) = mode {
+            return self.run_trial(place.as_ref()).await;
+        }
         match &self.route.destination {
-            Destination::Single(service) => self.single(service, trial).await,
+            Destination::Single(service) => self.single(service, None).await,
             Destination::Split(shares) => {
                 match self.traffic.next_service(&self.route.name, shares) {
-                    Some(service) => self.single(&service, trial).await,
+                    Some(service) => self.single(&service, None).await,
                     None => Self::unreachable(),
                 }
             }
-            Destination::Gather(gather) if trial => self.gather_after_trial(gather).await,
             Destination::Gather(gather) => self.gather(gather).await,
         }
     }
 
-    /// Runs the request at one service.
-    async fn single(&self, service: &str, trial: bool) -> (Reply, RequestSummary) {
+    /// Runs the request at one service, or at the target of a trial there.
+    async fn single(&self, service: &str, trial: Option<usize>) -> (Reply, RequestSummary) {
         let services = [service.to_owned()];
         if let Some(refusal) = self.refusal(&services, 1) {
             return refusal;
@@ -332,35 +294,6 @@
         (out, summary)
     }
 
-    /// Runs the request at one shard, and at all of them if that succeeds.
-    async fn gather_after_trial(&self, gather: &Gather) -> (Reply, RequestSummary) {
-        if let Some(refusal) = self.refusal(&gather.services, gather.min_shards()) {
-            return refusal;
-        }
-        let now = clock::now();
-        let callable = |s: &&String| self.traffic.callable_at(now, s) == Some(now);
-        let Some(service) = gather.services.iter().find(callable) else {
-            return Self::unreachable();
-        };
-        let (answer, summary) = self.single(service, true).await;
-        if (200..300).contains(&answer.status) {
-            let (answer, summary) = self.gather(gather).await;
-            // The trial ran, so the answer must not say otherwise.
-            let out = match answer.status {
-                503 => Reply::text(502, "only one shard could take the request\n"),
-                _ => answer,
-            };
-            return (out, summary);
-        }
-        // What the shard answered is not an answer to the whole request.
-        let out = match answer.status {
-            503 => answer,
-            504 => Reply::text(504, "too few shards answered in time\n"),
-            _ => Reply::text(502, "a shard's answer was lost\n"),
-        };
-        (out, summary)
-    }
-
     /// Runs the request at all shards and merges their records.
     async fn gather(&self, gather: &Gather) -> (Reply, RequestSummary) {
         let min_shards = gather.min_shards();
@@ -371,7 +304,7 @@
             at: self.incoming.arrived + goal.mul_f64(CUTOFF_FRACTION).saturating_sub(CUTOFF_MARGIN),
             min_parts: min_shards,
         });
-        let call = self.fan_out(&gather.services, cutoff, false);
+        let call = self.fan_out(&gather.services, cutoff, None);
         let done = fan_out::run(self.traffic, call).await;
         let mut summary = RequestSummary::new(&done);
         let parts: Vec<&Answer> = done.answers.iter().flatten().collect();
@@ -413,7 +346,7 @@
         &'b self,
         services: &'b [String],
         cutoff: Option<Cutoff>,
-        trial: bool,
+        trial: Option<usize>,
     ) -> FanOut<'b> {
         FanOut {
             route: self.route,
--- a/crates/daemon/src/tier/request.rs
+++ b/crates/daemon/src/tier/request.rs
@@ -86,8 +86,9 @@
     pub(crate) cutoff: Option<Cutoff>,
     /// How many targets of each service may be called.
     pub(crate) max_attempts: u32,
-    /// A single call decides about the request, see [`rattanturn_core::quarantine`].
-    pub(crate) trial: bool,
+    /// The only target that may be called, if a single call decides about the request, see
+    /// [`rattanturn_core::quarantine`].
+    pub(crate) trial: Option<usize>,
     /// Gets the service and the time of each call that is sent.
     pub(crate) sent: &'a RefCell<Vec<(usize, Time)>>,
 }
