Stop the open calls of a request that becomes suspected

Copies that were open elsewhere when the first one ended its targets went on to end the other targets of each shard. Their calls are now stopped 15 ms after the request became suspected, unless it is cleared meanwhile. A stopped request waits for a trial like any other copy and then runs again, once, if the retry budgets of its services allow it. It is never said to have not run. Non-idempotent requests are not stopped.

--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -173,7 +173,7 @@
 impl BudgetPair {
     /// Withdraws one retry, from the hedge budget if the retry budget is empty: a hedge may turn
     /// out to be unnecessary, but without the retry the service is missing from the answer.
-    pub(super) fn try_withdraw_retry(&mut self) -> bool {
+    pub fn try_withdraw_retry(&mut self) -> bool {
         self.retry.try_withdraw() || self.hedge.try_withdraw()
     }
 }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -55,6 +55,10 @@
 pub const ANSWER_MEMORY_TIME: Duration = Duration::from_secs(1);
 /// Most requests whose last answer is remembered.
 const MAX_ANSWERS: usize = 256;
+/// Open calls of a request are stopped this long after it became suspected. An innocent one is often
+/// cleared meanwhile by an answer of another service or by a daemon that had one, which takes some
+/// milliseconds. A crashing one goes on to end targets that its other copies have called.
+const RECALL_DELAY: Duration = Duration::from_millis(15);
 /// Evidence against a suspected request is dropped if no target ended under it for this time, which
 /// is longer than any pause.
 const MEMORY_TIME: Duration = Duration::from_hours(1);
@@ -84,6 +88,17 @@
     },
 }
 
+/// What to do with the open calls of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recall {
+    /// They go on.
+    Continue,
+    /// They go on for this time; then the question is to be asked again.
+    Wait(Duration),
+    /// They are stopped.
+    Stop,
+}
+
 /// Evidence against one request, as daemons tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -116,6 +131,8 @@
     ended: BTreeSet<u32>,
     trials: u32,
     changed_at: Time,
+    /// When the request became suspected here in this round.
+    suspected_at: Option<Time>,
     /// Whether another daemon may know of it.
     shared: bool,
 }
@@ -127,6 +144,7 @@
             ended: BTreeSet::new(),
             trials: 0,
             changed_at: now,
+            suspected_at: None,
             shared: false,
         }
     }
@@ -146,8 +164,11 @@
         u8::from(self.is_suspected()) + u8::from(self.is_quarantined())
     }
 
-    fn add_ended(&mut self, targets: impl IntoIterator<Item = u32>) {
+    fn add_ended(&mut self, now: Time, targets: impl IntoIterator<Item = u32>) {
         self.ended.extend(targets);
+        if self.is_suspected() {
+            self.suspected_at.get_or_insert(now);
+        }
         while self.ended.len() > MAX_ENDED {
             self.ended.pop_last();
         }
@@ -226,6 +247,20 @@
         }
     }
 
+    /// What to do with the calls of a request that were made while nothing spoke against it.
+    #[must_use]
+    pub fn recall(&self, now: Time, request: Fingerprint) -> Recall {
+        let entry = self.entries.get(&request).filter(|e| !e.is_expired(now));
+        let Some(since) = entry.and_then(|e| e.suspected_at) else {
+            return Recall::Continue;
+        };
+        let due = since + RECALL_DELAY;
+        if now < due {
+            return Recall::Wait(due.since(now));
+        }
+        Recall::Stop
+    }
+
     /// Whether a trial may go to the only usable target of a service, see [`trial_target`].
     #[must_use]
     pub fn may_try_lone_target(&self, now: Time, request: Fingerprint) -> bool {
@@ -247,7 +282,7 @@
         let before = entry.level();
         // The lower half is as good a digest as the whole.
         #[allow(clippy::cast_possible_truncation)]
-        entry.add_ended([rendezvous::key(target) as u32]);
+        entry.add_ended(now, [rendezvous::key(target) as u32]);
         entry.trials = entry.trials.saturating_add(u32::from(trial));
         entry.changed_at = now;
         self.news.insert(request);
@@ -320,6 +355,7 @@
         }
         entry.round = entry.round.saturating_add(1);
         entry.ended.clear();
+        entry.suspected_at = None;
         entry.trials = 0;
         entry.changed_at = now;
         self.news.insert(request);
@@ -347,7 +383,7 @@
             };
         }
         if report.round == entry.round {
-            entry.add_ended(report.ended.iter().copied());
+            entry.add_ended(now, report.ended.iter().copied());
             entry.trials = entry.trials.max(report.trials);
             entry.changed_at = entry.changed_at.max(at);
         }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -5,7 +5,9 @@
     rattanturn_core::{
         NodeId, Time,
         fingerprint::{Fingerprint, RequestParts},
-        quarantine::{Evidence, MAX_REQUESTS, Quarantine, Verdict, is_turn_of, trial_target},
+        quarantine::{
+            Evidence, MAX_REQUESTS, Quarantine, Recall, Verdict, is_turn_of, trial_target,
+        },
     },
     std::{
         collections::BTreeSet,
@@ -171,6 +173,33 @@
     );
 }
 
+/// Guards against copies that go on to end targets once it is known that their request does, and against
+/// the stop of an innocent request that is cleared soon.
+#[test]
+fn open_calls_are_stopped_unless_the_request_is_cleared_soon() {
+    let (suspect, start) = (request("/suspect"), Time::from_millis(1_000));
+    let mut here = Quarantine::default();
+    here.record_end(start, suspect, "i-1", false);
+    let later = start + Duration::from_secs(1);
+    assert_eq!(here.recall(later, suspect), Recall::Continue);
+    let mut there = [Quarantine::default()];
+    here.record_end(later, suspect, "i-2", false);
+    tell(&mut here, &mut there, later + Duration::from_millis(4));
+    let after = |ms| later + Duration::from_millis(ms);
+    for (quarantine, stop_at) in [(&here, 15), (&there[0], 19)] {
+        let Recall::Wait(wait) = quarantine.recall(after(5), suspect) else {
+            panic!("not waiting");
+        };
+        assert_eq!(after(5) + wait, after(stop_at));
+        assert_eq!(quarantine.recall(after(stop_at), suspect), Recall::Stop);
+    }
+    here.record_answer(after(10), suspect);
+    tell(&mut here, &mut there, after(12));
+    for quarantine in [&here, &there[0]] {
+        assert_eq!(quarantine.recall(after(30), suspect), Recall::Continue);
+    }
+}
+
 /// Guards against a request that is refused for an hour because its service has a single target.
 #[test]
 fn the_only_target_of_a_service_is_tried_once_no_other_one_came_back() {
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -177,6 +177,11 @@
     counter!("rattanturn_quarantine_refusals_total").increment(1);
 }
 
+/// Counts a request whose open calls were stopped because it became suspected.
+pub(crate) fn count_recall() {
+    counter!("rattanturn_quarantine_recalls_total").increment(1);
+}
+
 /// Counts a trial of a suspected or quarantined request.
 pub(crate) fn count_trial() {
     counter!("rattanturn_quarantine_trials_total").increment(1);
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -12,7 +12,7 @@
     rattanturn_core::{
         Time,
         fingerprint::Fingerprint,
-        quarantine::{ANSWER_MEMORY_TIME, Evidence, Quarantine, QuarantineChange, Verdict},
+        quarantine::{ANSWER_MEMORY_TIME, Evidence, Quarantine, QuarantineChange, Recall, Verdict},
     },
     std::{
         cell::RefCell,
@@ -49,6 +49,11 @@
         self.with(|q| q.verdict(clock::now(), request))
     }
 
+    /// What to do with the open calls of a request.
+    pub(crate) fn recall(&self, request: Fingerprint) -> Recall {
+        self.with(|q| q.recall(clock::now(), request))
+    }
+
     /// Whether a trial may go to the only usable target of a service.
     pub(crate) fn may_try_lone_target(&self, request: Fingerprint) -> bool {
         self.with(|q| q.may_try_lone_target(clock::now(), request))
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -41,7 +41,7 @@
         return_headers,
     },
     std::{
-        cell::{OnceCell, RefCell},
+        cell::{Cell, OnceCell, RefCell},
         collections::BTreeMap,
         rc::Rc,
         sync::Arc,
@@ -73,6 +73,8 @@
     account: Option<Arc<Account>>,
     /// Fingerprint of the request, once a call has asked for it.
     identity: Rc<OnceCell<Fingerprint>>,
+    /// Whether its calls were stopped, see [`Query::recalled`].
+    recalled: Cell<bool>,
 }
 
 /// Serves one request. Dropping the future cancels all calls made for it.
@@ -112,6 +114,7 @@
         account: access.account().cloned(),
         access,
         identity: Rc::default(),
+        recalled: Cell::new(false),
     };
     let mut guard = CallerLeftLog {
         query: &query,
@@ -180,17 +183,30 @@
         }
     }
 
-    /// Runs the request unless it is quarantined.
+    /// Runs the request unless it is quarantined. If it becomes suspected meanwhile, its calls are
+    /// stopped once, and what is known by then decides again.
     async fn run_admitted(&self) -> (Reply, RequestSummary) {
-        match self.admit().await {
-            Admission::Run => self.run_anywhere(&Mode::All).await,
-            Admission::Trial(_permit, place) => {
-                meters::count_trial();
-                let (answer, mut summary) = self.run_anywhere(&Mode::Trial(place)).await;
-                summary.suspected = true;
-                (answer, summary)
+        loop {
+            let admission = self.admit().await;
+            if let Some(refusal) = self.refuse_rerun(&admission) {
+                return refusal;
             }
-            Admission::Refuse(wait) => Self::quarantined(wait),
+            return match admission {
+                Admission::Run => {
+                    tokio::select! {
+                        biased;
+                        done = self.run_anywhere(&Mode::All) => self.after_recall(done),
+                        () = self.recalled() => continue,
+                    }
+                }
+                Admission::Trial(_permit, place) => {
+                    meters::count_trial();
+                    let (answer, mut summary) = self.run_anywhere(&Mode::Trial(place)).await;
+                    summary.suspected = true;
+                    self.after_recall((answer, summary))
+                }
+                Admission::Refuse(wait) => self.after_recall(Self::quarantined(wait)),
+            };
         }
     }
 
@@ -355,7 +371,9 @@
             cutoff,
             max_attempts: relayed_attempts(self.incoming.head())
                 .unwrap_or(self.route.max_attempts)
-                .min(self.route.max_attempts),
+                .min(self.route.max_attempts)
+                .saturating_sub(u32::from(self.recalled.get()))
+                .max(1),
             trial,
             sent: &self.sent,
         }
--- a/crates/daemon/src/tier/query/admission.rs
+++ b/crates/daemon/src/tier/query/admission.rs
@@ -5,6 +5,7 @@
     crate::{
         clock,
         tier::{
+            meters,
             quarantine::TrialPermit,
             request::{RETRY_AFTER, Reply},
             upstream::Upstream,
@@ -14,9 +15,10 @@
         addresses,
         catalog::{Destination, Gather},
         fingerprint::Fingerprint,
-        quarantine::{Verdict, is_turn_of, trial_target},
+        quarantine::{Recall, Verdict, is_turn_of, trial_target},
     },
-    std::{rc::Rc, time::Duration},
+    rattanturn_platform::http::request_id,
+    std::{future, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -99,6 +101,57 @@
         }
     }
 
+    /// Completes when the open calls of the request are to be stopped, which is done by dropping them: it
+    /// has become suspected. Never completes for a request that must not run twice, and only once.
+    pub(super) async fn recalled(&self) {
+        if !self.route.idempotent || self.recalled.get() {
+            return future::pending().await;
+        }
+        loop {
+            self.traffic.evidence.notified().await;
+            let request = self.call().fingerprint();
+            while let Recall::Wait(time) = self.traffic.quarantine.recall(request) {
+                actix_rt::time::sleep(time).await;
+            }
+            if self.traffic.quarantine.recall(request) == Recall::Stop {
+                tracing::info!(
+                    request = request_id(self.incoming.head()).unwrap_or(""),
+                    fingerprint = %request,
+                    "stopped the open calls of a request that targets ended under"
+                );
+                meters::count_recall();
+                self.recalled.set(true);
+                return;
+            }
+        }
+    }
+
+    /// Refuses to run a stopped request again if the budgets of its services allow no further calls.
+    pub(super) fn refuse_rerun(&self, admission: &Admission) -> Option<(Reply, RequestSummary)> {
+        if !self.recalled.get() || matches!(admission, Admission::Refuse(_)) {
+            return None;
+        }
+        let mut budgets = self.traffic.budgets.borrow_mut();
+        let services = self.services().into_iter();
+        let refused = services
+            .filter(|s| {
+                let pair = budgets.pair(self.traffic.budget_index(s));
+                !pair.try_withdraw_retry()
+            })
+            .count();
+        (refused > 0).then(|| self.after_recall(Self::quarantined(RETRY_AFTER)))
+    }
+
+    /// The answer to a request whose calls may have been stopped: these may have run.
+    pub(super) fn after_recall(&self, done: (Reply, RequestSummary)) -> (Reply, RequestSummary) {
+        let (answer, summary) = done;
+        if answer.status == 503 && self.recalled.get() {
+            let text = "targets crashed while they ran this request\n";
+            return (Reply::text(502, text), summary);
+        }
+        (answer, summary)
+    }
+
     /// Whether it is this daemon's turn to try a quarantined request.
     fn has_turn(&self, request: Fingerprint, turn: u64) -> bool {
         let daemons = addresses::advertised(&self.view.frontends);
@@ -107,11 +160,6 @@
 
     /// The usable targets of each service that the request may be sent to.
     fn candidates(&self) -> Vec<Vec<Candidate>> {
-        let services: Vec<&String> = match &self.route.destination {
-            Destination::Single(service) => vec![service],
-            Destination::Split(shares) => shares.iter().map(|s| &s.service).collect(),
-            Destination::Gather(gather) => gather.services.iter().collect(),
-        };
         let now = clock::now();
         let of_service = |service: &String| -> Vec<Candidate> {
             let targets = self.traffic.common_targets(now, service);
@@ -127,7 +175,16 @@
             });
             candidates.collect()
         };
-        services.into_iter().map(of_service).collect()
+        self.services().into_iter().map(of_service).collect()
+    }
+
+    /// All services that the request may be sent to.
+    fn services(&self) -> Vec<&String> {
+        match &self.route.destination {
+            Destination::Single(service) => vec![service],
+            Destination::Split(shares) => shares.iter().map(|s| &s.service).collect(),
+            Destination::Gather(gather) => gather.services.iter().collect(),
+        }
     }
 
     /// Chooses the target of a trial out of services whose targets all accept connections.
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -111,6 +111,8 @@
     pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) trials: Trials,
     pub(crate) answers: RecentAnswers,
+    /// Wakes the open requests when there is new evidence against any request.
+    pub(crate) evidence: Notify,
     pub(crate) key_checks: KeyChecks,
     pub(crate) rollouts: TrafficRollouts,
     gauges: Arc<Gauges>,
@@ -160,6 +162,7 @@
             quotas: states.quotas,
             trials: Trials::default(),
             answers: RecentAnswers::default(),
+            evidence: Notify::new(),
             key_checks,
             rollouts: TrafficRollouts::new(states.rollouts),
             gauges,
@@ -442,11 +445,13 @@
     }
 }
 
-/// Tells the quarantine of recent answers when there is new evidence, without end.
+/// Tells the quarantine of recent answers, and wakes the open requests, when there is new evidence,
+/// without end.
 async fn watch_evidence(traffic: Rc<Traffic>) {
     loop {
         traffic.quarantine.wait_evidence().await;
         traffic.answers.tell(&traffic.quarantine);
+        traffic.evidence.notify_waiters();
     }
 }
 
