--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -46,6 +46,9 @@
 /// Time after the last end from which on a trial may go to the only usable target of a service, if no
 /// service has another one. Targets that start again are back by then.
 const LONE_TARGET_PAUSE: Duration = Duration::from_secs(30);
+/// Number of the most suspected requests whose trials others keep away from. It bounds the cost of the
+/// choice, which is made repeatedly while a request waits.
+const MAX_AVOIDED_TRIALS: usize = 16;
 /// A first target that ended under a request is told to others after this time, unless a target has
 /// answered the request meanwhile. When a data centre dies, most of its open requests succeed elsewhere
 /// so soon.
@@ -261,6 +264,18 @@
         Recall::Stop
     }
 
+    /// The suspected requests that are on trial, or wait for it, at any daemon; the most suspected first.
+    #[must_use]
+    pub fn suspects(&self, now: Time) -> Vec<Fingerprint> {
+        let suspected = |e: &Entry| e.level() == 1 && !e.is_expired(now);
+        let suspects = self.entries.iter().filter(|(_, e)| suspected(e));
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects
+            .sort_by_key(|(request, e)| (std::cmp::Reverse((e.trials, e.ended.len())), **request));
+        suspects.truncate(MAX_AVOIDED_TRIALS);
+        suspects.into_iter().map(|(request, _)| *request).collect()
+    }
+
     /// Whether a trial may go to the only usable target of a service, see [`trial_target`].
     #[must_use]
     pub fn may_try_lone_target(&self, now: Time, request: Fingerprint) -> bool {
@@ -521,35 +536,45 @@
 /// use.
 ///
 /// The last usable target of a service is left to other requests, so there may be none, unless
-/// `lone_allowed`. Daemons that know the same targets choose the same one, so that trials at several
-/// daemons at once end a single target.
+/// `lone_allowed`. Daemons that know the same targets and suspects choose the same one, so that trials
+/// at several daemons at once end a single target. The targets that earlier ones of `suspects` choose are
+/// avoided: a trial that shares its target with a crashing request fails with it.
 ///
 /// ```
 /// use rattanturn_core::{fingerprint::*, quarantine::trial_target};
 /// let parts = RequestParts { method: "GET", host: "a", path: "/b", caller: b"", body: b"" };
 /// let request = Fingerprint::of(&parts);
-/// assert_eq!(trial_target(request, &[vec!["i-1"], vec!["i-2"]], false), None);
-/// let chosen = trial_target(request, &[vec!["i-1"], vec!["i-2", "i-3"]], false);
+/// assert_eq!(trial_target(request, &[], &[vec!["i-1"], vec!["i-2"]], false), None);
+/// let chosen = trial_target(request, &[], &[vec!["i-1"], vec!["i-2", "i-3"]], false);
 /// assert!(chosen == Some("i-2") || chosen == Some("i-3"));
 /// ```
 #[must_use]
 pub fn trial_target<'a>(
     request: Fingerprint,
+    suspects: &[Fingerprint],
     services: &[Vec<&'a str>],
     lone_allowed: bool,
 ) -> Option<&'a str> {
-    let best = |min: usize| {
-        let targets = services
-            .iter()
-            .filter(|s| s.len() >= min)
-            .flatten()
-            .copied();
-        targets.max_by_key(|id| {
-            (
-                rendezvous::score(NodeId(rendezvous::key(id)), request.key()),
-                *id,
-            )
-        })
+    let with = |min: usize| -> Vec<(NodeId, &'a str)> {
+        let targets = services.iter().filter(|s| s.len() >= min).flatten();
+        let keyed = targets.map(|id| (NodeId(rendezvous::key(id)), *id));
+        keyed.collect()
     };
-    best(2).or_else(|| best(1).filter(|_| lone_allowed))
+    let mut all = with(2);
+    if all.is_empty() && lone_allowed {
+        all = with(1);
+    }
+    let mut free = all.clone();
+    let mut choose = |request: Fingerprint| {
+        if free.is_empty() {
+            free.clone_from(&all);
+        }
+        let best = (0..free.len())
+            .max_by_key(|i| (rendezvous::score(free[*i].0, request.key()), free[*i].1))?;
+        Some(free.swap_remove(best).1)
+    };
+    for earlier in suspects.iter().take_while(|s| **s != request) {
+        choose(*earlier);
+    }
+    choose(request)
 }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -147,7 +147,7 @@
     let mut chosen = BTreeSet::new();
     for n in 0..100 {
         let request = request(&format!("/poison/{n}"));
-        let target = trial_target(request, &services, false).unwrap();
+        let target = trial_target(request, &[], &services, false).unwrap();
         assert_ne!(target, "i-1");
         // Daemons may know the targets in another order.
         let mut other: Vec<Vec<&str>> = services.to_vec();
@@ -155,7 +155,7 @@
         for targets in &mut other {
             targets.reverse();
         }
-        assert_eq!(trial_target(request, &other, true), Some(target));
+        assert_eq!(trial_target(request, &[], &other, true), Some(target));
         chosen.insert(target);
     }
     assert_eq!(
@@ -164,15 +164,40 @@
         "trials of many requests meet at few targets"
     );
     assert_eq!(
-        trial_target(request("/p"), &[vec!["i-1"], vec![]], false),
+        trial_target(request("/p"), &[], &[vec!["i-1"], vec![]], false),
         None
     );
     assert_eq!(
-        trial_target(request("/p"), &[vec!["i-1"], vec![]], true),
+        trial_target(request("/p"), &[], &[vec!["i-1"], vec![]], true),
         Some("i-1")
     );
 }
 
+/// Guards against an innocent request that is quarantined because its trial met that of a crashing one.
+#[test]
+fn trials_of_several_suspects_go_to_different_targets() {
+    let start = Time::from_millis(1_000);
+    let mut quarantine = Quarantine::default();
+    let requests: Vec<Fingerprint> = (0..5).map(|n| request(&format!("/{n}"))).collect();
+    for (n, suspect) in requests.iter().enumerate() {
+        let targets = if n == 3 { 4 } else { 2 };
+        for target in 0..targets {
+            quarantine.record_end(start, *suspect, &format!("i-{target}"), false);
+        }
+    }
+    let suspects = quarantine.suspects(start);
+    assert_eq!(
+        suspects[0], requests[3],
+        "the most suspected is not the first"
+    );
+    let services = [vec!["i-5"], vec!["i-6", "i-7"], vec!["i-8", "i-9"]];
+    let target = |r: &Fingerprint| trial_target(*r, &suspects, &services, false).unwrap();
+    let chosen: BTreeSet<&str> = suspects[..4].iter().map(target).collect();
+    assert_eq!(chosen.len(), 4);
+    // With more suspects than targets some share one.
+    assert!(chosen.contains(target(&suspects[4])));
+}
+
 /// Guards against copies that go on to end targets once it is known that their request does, and against
 /// the stop of an innocent request that is cleared soon.
 #[test]
--- a/crates/daemon/src/tier/quarantine.rs
+++ b/crates/daemon/src/tier/quarantine.rs
@@ -54,6 +54,11 @@
         self.with(|q| q.recall(clock::now(), request))
     }
 
+    /// The most suspected requests that are not quarantined.
+    pub(crate) fn suspects(&self) -> Vec<Fingerprint> {
+        self.with(|q| q.suspects(clock::now()))
+    }
+
     /// Whether a trial may go to the only usable target of a service.
     pub(crate) fn may_try_lone_target(&self, request: Fingerprint) -> bool {
         self.with(|q| q.may_try_lone_target(clock::now(), request))
--- a/crates/daemon/src/tier/query/admission.rs
+++ b/crates/daemon/src/tier/query/admission.rs
@@ -193,11 +193,12 @@
         request: Fingerprint,
         services: &mut [Vec<Candidate>],
     ) -> Option<TrialPlace> {
+        let suspects = self.traffic.quarantine.suspects();
         let lone_allowed = self.traffic.quarantine.may_try_lone_target(request);
         loop {
             let ids = services.iter().map(|s| s.iter().map(|c| &*c.id).collect());
             let ids: Vec<Vec<&str>> = ids.collect();
-            let chosen = trial_target(request, &ids, lone_allowed)?.to_owned();
+            let chosen = trial_target(request, &suspects, &ids, lone_allowed)?.to_owned();
             let service = services
                 .iter_mut()
                 .find(|s| s.iter().any(|c| c.id == chosen))?;
--- a/crates/demo/tests/tier/crashing_request.rs
+++ b/crates/demo/tests/tier/crashing_request.rs
@@ -50,13 +50,22 @@
 
 /// Sends copies of a request to all daemons in turn for some time; returns their answers.
 async fn send_copies(cluster: &TierCluster, path: &str, time: Duration) -> Vec<Option<Answer>> {
+    send_requests(cluster, |_| path.to_owned(), time).await
+}
+
+/// Like [`send_copies`], with a path for each number of a request.
+async fn send_requests(
+    cluster: &TierCluster,
+    path: impl Fn(usize) -> String,
+    time: Duration,
+) -> Vec<Option<Answer>> {
     let all: Vec<SocketAddr> = (0..cluster.daemons.len())
         .map(|daemon| front_addr(cluster, daemon))
         .collect();
     let start = Instant::now();
     let mut open = Vec::new();
     while start.elapsed() < time {
-        let (at, path) = (all[open.len() % all.len()], path.to_owned());
+        let (at, path) = (all[open.len() % all.len()], path(open.len()));
         let id = format!("{path}-{}-{}", open.len(), start.elapsed().as_micros());
         open.push(actix_rt::spawn(
             async move { request(at, &path, &id, "").await },
@@ -142,6 +151,42 @@
     });
 }
 
+/// Guards against innocent requests that are refused for long because their calls were open at servers
+/// that another request ended: no answer to any of them is known.
+#[test]
+fn queries_that_come_once_are_served_while_a_query_ends_servers() {
+    with_cluster(3, async |cluster| {
+        send_copies(cluster, "/all/warm", Duration::from_secs(1)).await;
+        set_crash(cluster, "/all/poison");
+        for server in &cluster.servers {
+            server.set_slow(12.0);
+        }
+        let poison = send_copies(cluster, "/all/poison", Duration::from_secs(2));
+        let path = |n| format!("/all/once/{n}");
+        let others = send_requests(cluster, path, Duration::from_secs(2));
+        let (_, others) = futures::future::join(poison, others).await;
+        let statuses: Vec<u16> = others
+            .iter()
+            .map(|a| a.as_ref().map_or(0, |a| a.status))
+            .collect();
+        let served = statuses.iter().filter(|s| **s == 200).count();
+        let ended: Vec<u64> = cluster
+            .servers
+            .iter()
+            .map(|s| s.counters().crashes)
+            .collect();
+        assert!(
+            served * 10 >= others.len() * 9,
+            "{statuses:?}, ended {ended:?}"
+        );
+        // What was open when the servers ended is served as well if it is sent again.
+        for (n, before) in statuses.iter().enumerate() {
+            let answer = fetch(cluster, &path(n), &format!("again{n}")).await;
+            assert_eq!(answer.status, 200, "{n}, before {before}");
+        }
+    });
+}
+
 #[test]
 fn other_queries_are_served_after_a_query_ended_servers() {
     with_cluster(3, async |cluster| {
