--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -43,10 +43,25 @@
 /// Time for which one daemon may make a trial that is due; then it is the turn of the next one, which
 /// may be the one that callers send the request to.
 const TRIAL_TURN: Duration = Duration::from_secs(5);
+/// Time after the last end from which on a trial may go to the only usable target of a service, if no
+/// service has another one. Targets that start again are back by then.
+const LONE_TARGET_PAUSE: Duration = Duration::from_secs(30);
+/// Number of the most suspected requests whose trials others keep away from. It bounds the cost of the
+/// choice, which is made repeatedly while a request waits.
+const MAX_AVOIDED_TRIALS: usize = 16;
 /// A first target that ended under a request is told to others after this time, unless a target has
 /// answered the request meanwhile. When a data centre dies, most of its open requests succeed elsewhere
 /// so soon.
 const NEWS_DELAY: Duration = Duration::from_millis(100);
+/// Targets that end within this time after an answer to a request do not speak against it. A popular
+/// request that loses targets by chance is thus not suspected before its next answer.
+pub const ANSWER_MEMORY_TIME: Duration = Duration::from_secs(1);
+/// Most requests whose last answer is remembered.
+const MAX_ANSWERS: usize = 256;
+/// Open calls of a request are stopped this long after it became suspected. An innocent one is often
+/// cleared meanwhile by an answer of another service or by a daemon that had one, which takes some
+/// milliseconds. A crashing one goes on to end targets that its other copies have called.
+const RECALL_DELAY: Duration = Duration::from_millis(15);
 /// Evidence against a suspected request is dropped if no target ended under it for this time, which
 /// is longer than any pause.
 const MEMORY_TIME: Duration = Duration::from_hours(1);
@@ -76,6 +91,17 @@
     },
 }
 
+/// What to do with the open calls of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recall {
+    /// They go on.
+    Continue,
+    /// They go on for this time; then the question is to be asked again.
+    Wait(Duration),
+    /// They are stopped.
+    Stop,
+}
+
 /// Evidence against one request, as daemons tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -108,6 +134,8 @@
     ended: BTreeSet<u32>,
     trials: u32,
     changed_at: Time,
+    /// When the request became suspected here in this round.
+    suspected_at: Option<Time>,
     /// Whether another daemon may know of it.
     shared: bool,
 }
@@ -119,6 +147,7 @@
             ended: BTreeSet::new(),
             trials: 0,
             changed_at: now,
+            suspected_at: None,
             shared: false,
         }
     }
@@ -138,8 +167,11 @@
         u8::from(self.is_suspected()) + u8::from(self.is_quarantined())
     }
 
-    fn add_ended(&mut self, targets: impl IntoIterator<Item = u32>) {
+    fn add_ended(&mut self, now: Time, targets: impl IntoIterator<Item = u32>) {
         self.ended.extend(targets);
+        if self.is_suspected() {
+            self.suspected_at.get_or_insert(now);
+        }
         while self.ended.len() > MAX_ENDED {
             self.ended.pop_last();
         }
@@ -188,6 +220,8 @@
     entries: HashMap<Fingerprint, Entry>,
     /// Requests whose evidence changed here since [`Quarantine::take_news`].
     news: BTreeSet<Fingerprint>,
+    /// When requests were last answered, as far as that is at most [`ANSWER_MEMORY_TIME`] ago.
+    answers: HashMap<Fingerprint, Time>,
 }
 
 impl Quarantine {
@@ -216,6 +250,39 @@
         }
     }
 
+    /// What to do with the calls of a request that were made while nothing spoke against it.
+    #[must_use]
+    pub fn recall(&self, now: Time, request: Fingerprint) -> Recall {
+        let entry = self.entries.get(&request).filter(|e| !e.is_expired(now));
+        let Some(since) = entry.and_then(|e| e.suspected_at) else {
+            return Recall::Continue;
+        };
+        let due = since + RECALL_DELAY;
+        if now < due {
+            return Recall::Wait(due.since(now));
+        }
+        Recall::Stop
+    }
+
+    /// The suspected requests that are on trial, or wait for it, at any daemon; the most suspected first.
+    #[must_use]
+    pub fn suspects(&self, now: Time) -> Vec<Fingerprint> {
+        let suspected = |e: &Entry| e.level() == 1 && !e.is_expired(now);
+        let suspects = self.entries.iter().filter(|(_, e)| suspected(e));
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects
+            .sort_by_key(|(request, e)| (std::cmp::Reverse((e.trials, e.ended.len())), **request));
+        suspects.truncate(MAX_AVOIDED_TRIALS);
+        suspects.into_iter().map(|(request, _)| *request).collect()
+    }
+
+    /// Whether a trial may go to the only usable target of a service, see [`trial_target`].
+    #[must_use]
+    pub fn may_try_lone_target(&self, now: Time, request: Fingerprint) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_none_or(|e| now.since(e.changed_at) >= LONE_TARGET_PAUSE)
+    }
+
     /// Records that a target ended while it had a call for the request. `target` identifies the run of
     /// its process, and `trial` tells whether the call was a trial.
     pub fn record_end(
@@ -230,15 +297,67 @@
         let before = entry.level();
         // The lower half is as good a digest as the whole.
         #[allow(clippy::cast_possible_truncation)]
-        entry.add_ended([rendezvous::key(target) as u32]);
+        entry.add_ended(now, [rendezvous::key(target) as u32]);
         entry.trials = entry.trials.saturating_add(u32::from(trial));
         entry.changed_at = now;
         self.news.insert(request);
-        change(before, entry.level())
+        let after = self.clear_if_answered(now, request);
+        change(before, after)
     }
 
     /// Records that a target answered the request, which clears it.
     pub fn record_answer(&mut self, now: Time, request: Fingerprint) -> Option<QuarantineChange> {
+        self.remember_answer(now, request, now);
+        self.clear(now, request)
+    }
+
+    /// Records that a target answered the request at an earlier time, which clears it unless a target
+    /// ended under it more than [`ANSWER_MEMORY_TIME`] later.
+    pub fn record_earlier_answer(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        at: Time,
+    ) -> Option<QuarantineChange> {
+        self.remember_answer(now, request, at);
+        let before = self.entries.get(&request)?.level();
+        let after = self.clear_if_answered(now, request);
+        change(before, after)
+    }
+
+    fn remember_answer(&mut self, now: Time, request: Fingerprint, at: Time) {
+        if now.since(at) > ANSWER_MEMORY_TIME {
+            return;
+        }
+        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains_key(&request) {
+            self.answers
+                .retain(|_, at| now.since(*at) <= ANSWER_MEMORY_TIME);
+            let oldest = self.answers.iter().min_by_key(|(r, at)| (**at, **r));
+            if self.answers.len() >= MAX_ANSWERS
+                && let Some(oldest) = oldest.map(|(r, _)| *r)
+            {
+                self.answers.remove(&oldest);
+            }
+        }
+        let last = self.answers.entry(request).or_insert(at);
+        *last = at.max(*last);
+    }
+
+    /// Clears the request if it was answered shortly before the last target ended under it. Returns its
+    /// level.
+    fn clear_if_answered(&mut self, now: Time, request: Fingerprint) -> u8 {
+        let Some(entry) = self.entries.get(&request) else {
+            return 0;
+        };
+        let answered = self.answers.get(&request);
+        if answered.is_some_and(|at| entry.changed_at <= *at + ANSWER_MEMORY_TIME) {
+            self.clear(now, request);
+        }
+        self.entries.get(&request).map_or(0, Entry::level)
+    }
+
+    /// Starts the next round of a request, without evidence.
+    fn clear(&mut self, now: Time, request: Fingerprint) -> Option<QuarantineChange> {
         let entry = self.entries.get_mut(&request)?;
         if entry.ended.is_empty() {
             return None;
@@ -251,6 +370,7 @@
         }
         entry.round = entry.round.saturating_add(1);
         entry.ended.clear();
+        entry.suspected_at = None;
         entry.trials = 0;
         entry.changed_at = now;
         self.news.insert(request);
@@ -278,13 +398,14 @@
             };
         }
         if report.round == entry.round {
-            entry.add_ended(report.ended.iter().copied());
+            entry.add_ended(now, report.ended.iter().copied());
             entry.trials = entry.trials.max(report.trials);
             entry.changed_at = entry.changed_at.max(at);
         }
         entry.shared = true;
         let new = !known || old != (entry.round, entry.ended.clone(), entry.trials);
-        (new, change(before, entry.level()))
+        let after = self.clear_if_answered(now, report.request);
+        (new, change(before, after))
     }
 
     /// Makes the evidence against a request news, to be told to other daemons as well.
@@ -333,6 +454,8 @@
     /// Drops evidence that is too old.
     pub fn expire(&mut self, now: Time) {
         self.entries.retain(|_, e| !e.is_expired(now));
+        self.answers
+            .retain(|_, at| now.since(*at) <= ANSWER_MEMORY_TIME);
     }
 
     /// Whether there is any evidence.
@@ -408,3 +531,50 @@
     let at = (turn % count) as usize;
     ranked.get(at) == Some(&me)
 }
+
+/// Chooses the target of a trial by the ids of the usable targets of each service that the request may
+/// use.
+///
+/// The last usable target of a service is left to other requests, so there may be none, unless
+/// `lone_allowed`. Daemons that know the same targets and suspects choose the same one, so that trials
+/// at several daemons at once end a single target. The targets that earlier ones of `suspects` choose are
+/// avoided: a trial that shares its target with a crashing request fails with it.
+///
+/// ```
+/// use rattanturn_core::{fingerprint::*, quarantine::trial_target};
+/// let parts = RequestParts { method: "GET", host: "a", path: "/b", caller: b"", body: b"" };
+/// let request = Fingerprint::of(&parts);
+/// assert_eq!(trial_target(request, &[], &[vec!["i-1"], vec!["i-2"]], false), None);
+/// let chosen = trial_target(request, &[], &[vec!["i-1"], vec!["i-2", "i-3"]], false);
+/// assert!(chosen == Some("i-2") || chosen == Some("i-3"));
+/// ```
+#[must_use]
+pub fn trial_target<'a>(
+    request: Fingerprint,
+    suspects: &[Fingerprint],
+    services: &[Vec<&'a str>],
+    lone_allowed: bool,
+) -> Option<&'a str> {
+    let with = |min: usize| -> Vec<(NodeId, &'a str)> {
+        let targets = services.iter().filter(|s| s.len() >= min).flatten();
+        let keyed = targets.map(|id| (NodeId(rendezvous::key(id)), *id));
+        keyed.collect()
+    };
+    let mut all = with(2);
+    if all.is_empty() && lone_allowed {
+        all = with(1);
+    }
+    let mut free = all.clone();
+    let mut choose = |request: Fingerprint| {
+        if free.is_empty() {
+            free.clone_from(&all);
+        }
+        let best = (0..free.len())
+            .max_by_key(|i| (rendezvous::score(free[*i].0, request.key()), free[*i].1))?;
+        Some(free.swap_remove(best).1)
+    };
+    for earlier in suspects.iter().take_while(|s| **s != request) {
+        choose(*earlier);
+    }
+    choose(request)
+}
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -5,7 +5,9 @@
     rattanturn_core::{
         NodeId, Time,
         fingerprint::{Fingerprint, RequestParts},
-        quarantine::{Evidence, MAX_REQUESTS, Quarantine, Verdict, is_turn_of},
+        quarantine::{
+            Evidence, MAX_REQUESTS, Quarantine, Recall, Verdict, is_turn_of, trial_target,
+        },
     },
     std::{
         collections::BTreeSet,
@@ -98,6 +100,144 @@
     assert_eq!(there[0].verdict(now, popular), Verdict::Clear);
 }
 
+/// Guards against copies of a popular request that are held back because a crashing one ended their
+/// targets.
+#[test]
+fn targets_that_end_shortly_after_an_answer_do_not_speak_against_a_request() {
+    let (popular, start) = (request("/popular"), Time::from_millis(1_000));
+    let (mut here, mut there) = (Quarantine::default(), [Quarantine::default()]);
+    here.record_earlier_answer(start, popular, start);
+    for target in ["i-1", "i-2"] {
+        there[0].record_end(start + Duration::from_millis(4), popular, target, false);
+    }
+    assert_eq!(there[0].verdict(start, popular), Verdict::Trial);
+    let now = start + Duration::from_millis(5);
+    tell(&mut there[0], std::slice::from_mut(&mut here), now);
+    assert_eq!(here.verdict(now, popular), Verdict::Clear);
+    tell(&mut here, &mut there, now);
+    assert_eq!(there[0].verdict(now, popular), Verdict::Clear);
+    let later = start + Duration::from_millis(1_001);
+    for target in ["i-3", "i-4"] {
+        here.record_end(later, popular, target, false);
+    }
+    assert_eq!(here.verdict(later, popular), Verdict::Trial);
+}
+
+/// An answer that is reported only after the ends that followed it counts as well, and one that is too
+/// old does not.
+#[test]
+fn an_answer_that_is_reported_late_clears_a_request_if_it_was_recent() {
+    let (popular, start) = (request("/popular"), Time::from_millis(5_000));
+    for (age, verdict) in [(900, Verdict::Clear), (1_100, Verdict::Trial)] {
+        let mut quarantine = Quarantine::default();
+        for target in ["i-1", "i-2"] {
+            quarantine.record_end(start, popular, target, false);
+        }
+        let at = start - Duration::from_millis(age);
+        quarantine.record_earlier_answer(start, popular, at);
+        assert_eq!(quarantine.verdict(start, popular), verdict, "{age} ms");
+    }
+}
+
+/// Guards against trials that end the last usable target of a service, or a target of their own at each
+/// daemon.
+#[test]
+fn a_trial_goes_to_one_target_for_all_daemons_and_spares_the_last_of_a_service() {
+    let services = [vec!["i-1"], vec!["i-2", "i-3"], vec!["i-4", "i-5", "i-6"]];
+    let mut chosen = BTreeSet::new();
+    for n in 0..100 {
+        let request = request(&format!("/poison/{n}"));
+        let target = trial_target(request, &[], &services, false).unwrap();
+        assert_ne!(target, "i-1");
+        // Daemons may know the targets in another order.
+        let mut other: Vec<Vec<&str>> = services.to_vec();
+        other.reverse();
+        for targets in &mut other {
+            targets.reverse();
+        }
+        assert_eq!(trial_target(request, &[], &other, true), Some(target));
+        chosen.insert(target);
+    }
+    assert_eq!(
+        chosen.len(),
+        5,
+        "trials of many requests meet at few targets"
+    );
+    assert_eq!(
+        trial_target(request("/p"), &[], &[vec!["i-1"], vec![]], false),
+        None
+    );
+    assert_eq!(
+        trial_target(request("/p"), &[], &[vec!["i-1"], vec![]], true),
+        Some("i-1")
+    );
+}
+
+/// Guards against an innocent request that is quarantined because its trial met that of a crashing one.
+#[test]
+fn trials_of_several_suspects_go_to_different_targets() {
+    let start = Time::from_millis(1_000);
+    let mut quarantine = Quarantine::default();
+    let requests: Vec<Fingerprint> = (0..5).map(|n| request(&format!("/{n}"))).collect();
+    for (n, suspect) in requests.iter().enumerate() {
+        let targets = if n == 3 { 4 } else { 2 };
+        for target in 0..targets {
+            quarantine.record_end(start, *suspect, &format!("i-{target}"), false);
+        }
+    }
+    let suspects = quarantine.suspects(start);
+    assert_eq!(
+        suspects[0], requests[3],
+        "the most suspected is not the first"
+    );
+    let services = [vec!["i-5"], vec!["i-6", "i-7"], vec!["i-8", "i-9"]];
+    let target = |r: &Fingerprint| trial_target(*r, &suspects, &services, false).unwrap();
+    let chosen: BTreeSet<&str> = suspects[..4].iter().map(target).collect();
+    assert_eq!(chosen.len(), 4);
+    // With more suspects than targets some share one.
+    assert!(chosen.contains(target(&suspects[4])));
+}
+
+/// Guards against copies that go on to end targets once it is known that their request does, and against
+/// the stop of an innocent request that is cleared soon.
+#[test]
+fn open_calls_are_stopped_unless_the_request_is_cleared_soon() {
+    let (suspect, start) = (request("/suspect"), Time::from_millis(1_000));
+    let mut here = Quarantine::default();
+    here.record_end(start, suspect, "i-1", false);
+    let later = start + Duration::from_secs(1);
+    assert_eq!(here.recall(later, suspect), Recall::Continue);
+    let mut there = [Quarantine::default()];
+    here.record_end(later, suspect, "i-2", false);
+    tell(&mut here, &mut there, later + Duration::from_millis(4));
+    let after = |ms| later + Duration::from_millis(ms);
+    for (quarantine, stop_at) in [(&here, 15), (&there[0], 19)] {
+        let Recall::Wait(wait) = quarantine.recall(after(5), suspect) else {
+            panic!("not waiting");
+        };
+        assert_eq!(after(5) + wait, after(stop_at));
+        assert_eq!(quarantine.recall(after(stop_at), suspect), Recall::Stop);
+    }
+    here.record_answer(after(10), suspect);
+    tell(&mut here, &mut there, after(12));
+    for quarantine in [&here, &there[0]] {
+        assert_eq!(quarantine.recall(after(30), suspect), Recall::Continue);
+    }
+}
+
+/// Guards against a request that is refused for an hour because its service has a single target.
+#[test]
+fn the_only_target_of_a_service_is_tried_once_no_other_one_came_back() {
+    let (suspect, start) = (request("/suspect"), Time::from_millis(1_000));
+    let mut quarantine = Quarantine::default();
+    for target in ["i-1", "i-2"] {
+        quarantine.record_end(start, suspect, target, false);
+    }
+    let soon = start + Duration::from_secs(29);
+    assert!(!quarantine.may_try_lone_target(soon, suspect));
+    assert!(quarantine.may_try_lone_target(soon + Duration::from_secs(1), suspect));
+}
+
 /// Plays a request that ends every target, at 302 daemons that get a copy each in turn every 20 ms
 /// and tell each other within 100 ms, for an hour.
 #[test]
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -13,7 +13,7 @@
             admission::AdmissionQueue,
             connection::Answer,
             meters::{self, Meters},
-            quarantine::{SharedQuarantine, Trials},
+            quarantine::{RecentAnswers, SharedQuarantine, Trials},
             quota::SharedQuotas,
             relay::RelayClient,
             rollouts::{SharedRollouts, TrafficRollouts},
@@ -112,6 +112,9 @@
     pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) admission: AdmissionQueue,
     pub(crate) trials: Trials,
+    pub(crate) answers: RecentAnswers,
+    /// Wakes the open requests when there is new evidence against any request.
+    pub(crate) evidence: Notify,
     pub(crate) key_checks: KeyChecks,
     pub(crate) rollouts: TrafficRollouts,
     gauges: Arc<Gauges>,
@@ -161,6 +164,8 @@
             admission: AdmissionQueue::new(states.quotas.clone()),
             quotas: states.quotas,
             trials: Trials::default(),
+            answers: RecentAnswers::default(),
+            evidence: Notify::new(),
             key_checks,
             rollouts: TrafficRollouts::new(states.rollouts),
             gauges,
@@ -169,6 +174,7 @@
         });
         actix_rt::spawn(close_idle_connections(traffic.clone()));
         actix_rt::spawn(probe_down_targets(traffic.clone()));
+        actix_rt::spawn(watch_evidence(traffic.clone()));
         traffic
     }
 
@@ -443,6 +449,16 @@
     }
 }
 
+/// Tells the quarantine of recent answers, and wakes the open requests, when there is new evidence,
+/// without end.
+async fn watch_evidence(traffic: Rc<Traffic>) {
+    loop {
+        traffic.quarantine.wait_evidence().await;
+        traffic.answers.tell(&traffic.quarantine);
+        traffic.evidence.notify_waiters();
+    }
+}
+
 /// Closes idle connections that cannot be reused, without end.
 async fn close_idle_connections(traffic: Rc<Traffic>) {
     loop {
