--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -57,6 +57,7 @@
 const CUTOFF_MARGIN: Duration = Duration::from_millis(4);
 /// An answer is sent this long before the caller's deadline, so that it arrives in time.
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(15);
+
 /// A request and its route.
 struct Query<'a> {
     traffic: &'a Rc<Traffic>,
