review: an account has several owners after two restarts of all daemons

Cause: a daemon that has just started knows only itself, takes itself for the owner of each account and lends the start of a new owner.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -6,6 +6,7 @@
         "failback" => failback(stage),
         "leaving" => leaving(stage),
         "gone" => gone(stage),
+        "quota" => quota(stage),
         _ => cannot_run("there is no such case"),
     }
 }
@@ -312,3 +313,64 @@
     ));
     !late.is_empty()
 }
+
+/// All daemons are killed twice while a tenant sends far more than its quota.
+fn quota(mut stage: Stage) -> bool {
+    const DAEMONS: u8 = 8;
+    const WINDOW_MS: u64 = 5_000;
+    const BOUND: f64 = (0.5 * 5.0 + 1.0) * 1.1 + 20.0;
+    let record = stage.record.clone();
+    let config = |id: &str, zone: &str| ServerConfig {
+        id: id.into(),
+        service: "mail".into(),
+        zone: zone.into(),
+        slots: 6,
+        work: ms(10),
+        cold_limit: None,
+    };
+    let servers: Vec<_> = (0..4)
+        .map(|i| stage.server(101 + i, config(&format!("m-{i}"), ["a", "b", "c"][usize::from(i) % 3])))
+        .collect();
+    stage.tenants = ",\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\"],\"ratePerS\":0.5,\"burst\":1.0,\"priority\":1}]";
+    stage.config(1, &route("letter", "mail", "idempotent", 8_000, 800), &service("mail", 550, 0.0));
+    stage.start_daemons(DAEMONS);
+    let done = Arc::new(AtomicBool::new(false));
+    let fronts: Vec<SocketAddr> = stage.daemons.iter().map(Daemon::front).collect();
+    let clients: Vec<_> = (0..40)
+        .map(|i| {
+            let (record, done, front) = (record.clone(), done.clone(), fronts[i % fronts.len()]);
+            thread::spawn(move || {
+                let mut client = Client::new(&record, &format!("c{i}"), front);
+                client.key = Some("k1");
+                let mut all = Vec::new();
+                while !done.load(Ordering::SeqCst) {
+                    all.push(client.send("GET", &format!("/letter/{i}-{}", all.len()), "", ms(2_000)));
+                    thread::sleep(ms(30));
+                }
+                all
+            })
+        })
+        .collect();
+    thread::sleep(ms(6_000));
+    if stage.trouble {
+        stage.kill_all(ms(300));
+        thread::sleep(ms(1_700));
+        stage.kill_all(ms(300));
+        thread::sleep(ms(5_000));
+    } else {
+        thread::sleep(ms(7_300));
+    }
+    done.store(true, Ordering::SeqCst);
+    let sent: HashMap<String, u64> = finish(clients).into_iter().map(|a| (a.id, a.sent)).collect();
+    // When each request that ran was sent, and when it arrived.
+    let mut runs: Vec<(u64, u64)> = Vec::new();
+    for server in &servers {
+        let arrivals = lock(&server.arrivals);
+        let ran = arrivals.iter().filter(|a| a.ran.is_some());
+        runs.extend(ran.filter_map(|a| Some((*sent.get(&a.id)?, a.at))));
+    }
+    let in_window = |from: u64| runs.iter().filter(|(s, at)| *s >= from && *at < from + WINDOW_MS).count();
+    let most = runs.iter().map(|(s, _)| (in_window(*s), *s)).max().unwrap_or((0, 0));
+    record.say(&format!("{} requests, {} ran; most in {WINDOW_MS} ms: {}, from {}; bound {BOUND}", sent.len(), runs.len(), most.0, most.1));
+    most.0 as f64 > BOUND
+}
--- a/review/stage.rs
+++ b/review/stage.rs
@@ -682,12 +682,14 @@
     record: Record,
     name: String,
     addr: SocketAddr,
+    /// Key of the client's tenant.
+    key: Option<&'static str>,
     stream: Option<TcpStream>,
 }
 
 impl Client {
     fn new(record: &Record, name: &str, addr: SocketAddr) -> Self {
-        Self { record: record.clone(), name: name.into(), addr, stream: None }
+        Self { record: record.clone(), name: name.into(), addr, key: None, stream: None }
     }
 
     /// Sends one request and waits for its end, on the open connection if there is one.
@@ -697,14 +699,22 @@
             self.stream = TcpStream::connect_timeout(&self.addr, ms(1_000)).ok();
         }
         let sent = self.record.now();
-        self.record.line(&format!("client {} sends {id} {method} {path} to {}", self.name, self.addr));
+        // The many requests of a tenant get one line each.
+        let is_brief = self.key.is_some();
+        if !is_brief {
+            self.record.line(&format!("client {} sends {id} {method} {path} to {}", self.name, self.addr));
+        }
         let end = match self.stream.take() {
             Some(stream) => self.exchange(stream, &id, method, path, body, limit),
             None => End::NoConnection,
         };
         let attempt = Attempt { id, to: self.addr, sent, ended: self.record.now(), end };
         let text = attempt.text();
-        self.record.line(&format!("client {} gets {} for {}", self.name, text, attempt.id));
+        if is_brief {
+            self.record.line(&format!("{} {sent} {} {text}", attempt.id, self.addr));
+        } else {
+            self.record.line(&format!("client {} gets {} for {}", self.name, text, attempt.id));
+        }
         attempt
     }
 
@@ -721,8 +731,9 @@
         let _ = stream.set_read_timeout(Some(limit));
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Deadline-Ms: {}\r\n{}Content-Length: {}\r\n\r\n{body}",
             limit.as_millis(),
+            self.key.map_or(String::new(), |k| format!("Authorization: Bearer {k}\r\n")),
             body.len()
         );
         if let Err(error) = stream.write_all(request.as_bytes()) {
@@ -831,6 +842,8 @@
     folder: Folder,
     store: Arc<Store>,
     daemons: Vec<Daemon>,
+    /// The tenants of the configuration, as JSON; empty without any.
+    tenants: &'static str,
 }
 
 impl Stage {
@@ -842,7 +855,7 @@
             cannot_run(&error.to_string());
         }
         let store = Store::spawn(Ipv4Addr::new(net[0], net[1], net[2], 250));
-        Self { record, trouble, net, folder: Folder(folder), store, daemons: Vec::new() }
+        Self { record, trouble, net, folder: Folder(folder), store, daemons: Vec::new(), tenants: "" }
     }
 
     fn ip(&self, host: u8) -> Ipv4Addr {
@@ -858,7 +871,7 @@
         let zones = ["a", "b", "c"];
         let template = fs::read_to_string("deploy/daemon.ini")
             .unwrap_or_else(|e| cannot_run(&format!("deploy/daemon.ini: {e}")));
-        let seeds: Vec<String> = (1..=count).map(|i| format!("{}:{CONTROL}", self.ip(i))).collect();
+        let seeds: Vec<String> = (1..=count.min(3)).map(|i| format!("{}:{CONTROL}", self.ip(i))).collect();
         for i in 1..=count {
             let (ip, name) = (self.ip(i), format!("edge-{i}"));
             for port in [FRONT, READY, CONTROL, DIRECTORY, METRICS, PORT_RANGE[0], PORT_RANGE[1]] {
@@ -868,7 +881,7 @@
                 cannot_run("the port for datagrams is taken");
             }
             let at = |port: u16| format!("{ip}:{port}");
-            let values = HashMap::from([
+            let mut values = HashMap::from([
                 ("nodeName", name.clone()),
                 ("zone", zones[usize::from(i - 1) % zones.len()].into()),
                 ("ip", ip.to_string()),
@@ -886,10 +899,34 @@
                 ("bounds.evacuateMs", "5000".into()),
                 ("platform.address", self.store.addr.to_string()),
             ]);
+            if !self.tenants.is_empty() {
+                values.insert("bounds.quotaWindowS", "5".into());
+                values.insert("bounds.quotaOvershoot", "0.1".into());
+                values.insert("bounds.quotaSlack", "20".into());
+            }
             let settings = self.folder.0.join(format!("{name}.ini"));
-            let log = self.folder.0.join(format!("{name}.log"));
-            let written = fs::write(&settings, render(&template, &values));
-            let log = written.and_then(|()| fs::File::create(&log));
+            if let Err(error) = fs::write(&settings, render(&template, &values)) {
+                cannot_run(&error.to_string());
+            }
+            let child = self.launch(&name);
+            self.record.line(&format!("daemon {name} starts at {ip}"));
+            self.daemons.push(Daemon { name, ip, child });
+        }
+        let end = Instant::now() + ms(10_000);
+        while !self.daemons.iter().all(Daemon::is_ready) {
+            if Instant::now() > end {
+                cannot_run("the daemons are not ready after 10 s");
+            }
+            thread::sleep(ms(50));
+        }
+        // The machines are in touch once the store has been stable for `stableWindowMs` (4 s).
+        thread::sleep(ms(4_500));
+    }
+
+    /// Starts the process of a daemon whose settings are written.
+    fn launch(&self, name: &str) -> Child {
+            let settings = self.folder.0.join(format!("{name}.ini"));
+            let log = fs::File::options().create(true).append(true).open(self.folder.0.join(format!("{name}.log")));
             let log = log.unwrap_or_else(|e| cannot_run(&e.to_string()));
             let mut command = Command::new("target/release/rattanturnd");
             command.arg(&settings).env("RATTANTURN_BOOT", &settings).stdin(Stdio::null());
@@ -902,26 +939,31 @@
                 });
             }
             let child = command.spawn();
-            let child = child.unwrap_or_else(|e| cannot_run(&format!("rattanturnd: {e}")));
-            self.record.line(&format!("daemon {name} starts at {ip}"));
-            self.daemons.push(Daemon { name, ip, child });
+            child.unwrap_or_else(|e| cannot_run(&format!("rattanturnd: {e}")))
+    }
+
+    /// Kills all daemons at the same moment, and starts them again after `down`.
+    fn kill_all(&mut self, down: Duration) {
+        self.record.say("all daemons are killed");
+        for daemon in &mut self.daemons {
+            let _ = daemon.child.kill();
         }
-        let end = Instant::now() + ms(10_000);
-        while !self.daemons.iter().all(Daemon::is_ready) {
-            if Instant::now() > end {
-                cannot_run("the daemons are not ready after 10 s");
-            }
-            thread::sleep(ms(50));
+        for daemon in &mut self.daemons {
+            let _ = daemon.child.wait();
         }
-        // The machines are in touch once the store has been stable for `stableWindowMs` (4 s).
-        thread::sleep(ms(4_500));
+        thread::sleep(down);
+        for i in 0..self.daemons.len() {
+            self.daemons[i].child = self.launch(&self.daemons[i].name);
+        }
+        self.record.say("all daemons are started again");
     }
 
     fn config(&self, version: u64, routes: &str, services: &str) {
         let text = format!(
             "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{services}],\"limits\":\
              {{\"headerBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\
-             \"idleTimeoutMs\":15000}}}}"
+             \"idleTimeoutMs\":15000}}{}}}",
+            self.tenants
         );
         self.store.put("config", "main", &text);
     }
