Log and count each request that was read and ends without an answer

What callers saw: a connection that closes without a byte. The log could not tell the hypotheses apart: a request that is dropped at the end of a stop leaves no line, and `caller-left` does not say whether the connection was reset or only its input ended.

Change: a line `a request ended without an answer` with how it ended, how long it took and what the stop had left, a counter by that end, and the open requests in the lines of a stop. The traffic thread is joined, so that what is dropped with the process is logged. `rattanturn explain` and the report read the line.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -39,7 +39,7 @@
 
 /// Ids of the requests with the most severe failures, at most `count`, the most severe first.
 ///
-/// Requests that may have run without an answer come first, then those that timed out, those that
+/// Requests that may have run or that the daemon dropped without an answer come first, then those that timed out, those that
 /// did not run, those whose caller disconnected, and partial answers. Within each group fewer
 /// answered parts come first, then longer requests. Each log is a name and its text.
 ///
@@ -55,7 +55,7 @@
     let lines = read(logs);
     let mut failures: Vec<&Line> = lines
         .iter()
-        .filter(|l| l.is_request() && l.text("outcome") != "whole")
+        .filter(|l| l.is_unanswered() || l.is_request() && l.text("outcome") != "whole")
         .collect();
     failures.sort_by_key(|l| (severity(l), std::cmp::Reverse(l.number("took_ms"))));
     let mut out: Vec<String> = Vec::new();
@@ -72,6 +72,8 @@
 /// the percentage of its parts that were answered.
 fn severity(request: &Line) -> (u8, u64) {
     let rank = match request.text("outcome") {
+        _ if matches!(request.text("end"), "dropped" | "write-failed") => 0,
+        _ if request.is_unanswered() => 3,
         "failed" => 0,
         "late" => 1,
         "not-run" => 2,
@@ -93,8 +95,18 @@
         );
         return;
     }
+    if request.is_unanswered() {
+        let _ = writeln!(
+            out,
+            "request {} at {}: {}",
+            request.text("request"),
+            request.source,
+            unanswered_sentence(request)
+        );
+        write_context(out, request, lines);
+        return;
+    }
     let took = u32::try_from(request.number("took_ms")).unwrap_or(u32::MAX);
-    let start = request.time - f64::from(took) / 1e3;
     let _ = writeln!(
         out,
         "request {} on route {} at {}, configuration version {}: {}",
@@ -104,17 +116,7 @@
         request.number("version"),
         outcome_sentence(request)
     );
-    let _ = writeln!(
-        out,
-        "  state changes that the daemon logged shortly before and during the request:"
-    );
-    let context = lines.iter().filter(|l| {
-        let in_time = l.time >= start - CONTEXT_SECONDS && l.time <= request.time;
-        l.source == request.source && in_time && !l.is_request() && !l.is_refusal()
-    });
-    for line in context {
-        let _ = writeln!(out, "    {} {}", line.timestamp, message_and_fields(line));
-    }
+    write_context(out, request, lines);
     if request.text("outcome") == "caller-left" {
         return;
     }
@@ -131,6 +133,45 @@
     let _ = writeln!(out, "  answered at {} after {took} ms", request.timestamp);
 }
 
+/// Writes the state changes that the daemon logged shortly before a request and while it ran.
+fn write_context(out: &mut String, request: &Line, lines: &[Line]) {
+    let took = u32::try_from(request.number("took_ms")).unwrap_or(u32::MAX);
+    let start = request.time - f64::from(took) / 1e3;
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        out,
+        "  state changes that the daemon logged shortly before and during the request:"
+    );
+    let context = lines.iter().filter(|l| {
+        let in_time = l.time >= start - CONTEXT_SECONDS && l.time <= request.time;
+        l.source == request.source && in_time && l.is_state_change()
+    });
+    for line in context {
+        let _ = writeln!(out, "    {} {}", line.timestamp, message_and_fields(line));
+    }
+}
+
+/// How a request that was read got no answer, as the end of a sentence.
+fn unanswered_sentence(request: &Line) -> String {
+    let stopping = request.fields.contains_key("stop_left_ms");
+    let how = match request.text("end") {
+        "input-ended" => "its caller closed the connection or its sending side",
+        "reset" => "its connection broke",
+        "write-failed" => "its connection broke while the answer was written",
+        "dropped" if stopping => "the daemon's process ended",
+        "dropped" => "the daemon dropped it without a stop (look for a panic)",
+        other => other,
+    };
+    let stop = if stopping {
+        let left = request.number("stop_left_ms");
+        format!("; the daemon was stopping and had {left} ms left")
+    } else {
+        String::new()
+    };
+    let took = request.number("took_ms");
+    format!("read as a whole, no answer: {how} after {took} ms{stop}; it may have run")
+}
+
 /// How a request ended, as the end of a sentence.
 fn outcome_sentence(request: &Line) -> String {
     let (parts, of) = (request.number("parts"), request.number("of"));
@@ -148,10 +189,12 @@
             "timed out with {status}, {parts} of {of} parts arrived in time; missing: {missing}"
         ),
         "caller-left" => {
-            let took = request.number("took_ms");
-            format!(
-                "its caller disconnected after {took} ms; its calls were cancelled, some may have run"
-            )
+            // Where the connection broke, the request ended with it.
+            let left = match request.number("left_ms") {
+                0 => request.number("took_ms"),
+                left => left,
+            };
+            format!("its caller disconnected after {left} ms; some of its calls may have run")
         }
         _ => format!("failed with {status}; it may have run; reasons: {missing}"),
     }
--- a/crates/cli/src/log_lines.rs
+++ b/crates/cli/src/log_lines.rs
@@ -55,6 +55,17 @@
     pub(crate) fn is_refusal(&self) -> bool {
         self.text("message") == "request refused"
     }
+
+    /// Whether the line reports a request that was read as a whole and got no answer. There may be
+    /// a line with its outcome too.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.text("message") == "a request ended without an answer"
+    }
+
+    /// Whether the line reports a state change of a daemon: every line that is not about a request.
+    pub(crate) fn is_state_change(&self) -> bool {
+        !self.is_request() && !self.is_refusal() && !self.is_unanswered()
+    }
 }
 
 /// Lines of all logs, in order of time. Each log is a name and its text.
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -265,12 +265,15 @@
     sums.into_iter().map(|(n, s)| (n, points(s))).collect()
 }
 
-/// Rates of refused, failed and partially answered requests, by outcome.
+/// Rates of refused, unanswered, failed and partially answered requests, by outcome.
 fn incomplete(span: &TimeRange, lines: &[Line]) -> Series {
     rates(span, lines, |line| {
         if line.is_refusal() {
             return Some("refused before routing");
         }
+        if line.is_unanswered() {
+            return Some("ended without an answer");
+        }
         let outcome = line.text("outcome");
         (line.is_request() && outcome != "whole").then_some(outcome)
     })
@@ -279,15 +282,10 @@
 /// Rates of state changes, by message.
 fn change_rates(span: &TimeRange, lines: &[Line]) -> Series {
     rates(span, lines, |line| {
-        is_state_change(line).then(|| line.text("message"))
+        line.is_state_change().then(|| line.text("message"))
     })
 }
 
-/// Whether a line reports a state change of a daemon: every line that is not about a request.
-fn is_state_change(line: &Line) -> bool {
-    !line.is_request() && !line.is_refusal()
-}
-
 /// An inline SVG plot, or a paragraph that says why there is none.
 fn plot(span: &TimeRange, kind: Plot, series: &Series) -> String {
     let mut out = String::new();
@@ -345,7 +343,7 @@
 /// The first state changes of all daemons, in order of time.
 fn change_list(lines: &[Line]) -> String {
     let mut out = String::from("<h2>State changes of the daemons</h2>\n<pre>\n");
-    let all: Vec<&Line> = lines.iter().filter(|l| is_state_change(l)).collect();
+    let all: Vec<&Line> = lines.iter().filter(|l| l.is_state_change()).collect();
     for line in all.iter().take(MAX_LISTED_CHANGES) {
         let mut text = format!(
             "{} {} {}",
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -49,6 +49,43 @@
     );
 }
 
+/// Guards against a line without route and outcome that is explained as a failed request.
+#[test]
+fn explain_says_how_a_request_ended_without_an_answer() {
+    let line = |fields: &str| {
+        format!(r#"{{"timestamp":"2026-05-04T18:11:12.5Z","fields":{{{fields}}}}}"#) + "\n"
+    };
+    let text = line(r#""message":"stopping: new requests are refused","open":2"#)
+        + &line(
+            r#""message":"a request ended without an answer","request":"r1","end":"dropped","took_ms":2400,"stop_left_ms":0"#,
+        )
+        + &line(
+            r#""message":"a request ended without an answer","request":"r2","end":"input-ended","took_ms":3"#,
+        );
+    let log = [("d0".to_owned(), text)];
+    let dropped = rattanturn_cli::explain::explain("r1", &log).unwrap();
+    let how = "the daemon's process ended after 2400 ms; the daemon was stopping and had 0 ms left";
+    assert!(dropped.contains(how), "{dropped}");
+    assert!(
+        dropped.contains("new requests are refused open=2"),
+        "{dropped}"
+    );
+    assert!(
+        !dropped.contains("route") && !dropped.contains("r2"),
+        "{dropped}"
+    );
+    let left = rattanturn_cli::explain::explain("r2", &log).unwrap();
+    assert!(
+        left.contains("closed the connection or its sending side after 3 ms;"),
+        "{left}"
+    );
+    assert_eq!(rattanturn_cli::explain::most_severe(10, &log), ["r1", "r2"]);
+    let page = rattanturn_cli::report::report(&log).unwrap();
+    let (plots, changes) = page.split_once("State changes of the daemons").unwrap();
+    assert!(plots.contains("ended without an answer"), "{plots}");
+    assert!(!changes.contains("ended without an answer"), "{changes}");
+}
+
 #[test]
 fn explain_exits_with_1_for_an_unknown_request_and_5_for_an_unreadable_file() {
     let folder = create_folder("explain");
--- a/crates/daemon/src/tier/control/publish.rs
+++ b/crates/daemon/src/tier/control/publish.rs
@@ -127,6 +127,7 @@
             daemons,
             me: self.me,
             phase: self.phase,
+            ends_at: self.ends_at(),
         };
         self.shared.store(Arc::new(view));
     }
--- a/crates/daemon/src/tier/control/shutdown.rs
+++ b/crates/daemon/src/tier/control/shutdown.rs
@@ -28,7 +28,12 @@
     /// Begins a graceful stop; `done` receives the number of requests left open, as text.
     pub(super) fn begin_stop(&mut self, done: oneshot::Sender<String>) {
         let now = clock::now();
-        tracing::info!("stopping: this daemon is no longer advertised to callers");
+        let (open, limit) = (self.open_requests(), self.settings.drain_limit);
+        tracing::info!(
+            open,
+            ?limit,
+            "stopping: this daemon is no longer advertised to callers"
+        );
         self.phase = Phase::Leaving;
         self.stopping = Some((now, done));
         self.membership.leave(now);
@@ -43,10 +48,14 @@
         let limit = self.settings.drain_limit;
         let spent = now.since(*since);
         if spent >= limit.saturating_sub(CLOSE_BEFORE_LIMIT) && self.phase < Phase::Closing {
+            tracing::info!(
+                open = self.open_requests(),
+                "stopping: new requests are refused"
+            );
             self.phase = Phase::Closing;
             self.publish_view();
         }
-        let open = self.gauges.open_requests.load(Ordering::Acquire);
+        let open = self.open_requests();
         let over = spent >= limit.saturating_sub(END_BEFORE_LIMIT);
         let done = self.phase == Phase::Closing && open == 0;
         // Traffic sees the new phase, and control sees its gauges, only after a few ticks.
@@ -54,6 +63,9 @@
         if !(over || done && settled) {
             return false;
         }
+        if open > 0 {
+            tracing::warn!(open, "stopping: the time is up, open requests are ended");
+        }
         let notices = self.membership.death_notice(now);
         send(socket, notices).await;
         if let Some((_, done)) = self.stopping.take() {
@@ -62,4 +74,15 @@
         }
         true
     }
+
+    /// When a stop that has begun ends at the latest.
+    pub(super) fn ends_at(&self) -> Option<Time> {
+        let (since, _) = self.stopping.as_ref()?;
+        let limit = self.settings.drain_limit;
+        Some(*since + limit.saturating_sub(END_BEFORE_LIMIT))
+    }
+
+    fn open_requests(&self) -> usize {
+        self.gauges.open_requests.load(Ordering::Acquire)
+    }
 }
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -21,8 +21,8 @@
         h1::{Codec, Message, MessageType},
     },
     bytes::{Bytes, BytesMut},
-    rattanturn_core::catalog::CallerLimits,
-    rattanturn_platform::http::echo_request_id,
+    rattanturn_core::{Time, catalog::CallerLimits},
+    rattanturn_platform::http::{echo_request_id, request_id},
     std::{io, net::TcpListener, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -115,19 +115,32 @@
             };
             traffic.open_requests.set(traffic.open_requests.get() + 1);
             let echo = relay::id_to_echo(incoming.head());
+            let open = Unanswered::new(traffic, &incoming);
             let served = tokio::select! {
-                answer = query::serve(traffic, incoming) => Some(answer),
-                () = caller_left(&mut self.stream, &mut self.buffer) => None,
+                answer = query::serve(traffic, incoming) => Ok(answer),
+                end = input_end(&mut self.stream, &mut self.buffer) => Err(end),
             };
             traffic.open_requests.set(traffic.open_requests.get() - 1);
-            let Some(mut answer) = served else {
-                return Ok(());
+            let mut answer = match served {
+                Ok(answer) => answer,
+                Err(end) => {
+                    open.end(match end {
+                        Ok(()) => RequestEnd::InputEnded,
+                        Err(_) => RequestEnd::Reset,
+                    });
+                    return Ok(());
+                }
             };
             if let Some(id) = echo {
                 echo_request_id(&id, &mut answer.headers);
             }
             let close = traffic.view().phase != Phase::Serving || !self.codec.keep_alive();
-            self.write(answer, close).await?;
+            let written = self.write(answer, close).await;
+            open.end(match written {
+                Ok(()) => RequestEnd::Answered,
+                Err(_) => RequestEnd::WriteFailed,
+            });
+            written?;
             if close {
                 return self.linger().await;
             }
@@ -287,6 +300,81 @@
     }
 }
 
+/// How a request that was read as a whole ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestEnd {
+    /// The whole answer was written.
+    Answered,
+    /// The caller's input ended before the answer: it closed the connection or its sending side.
+    InputEnded,
+    /// The connection broke before the answer.
+    Reset,
+    /// The connection broke while the answer was written.
+    WriteFailed,
+    /// The connection's task was dropped, because the process ends.
+    Dropped,
+}
+
+impl RequestEnd {
+    /// Value of the metric label and log field `end`.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::InputEnded => "input-ended",
+            Self::Reset => "reset",
+            Self::WriteFailed => "write-failed",
+            Self::Dropped => "dropped",
+        }
+    }
+}
+
+/// A request that was read and is not answered yet. It is logged and counted if it ends so.
+struct Unanswered {
+    traffic: Rc<Traffic>,
+    id: String,
+    arrived: Time,
+    ended: bool,
+}
+
+impl Unanswered {
+    fn new(traffic: &Rc<Traffic>, incoming: &Incoming) -> Self {
+        Self {
+            traffic: traffic.clone(),
+            id: request_id(incoming.head()).unwrap_or("").to_owned(),
+            arrived: incoming.arrived,
+            ended: false,
+        }
+    }
+
+    fn end(mut self, end: RequestEnd) {
+        self.record(end);
+    }
+
+    fn record(&mut self, end: RequestEnd) {
+        self.ended = true;
+        if end == RequestEnd::Answered {
+            return;
+        }
+        meters::count_unanswered(end.as_str());
+        let (now, ends_at) = (clock::now(), self.traffic.current_view().ends_at);
+        tracing::info!(
+            request = %self.id,
+            end = end.as_str(),
+            took_ms = clock::millis(now.since(self.arrived)),
+            stop_left_ms = ends_at.map(|at| clock::millis(at.since(now))),
+            "a request ended without an answer"
+        );
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.record(RequestEnd::Dropped);
+        }
+    }
+}
+
 /// Logs and counts a request that could not be read. Its id is not known.
 fn log_read_error(answer: &Reply) {
     let reason = match answer.status {
@@ -303,17 +391,19 @@
     Err(ReadError::Refused(Reply::text(status, text)))
 }
 
-/// Returns when the caller has closed its connection; bytes that it sends before are kept for its
-/// next request.
-async fn caller_left(stream: &mut TcpStream, buffer: &mut BytesMut) {
+/// Completes when the caller's input ends; bytes that come before are kept for its next request.
+///
+/// # Errors
+///
+/// The connection broke.
+async fn input_end(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<()> {
     loop {
         if buffer.len() > MAX_READ_AHEAD_BYTES {
             return std::future::pending().await;
         }
         buffer.reserve(1);
-        match stream.read_buf(buffer).await {
-            Ok(n) if n > 0 => {}
-            _ => return,
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(());
         }
     }
 }
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -157,6 +157,11 @@
     }
 }
 
+/// Counts a request that was read and ended without an answer.
+pub(crate) fn count_unanswered(end: &'static str) {
+    counter!("rattanturn_unanswered_requests_total", "end" => end).increment(1);
+}
+
 /// Counts a request that was refused before it got a route; `reason` becomes the metric label.
 pub(crate) fn count_refused(reason: &'static str) {
     counter!("rattanturn_refused_total", "reason" => reason).increment(1);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -199,7 +199,10 @@
     /// the drain limit at the latest. Returns a text that says how many requests were left open.
     pub async fn stop(self) -> String {
         let left = crate::control::ask_stop(&self.events).await;
-        self.end();
+        self.control.stop();
+        self.traffic.stop();
+        // The requests that are still open are logged when their tasks are dropped.
+        let _ = self.traffic.join();
         left
     }
 
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -7,7 +7,7 @@
 use {
     arc_swap::ArcSwap,
     rattanturn_core::{
-        NodeId, addresses::Frontend, catalog::Catalog, discovery::Target, rollout::Rollout,
+        NodeId, Time, addresses::Frontend, catalog::Catalog, discovery::Target, rollout::Rollout,
     },
     std::{
         collections::HashMap,
@@ -63,6 +63,8 @@
     pub(crate) me: NodeId,
     /// Phase of this daemon.
     pub(crate) phase: Phase,
+    /// When a stopping daemon ends at the latest; `None` while it serves.
+    pub(crate) ends_at: Option<Time>,
 }
 
 impl View {
