Let the targets' stand-ins run longer by path, answer with 503, leave, and be cold

The causes need targets that the stand-ins could not play: one with short and long requests and with small and large answers at a time (`run-N` and `copies-N` in the path), one that runs a request and answers with a 503 of its own, one that says in its answers that it leaves, one that is cold, and the most requests that were open at once. The configuration's builder sets time limits, connections and the rate of cold targets.

--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -12,7 +12,7 @@
 
 /// Host name of all routes, which requests must carry in their `Host` header.
 pub const HOST: &str = "desk.example";
-/// Number of connections that each target accepts from all daemons together.
+/// Number of connections that each target accepts from all daemons together, if not set.
 const MAX_CONNECTIONS: u32 = 30;
 
 /// Builder of the configuration object, which holds the routes and their services.
@@ -21,8 +21,12 @@
     version: u64,
     routes: Vec<Value>,
     services: BTreeSet<String>,
+    /// Requests a second that each cold target takes; 0 sets no limit.
+    cold_rate: f64,
     /// `None` leaves the list of accounts out.
     accounts: Option<Value>,
+    /// `None` stands for [`MAX_CONNECTIONS`].
+    max_connections: Option<u32>,
 }
 
 impl ConfigBuilder {
@@ -94,6 +98,23 @@
         self
     }
 
+    /// Sets the time limit and the latency goal of the route that was added last.
+    #[must_use]
+    pub fn limits(mut self, timeout_ms: u64, goal_ms: u64) -> Self {
+        if let Some(route) = self.routes.last_mut() {
+            route["timeoutMs"] = json!(timeout_ms);
+            route["latencyGoalMs"] = json!(goal_ms);
+        }
+        self
+    }
+
+    /// Sets the number of connections that each target accepts from all daemons together.
+    #[must_use]
+    pub fn max_connections(mut self, count: u32) -> Self {
+        self.max_connections = Some(count);
+        self
+    }
+
     /// Sets the list of accounts in the platform's format, or leaves it out.
     #[must_use]
     pub fn accounts(mut self, list: Option<Value>) -> Self {
@@ -101,6 +122,13 @@
         self
     }
 
+    /// Sets how many requests a second each cold target takes from all daemons together.
+    #[must_use]
+    pub fn cold_rate(mut self, rate: f64) -> Self {
+        self.cold_rate = rate;
+        self
+    }
+
     /// Removes all routes but keeps the services, so that the next version can define other routes
     /// for the same targets.
     #[must_use]
@@ -115,13 +143,14 @@
     /// not consecutive numbers.
     pub fn write(&mut self, store: &State) {
         self.version += 3;
+        let max_connections = self.max_connections.unwrap_or(MAX_CONNECTIONS);
         let services: Vec<Value> = self
             .services
             .iter()
             .map(|name| {
                 json!({
-                    "name": name, "healthPath": "/healthz", "maxConns": MAX_CONNECTIONS,
-                    "warmupS": 3.0, "coldPerS": 0.0,
+                    "name": name, "healthPath": "/healthz", "maxConns": max_connections,
+                    "warmupS": 3.0, "coldPerS": self.cold_rate,
                 })
             })
             .collect();
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -4,7 +4,7 @@
 //! It answers every HTTP/1.1 request, whatever its method and path, with a signature in
 //! `x-server-seal` and a body of records of 16 bytes, and returns the request's `x-request-id`. A
 //! request that names another target in `x-target-instance` gets status 421 and does not run. A
-//! request whose caller disconnects is stopped.
+//! request whose caller disconnects is stopped. Its path may ask for a longer run or a larger answer.
 //!
 //! A test can slow the target down, pause it or give it a [`Fault`]. Its process can end, when a test
 //! stops it or when a request does that ends each target that runs it; it may start again under
@@ -12,9 +12,14 @@
 //! request ran more than once.
 
 mod answer;
+mod open;
+mod paths;
 
 use {
-    self::answer::{answer, head},
+    self::{
+        answer::{answer, head},
+        open::OpenRequest,
+    },
     crate::{
         calls::{Call, CallLog},
         operator::register_target,
@@ -70,6 +75,8 @@
     Refused,
     /// The request runs and is answered with status 500.
     Failed,
+    /// The request runs and is answered with status 503, without `x-not-executed`.
+    Unavailable,
     /// The request runs, and its connection stays open without an answer.
     Silent,
     /// The request runs, and its answer is bytes without end, until the caller closes.
@@ -159,12 +166,16 @@
     slowdown: f64,
     paused_until: Option<Instant>,
     rate_limit: Option<f64>,
+    /// Whether all answers say that the target leaves.
+    leaving: bool,
+    cold_until: Option<Instant>,
     crash: Option<Crash>,
     flaw: Option<Flaw>,
     /// Requests that the flaw affected so far.
     flawed: u64,
     first_arrival: Option<Instant>,
     open: u32,
+    most_open: u32,
     /// Number of times that the process has started again.
     restarts: u64,
     counters: Counters,
@@ -230,7 +241,10 @@
 
     /// Starts the process again, under another id.
     pub fn start(&self) {
-        self.with(|i| i.restarts += 1);
+        self.with(|i| {
+            i.restarts += 1;
+            i.leaving = false;
+        });
         self.running.send_replace(true);
     }
 
@@ -260,6 +274,23 @@
         self.with(|i| i.rate_limit = limit);
     }
 
+    /// Lets every answer say that the target leaves, or not; a restart ends it.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.with(|i| i.leaving = leaving);
+    }
+
+    /// Makes the target cold for `time`. Only its next entry tells.
+    pub fn set_cold(&self, time: Duration) {
+        self.with(|i| i.cold_until = Some(Instant::now() + time));
+    }
+
+    fn cold_left(&self) -> Duration {
+        let until = self.with(|i| i.cold_until);
+        until.map_or(Duration::ZERO, |t| {
+            t.saturating_duration_since(Instant::now())
+        })
+    }
+
     /// Counts of the requests so far.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -302,7 +333,7 @@
             "version": self.config.version,
             "maxConcurrency": 3,
             "state": state,
-            "warmupLeftMs": 0,
+            "warmupLeftMs": u64::try_from(self.cold_left().as_millis()).unwrap_or(u64::MAX),
             "seq": sequence,
             "born": 1 + self.with(|i| i.restarts),
         })
@@ -349,10 +380,11 @@
 /// The listener cannot be bound.
 pub async fn spawn(config: TargetConfig) -> io::Result<Arc<State>> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
     let (running, mut changes) = watch::channel(true);
     let state = Arc::new(State {
         config,
-        addr: listener.local_addr()?,
+        addr,
         running,
         slots: Slots::default(),
         inner: Mutex::new(Inner {
@@ -438,6 +470,7 @@
         let lines: Vec<String> = lines.collect();
         state.with(|i| i.counters.last_headers.clone_from(&lines));
         let (fault, run_time) = state.with(|i| record_arrival(i, &state.config, deadline));
+        let run_time = run_time + paths::extra_time(request.path());
         let mut call = Call::new(id.clone(), lines, fault != Fault::Refused);
         if fault == Fault::Refused {
             state.with(|i| i.calls.add(call));
@@ -467,28 +500,13 @@
             state.crash(crash);
             return std::future::pending().await;
         }
-        if !answer(state, &mut stream, &id, fault, &mut late_copy).await? {
+        let asked = (id.as_str(), paths::copies(path));
+        if !answer(state, &mut stream, asked, fault, &mut late_copy).await? {
             return Ok(());
         }
     }
 }
 
-/// Counts a request as open until it is dropped.
-struct OpenRequest<'a>(&'a State);
-
-impl<'a> OpenRequest<'a> {
-    fn new(state: &'a State) -> Self {
-        state.with(|i| i.open += 1);
-        Self(state)
-    }
-}
-
-impl Drop for OpenRequest<'_> {
-    fn drop(&mut self) {
-        self.0.with(|i| i.open -= 1);
-    }
-}
-
 impl Inner {
     /// Gives each second request that the target's flaw affects its bad answer.
     fn apply_flaw(&mut self, path: &str, fault: Fault, run_time: Duration) -> (Fault, Duration) {
--- a/crates/standins/src/shard/answer.rs
+++ b/crates/standins/src/shard/answer.rs
@@ -26,11 +26,12 @@
 
 /// Sends an answer to a request that ran; returns whether the connection stays usable.
 ///
+/// The request is given by its id and the number of copies of the records that it asks for.
 /// `late_copy` gets what is to be sent again.
 pub(super) async fn answer(
     state: &State,
     stream: &mut TcpStream,
-    id: &str,
+    (id, copies): (&str, usize),
     fault: Fault,
     late_copy: &mut Vec<u8>,
 ) -> io::Result<bool> {
@@ -40,8 +41,12 @@
     });
     let signature = format!("{}.{answer_number}", state.id());
     let sealed = ("x-server-seal", signature.as_str());
-    let body = state.records();
-    let status = if fault == Fault::Failed { 500 } else { 200 };
+    let body = state.records().repeat(copies);
+    let status = match fault {
+        Fault::Failed => 500,
+        Fault::Unavailable => 503,
+        _ => 200,
+    };
     let whole = [
         head(state, status, id, sealed, Some(body.len())),
         body.clone(),
@@ -72,7 +77,9 @@
             stream.write_all(&whole).await?;
             *late_copy = whole;
         }
-        Fault::None | Fault::Refused | Fault::Failed => stream.write_all(&whole).await?,
+        Fault::None | Fault::Refused | Fault::Failed | Fault::Unavailable => {
+            stream.write_all(&whole).await?;
+        }
     }
     Ok(true)
 }
@@ -108,11 +115,12 @@
     let length = length.map_or("connection: close\r\n".into(), |l| {
         format!("content-length: {l}\r\n")
     });
-    let limit = state.with(|i| i.rate_limit);
+    let (limit, leaving) = state.with(|i| (i.rate_limit, i.leaving));
+    let leaving = if leaving { "server-leaving: 1\r\n" } else { "" };
     let limit = limit.map_or(String::new(), |l| format!("server-limit: {l}\r\n"));
     format!(
         "HTTP/1.1 {status} Status\r\nx-request-id: {id}\r\n{name}: {value}\r\n\
-         x-server-load: {}\r\n{limit}{length}\r\n",
+         x-server-load: {}\r\n{limit}{leaving}{length}\r\n",
         state.slots.load()
     )
     .into_bytes()
