Keep the size of the connection pools while callers still come

What callers saw: late in a stop, and at a daemon that is withdrawn because it lost most targets, requests queue, and in a stop they end without an answer.

Cause: a daemon that is not advertised got one connection to each target, although its callers leave only by and by. The other daemons took its share over.

Change: a daemon keeps its share for as long as callers come that know its address, and the others count daemons that leave as sharing. The test of the quotas shows that the sum of all shares stays within what a target accepts, with one daemon stopping or more, while the store lists them or not.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -4,7 +4,10 @@
 //! daemon knows few of its peers. The number of daemons is therefore taken from those recorded in
 //! the store as well as from those known through gossip.
 
-use crate::addresses::MIN_CAPACITY;
+use crate::{
+    NodeId,
+    addresses::{self, Frontend, MIN_CAPACITY},
+};
 
 /// Fraction of a target's connections that goes to the daemons that serve callers. The rest is for
 /// other daemons and for connections of a daemon that lost power: the target keeps them open for a
@@ -36,10 +39,41 @@
     known.max(recorded)
 }
 
+/// Number of daemons known through gossip that share limits: those that callers are directed to, and
+/// those among `leaving` that would be if they accepted callers.
+///
+/// A daemon that stops keeps its share for as long as callers come, so the others must not take it
+/// over, also while the store does not list the daemon.
+///
+/// ```
+/// use rattanturn_core::{NodeId, addresses::Frontend, quota::known_daemons};
+/// let frontend = |id, accepting| Frontend {
+///     id: NodeId(id),
+///     addr: ([127, 0, 0, 1], 80).into(),
+///     centre: "a".into(),
+///     accepting,
+///     capacity: 1.0,
+/// };
+/// let frontends = [frontend(1, true), frontend(2, true), frontend(3, false), frontend(4, false)];
+/// assert_eq!(known_daemons(&frontends, &[NodeId(3)]), 3);
+/// ```
+#[must_use]
+pub fn known_daemons(frontends: &[Frontend], leaving: &[NodeId]) -> usize {
+    let accepting = |f: &Frontend| f.accepting || leaving.contains(&f.id);
+    let frontends: Vec<Frontend> = frontends
+        .iter()
+        .map(|f| Frontend {
+            accepting: accepting(f),
+            ..f.clone()
+        })
+        .collect();
+    addresses::advertised(&frontends).len()
+}
+
 /// Number of connections that a daemon may open to a target that accepts `limit` in total.
 ///
 /// `sharing` is the result of [`sharing_daemons`]. A daemon that serves no callers gets a single
-/// connection. The quota is never 0.
+/// connection; one that stops still serves them. The quota is never 0.
 ///
 /// ```
 /// use rattanturn_core::quota::connection_quota;
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -2,8 +2,10 @@
 //! other yet, as right after a start.
 
 use rattanturn_core::{
-    NodeId, cold,
-    quota::{connection_quota, sharing_daemons},
+    NodeId,
+    addresses::Frontend,
+    cold,
+    quota::{connection_quota, known_daemons, sharing_daemons},
 };
 
 /// Connections that a target accepts and number of daemons, at two sites.
@@ -32,3 +34,32 @@
         );
     }
 }
+
+/// A daemon that stops keeps its connections while its callers still come. Guards against the others
+/// taking them over, while the store does not list any daemon as well as while it does.
+#[test]
+fn connection_quotas_fit_while_one_daemon_or_more_stop() {
+    for (accepted, daemons) in SITES {
+        for stopping in 0..=daemons {
+            let frontends: Vec<Frontend> = (0..daemons)
+                .map(|id| Frontend {
+                    id: NodeId(id as u64),
+                    addr: ([127, 0, 0, 1], 80).into(),
+                    centre: "a".into(),
+                    accepting: id >= stopping,
+                    capacity: 0.25,
+                })
+                .collect();
+            let leaving: Vec<NodeId> = frontends.iter().take(stopping).map(|f| f.id).collect();
+            let known = known_daemons(&frontends, &leaving);
+            for recorded in [vec![], vec![0.25; daemons - stopping], vec![0.25; daemons]] {
+                let each = connection_quota(accepted, sharing_daemons(known, &recorded), true);
+                let total = each as usize * daemons;
+                assert!(
+                    total <= accepted as usize,
+                    "{stopping} of {daemons}: {total}"
+                );
+            }
+        }
+    }
+}
--- a/crates/daemon/src/tier/control/publish.rs
+++ b/crates/daemon/src/tier/control/publish.rs
@@ -114,11 +114,20 @@
         let daemons: Vec<NodeId> = recent.map(|m| m.record.id).collect();
         let frontends = self.frontends();
         let advertised = addresses::advertised(&frontends);
+        let is_advertised = advertised.iter().any(|e| e.id == self.me);
+        let leaving = self.membership.present();
+        let leaving = leaving.filter(|m| m.record.state == State::Leaving);
+        let leaving: Vec<NodeId> = leaving.map(|m| m.record.id).collect();
+        let known = quota::known_daemons(&frontends, &leaving);
         let recorded: Vec<f64> = self.cluster.daemons.values().copied().collect();
+        // Callers that know the address of this daemon go on using it for a while.
+        let still_called = self.phase != Phase::Serving || self.withdrawn;
+        let took_callers = self.shared.load().takes_callers;
         let view = View {
-            sharing_daemons: quota::sharing_daemons(advertised.len(), &recorded),
+            sharing_daemons: quota::sharing_daemons(known, &recorded),
             calling_daemons: quota::sharing_daemons(daemons.len(), &vec![1.0; recorded.len()]),
-            advertised: advertised.iter().any(|e| e.id == self.me),
+            advertised: is_advertised,
+            takes_callers: is_advertised || (still_called && took_callers),
             catalog: self.cluster.catalog.clone(),
             services,
             rollouts,
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -18,7 +18,7 @@
             relay::RelayClient,
             rollouts::{SharedRollouts, TrafficRollouts},
             upstream::{SharedCalls, Upstream},
-            view::{Gauges, Phase, SharedView, View},
+            view::{Gauges, SharedView, View},
         },
     },
     rattanturn_core::{
@@ -220,14 +220,12 @@
                 upstream.set_max_connections(connection_quota(
                     limit,
                     view.sharing_daemons,
-                    view.advertised,
+                    view.takes_callers,
                 ));
-                // A stopping daemon is no longer advertised, but its callers leave only by and by.
-                let takes_callers = view.advertised || view.phase != Phase::Serving;
                 upstream.set_rate_fraction(rate_share::fraction(
                     view.sharing_daemons,
                     view.calling_daemons,
-                    takes_callers,
+                    view.takes_callers,
                 ));
                 let qps = settings.and_then(|s| s.cold_rate);
                 upstream.cold_quota.set(
@@ -259,10 +257,10 @@
 
     /// Sets how many extra calls this daemon may save up: an even part of what all daemons may.
     ///
-    /// The parts are counted over the daemons that share the targets. A daemon that callers are not
-    /// sent to counts all daemons instead.
+    /// The parts are counted over the daemons that share the targets. A daemon that callers do not
+    /// come to counts all daemons instead.
     fn set_budget_bursts(&self, view: &View) {
-        let daemons = if view.advertised {
+        let daemons = if view.takes_callers {
             view.sharing_daemons
         } else {
             view.daemons.len()
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -56,6 +56,9 @@
     pub(crate) calling_daemons: usize,
     /// Whether this daemon is advertised to callers.
     pub(crate) advertised: bool,
+    /// Whether callers come to this daemon because it is advertised, or was when its stop began:
+    /// they leave a stopping daemon only by and by. It keeps its part of what daemons share.
+    pub(crate) takes_callers: bool,
     /// All known daemons, including those that died a short time ago; they share cold
     /// targets' request rates.
     pub(crate) daemons: Vec<NodeId>,
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -12,6 +12,7 @@
 mod quotas_under_failure;
 mod rate_limits;
 mod rollouts;
+mod stops;
 mod stranded;
 
 use {
--- a/crates/demo/tests/tier/stranded.rs
+++ b/crates/demo/tests/tier/stranded.rs
@@ -181,3 +181,51 @@
         }
     });
 }
+
+/// A daemon reaches one server of a service and none of the others, so it is no longer advertised.
+/// Guards against a pool that shrinks while callers still come on the connections that they keep.
+#[test]
+fn the_pool_keeps_its_size_while_a_daemon_is_withdrawn() {
+    with_cluster(2, async |cluster| {
+        cluster.config = std::mem::take(&mut cluster.config).max_connections(30);
+        cluster.config.write(&cluster.store);
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        let at = front_addr(cluster, 2);
+        assert!(served_part(at, "before").await > 0.99);
+        let servers = plain_servers(cluster);
+        let near = servers[0].clone();
+        let reached = cluster.servers.iter().position(|s| s.id() == near.id());
+        for (n, proxy) in cluster.gateway.iter().enumerate() {
+            if Some(n) != reached {
+                proxy.set_accepting(false);
+                proxy.set_mode(LinkMode::Reset);
+            }
+        }
+        let settled = Instant::now() + SETTLE_TIME;
+        while Instant::now() < settled {
+            served_part(at, &format!("early{:?}", settled - Instant::now())).await;
+        }
+        let listed = cluster.resolve(cluster.daemons[0].addresses(), "a").await;
+        assert!(
+            !listed.unwrap().contains(&at),
+            "the daemon is not withdrawn"
+        );
+        near.set_slow(30.0);
+        let _ = near.take_most_open();
+        let batch: Vec<_> = (0..6)
+            .map(|n| {
+                actix_rt::spawn(async move {
+                    let answer = request(at, "/once/x", &format!("w{n}"), "body").await;
+                    answer.map_or(0, |a| a.status)
+                })
+            })
+            .collect();
+        let mut seen = Vec::new();
+        for request in batch {
+            seen.push(request.await.unwrap());
+        }
+        assert_eq!(seen, [200; 6]);
+        assert_eq!(near.take_most_open(), 6, "requests ran at once");
+    });
+}
