Give free connections to calls in the order in which they came

What callers saw: some requests wait far longer than later ones, up to 504, and calls wait on although the pool has grown.

Cause: a released connection went to whoever came next, also to a call that had not waited, and a raised limit woke nobody. A call was overtaken by 37 others; 18 calls of 1 s took 10 s.

Change: `core::permits` decides who gets a free connection: the ticket that has waited longest, at once, also when the limit grows. The tier's pools use it. The tests of the order and of the pool that grows failed before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,7 @@
 //! Sharing the targets' capacity among daemons:
 //!
 //! - [`quota`]: the part of each target's connections that this daemon may use.
+//! - [`permits`]: which call gets a free connection.
 //! - [`cold`]: how many requests this daemon sends to a target that still warms up.
 //! - [`rate_share`]: when this daemon may send a request to a target that limits its rate.
 //! - [`lease`]: which daemon may use a unit, such as a group of targets, right now; granted by a
@@ -82,6 +83,7 @@
 pub mod membership;
 pub mod merge;
 pub mod object_history;
+pub mod permits;
 mod priority;
 pub mod quarantine;
 pub mod queue;
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -18,6 +18,7 @@
 mod meters;
 mod peer_sync;
 mod peers;
+mod permits;
 mod quarantine;
 mod query;
 mod quota;
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -10,6 +10,7 @@
         tier::{
             accounts::Access,
             connection::{Answer, OpenBytes, TargetConnection, is_closed},
+            permits::ConnectionPermits,
         },
     },
     actix_http::{RequestHead, RequestHeadType, header::HeaderValue},
@@ -32,7 +33,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::time::timeout,
 };
 
 /// A call is given up this long after the deadline sent to the target. The request is finished at
@@ -146,11 +147,7 @@
     pub(crate) usable: Cell<bool>,
     health: Cell<TargetHealth>,
     /// This daemon's part of the connections that the target accepts.
-    max_connections: Cell<u32>,
-    /// Permits held, each for a connection in use or being opened.
-    in_use: Cell<u32>,
-    /// Wakes a call that waits for a permit.
-    freed: Notify,
+    permits: ConnectionPermits,
     idle: RefCell<Vec<TargetConnection>>,
     limiter: RefCell<SlidingWindowLimiter>,
     /// The rate limit that the target's last answer stated, and this daemon's share of it.
@@ -159,16 +156,6 @@
     limited_calls: Cell<u64>,
 }
 
-/// Right to one connection. Dropping it, also when the call is cancelled, wakes a waiting call.
-struct ConnectionPermit<'a>(&'a Upstream);
-
-impl Drop for ConnectionPermit<'_> {
-    fn drop(&mut self) {
-        self.0.in_use.set(self.0.in_use.get() - 1);
-        self.0.freed.notify_one();
-    }
-}
-
 impl Upstream {
     pub(crate) fn new(
         target: Arc<Target>,
@@ -186,9 +173,7 @@
             relative_latency: Cell::new(1.0),
             usable: Cell::new(true),
             health: Cell::default(),
-            max_connections: Cell::new(1),
-            in_use: Cell::new(0),
-            freed: Notify::new(),
+            permits: ConnectionPermits::new(1),
             idle: RefCell::default(),
             limiter: RefCell::default(),
             rate_share: RefCell::new(RateShare::new(rand::random())),
@@ -239,7 +224,7 @@
 
     /// Whether a call has been waiting for an answer of the target since `time` or longer.
     pub(crate) fn waits_since(&self, time: Time) -> bool {
-        self.in_use.get() > 0 && self.waiting_since.get() <= time
+        self.permits.in_use() > 0 && self.waiting_since.get() <= time
     }
 
     /// Takes the target for down until a probe succeeds, and closes its idle connections.
@@ -286,12 +271,13 @@
 
     /// Whether a call would not have to wait for another call to release its connection.
     pub(crate) fn has_free_connection(&self) -> bool {
-        self.in_use.get() < self.max_connections.get()
+        self.permits.has_free()
     }
 
-    /// Sets the pool's limit; calls above a lowered limit run to their end.
+    /// Sets the pool's limit. Calls above a lowered limit run to their end; calls that wait are woken
+    /// if a raised limit has room for them.
     pub(crate) fn set_max_connections(&self, connections: u32) {
-        self.max_connections.set(connections);
+        self.permits.set_limit(connections);
     }
 
     /// Closes idle connections that cannot be reused, and all of them once the target is unusable.
@@ -306,10 +292,10 @@
 
     /// Opens an idle connection if there is none, so that the first call does not wait for it.
     pub(crate) async fn preconnect(&self) {
-        if !self.idle.borrow().is_empty() || self.in_use.get() >= self.max_connections.get() {
+        if !self.idle.borrow().is_empty() || !self.permits.has_free() {
             return;
         }
-        let _permit = self.acquire_permit().await;
+        let _permit = self.permits.acquire().await;
         let addr = self.addr();
         // A failure is left to the next call, which counts it.
         if let Ok(connection) = TargetConnection::connect(addr).await {
@@ -319,7 +305,7 @@
 
     /// Number of connections that are idle or in use.
     pub(crate) fn connections(&self) -> usize {
-        self.idle.borrow().len() + self.in_use.get() as usize
+        self.idle.borrow().len() + self.permits.in_use() as usize
     }
 
     /// Sends a call and waits for its answer until shortly after the deadline.
@@ -336,9 +322,9 @@
     }
 
     async fn send(&self, call: &Call) -> Outcome {
-        let _permit = self.acquire_permit().await;
+        let _permit = self.permits.acquire().await;
         self.tried.set(true);
-        if self.in_use.get() == 1 {
+        if self.permits.in_use() == 1 {
             self.waiting_since.set(clock::now());
         }
         let mut connection = match self.take_connection(call.non_idempotent).await {
@@ -458,14 +444,6 @@
         }
     }
 
-    async fn acquire_permit(&self) -> ConnectionPermit<'_> {
-        while self.in_use.get() >= self.max_connections.get() {
-            self.freed.notified().await;
-        }
-        self.in_use.set(self.in_use.get() + 1);
-        ConnectionPermit(self)
-    }
-
     /// Takes a reusable idle connection or opens one; idle ones that it passes over are closed.
     async fn take_connection(
         &self,
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -14,6 +14,7 @@
 mod rollouts;
 mod stops;
 mod stranded;
+mod waiting_calls;
 
 use {
     actix_rt::{System, time::sleep},
--- a/crates/demo/tests/tier/stops.rs
+++ b/crates/demo/tests/tier/stops.rs
@@ -167,3 +167,23 @@
         stop.await.unwrap();
     });
 }
+
+/// Each daemon has one connection to each server at first, then nine. Guards against calls that wait
+/// on although there is room for them: each answer would start only one more.
+#[test]
+fn calls_that_wait_for_a_connection_start_when_the_pool_grows() {
+    with_slow_servers(1_000, 2, async |cluster| {
+        let at = front_addr(cluster, 0);
+        let sent = Instant::now();
+        let batch = send_batch(open_connections(at, 18).await, "/letter/x", "g");
+        sleep(Duration::from_millis(100)).await;
+        write_config(cluster, 200, 30);
+        for request in batch {
+            let (id, _, answer) = request.await.unwrap();
+            assert_eq!(answer.map(|a| a.status), Some(200), "{id}");
+        }
+        // The change, then one round for those that run and one for those that wait.
+        let bound = CONFIG_APPLY_TIME + Duration::from_secs(2);
+        assert!(sent.elapsed() < bound, "{:?}", sent.elapsed());
+    });
+}
