Decide in the core when a stopping daemon closes, answers and ends

A stop had its times as constants before the drain limit: new requests were taken until 2 s before it whatever they need, and the process ended 0.4 s before it whatever was open. With a limit below 2 s the daemon closed at once.

A gather can be cut to an earlier deadline, and can be kept from making further calls.

--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -109,6 +109,8 @@
     counts: Counts,
     /// Targets that ended while they had a call.
     ended: usize,
+    /// Whether no further call may be made, see [`Gather::stop_calls`].
+    calls_stopped: bool,
     done: bool,
 }
 
@@ -124,6 +126,7 @@
             states,
             counts: Counts::default(),
             ended: 0,
+            calls_stopped: false,
             done: false,
         };
         let mut out = Vec::new();
@@ -162,7 +165,7 @@
         if self.states[service].body.is_some() {
             self.release_held(now, newest, budgets, &mut out);
         } else if ended && self.is_suspicious() {
-            self.states[service].held = self.plan.idempotent;
+            self.states[service].held = self.plan.idempotent && !self.calls_stopped;
         } else {
             self.retry_missing(now, service, newest, failed, budgets, &mut out);
         }
@@ -196,6 +199,70 @@
         out
     }
 
+    /// Moves the deadline forward to `deadline`; a later one has no effect. The next tick is due at the
+    /// new deadline at the latest, also if that has passed.
+    ///
+    /// ```
+    /// use {rattanturn_core::{Time, gather::*}, std::time::Duration};
+    /// let plan = Plan {
+    ///     services: vec![vec![0]],
+    ///     hedge_delays: vec![Duration::from_millis(5)],
+    ///     deadline: Time::from_millis(100),
+    ///     snapshot: 7,
+    ///     hedging: false,
+    ///     idempotent: true,
+    ///     max_attempts: 1,
+    ///     max_ended: max_ended(1),
+    ///     cutoff: None,
+    ///     budgets: vec![],
+    /// };
+    /// let mut budgets = Budgets::default();
+    /// let (mut gather, _) = Gather::start(Time::ZERO, plan, &mut budgets);
+    /// gather.shorten_deadline(Time::from_millis(40));
+    /// assert_eq!(gather.next_tick(), Time::from_millis(40));
+    /// let actions = gather.tick(Time::from_millis(40), &mut budgets);
+    /// assert_eq!(actions.last(), Some(&Action::Finish));
+    /// ```
+    pub fn shorten_deadline(&mut self, deadline: Time) {
+        self.plan.deadline = self.plan.deadline.min(deadline);
+    }
+
+    /// Makes no further calls from now on: neither hedges nor retries, also no scheduled ones. The
+    /// query finishes when its open attempts have ended, at the latest at the deadline.
+    ///
+    /// ```
+    /// use {rattanturn_core::{Time, gather::*}, std::time::Duration};
+    /// let plan = Plan {
+    ///     services: vec![vec![0, 1]],
+    ///     hedge_delays: vec![Duration::from_millis(5)],
+    ///     deadline: Time::from_millis(100),
+    ///     snapshot: 7,
+    ///     hedging: true,
+    ///     idempotent: true,
+    ///     max_attempts: 2,
+    ///     max_ended: max_ended(1),
+    ///     cutoff: None,
+    ///     budgets: vec![],
+    /// };
+    /// let mut budgets = Budgets::default();
+    /// let (mut gather, _) = Gather::start(Time::ZERO, plan, &mut budgets);
+    /// assert_eq!(gather.stop_calls(), []);
+    /// let now = Time::from_millis(20);
+    /// assert_eq!(gather.tick(now, &mut budgets), []);
+    /// let actions = gather.reply(now, AttemptId(0), Reply::Failed, 7, &mut budgets);
+    /// assert_eq!(actions, [Action::Finish]);
+    /// ```
+    pub fn stop_calls(&mut self) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.calls_stopped = true;
+        for state in &mut self.states {
+            state.retry_at = None;
+            state.held = false;
+        }
+        self.finish_if_idle(&mut out);
+        out
+    }
+
     /// Time at which [`Gather::tick`] must be called next, at the latest the deadline.
     ///
     /// Every call to [`Gather::reply`] or [`Gather::tick`] may change it.
@@ -316,6 +383,9 @@
         if state.open > 0 || state.retry_at.is_some() || (failed && !self.plan.idempotent) {
             return;
         }
+        if self.calls_stopped {
+            return;
+        }
         // A refused caller stays refused.
         if state.reason == Some(MissingReason::Unauthorized) {
             return;
@@ -340,7 +410,7 @@
     /// each would not help if all are slow, and would do harm if the query ends its targets.
     fn hedges_now(&self) -> bool {
         let comparable = self.states.len() == 1 || self.covered() > 0;
-        self.plan.hedging && comparable && !self.is_suspicious()
+        self.plan.hedging && comparable && !self.calls_stopped && !self.is_suspicious()
     }
 
     /// Whether the query itself may have ended targets: some ended, and none has answered it.
--- a/crates/core/src/hedge.rs
+++ b/crates/core/src/hedge.rs
@@ -115,6 +115,23 @@
         latency / average
     }
 
+    /// Latency that is expected of a call, rather too high than too low; `None` before the first call.
+    ///
+    /// It is the average as long as the quantile, which follows gradually, is below it.
+    ///
+    /// ```
+    /// use {rattanturn_core::hedge::CallLatency, std::time::Duration};
+    /// let mut latency = CallLatency::at(0.75);
+    /// assert_eq!(latency.usual(), None);
+    /// latency.record(Duration::from_secs(2));
+    /// assert_eq!(latency.usual(), Some(Duration::from_secs(2)));
+    /// ```
+    #[must_use]
+    pub fn usual(&self) -> Option<Duration> {
+        let average = Duration::from_secs_f64(self.average?);
+        Some(average.max(self.slow_threshold()))
+    }
+
     /// Latency above which a call counts as slow.
     #[must_use]
     pub fn slow_threshold(&self) -> Duration {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 //! - [`membership`]: which daemons are alive, found by a SWIM-style failure detector.
 //! - [`rendezvous`]: rendezvous hashing, by which daemons that know the same members make the same
 //!   choice.
+//! - [`shutdown`]: when a stopping daemon closes, answers and ends.
 //! - [`readers`]: which daemons read the store; the others receive what these have read.
 //! - [`watch_position`]: where a watch of the store continues, also after the store lost changes.
 //! - [`dissemination`]: to whom a reader announces what it has read.
@@ -95,6 +96,7 @@
 pub mod rendezvous;
 pub mod rollout;
 pub mod selection;
+pub mod shutdown;
 pub mod silence;
 pub mod snapshot;
 mod time;
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -300,3 +300,51 @@
     let second = gather.reply(now, AttemptId(1), Reply::Ended, 7, &mut budgets);
     assert_eq!(second, [Action::Finish]);
 }
+
+/// Guards against calls for a caller that may have left: neither hedges nor retries, also no scheduled
+/// ones, and the query does not wait for them.
+#[test]
+fn query_that_must_make_no_more_calls_ends_with_its_open_ones() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_query(3, &mut budgets);
+    let now = Time::from_millis(10);
+    let busy = || Reply::NotRun(MissingReason::Busy);
+    // The first service waits for its next retry, the second one is open.
+    gather.reply(now, AttemptId(0), busy(), 7, &mut budgets);
+    gather.reply(now, AttemptId(3), busy(), 7, &mut budgets);
+    let done = Reply::Done {
+        snapshot: 7,
+        body: b"x".to_vec(),
+    };
+    gather.reply(now, AttemptId(2), done, 7, &mut budgets);
+    assert_eq!(calls(&gather.stop_calls()), 0);
+    let late = Time::from_millis(100);
+    assert_eq!(gather.tick(late, &mut budgets), []);
+    let last = gather.reply(late, AttemptId(1), Reply::Failed, 7, &mut budgets);
+    assert_eq!(last, [Action::Finish]);
+    assert_eq!(gather.covered(), 1);
+}
+
+#[test]
+fn query_whose_deadline_is_shortened_ends_with_the_parts_that_are_there() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_query(2, &mut budgets);
+    let now = Time::from_millis(10);
+    let done = Reply::Done {
+        snapshot: 7,
+        body: b"x".to_vec(),
+    };
+    gather.reply(now, AttemptId(0), done, 7, &mut budgets);
+    gather.shorten_deadline(Time::from_millis(600));
+    assert!(
+        gather.next_tick() <= Time::from_millis(500),
+        "a later deadline counted"
+    );
+    gather.shorten_deadline(now);
+    assert_eq!(gather.next_tick(), now);
+    let actions = gather.tick(now, &mut budgets);
+    assert_eq!(actions.last(), Some(&Action::Finish));
+    let parts = gather.into_parts();
+    assert_eq!(parts[0], Part::Covered(b"x".to_vec()));
+    assert_eq!(parts[1], Part::Missing(MissingReason::Deadline));
+}
