Answer requests that panic, wait or are being written when a listener closes

What callers of the own interface and of directories saw: a connection that closes without an answer.

Cause: the listener closed with connections in its accept queue, which are reset; a panic in a handler dropped the connection; and nothing told when an answer was written, so that a stop could end before that.

Change: connections that wait are accepted before the listener closes, a panic is answered with status 500, and a handler can keep a value until its answer is written, which the stream below the library notices. `Server::close` ends each connection as soon as no request is open on it. Handlers can learn that their client's input has ended.

--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,197 @@
+//! One client's connection, as its requests and its listener see it.
+//!
+//! The HTTP library tells a handler neither when its answer was written nor that the client has sent
+//! all that it will send. [`ClientStream`] stands between the library and the socket and notes both.
+
+use {
+    actix_http::Request,
+    actix_rt::net::TcpStream,
+    std::{
+        any::Any,
+        cell::{Cell, RefCell},
+        future::{Future, pending},
+        io,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll, ready},
+        time::Instant,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        sync::{Notify, watch},
+    },
+};
+
+/// A client's connection.
+#[derive(Default)]
+pub struct Connection {
+    /// When the client's input ended.
+    input_ended: Cell<Option<Instant>>,
+    ended: Notify,
+    /// Number of requests whose handler runs.
+    running: Cell<usize>,
+    /// Whether bytes were read since the last answer was written.
+    has_input: Cell<bool>,
+    /// Whether a handler has ended since the last flush.
+    answered: Cell<bool>,
+    /// Kept until all answers so far are written.
+    kept: RefCell<Vec<Box<dyn Any>>>,
+}
+
+/// Counts a handler as running until it is dropped.
+pub(crate) struct Running(Option<Rc<Connection>>);
+
+impl Running {
+    pub(crate) fn new(request: &Request) -> Self {
+        let connection = connection(request);
+        if let Some(connection) = &connection {
+            connection.running.set(connection.running.get() + 1);
+        }
+        Self(connection)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.0 {
+            connection.running.set(connection.running.get() - 1);
+            connection.answered.set(true);
+        }
+    }
+}
+
+/// The connection of a request; `None` for a request that was not read by a listener.
+#[must_use]
+pub fn connection(request: &Request) -> Option<Rc<Connection>> {
+    request.conn_data::<Rc<Connection>>().cloned()
+}
+
+impl Connection {
+    /// Drops `value` when the answer of the handler that calls this is written, or the connection is
+    /// closed. The handler must return without waiting any more.
+    pub fn keep_until_written(&self, value: impl Any) {
+        self.kept.borrow_mut().push(Box::new(value));
+    }
+
+    /// Completes when the client has sent all that it will send: it waits for answers, or has left.
+    /// Returns the time at which its input ended.
+    pub async fn input_end(&self) -> Instant {
+        loop {
+            let ended = self.ended.notified();
+            if let Some(time) = self.input_ended.get() {
+                return time;
+            }
+            ended.await;
+        }
+    }
+
+    fn note_input(&self, bytes: usize) {
+        if bytes > 0 {
+            self.has_input.set(true);
+        } else {
+            self.input_ended.set(Some(Instant::now()));
+            self.ended.notify_waiters();
+        }
+    }
+
+    /// Notes that all answers so far are written; returns whether there were any.
+    fn note_written(&self) -> bool {
+        self.kept.take();
+        let answered = self.answered.take();
+        if answered && self.running.get() == 0 {
+            self.has_input.set(false);
+        }
+        answered
+    }
+
+    fn is_idle(&self) -> bool {
+        self.running.get() == 0 && !self.has_input.get()
+    }
+}
+
+/// The stream of a connection. Once its listener closes, its input ends when no request is open.
+pub(crate) struct ClientStream {
+    stream: TcpStream,
+    connection: Rc<Connection>,
+    closing: Option<Pin<Box<dyn Future<Output = ()>>>>,
+}
+
+impl ClientStream {
+    pub(crate) fn new(stream: TcpStream, mut closed: watch::Receiver<bool>) -> Self {
+        let closing = async move {
+            if closed.wait_for(|closed| *closed).await.is_err() {
+                // The listener was dropped; its connections go on.
+                pending::<()>().await;
+            }
+        };
+        Self {
+            stream,
+            connection: Rc::default(),
+            closing: Some(Box::pin(closing)),
+        }
+    }
+
+    pub(crate) fn connection(&self) -> &Rc<Connection> {
+        &self.connection
+    }
+
+    /// Whether the listener closes; the task is woken when it does.
+    fn is_closing(&mut self, cx: &mut Context<'_>) -> bool {
+        let closing = self.closing.as_mut();
+        if closing.is_some_and(|closing| closing.as_mut().poll(cx).is_ready()) {
+            self.closing = None;
+        }
+        self.closing.is_none()
+    }
+}
+
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        self.connection.kept.take();
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        let before = buffer.filled().len();
+        if let Poll::Ready(read) = Pin::new(&mut this.stream).poll_read(cx, buffer) {
+            if read.is_ok() {
+                this.connection.note_input(buffer.filled().len() - before);
+            }
+            return Poll::Ready(read);
+        }
+        if this.is_closing(cx) && this.connection.is_idle() {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Pending
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    /// The library flushes when it has written all bytes of the answers that it has.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        if self.connection.note_written() && self.closing.is_none() {
+            // The library reads before it writes; only the next read ends the input.
+            cx.waker().wake_by_ref();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,19 +4,24 @@
 //! platform. All connections of a listener run on the thread that spawned it, so handlers need not
 //! be `Send`; a process that wants more threads spawns one listener on each.
 
+mod connection;
+
 use {
+    crate::connection::{ClientStream, Running},
     actix_http::{
         HttpMessage, HttpService, KeepAlive, Request, Response,
         body::{BoxBody, MessageBody},
     },
     actix_rt::net::TcpStream,
     actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service},
+    futures::FutureExt,
     futures_core::Stream,
     std::{
         convert::Infallible,
         future::{Future, poll_fn},
         io,
         net::{SocketAddr, TcpListener},
+        panic::AssertUnwindSafe,
         pin::Pin,
         rc::Rc,
         sync::{
@@ -25,9 +30,15 @@
         },
         time::Duration,
     },
-    tokio::sync::Notify,
+    tokio::sync::{Notify, watch},
 };
 
+pub use connection::{Connection, connection};
+
+/// Time for which a closing listener's connections are still read. Bytes that have arrived by then
+/// are read at once; the time is for the thread to be told of them.
+const LAST_READ_TIME: Duration = Duration::from_millis(20);
+
 /// Limits on the resources that the clients of one listener can use.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -64,12 +75,32 @@
     pub refused: AtomicU64,
 }
 
-/// Handle of a running listener. Dropping it stops accepting; open connections go on.
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Arc<ConnectionCounts>);
+
+impl OpenConnection {
+    fn new(counts: &Arc<ConnectionCounts>) -> Self {
+        let open = counts.open.fetch_add(1, Ordering::Relaxed) + 1;
+        counts.peak.fetch_max(open, Ordering::Relaxed);
+        Self(counts.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Handle of a running listener. Dropping it stops accepting; open connections go on, also those that
+/// waited to be accepted. [`Server::close`] closes the connections as well.
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
     counts: Arc<ConnectionCounts>,
     stop: Rc<Notify>,
+    /// Tells the connections that the listener closes.
+    closed: watch::Sender<bool>,
 }
 
 impl Server {
@@ -84,6 +115,15 @@
     pub fn counts(&self) -> Arc<ConnectionCounts> {
         self.counts.clone()
     }
+
+    /// Stops accepting, and closes each connection as soon as no request is open on it. Returns when
+    /// the handlers of all requests that have arrived until now run.
+    pub async fn close(self) {
+        self.stop.notify_one();
+        actix_rt::time::sleep(LAST_READ_TIME).await;
+        self.closed.send_replace(true);
+        actix_rt::time::sleep(LAST_READ_TIME).await;
+    }
 }
 
 impl Drop for Server {
@@ -94,7 +134,8 @@
 
 /// Starts to serve `listener` on the current thread and returns at once.
 ///
-/// `handler` runs for each request. The function must be called within an `actix_rt` runtime.
+/// `handler` runs for each request. If it panics, the request is answered with status 500 and other
+/// requests go on. The function must be called within an `actix_rt` runtime.
 ///
 /// # Errors
 ///
@@ -109,17 +150,15 @@
     let addr = listener.local_addr()?;
     let counts = Arc::new(ConnectionCounts::default());
     let stop = Rc::new(Notify::new());
+    let (closed, closing) = watch::channel(false);
     let server = Server {
         addr,
         counts: counts.clone(),
         stop: stop.clone(),
+        closed,
     };
-    actix_rt::spawn(async move {
-        tokio::select! {
-            () = accept(listener, limits, counts, handler) => {}
-            () = stop.notified() => {}
-        }
-    });
+    let signals = (stop, closing);
+    actix_rt::spawn(accept(listener, limits, counts, signals, handler));
     Ok(server)
 }
 
@@ -127,49 +166,97 @@
     listener: tokio::net::TcpListener,
     limits: Limits,
     counts: Arc<ConnectionCounts>,
+    (stop, closing): (Rc<Notify>, watch::Receiver<bool>),
     handler: F,
 ) where
     F: Fn(Request) -> R + Clone + 'static,
     R: Future<Output = Response<BoxBody>> + 'static,
 {
     let serve = fn_service(move |request: Request| {
-        let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let handler = handler.clone();
+        async move {
+            let path = request.path().to_owned();
+            let _running = Running::new(&request);
+            let response = AssertUnwindSafe(async { handler(request).await });
+            let response = response.catch_unwind().await;
+            Ok::<_, Infallible>(response.unwrap_or_else(|_| panicked(&path)))
+        }
     });
-    let factory = HttpService::<TcpStream, _, _>::build()
+    let factory = HttpService::<ClientStream, _, _>::build()
         .keep_alive(KeepAlive::Timeout(limits.idle_timeout))
         .client_request_timeout(limits.header_timeout)
-        .h1(serve.into_factory())
-        .tcp();
+        .on_connect_ext(|stream: &ClientStream, data| {
+            data.insert(stream.connection().clone());
+        })
+        .h1(serve.into_factory());
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
     let service = Rc::new(service);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Most likely the process is out of file descriptors. The pause avoids a busy loop
-            // until some are free.
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+    let serve = |stream: TcpStream| {
         if counts.open.load(Ordering::Relaxed) >= limits.max_connections {
             counts.refused.fetch_add(1, Ordering::Relaxed);
-            continue;
+            return;
         }
-        let open = counts.open.fetch_add(1, Ordering::Relaxed) + 1;
-        counts.peak.fetch_max(open, Ordering::Relaxed);
+        let open = OpenConnection::new(&counts);
         let _ = stream.set_nodelay(true);
-        let (service, counts) = (service.clone(), counts.clone());
+        let service = service.clone();
+        let client = stream.peer_addr().ok();
+        let stream = ClientStream::new(stream, closing.clone());
         actix_rt::spawn(async move {
             if !limits.setup_delay.is_zero() {
                 actix_rt::time::sleep(limits.setup_delay).await;
             }
-            let _ = service.call(stream).await;
-            counts.open.fetch_sub(1, Ordering::Relaxed);
+            let _ = service.call((stream, client)).await;
+            drop(open);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.notified() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream),
+            // Most likely the process is out of file descriptors. The pause avoids a busy loop until
+            // some are free.
+            Err(_) => actix_rt::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+    if let Err(error) = accept_waiting(listener, serve) {
+        tracing::warn!(%error, "connections that waited to be accepted are reset");
+    }
+}
+
+/// Accepts the connections that wait in the listener's queue, which would be reset otherwise, and
+/// closes the listener.
+///
+/// # Errors
+///
+/// The listener cannot be used, or an accept failed.
+pub fn accept_waiting(
+    listener: tokio::net::TcpListener,
+    serve: impl Fn(TcpStream),
+) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                serve(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
     }
 }
 
+/// The response to a request whose handler panicked.
+fn panicked(path: &str) -> Response<BoxBody> {
+    tracing::error!(path, "a request ended with a panic");
+    response(500, &[], "an internal error ended the request\n")
+}
+
 /// Reason why the body of a request could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
