Answer what callers have sent by the time the listener closes

What callers saw: 2 of 53 connections around the closing were reset, and the second of two pipelined requests was dropped.

Cause: the listener closed with connections in its accept queue, a connection was closed after its answer although the next request had been sent, and unread input made the system reset the connection.

Change: connections that wait are accepted, a connection without a request is read for a last time, requests that have been sent are answered before the connection closes, and idle connections are closed for sending first. The tests of pipelined requests and of callers around the closing failed before.

--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -4,7 +4,8 @@
 //! answer unless its connection breaks. While it runs, its connection is still read.
 //!
 //! During a graceful stop, connections are closed after their next answer while the daemon is
-//! leaving. When it closes, idle connections end.
+//! leaving. When it closes, what the callers have sent by then is still read and answered, and idle
+//! connections end. They are closed for sending first, so that callers see a clean end.
 
 use {
     crate::{
@@ -25,6 +26,7 @@
     },
     bytes::{Bytes, BytesMut},
     rattanturn_core::{Time, catalog::CallerLimits, shutdown::StopSchedule},
+    rattanturn_http::accept_waiting,
     rattanturn_platform::http::{echo_request_id, request_id},
     std::{io, net::TcpListener, pin::pin, rc::Rc, time::Duration},
     tokio::{
@@ -42,6 +44,9 @@
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Longest time that a connection is still read after its last answer.
 const LINGER_TIME: Duration = Duration::from_millis(300);
+/// Time for which a connection without a request is still read when the daemon closes. Bytes that
+/// have arrived by then are read at once; the time is for the thread to be told of them.
+const LAST_READ_TIME: Duration = Duration::from_millis(20);
 /// Delay after a failed accept, for which the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -54,6 +59,12 @@
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     accept_until_closing(&listener, &traffic).await;
+    let closed = accept_waiting(listener, |stream| spawn_connection(stream, &traffic));
+    if let Err(error) = closed {
+        tracing::warn!(%error, "connections that waited to be accepted are reset");
+    }
+    // Connections that had no request are read for a last time; those that get one count it first.
+    actix_rt::time::sleep(LAST_READ_TIME * 2).await;
     Ok(())
 }
 
@@ -188,10 +199,15 @@
         }
     }
 
-    /// Whether the connection is to be closed after the answer to a request.
-    fn closes(&self, traffic: &Rc<Traffic>) -> bool {
+    /// Whether the connection is to be closed after the answer to a request. Requests that the caller
+    /// has sent already are answered before.
+    fn closes(&mut self, traffic: &Rc<Traffic>) -> bool {
         let stops = traffic.view().phase != Phase::Serving;
-        stops || !self.codec.keep_alive()
+        if stops {
+            // What cannot be read now is found out when the connection is read next.
+            let _ = self.stream.try_read_buf(&mut self.buffer);
+        }
+        !self.codec.keep_alive() || (stops && self.buffer.is_empty())
     }
 
     /// Reads a request. At the time of the stop at which all requests get their answers, it is refused
@@ -241,7 +257,7 @@
         let read = tokio::select! {
             biased;
             read = timeout(idle_time, self.read_more()) => read,
-            () = closing => return Err(ReadError::Ended),
+            () = closing => timeout(LAST_READ_TIME, self.read_more()).await,
         };
         match read {
             Err(_) => Err(ReadError::Idle),
--- a/crates/demo/tests/tier/answers.rs
+++ b/crates/demo/tests/tier/answers.rs
@@ -10,6 +10,10 @@
     std::{
         io,
         net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -20,6 +24,8 @@
 
 /// The daemons' drain limit, by which all requests must be answered.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// Shortly before a stopping daemon closes its listener, which it does after two thirds of its limit.
+const BEFORE_CLOSE: Duration = Duration::from_millis(1_800);
 /// Time after a caller closed its connection in which targets must stop its idempotent requests.
 const CANCEL_TIME: Duration = Duration::from_millis(500);
 /// Factor that makes a server's run outlast every stop of the tests.
@@ -100,6 +106,13 @@
     })
 }
 
+/// Sends a request and waits for its answer, which leaves the connection open.
+async fn ask(stream: &mut TcpStream, path: &str, id: &str) {
+    stream.write_all(head(path, id).as_bytes()).await.unwrap();
+    let mut buffer = [0; 4096];
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+}
+
 /// Guards against a stop that drops what is open, and against a 503 to what may have run.
 #[test]
 fn requests_open_at_the_end_of_a_stop_are_told_whether_they_may_have_run() {
@@ -300,6 +313,77 @@
     });
 }
 
+/// Guards against a daemon that drops what it has read beyond the request that it serves, and
+/// against a reset of idle connections.
+#[test]
+fn pipelined_requests_are_answered_and_idle_connections_end_cleanly_at_the_closing() {
+    with_cluster(1, async |cluster| {
+        write_config(cluster, 30).await;
+        for s in plain_servers(cluster) {
+            s.set_slow(30.0);
+        }
+        let at = front_addr(cluster, 0);
+        let mut idle = TcpStream::connect(at).await.unwrap();
+        ask(&mut idle, "/once/x", "idle").await;
+        let unused = TcpStream::connect(at).await.unwrap();
+        let stopping = cluster.daemons.remove(0);
+        let stop = actix_rt::spawn(stopping.stop());
+        sleep(BEFORE_CLOSE).await;
+        let two = head("/once/x", "first") + &head("/once/x", "second");
+        let pipelined = send(at, two);
+        for mut stream in [idle, unused] {
+            let heard = read_all(&mut stream).await;
+            assert!(heard.end.is_ok() && heard.text.is_empty(), "{heard:?}");
+        }
+        let heard = pipelined.await.unwrap();
+        assert_eq!(heard.statuses(), [200, 503], "{heard:?}");
+        assert!(heard.end.is_ok());
+        assert_eq!(run_count(&plain_servers(cluster), "second"), 0);
+        println!("{}", stop.await.unwrap());
+    });
+}
+
+/// Guards against resets of callers that connect or send around the moment of the closing. Callers
+/// that find the connection closed before they sent anything can tell that nothing was read.
+#[test]
+fn callers_around_the_closing_get_an_answer_or_a_clean_close() {
+    let (answered, clean, broken) = (AtomicU32::new(0), AtomicU32::new(0), AtomicU32::new(0));
+    let counts = Arc::new([answered, clean, broken]);
+    with_cluster(1, async |cluster| {
+        write_config(cluster, 30).await;
+        let at = front_addr(cluster, 0);
+        let stop = actix_rt::spawn(cluster.daemons.remove(0).stop());
+        sleep(BEFORE_CLOSE).await;
+        let mut callers = Vec::new();
+        for n in 0..160 {
+            let counts = counts.clone();
+            callers.push(actix_rt::spawn(async move {
+                let Ok(mut stream) = TcpStream::connect(at).await else {
+                    return;
+                };
+                let sent = stream
+                    .write_all(head("/once/x", &format!("c{n}")).as_bytes())
+                    .await;
+                let heard = read_all(&mut stream).await;
+                let kind = match (sent.is_ok() && heard.end.is_ok(), heard.text.is_empty()) {
+                    (true, false) => 0,
+                    (true, true) => 1,
+                    (false, _) => 2,
+                };
+                counts[kind].fetch_add(1, Ordering::Relaxed);
+            }));
+            sleep(Duration::from_millis(3)).await;
+        }
+        for caller in callers {
+            caller.await.unwrap();
+        }
+        println!("{}", stop.await.unwrap());
+    });
+    let counts = counts.each_ref().map(|c| c.load(Ordering::Relaxed));
+    println!("answered, closed cleanly, broken: {counts:?}");
+    assert!(counts[0] > 20 && counts[2] == 0, "{counts:?}");
+}
+
 /// Has a daemon that is cut off from all targets pass requests on to the other one, and stops one of
 /// the two. No target answers, so all requests may have run.
 fn assert_relayed_requests_are_answered(stopping: usize) {
