Answer callers that have shut down only their sending side

What callers saw: no answer, without any stop: 12 of 12 callers that shut down their sending side after the request.

Cause: each end of input counted as a caller that left, and dropped the request and its calls.

A reset still cancels all calls at once. The line `request` says `caller-left` with the time in `left_ms`.

--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -6,7 +6,7 @@
 //! answers, because cancelling it would close its connection. One that was not written by then is never
 //! written, so that an answer which says that the request did not run stays true. A request that is
 //! cut short, see [`crate::tier::ending`], ends with the answers that are there. If the caller left,
-//! its calls are cancelled.
+//! its calls are cancelled, except one that must not run twice.
 
 use {
     crate::{
@@ -205,6 +205,8 @@
         let refusal = match &upstream {
             None => Some(MissingReason::Unreachable),
             Some(u) if withheld(u) => Some(MissingReason::Unreachable),
+            // A caller that may have left waits for no connection.
+            Some(u) if self.input_ended() && !u.has_free_connection() => Some(MissingReason::Busy),
             Some(u) if !u.try_take_slot(now) => Some(MissingReason::Limited),
             Some(_) => None,
         };
@@ -264,14 +266,22 @@
         }));
     }
 
+    fn input_ended(&self) -> bool {
+        self.request.ending.stage() >= Stage::InputEnded
+    }
+
     /// Goes on as far as the request's new stage allows it.
     fn cut_short(&mut self, gather: &mut Gather, stage: Stage) -> Vec<Action> {
         self.stage = stage;
         let mut actions = gather.stop_calls();
         actions.extend(self.revoke_waiting(gather));
+        let written = self.attempts.iter();
+        let written = written.filter(|a| a.is_open_at(CallStage::Written)).count();
+        let goes_on = !self.request.route.idempotent && written > 0;
         match stage {
-            Stage::Running => return actions,
-            Stage::Reset => self.cancels = true,
+            Stage::Running | Stage::InputEnded => return actions,
+            Stage::CallerLeft if goes_on => return actions,
+            Stage::CallerLeft | Stage::Reset => self.cancels = true,
             Stage::Stopped => {}
         }
         let now = clock::now();
@@ -398,7 +408,9 @@
                 Part::Covered(_) => None,
             })
             .collect();
-        if !self.calls.is_empty() && !self.cancels {
+        // What the answer does without must not keep targets busy for a caller that may have left.
+        let cancels = self.cancels || (self.input_ended() && self.request.route.idempotent);
+        if !self.calls.is_empty() && !cancels {
             let mut calls = self.calls;
             let (traffic, call) = (self.traffic.clone(), self.request.call.clone());
             let trial = self.request.trial.is_some();
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -1,7 +1,9 @@
 //! HTTP/1 server for callers: reads requests, writes answers and notices callers that leave.
 //!
 //! A connection serves one request at a time, and each request that was read as a whole gets an
-//! answer unless its connection breaks. While it runs, its connection is still read.
+//! answer unless its connection breaks. While it runs, its connection is still read. The end of the
+//! caller's input may mean that the caller left or that it sends nothing more: the request goes on for
+//! a while, see [`crate::tier::ending`].
 //!
 //! During a graceful stop, connections are closed after their next answer while the daemon is
 //! leaving. When it closes, what the callers have sent by then is still read and answered, and idle
@@ -10,9 +12,9 @@
 use {
     crate::{
         clock, planted,
-        stop::stop_time,
+        stop::{sleep_until, stop_time},
         tier::{
-            ending::{Ending, Stage},
+            ending::{Ending, HALF_CLOSED_TIME, Stage},
             meters, query, relay,
             request::{Incoming, Reply},
             traffic::Traffic,
@@ -166,7 +168,7 @@
         if let Some(id) = echo {
             echo_request_id(&id, &mut answer.headers);
         }
-        let close = self.closes(traffic);
+        let close = self.closes(traffic, incoming);
         let written = self.write(answer, close).await;
         open.end(match written {
             Ok(()) => RequestEnd::Answered,
@@ -175,13 +177,15 @@
         written.map(|()| close)
     }
 
-    /// Serves a request, and tells it when the daemon ends.
+    /// Serves a request, and tells it when the caller's input ends and when the daemon does.
     ///
     /// # Errors
     ///
     /// The connection broke. The request was dropped, and with it all calls made for it.
     async fn serve(&mut self, traffic: &Rc<Traffic>, incoming: &Incoming) -> io::Result<Reply> {
         let ending = &incoming.ending;
+        let half_closed_time = half_closed_time(incoming);
+        let mut left_at = None;
         let mut serving = pin!(query::serve(traffic, incoming));
         let mut stopped = pin!(stop_time(traffic.stop_schedule(), StopSchedule::answer_by));
         loop {
@@ -190,10 +194,17 @@
                 biased;
                 answer = &mut serving => return Ok(answer),
                 () = &mut stopped, if ending.stage() < Stage::Stopped => Stage::Stopped,
-                end = input_end(&mut self.stream, &mut self.buffer) => {
-                    ending.enter(Stage::Reset);
-                    return Err(end.err().unwrap_or_else(|| io::ErrorKind::UnexpectedEof.into()));
+                end = input_end(&mut self.stream, &mut self.buffer), if left_at.is_none() => {
+                    if let Err(error) = end {
+                        ending.enter(Stage::Reset);
+                        return Err(error);
+                    }
+                    let now = clock::now();
+                    ending.input_ended.set(Some(now));
+                    left_at = Some(now + half_closed_time);
+                    Stage::InputEnded
                 }
+                () = sleep_until(left_at), if ending.stage() < Stage::CallerLeft => Stage::CallerLeft,
             };
             ending.enter(stage);
         }
@@ -201,13 +212,15 @@
 
     /// Whether the connection is to be closed after the answer to a request. Requests that the caller
     /// has sent already are answered before.
-    fn closes(&mut self, traffic: &Rc<Traffic>) -> bool {
+    fn closes(&mut self, traffic: &Rc<Traffic>, incoming: &Incoming) -> bool {
+        let input_ended = incoming.ending.stage() == Stage::InputEnded
+            || incoming.ending.stage() == Stage::CallerLeft;
         let stops = traffic.view().phase != Phase::Serving;
-        if stops {
+        if stops && !input_ended {
             // What cannot be read now is found out when the connection is read next.
             let _ = self.stream.try_read_buf(&mut self.buffer);
         }
-        !self.codec.keep_alive() || (stops && self.buffer.is_empty())
+        !self.codec.keep_alive() || ((stops || input_ended) && self.buffer.is_empty())
     }
 
     /// Reads a request. At the time of the stop at which all requests get their answers, it is refused
@@ -465,6 +478,15 @@
     limits.unwrap_or_default()
 }
 
+/// How long a request goes on after the end of its caller's input. A daemon that passes a request on
+/// closes its connection only to cancel it.
+fn half_closed_time(incoming: &Incoming) -> Duration {
+    match relay::relayed_attempts(incoming.head()) {
+        Some(_) => Duration::ZERO,
+        None => HALF_CLOSED_TIME,
+    }
+}
+
 /// Completes when the caller's input ends; bytes that come before are kept for its next request.
 ///
 /// # Errors
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -135,7 +135,7 @@
     let (answer, summary) = tokio::select! {
         biased;
         done = query.run_for_account() => done,
-        _ = incoming.ending.over() => query.cut_short(),
+        stage = incoming.ending.over(route.idempotent) => query.cut_short(stage),
     };
     guard.answered = true;
     if let Some(summary) = summary {
@@ -188,23 +188,29 @@
     }
 
     /// The answer to a request that still waits for something when it is to be answered at once.
-    fn cut_short(&self) -> (Reply, Option<RequestSummary>) {
+    fn cut_short(&self, stage: Stage) -> (Reply, Option<RequestSummary>) {
         let ran = self.incoming.ending.may_have_run();
         let summary = RequestSummary {
             missing: vec![MissingReason::Deadline],
             relayed: self.incoming.ending.was_relayed.get(),
             ..RequestSummary::default()
         };
-        (Self::ended_answer(ran), Some(summary))
+        (Self::ended_answer(stage, ran), Some(summary))
     }
 
-    /// The answer to a request that the end of a stop ends without one of a target.
-    fn ended_answer(ran: bool) -> Reply {
-        if ran {
-            return Reply::text(502, "this daemon stopped before the answer came\n");
+    /// The answer to a request that ends at a stage without one of a target.
+    fn ended_answer(stage: Stage, ran: bool) -> Reply {
+        match (stage, ran) {
+            (Stage::Stopped, true) => {
+                Reply::text(502, "this daemon stopped before the answer came\n")
+            }
+            (Stage::Stopped, false) => Reply::not_run(
+                "this daemon stops; no target got the request\n",
+                Duration::ZERO,
+            ),
+            (_, true) => Reply::text(502, "the caller's input ended before the answer came\n"),
+            (_, false) => Reply::not_run("the caller's input has ended\n", RETRY_AFTER),
         }
-        let text = "this daemon stops; no target got the request\n";
-        Reply::not_run(text, Duration::ZERO)
     }
 
     /// The answer to a request without enough answers of targets. The texts are for one that did not
@@ -212,8 +218,8 @@
     fn without_answer(&self, ran: bool, [not_run, late, lost]: [&'static str; 3]) -> Reply {
         let stage = self.incoming.ending.stage();
         let is_late = clock::now() + RESPONSE_TRANSIT_TIME >= self.deadline;
-        if stage >= Stage::Stopped {
-            return Self::ended_answer(ran);
+        if stage >= Stage::CallerLeft {
+            return Self::ended_answer(stage, ran);
         }
         if !ran {
             Reply::not_run(not_run, RETRY_AFTER)
--- a/crates/daemon/src/tier/query/log.rs
+++ b/crates/daemon/src/tier/query/log.rs
@@ -17,7 +17,7 @@
     },
     rattanturn_core::{gather::MissingReason, rendezvous},
     rattanturn_platform::http::request_id,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// One in this many complete answers is logged; all other outcomes are logged always.
@@ -76,10 +76,20 @@
 }
 
 impl Query<'_> {
+    /// Time from the request's arrival to the end of its caller's input.
+    fn left_after(&self) -> Option<Duration> {
+        let ended = self.incoming.ending.input_ended.get()?;
+        Some(ended.since(self.incoming.arrived))
+    }
+
     /// Counts the request, and logs it unless it is complete and not sampled.
     pub(super) fn log(&self, answer: &Reply, summary: &RequestSummary, version: u64) {
         let took = clock::now().since(self.incoming.arrived);
+        let stage = self.incoming.ending.stage();
         let outcome = match answer.status {
+            500.. if matches!(stage, Stage::InputEnded | Stage::CallerLeft) => {
+                RequestOutcome::CallerLeft
+            }
             200..=299 if summary.parts < summary.services => RequestOutcome::Partial,
             200..=299 => RequestOutcome::Complete,
             503 => RequestOutcome::NotRun,
@@ -114,6 +124,7 @@
             account = self.account.as_ref().map(|a| a.name.as_str()),
             priority = self.account.as_ref().and_then(|a| a.priority),
             took_ms = clock::millis(took),
+            left_ms = self.left_after().map(clock::millis),
             stands_for = if outcome == RequestOutcome::Complete { LOG_ONE_IN } else { 1 },
             "request"
         );
--- a/crates/daemon/src/tier/query/trial.rs
+++ b/crates/daemon/src/tier/query/trial.rs
@@ -5,6 +5,7 @@
     crate::{
         clock,
         tier::{
+            ending::Stage,
             meters,
             quarantine::TrialPermit,
             request::{RETRY_AFTER, Reply},
@@ -126,11 +127,15 @@
         }
     }
 
-    /// Refuses to run a stopped request again if the budgets of its services allow no further calls.
+    /// Refuses to run a stopped request again if the budgets of its services allow no further calls, or
+    /// if its caller may have left.
     pub(super) fn refuse_rerun(&self, admission: &Admission) -> Option<(Reply, RequestSummary)> {
         if !self.recalled.get() || matches!(admission, Admission::Refuse(_)) {
             return None;
         }
+        if self.incoming.ending.stage() > Stage::Running {
+            return Some(self.after_recall(Self::quarantined(RETRY_AFTER)));
+        }
         let mut budgets = self.traffic.budgets.borrow_mut();
         let services = self.services().into_iter();
         let refused = services
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! The peer gets the request on its listener for callers, with the time left and a header that says
 //! that a daemon passes it on, so that it is never passed on twice. Dropping the future closes the
-//! connection, by which the peer learns that the caller left.
+//! connection, by which the peer learns that the caller left: daemons never close the sending side
+//! alone, so the peer need not wait as for other callers.
 
 use {
     crate::{
