Answer a request of the tier that panics

What callers saw: a connection that closes without an answer. 2 of 2 requests with a planted panic.

Cause: a panic dropped the connection's task.

Change: the panic is caught, logged and counted, and the caller gets 502 if the request may have run, 503 otherwise. Other requests are unharmed. It is caught around the request's future, whose state is dropped with it.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod planted;
 mod routing;
 mod stop;
+mod supervise;
 mod tier;
 mod traffic;
 
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -3,7 +3,7 @@
 //! A connection serves one request at a time, and each request that was read as a whole gets an
 //! answer unless its connection breaks. While it runs, its connection is still read. The end of the
 //! caller's input may mean that the caller left or that it sends nothing more: the request goes on for
-//! a while, see [`crate::tier::ending`].
+//! a while, see [`crate::tier::ending`]. A panic in a request ends only that request.
 //!
 //! During a graceful stop, connections are closed after their next answer while the daemon is
 //! leaving. When it closes, what the callers have sent by then is still read and answered, and idle
@@ -13,10 +13,11 @@
     crate::{
         clock, planted,
         stop::{sleep_until, stop_time},
+        supervise::panic_text,
         tier::{
             ending::{Ending, HALF_CLOSED_TIME, Stage},
             meters, query, relay,
-            request::{Incoming, Reply},
+            request::{Incoming, RETRY_AFTER, Reply},
             traffic::Traffic,
             view::Phase,
         },
@@ -27,10 +28,13 @@
         h1::{Codec, Message, MessageType},
     },
     bytes::{Bytes, BytesMut},
+    futures::FutureExt,
     rattanturn_core::{Time, catalog::CallerLimits, shutdown::StopSchedule},
     rattanturn_http::accept_waiting,
     rattanturn_platform::http::{echo_request_id, request_id},
-    std::{io, net::TcpListener, pin::pin, rc::Rc, time::Duration},
+    std::{
+        any::Any, io, net::TcpListener, panic::AssertUnwindSafe, pin::pin, rc::Rc, time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -186,13 +190,15 @@
         let ending = &incoming.ending;
         let half_closed_time = half_closed_time(incoming);
         let mut left_at = None;
-        let mut serving = pin!(query::serve(traffic, incoming));
+        let mut serving = pin!(AssertUnwindSafe(query::serve(traffic, incoming)).catch_unwind());
         let mut stopped = pin!(stop_time(traffic.stop_schedule(), StopSchedule::answer_by));
         loop {
             // The request comes first, so that it is polled after each change of its stage.
             let stage = tokio::select! {
                 biased;
-                answer = &mut serving => return Ok(answer),
+                served = &mut serving => {
+                    return Ok(served.unwrap_or_else(|panic| panicked(incoming, &*panic)));
+                }
                 () = &mut stopped, if ending.stage() < Stage::Stopped => Stage::Stopped,
                 end = input_end(&mut self.stream, &mut self.buffer), if left_at.is_none() => {
                     if let Err(error) = end {
@@ -487,6 +493,25 @@
     }
 }
 
+/// Logs and counts a request that panicked; returns its answer.
+fn panicked(incoming: &Incoming, panic: &(dyn Any + Send)) -> Reply {
+    meters::count_panic();
+    tracing::error!(
+        request = request_id(incoming.head()).unwrap_or(""),
+        may_have_run = incoming.ending.may_have_run(),
+        panic = panic_text(panic),
+        "a request ended with a panic"
+    );
+    if incoming.ending.may_have_run() {
+        Reply::text(
+            502,
+            "an internal error ended the request, which may have run\n",
+        )
+    } else {
+        Reply::not_run("an internal error ended the request\n", RETRY_AFTER)
+    }
+}
+
 /// Completes when the caller's input ends; bytes that come before are kept for its next request.
 ///
 /// # Errors
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -162,6 +162,11 @@
     counter!("rattanturn_unanswered_requests_total", "end" => end).increment(1);
 }
 
+/// Counts a request whose task panicked.
+pub(crate) fn count_panic() {
+    counter!("rattanturn_panicked_requests_total").increment(1);
+}
+
 /// Counts a request that was refused before it got a route; `reason` becomes the metric label.
 pub(crate) fn count_refused(reason: &'static str) {
     counter!("rattanturn_refused_total", "reason" => reason).increment(1);
