Stop gracefully when control has ended

What callers saw: after a panic in control, a stop cut all that was open, 4 of 4 requests.

Cause: the stop was run by control. Without it, the process ended at once, and until then traffic went on with an older and older view.

If control has ended, the program runs the stop in its place, on the last view that control published.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,7 +32,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::sync::mpsc,
+    tokio::sync::{Notify, mpsc},
 };
 
 pub use tier::{Tier, TierAddresses};
@@ -121,17 +121,9 @@
         let control = Arbiter::new();
         let (sender, admin_events) = (events.clone(), events.clone());
         control.spawn_fn(move || {
-            actix_rt::spawn(async move {
-                let _admin = match admin::spawn(admin, admin_events) {
-                    Ok(server) => server,
-                    Err(error) => {
-                        tracing::error!(%error, "cannot start the listener for operators");
-                        return;
-                    }
-                };
-                if let Err(error) = control::run(start, sender, inbox).await {
-                    tracing::error!(%error, "the control thread stopped after an error");
-                }
+            supervise::spawn_control(async move {
+                let _admin = admin::spawn(admin, admin_events)?;
+                control::run(start, sender, inbox).await
             });
         });
         Ok(Self {
@@ -168,11 +160,18 @@
         }
     }
 
+    /// Waits until control has ended. Unless that was asked for, it ended by a panic or an error, and
+    /// the leases of this daemon's units lapse.
+    pub async fn control_ended(&self) {
+        self.events.closed().await;
+    }
+
     /// A handle that hurries the graceful stop, which takes the daemon itself.
     #[must_use]
     pub fn stop_handle(&self) -> StopHandle {
         StopHandle {
             events: self.events.clone(),
+            hurried: Arc::default(),
         }
     }
 
@@ -206,6 +205,8 @@
 #[derive(Clone)]
 pub struct StopHandle {
     events: mpsc::UnboundedSender<Event>,
+    /// Hurries a stop that goes on without control.
+    hurried: Arc<Notify>,
 }
 
 impl StopHandle {
@@ -213,6 +214,7 @@
     ///
     /// A daemon of the tier gives all open requests their final answers at once.
     pub fn hurry(&self) {
+        self.hurried.notify_one();
         // Sending fails only if the stop or control has ended.
         let _ = self.events.send(Event::Hurry);
     }
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -64,6 +64,8 @@
     },
 };
 
+pub(crate) use shutdown::stop_without_control;
+
 /// Interval of the control loop.
 const TICK: Duration = Duration::from_millis(50);
 /// Longest time between two announcements of a daemon that reads the store. It is shorter than
--- a/crates/daemon/src/tier/control/shutdown.rs
+++ b/crates/daemon/src/tier/control/shutdown.rs
@@ -8,17 +8,24 @@
 //! Traffic says itself that its listener is closed, and only after it has stored the number of its
 //! open requests. However late the two threads see each other's news, the stop does not end while a
 //! request is open that was taken before.
+//!
+//! If the control thread has ended, by a panic or an error, the program runs the stop in its place, on
+//! the last view that control published.
 
 use {
     crate::{
         clock,
         tier::{
-            control::{Control, send},
-            view::Phase,
+            control::{Control, TICK, send},
+            view::{Gauges, Phase, SharedView},
         },
     },
     rattanturn_core::{Time, shutdown::StopSchedule},
-    tokio::{net::UdpSocket, sync::oneshot},
+    std::sync::Arc,
+    tokio::{
+        net::UdpSocket,
+        sync::{Notify, oneshot},
+    },
 };
 
 impl Control {
@@ -94,3 +101,52 @@
         self.gauges.open_requests()
     }
 }
+
+/// Stops gracefully in place of control, which has ended: what is open gets its answers as in any
+/// other stop. Returns the number of requests left open, as text.
+///
+/// Callers get no new address of this daemon from it. Its peers are not told, for which control is
+/// needed, but they have missed its messages since control ended.
+pub(crate) async fn stop_without_control(
+    shared: &SharedView,
+    gauges: &Gauges,
+    asked: StopSchedule,
+    hurried: &Notify,
+) -> String {
+    tracing::error!(
+        open = gauges.open_requests(),
+        "stopping without the control thread, which has ended"
+    );
+    // Traffic keeps to the times of a stop that control had begun.
+    let mut schedule = shared.load().stop.unwrap_or(asked);
+    loop {
+        let now = clock::now();
+        let closing = now >= schedule.close_at();
+        publish(shared, closing, schedule);
+        let open = gauges.open_requests();
+        if now >= schedule.end_by() && open > 0 {
+            tracing::warn!(open, "stopping: the time is up, open requests are ended");
+        }
+        if now >= schedule.end_by() || (closing && gauges.is_finished()) {
+            return format!("{open} requests left open");
+        }
+        tokio::select! {
+            () = hurried.notified() => schedule = schedule.hurried(clock::now()),
+            () = clock::sleep_until(now + TICK) => {}
+        }
+    }
+}
+
+/// Publishes the state of a stop in place of control, if it has changed.
+fn publish(shared: &SharedView, closing: bool, schedule: StopSchedule) {
+    let view = shared.load();
+    let due = if closing {
+        Phase::Closing
+    } else {
+        Phase::Leaving
+    };
+    let phase = view.phase.max(due);
+    if view.phase != phase || view.stop != Some(schedule) {
+        shared.store(Arc::new(view.stopping(phase, schedule)));
+    }
+}
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -33,19 +33,19 @@
 mod view;
 
 use {
-    crate::{StopHandle, clock, control::Event},
+    crate::{StopHandle, clock, control::Event, supervise},
     actix_rt::Arbiter,
     eyre::Context,
     quarantine::SharedQuarantine,
     quota::SharedQuotas,
-    rattanturn_core::membership::Endpoints,
+    rattanturn_core::{membership::Endpoints, shutdown::StopSchedule},
     rattanturn_tables::{Settings, TierSettings},
     std::{
         net::{SocketAddr, UdpSocket},
         sync::Arc,
         time::Duration,
     },
-    tokio::sync::mpsc,
+    tokio::sync::{Notify, mpsc},
     view::{Gauges, SharedView, View},
 };
 
@@ -58,6 +58,11 @@
     traffic: Arbiter,
     events: mpsc::UnboundedSender<Event>,
     addresses: TierAddresses,
+    /// What a stop needs if control has ended.
+    shared: SharedView,
+    gauges: Arc<Gauges>,
+    drain_limit: Duration,
+    hurried: Arc<Notify>,
 }
 
 /// Addresses that a daemon of the tier listens on.
@@ -129,7 +134,7 @@
             gossip: gossip.local_addr()?,
             rpc: rpc.local_addr()?,
         };
-        let centre = endpoints.centre.clone();
+        let (centre, drain_limit) = (endpoints.centre.clone(), settings.drain_limit);
         let start = control::Start {
             settings,
             tier,
@@ -149,13 +154,7 @@
             quotas: quotas.clone(),
         };
         let control = Arbiter::new();
-        control.spawn_fn(move || {
-            actix_rt::spawn(async move {
-                if let Err(error) = control::run(start, inbox).await {
-                    tracing::error!(%error, "the control thread stopped after an error");
-                }
-            });
-        });
+        control.spawn_fn(move || supervise::spawn_control(control::run(start, inbox)));
         let states = traffic::SharedStates {
             quarantine,
             quotas,
@@ -185,6 +184,10 @@
             traffic,
             events,
             addresses,
+            shared,
+            gauges,
+            drain_limit,
+            hurried: Arc::default(),
         })
     }
 
@@ -199,19 +202,32 @@
         crate::control::ask_state(&self.events).await
     }
 
+    /// Waits until control has ended. Unless that was asked for, it ended by a panic or an error, and
+    /// traffic goes on with a view that becomes older and older.
+    pub async fn control_ended(&self) {
+        self.events.closed().await;
+    }
+
     /// Stops gracefully: the daemon is no longer advertised, finishes its requests, and ends at
     /// the drain limit at the latest. Returns a text that says how many requests were left open.
     ///
-    /// The stop begins with the call, before the future is polled.
+    /// The stop begins with the call, before the future is polled. If control has ended, it goes on
+    /// without control.
     pub fn stop(self) -> impl Future<Output = String> {
+        let schedule = StopSchedule::new(clock::now(), self.drain_limit);
         let reply = crate::control::ask_stop(&self.events);
         async move {
-            let left = reply.await;
+            let left = if let Ok(left) = reply.await {
+                left
+            } else {
+                let (shared, gauges) = (&self.shared, &self.gauges);
+                control::stop_without_control(shared, gauges, schedule, &self.hurried).await
+            };
             self.control.stop();
             self.traffic.stop();
             // The requests that are still open are logged when their tasks are dropped.
             let _ = self.traffic.join();
-            left.unwrap_or_else(|_| "control had ended".into())
+            left
         }
     }
 
@@ -220,6 +236,7 @@
     pub fn stop_handle(&self) -> StopHandle {
         StopHandle {
             events: self.events.clone(),
+            hurried: self.hurried.clone(),
         }
     }
 
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -36,7 +36,7 @@
 }
 
 /// Configuration, targets and daemons as known at one moment.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct View {
     /// The configuration; `None` until one is known.
     pub(crate) catalog: Option<Arc<Catalog>>,
@@ -90,6 +90,19 @@
     pub(crate) fn ready(&self) -> bool {
         self.phase == Phase::Serving && self.catalog.is_some() && !self.services.is_empty()
     }
+
+    /// The same view of a daemon that stops, which is no longer advertised.
+    pub(crate) fn stopping(&self, phase: Phase, stop: StopSchedule) -> Self {
+        let mut view = Self {
+            advertised: false,
+            phase,
+            stop: Some(stop),
+            ..self.clone()
+        };
+        let own = view.frontends.iter_mut().filter(|f| f.id == self.me);
+        own.for_each(|f| f.accepting = false);
+        view
+    }
 }
 
 /// Numbers that one thread sets and the other reads.
