Let a second signal end no request

What callers saw: 6 of 6 open requests without an answer after a second SIGTERM, which supervisors may repeat; "signal: 15" of a process that was asked to stop right after its start; a stop that was held up while the settings were read again.

Cause: a second SIGTERM or SIGINT ended the process at once, which the help text called a feature. Handlers were installed after the settings were read, and SIGHUP read them on the thread that handles signals.

Change: SIGTERM during a stop changes nothing, SIGINT makes the final answers due at once, and only SIGKILL cuts a request. Handlers are installed first, and settings are read on a thread of their own. Exit code 1 for a second signal is gone.

--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -2,11 +2,11 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Write},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::mpsc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Longest wait for the next line of the log.
@@ -18,6 +18,21 @@
     [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
     [platform]\naddress = 127.0.0.1:9\n[log]\nformat = json\nlevel = info\n";
 
+/// `drain-limit` in [`SETTINGS`].
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// Settings of a daemon with the project's own interface.
+const OWN_INTERFACE: &str = "[daemon]\nname = d0\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\n\
+    rpc-port = 0\ngossip-port = 0\nhttp-port = 0\ndrain-limit = 3s\n\
+    [platform]\naddress = 127.0.0.1:9\n[log]\nformat = json\nlevel = info\n";
+/// Time within which a process must be gone whose stop is hurried and that has no open requests.
+/// It is far below the limit in [`unhurried`], and generous for a busy machine.
+const HURRY_TIME: Duration = Duration::from_secs(10);
+
+/// Settings with a limit of which a stop that is not hurried uses two thirds: 40 s.
+fn unhurried(settings: &str) -> String {
+    settings.replace("drain-limit = 3s", "drain-limit = 60s")
+}
+
 /// A daemon's process, which is killed when the test ends.
 struct Daemon {
     child: Child,
@@ -29,11 +44,20 @@
 
 impl Daemon {
     fn spawn(name: &str) -> Self {
-        let settings = std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()));
-        fs::write(&settings, SETTINGS).unwrap();
+        Self::spawn_with(name, SETTINGS)
+    }
+
+    fn spawn_with(name: &str, text: &str) -> Self {
+        let settings = settings_path(name);
+        fs::write(&settings, text).unwrap();
+        Self::spawn_from(settings)
+    }
+
+    fn spawn_from(settings: PathBuf) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
             .arg(&settings)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let output = BufReader::new(child.stdout.take().unwrap());
@@ -69,6 +93,11 @@
     }
 }
 
+/// Path of a settings file of this test process.
+fn settings_path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()))
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         // The process may have exited already, so errors are ignored.
@@ -99,3 +128,159 @@
     daemon.wait_for_line("graceful shutdown ended");
     assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
 }
+
+/// Supervisors repeat SIGTERM. Guards against a repeated one that ends the process and cuts what is
+/// open.
+#[test]
+fn a_repeated_sigterm_does_not_end_the_stop_early() {
+    let mut daemon = Daemon::spawn("repeated");
+    daemon.wait_for_line("\"serving\"");
+    let began = Instant::now();
+    daemon.send_signal("-TERM");
+    daemon.wait_for_line("no longer advertised");
+    for _ in 0..2 {
+        daemon.send_signal("-TERM");
+        daemon.wait_for_line("the stop goes on");
+    }
+    daemon.wait_for_line("graceful shutdown ended");
+    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+    assert!(began.elapsed() >= DRAIN_LIMIT / 2, "{:?}", began.elapsed());
+}
+
+#[test]
+fn a_second_sigint_ends_the_stop_soon_with_exit_code_0() {
+    let mut daemon = Daemon::spawn_with("interrupt", &unhurried(SETTINGS));
+    daemon.wait_for_line("\"serving\"");
+    daemon.send_signal("-INT");
+    daemon.wait_for_line("no longer advertised");
+    let hurried = Instant::now();
+    daemon.send_signal("-INT");
+    daemon.wait_for_line("graceful shutdown ended");
+    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+    assert!(hurried.elapsed() < HURRY_TIME, "{:?}", hurried.elapsed());
+}
+
+#[test]
+fn sigint_hurries_a_stop_that_sigterm_began() {
+    let mut daemon = Daemon::spawn_with("hurry", &unhurried(SETTINGS));
+    daemon.wait_for_line("\"serving\"");
+    daemon.send_signal("-TERM");
+    daemon.wait_for_line("no longer advertised");
+    let hurried = Instant::now();
+    daemon.send_signal("-INT");
+    daemon.wait_for_line("graceful shutdown ended");
+    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+    assert!(hurried.elapsed() < HURRY_TIME, "{:?}", hurried.elapsed());
+}
+
+#[test]
+fn sigterm_does_not_hurry_a_stop_that_sigint_began() {
+    let mut daemon = Daemon::spawn("int-term");
+    daemon.wait_for_line("\"serving\"");
+    let began = Instant::now();
+    daemon.send_signal("-INT");
+    daemon.wait_for_line("no longer advertised");
+    daemon.send_signal("-TERM");
+    daemon.wait_for_line("the stop goes on");
+    daemon.wait_for_line("graceful shutdown ended");
+    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+    assert!(began.elapsed() >= DRAIN_LIMIT / 2, "{:?}", began.elapsed());
+}
+
+#[test]
+fn sighup_with_a_changed_file_during_a_stop_does_not_end_it() {
+    let mut daemon = Daemon::spawn("stop-reload");
+    daemon.wait_for_line("\"serving\"");
+    let began = Instant::now();
+    daemon.send_signal("-TERM");
+    daemon.wait_for_line("no longer advertised");
+    fs::write(&daemon.settings, SETTINGS.replace("= info", "= debug")).unwrap();
+    daemon.send_signal("-HUP");
+    let line = daemon.wait_for_line("settings read again");
+    assert!(line.contains("\"level\":\"debug\""));
+    daemon.wait_for_line("graceful shutdown ended");
+    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+    assert!(began.elapsed() >= DRAIN_LIMIT / 2, "{:?}", began.elapsed());
+}
+
+/// The settings come from a pipe, so that the process reads them for as long as the test likes.
+/// Guards against a signal that kills a process which has not installed its handlers yet.
+#[test]
+fn sigterm_while_the_settings_are_read_does_not_kill_the_process() {
+    for signal in ["-TERM", "-INT", "-HUP"] {
+        let path = settings_path(&format!("pipe{signal}"));
+        let made = Command::new("mkfifo").arg(&path).status().unwrap();
+        assert!(made.success());
+        let mut daemon = Daemon::spawn_from(path.clone());
+        // Opening the pipe returns once the process has opened it as well.
+        let mut pipe = fs::OpenOptions::new().write(true).open(&path).unwrap();
+        // SIGHUP has the settings read again, for which a file takes the pipe's place.
+        fs::remove_file(&path).unwrap();
+        fs::write(&path, SETTINGS).unwrap();
+        daemon.send_signal(signal);
+        // Writing fails if the process was killed, which the exit code shows.
+        let _ = pipe.write_all(SETTINGS.as_bytes());
+        drop(pipe);
+        if signal == "-HUP" {
+            daemon.wait_for_line("\"serving\"");
+            daemon.send_signal("-TERM");
+        }
+        assert_eq!(daemon.child.wait().unwrap().code(), Some(0), "{signal}");
+    }
+}
+
+#[test]
+fn the_own_interface_takes_the_same_signals() {
+    let mut daemon = Daemon::spawn_with("own", &unhurried(OWN_INTERFACE));
+    daemon.wait_for_line("\"serving\"");
+    daemon.send_signal("-TERM");
+    daemon.wait_for_line("no longer advertised");
+    daemon.send_signal("-TERM");
+    daemon.wait_for_line("the stop goes on");
+    daemon.send_signal("-INT");
+    daemon.wait_for_line("draining");
+    daemon.wait_for_line("graceful shutdown ended");
+    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+}
+
+/// Guards against a SIGTERM that is not seen while the settings are read again: the supervisor kills the
+/// process at the drain limit, with what is open.
+#[test]
+fn sigterm_while_the_settings_are_read_again_is_not_held_up() {
+    let mut daemon = Daemon::spawn("reload-pipe");
+    daemon.wait_for_line("\"serving\"");
+    fs::remove_file(&daemon.settings).unwrap();
+    let made = Command::new("mkfifo")
+        .arg(&daemon.settings)
+        .status()
+        .unwrap();
+    assert!(made.success());
+    daemon.send_signal("-HUP");
+    std::thread::sleep(Duration::from_millis(300));
+    let began = Instant::now();
+    daemon.send_signal("-TERM");
+    while began.elapsed() < DRAIN_LIMIT + Duration::from_secs(2) {
+        if let Some(status) = daemon.child.try_wait().unwrap() {
+            assert_eq!(status.code(), Some(0));
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the stop had not ended {:?} after SIGTERM", began.elapsed());
+}
+
+/// Guards against a process that ends, with all open requests, because nothing reads its stderr any
+/// more when settings with a warning are read again.
+#[test]
+fn a_warning_about_changed_settings_without_a_reader_does_not_end_the_process() {
+    let settings = settings_path("reload-stderr");
+    fs::write(&settings, SETTINGS).unwrap();
+    let mut daemon = Daemon::spawn_from(settings);
+    daemon.wait_for_line("\"serving\"");
+    drop(daemon.child.stderr.take());
+    fs::write(&daemon.settings, format!("{SETTINGS}[odd]\nkey = 1\n")).unwrap();
+    daemon.send_signal("-HUP");
+    std::thread::sleep(Duration::from_secs(1));
+    let ended = daemon.child.try_wait().unwrap();
+    assert_eq!(ended, None, "SIGHUP ended the process");
+}
