Send nothing new to a target that says in an answer that it leaves

Cause: nothing read the header by which a target says so; only its entry in the store counted.

Change: a target that says so gets nothing new, calls that wait for it end, and its idle connections are closed. If its service has no other target, it is called for 2 s more. After 30 s in which the store can be read and names it as ready, it is used again.

--- a/crates/daemon/src/tier/control/dump.rs
+++ b/crates/daemon/src/tier/control/dump.rs
@@ -36,6 +36,7 @@
             "fleet_revision": self.cluster.revision,
             "reads_store": self.read_session.is_some(),
             "targets": self.cluster.targets.targets().count(),
+            "leaving": self.gauges.withdrawn_targets.load(Ordering::Relaxed),
             "out": self.cluster.evacuated,
             "rollouts": self.rollouts_dump(),
             "members": members,
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -204,7 +204,9 @@
         let withheld = |u: &Upstream| view.uses_rollouts && self.traffic.is_withheld(now, u);
         let refusal = match &upstream {
             None => Some(MissingReason::Unreachable),
-            Some(u) if withheld(u) => Some(MissingReason::Unreachable),
+            Some(u) if withheld(u) || self.traffic.is_withdrawn(now, u, index) => {
+                Some(MissingReason::Unreachable)
+            }
             // A caller that may have left waits for no connection.
             Some(u) if self.input_ended() && !u.has_free_connection() => Some(MissingReason::Busy),
             Some(u) if !u.try_take_slot(now) => Some(MissingReason::Limited),
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -241,6 +241,17 @@
     gauge!("rattanturn_limited_targets").set(f64::from(count));
 }
 
+/// Counts a target that said in an answer that it leaves.
+pub(crate) fn count_withdrawn_target() {
+    counter!("rattanturn_targets_withdrawn_total").increment(1);
+}
+
+/// Sets the number of targets that have said in an answer that they leave and are still known.
+pub(crate) fn set_withdrawn_targets(count: usize) {
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    gauge!("rattanturn_withdrawn_targets").set(f64::from(count));
+}
+
 /// Sets the number of targets that this daemon cannot reach.
 pub(crate) fn set_unreachable_targets(count: usize) {
     let count = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -28,6 +28,7 @@
         hedge::{Budget, CallLatency},
         rate_share::Room,
         reach::Reach,
+        readers::STALE_AFTER,
         selection::TargetSelector,
         shutdown::StopSchedule,
         silence::Silence,
@@ -57,6 +58,12 @@
 /// this often, without a request.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which a target gets no calls after it said in an answer that it leaves, while the store
+/// can be read and still names it as ready. It is ten times the drain limit of deployments: a
+/// target that really leaves withdraws its entry within seconds, and one whose answers said so by
+/// mistake is used again.
+const LEAVING_TIME: Duration = Duration::from_secs(30);
+
 /// States that traffic shares with control, which exchanges them with other daemons.
 pub(crate) struct SharedStates {
     pub(crate) quarantine: Arc<SharedQuarantine>,
@@ -84,6 +91,11 @@
     /// Grows with each request, so that equally good targets take turns.
     tie_break: Cell<u64>,
     pub(crate) selector: RefCell<TargetSelector>,
+    /// Incarnation of each target that says in its answers that it leaves, and since when, while its
+    /// entry or its data centre is not used.
+    leaving: RefCell<HashMap<String, (u64, Time)>>,
+    /// When the targets were last known to be outdated.
+    outdated: Cell<Time>,
     reach: RefCell<Reach>,
     pub(crate) budgets: RefCell<Budgets>,
     /// Extra calls that all daemons together may save up.
@@ -149,6 +161,8 @@
             round_robins: RefCell::default(),
             tie_break: Cell::new(0),
             selector: RefCell::default(),
+            leaving: RefCell::default(),
+            outdated: Cell::default(),
             reach: RefCell::default(),
             budgets: RefCell::new(Budgets::new(initial)),
             retry_slack: tier.retry_slack,
@@ -171,6 +185,7 @@
             stop: watch::Sender::default(),
         });
         actix_rt::spawn(apply_views(traffic.clone()));
+        actix_rt::spawn(restore_withdrawn_targets(traffic.clone()));
         actix_rt::spawn(close_idle_connections(traffic.clone()));
         actix_rt::spawn(probe_down_targets(traffic.clone()));
         actix_rt::spawn(watch_evidence(traffic.clone()));
@@ -209,10 +224,11 @@
     ///
     /// Targets whose rate limit leaves no slot are not among them, unless all are such.
     pub(crate) fn order_among(&self, now: Time, targets: Vec<usize>) -> Vec<usize> {
+        let usable = self.callable(now, targets);
         let upstreams = self.upstreams.borrow();
-        let usable = targets.into_iter().filter(|i| upstreams[i].is_available());
-        let (mut usable, exhausted): (Vec<usize>, Vec<usize>) =
-            usable.partition(|i| upstreams[i].room(now) < Room::Exhausted);
+        let (mut usable, exhausted): (Vec<usize>, Vec<usize>) = usable
+            .into_iter()
+            .partition(|i| upstreams[i].room(now) < Room::Exhausted);
         if usable.is_empty() {
             usable = exhausted;
         }
@@ -227,11 +243,55 @@
     /// When a service has an available target whose rate limit allows a call: `now` if it has one
     /// already, `None` if it has no available target.
     pub(crate) fn callable_at(&self, now: Time, service: &str) -> Option<Time> {
-        let targets = self.common_targets(now, service);
+        let targets = self.callable(now, self.common_targets(now, service));
         let upstreams = self.upstreams.borrow();
-        let available = targets.iter().map(|i| &upstreams[i]);
-        let available = available.filter(|u| u.is_available());
-        available.map(|u| u.next_slot(now)).min()
+        targets.iter().map(|i| upstreams[i].next_slot(now)).min()
+    }
+
+    /// Those of some targets that are available, or if there is none, those that have said a short
+    /// time ago that they leave: they still serve, and callers would be refused otherwise.
+    fn callable(&self, now: Time, targets: Vec<usize>) -> Vec<usize> {
+        let upstreams = self.upstreams.borrow();
+        let (available, others): (Vec<usize>, Vec<usize>) = targets
+            .into_iter()
+            .partition(|i| upstreams[i].is_available());
+        if !available.is_empty() {
+            return available;
+        }
+        let leaving = others.into_iter();
+        leaving
+            .filter(|i| upstreams[i].is_last_resort(now))
+            .collect()
+    }
+
+    /// Whether a target has said that it leaves, and must not be called any more.
+    pub(crate) fn is_withdrawn(&self, now: Time, upstream: &Upstream, index: usize) -> bool {
+        if upstream.leaving_since().is_none() {
+            return false;
+        }
+        let service = upstream.target.borrow().service.clone();
+        let targets = self.common_targets(now, &service);
+        !self.callable(now, targets).contains(&index)
+    }
+
+    /// Calls targets again that have said that they leave but are still in the store long after.
+    fn restore_withdrawn(&self, now: Time) {
+        if self.targets_age(now) > STALE_AFTER {
+            self.outdated.set(now);
+        }
+        let outdated = self.outdated.get();
+        let is_over = |since: Time| now.since(since.max(outdated)) > LEAVING_TIME;
+        self.leaving
+            .borrow_mut()
+            .retain(|_, (_, since)| !is_over(*since));
+        for upstream in self.upstreams.borrow().values() {
+            if upstream.leaving_since().is_some_and(is_over) {
+                upstream.set_leaving(None);
+                let target = upstream.target.borrow();
+                let (target_id, service) = (&target.id, &target.service);
+                tracing::warn!(%target_id, %service, "target said that it leaves, but is still ready");
+            }
+        }
     }
 
     /// Index of a service's budgets in `budgets`; a new service gets the next one.
@@ -308,6 +368,10 @@
         let connections: usize = upstreams.values().map(|u| u.connections()).sum();
         gauges.upstreams.store(upstreams.len(), Ordering::Relaxed);
         gauges.connections.store(connections, Ordering::Relaxed);
+        let leaving = upstreams.values().filter(|u| u.leaving_since().is_some());
+        let leaving = leaving.count();
+        gauges.withdrawn_targets.store(leaving, Ordering::Relaxed);
+        meters::set_withdrawn_targets(leaving);
         self.admission.publish_gauges();
         let limited = upstreams.values().filter(|u| u.is_limited());
         meters::set_limited_targets(limited.count());
@@ -359,6 +423,14 @@
     }
 }
 
+/// Calls targets again that stay although they have said that they leave, without end.
+async fn restore_withdrawn_targets(traffic: Rc<Traffic>) {
+    loop {
+        actix_rt::time::sleep(IDLE_CHECK_INTERVAL).await;
+        traffic.restore_withdrawn(clock::now());
+    }
+}
+
 /// Closes idle connections that cannot be reused, without end.
 async fn close_idle_connections(traffic: Rc<Traffic>) {
     loop {
--- a/crates/daemon/src/tier/traffic/upstreams.rs
+++ b/crates/daemon/src/tier/traffic/upstreams.rs
@@ -75,6 +75,11 @@
     /// Takes an upstream out of use whose target has another one or is in use no more.
     fn retire(&self, index: usize, upstream: &Upstream) {
         upstream.retire();
+        if let Some(since) = upstream.leaving_since() {
+            let target = upstream.target.borrow();
+            let run = (target.incarnation, since);
+            self.leaving.borrow_mut().insert(target.id.clone(), run);
+        }
         self.selector.borrow_mut().forget(index);
     }
 
@@ -97,7 +102,11 @@
     }
 
     fn open_upstream(&self, target: &Arc<Target>) -> Upstream {
-        Upstream::new(target.clone(), self.gateway, self.calls.clone())
+        let upstream = Upstream::new(target.clone(), self.gateway, self.calls.clone());
+        let leaving = self.leaving.borrow_mut().remove(&target.id);
+        let same = leaving.filter(|(incarnation, _)| *incarnation == target.incarnation);
+        upstream.set_leaving(same.map(|(_, since)| since));
+        upstream
     }
 }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -12,6 +12,7 @@
         clock,
         tier::{
             connection::{Answer, OpenBytes, TargetConnection, is_closed},
+            meters,
             permits::{ConnectionPermit, ConnectionPermits},
         },
     },
@@ -53,6 +54,11 @@
 /// answer to it takes some milliseconds; a target that gives none has lost its network or its power.
 const END_CHECK_TIME: Duration = Duration::from_millis(50);
 
+/// A target that says in its answers that it leaves is still called for this long if its service has
+/// no other. Targets serve for the deployments' drain limit of 3 s at least, and a call needs a part
+/// of that.
+const LAST_RESORT_TIME: Duration = Duration::from_secs(2);
+
 /// What the upstreams of a thread share.
 #[derive(Debug, Default)]
 pub(crate) struct SharedCalls {
@@ -79,10 +85,12 @@
     pub(crate) cold_until: Cell<Time>,
     /// Moving average of this target's call times, each divided by its route's average.
     pub(crate) relative_latency: Cell<f64>,
-    /// False if the target must get no more calls: it is draining, was removed, is in an evacuated
-    /// data centre, or its address now belongs to another target.
+    /// False if the target must get no more calls: its entry says that it leaves, was removed, it is
+    /// in an evacuated data centre, or its address now belongs to another target.
     pub(crate) usable: Cell<bool>,
-    /// Ends the wait of calls for a connection when the target goes out of use.
+    /// Since when the target says in its answers that it leaves; a restart makes another upstream.
+    leaving_at: Cell<Option<Time>>,
+    /// Ends the wait of calls for a connection when the target leaves or goes out of use.
     waits_ended: Notify,
     health: Cell<TargetHealth>,
     /// This daemon's part of the connections that the target accepts.
@@ -113,6 +121,7 @@
             cold_until: Cell::new(Time::ZERO),
             relative_latency: Cell::new(1.0),
             usable: Cell::new(true),
+            leaving_at: Cell::default(),
             waits_ended: Notify::new(),
             health: Cell::default(),
             permits: ConnectionPermits::new(1),
@@ -130,11 +139,51 @@
         SocketAddr::new(self.gateway.unwrap_or(addr.ip()), addr.port())
     }
 
-    /// Whether calls may be sent: the target is usable and not known to be down.
+    /// Whether calls may be sent: the target is usable, does not leave and is not known to be down.
     pub(crate) fn is_available(&self) -> bool {
+        self.is_used() && !self.health.get().is_down()
+    }
+
+    fn is_reachable(&self) -> bool {
         self.usable.get() && !self.health.get().is_down()
     }
 
+    /// Whether the target is to get calls whenever it is up: it is usable and does not leave.
+    pub(crate) fn is_used(&self) -> bool {
+        self.usable.get() && self.leaving_at.get().is_none()
+    }
+
+    /// Whether a target that leaves may be called if its service has no other.
+    pub(crate) fn is_last_resort(&self, now: Time) -> bool {
+        let since = self.leaving_at.get();
+        since.is_some_and(|at| now.since(at) < LAST_RESORT_TIME) && self.is_reachable()
+    }
+
+    /// Since when the target says in its answers that it leaves.
+    pub(crate) fn leaving_since(&self) -> Option<Time> {
+        self.leaving_at.get()
+    }
+
+    /// Sets since when the target says that it leaves, as known before this upstream, or takes it
+    /// back.
+    pub(crate) fn set_leaving(&self, since: Option<Time>) {
+        self.leaving_at.set(since);
+    }
+
+    /// Notes that the target says that it leaves; its calls that have not been sent end.
+    fn note_leaving(&self) {
+        if self.leaving_at.get().is_some() {
+            return;
+        }
+        self.leaving_at.set(Some(clock::now()));
+        self.idle.borrow_mut().clear();
+        self.waits_ended.notify_waiters();
+        let target = self.target.borrow();
+        let (target_id, service) = (&target.id, &target.service);
+        meters::count_withdrawn_target();
+        tracing::info!(%target_id, %service, "target says in an answer that it is leaving");
+    }
+
     /// Takes the target out of use for good: it gets no call, also none of those that wait for a
     /// connection.
     pub(crate) fn retire(&self) {
@@ -145,7 +194,7 @@
 
     /// Keeps a connection for the next call, unless the target gets none.
     fn keep(&self, connection: TargetConnection) {
-        if self.usable.get() {
+        if self.is_used() {
             self.idle.borrow_mut().push(connection);
         }
     }
@@ -180,7 +229,7 @@
 
     /// Whether the target is down and its next probe is due.
     pub(crate) fn probe_due(&self, now: Time) -> bool {
-        self.usable.get() && self.health.get().probe_due(now)
+        self.is_used() && self.health.get().probe_due(now)
     }
 
     /// Checks whether a target that was down accepts connections again.
@@ -244,7 +293,7 @@
     ///
     /// # Errors
     ///
-    /// The call is not to be sent: its target is out of use, or the request needs it no more.
+    /// The call is not to be sent: its target leaves or is out of use, or the request needs it no more.
     async fn wait_for_permit(&self, call: &Call) -> Result<ConnectionPermit<'_>, MissingReason> {
         let mut permit = pin!(self.permits.acquire());
         tokio::select! {
@@ -258,7 +307,7 @@
     /// Closes idle connections that cannot be reused, and all of them once the target is unusable.
     pub(crate) fn close_idle(&self, now: Time) {
         let mut idle = self.idle.borrow_mut();
-        if self.usable.get() {
+        if self.is_used() {
             idle.retain(|w| w.is_reusable(now));
         } else {
             idle.clear();
@@ -298,6 +347,7 @@
     }
 
     async fn send(&self, call: &Call) -> Outcome {
+        let leaving = self.leaving_at.get();
         let _permit = match self.wait_for_permit(call).await {
             Ok(permit) => permit,
             Err(why) => return Outcome::NotRun(why),
@@ -320,7 +370,9 @@
         // The checks come after the wait for a connection, during which their results can change.
         let now = clock::now();
         let remaining = call.deadline.since(now);
-        if !self.usable.get() {
+        let has_left =
+            leaving != self.leaving_at.get() || (leaving.is_some() && !self.is_last_resort(now));
+        if has_left || !self.usable.get() {
             return Outcome::NotRun(MissingReason::Unreachable);
         }
         if remaining < MIN_CALL_TIME {
@@ -363,6 +415,9 @@
                 self.waiting_since.set(now);
                 if !answer.head.misdirected {
                     self.set_rate_limit(answer.head.rate_limit);
+                    if answer.head.leaving {
+                        self.note_leaving();
+                    }
                 }
                 if connection.is_reusable(clock::now()) {
                     self.keep(connection);
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -116,6 +116,8 @@
     pub(crate) listener_closed: AtomicBool,
     /// Targets that traffic can call; set by traffic.
     pub(crate) upstreams: AtomicUsize,
+    /// Targets that have said in an answer that they leave; set by traffic.
+    pub(crate) withdrawn_targets: AtomicUsize,
     /// Whether callers should be directed to other daemons, because this one has lost the targets
     /// and its peers have not; set by traffic.
     pub(crate) withdrawn: AtomicBool,
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -15,6 +15,7 @@
 mod rollouts;
 mod stops;
 mod stranded;
+mod targets;
 mod waiting_calls;
 
 use {
--- /dev/null
+++ b/crates/demo/tests/tier/targets.rs
@@ -0,0 +1,164 @@
+//! Servers that leave, lapse or return cold while callers load the daemons.
+
+use {
+    super::{DRAIN_TIME, front_addr, plain_servers, with_cluster},
+    actix_rt::time::sleep,
+    rattanturn_demo::tier_cluster::{TierCluster, get, request},
+    rattanturn_standins::{
+        operator::{deregister_target, register_target},
+        platform::Mode,
+        shard::State,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Interval of one caller's requests.
+const LOAD_INTERVAL: Duration = Duration::from_millis(15);
+/// Time in which daemons notice what the store says while it is stable.
+const NOTICE_TIME: Duration = Duration::from_secs(4);
+/// How much slower one server is than the other, so that daemons prefer the other.
+const SLOWER: f64 = 4.0;
+
+/// Callers of all daemons, each with one request after another; idempotent and other requests take
+/// turns.
+struct Load(Vec<actix_rt::task::JoinHandle<Vec<(Instant, u16)>>>);
+
+impl Load {
+    fn start(cluster: &TierCluster, time: Duration) -> Self {
+        let fronts = (0..cluster.daemons.len()).map(|d| front_addr(cluster, d));
+        Self(
+            fronts
+                .map(|at| actix_rt::spawn(call_for(at, time)))
+                .collect(),
+        )
+    }
+
+    /// When each request was sent, and the status of its answer; 0 if there was none.
+    async fn end(self) -> Vec<(Instant, u16)> {
+        let mut all = Vec::new();
+        for caller in self.0 {
+            all.extend(caller.await.unwrap());
+        }
+        assert!(all.len() > 50, "only {} requests were sent", all.len());
+        all
+    }
+}
+
+async fn call_for(at: SocketAddr, time: Duration) -> Vec<(Instant, u16)> {
+    let end = Instant::now() + time;
+    let mut open = Vec::new();
+    while Instant::now() < end {
+        let number = open.len();
+        open.push(actix_rt::spawn(async move {
+            let (id, sent) = (format!("{at}-{number}-{end:?}"), Instant::now());
+            let answer = if number % 2 == 0 {
+                request(at, "/one/x", &id, "").await
+            } else {
+                request(at, "/once/x", &id, "body").await
+            };
+            if let Some(other) = answer.as_ref().filter(|a| a.status != 200) {
+                let (took, text) = (sent.elapsed(), String::from_utf8_lossy(&other.body));
+                println!("{id} after {took:?}: {} {text}", other.status);
+            }
+            (sent, answer.map_or(0, |a| a.status))
+        }));
+        sleep(LOAD_INTERVAL).await;
+    }
+    let mut all = Vec::new();
+    for request in open {
+        all.push(request.await.unwrap());
+    }
+    all
+}
+
+fn assert_served(answers: &[(Instant, u16)]) {
+    let others: Vec<u16> = answers.iter().map(|a| a.1).filter(|s| *s != 200).collect();
+    let count = answers.len();
+    assert!(
+        others.is_empty(),
+        "of {count} requests not served: {others:?}"
+    );
+}
+
+/// Times at which requests arrived at a server since this was last called.
+fn arrivals(server: &State) -> Vec<Instant> {
+    server.take_calls().iter().map(|c| c.at).collect()
+}
+
+async fn dump(cluster: &TierCluster, daemon: usize) -> serde_json::Value {
+    let admin = cluster.daemons[daemon].addresses().admin;
+    let answer = get(&format!("http://{admin}/state")).await.unwrap();
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+/// Guards against requests at a server that says in its answers that it leaves, which the store
+/// cannot tell during an outage.
+#[test]
+fn a_server_that_says_it_leaves_gets_nothing_new() {
+    with_cluster(2, async |cluster| {
+        let servers = plain_servers(cluster);
+        let _ = servers[0].take_calls();
+        // A daemon learns it from the next answer, so both must prefer the server that is to leave.
+        servers[1].set_slow(SLOWER);
+        let load = Load::start(cluster, DRAIN_TIME + NOTICE_TIME);
+        sleep(Duration::from_secs(1)).await;
+        cluster.store.set_mode(Mode::Busy);
+        servers[0].set_leaving(true);
+        let told = Instant::now();
+        assert_served(&load.end().await);
+        let late: Vec<Duration> = arrivals(&servers[0])
+            .iter()
+            .map(|at| at.saturating_duration_since(told))
+            .filter(|after| *after > DRAIN_TIME / 2)
+            .collect();
+        assert!(
+            late.is_empty(),
+            "requests reached the leaving server: {late:?}"
+        );
+        assert_eq!(dump(cluster, 0).await["leaving"], 1);
+        // A restart is a run of its own.
+        servers[0].stop();
+        cluster.store.set_mode(Mode::Up);
+        sleep(NOTICE_TIME).await;
+        deregister_target(&cluster.store, &servers[0]);
+        servers[0].start();
+        register_target(&cluster.store, &servers[0], "ready", 1);
+        sleep(NOTICE_TIME).await;
+        assert_served(&Load::start(cluster, Duration::from_secs(1)).end().await);
+        assert!(!arrivals(&servers[0]).is_empty());
+    });
+}
+
+/// Guards against refusals while all servers of a service leave and still serve, and against requests
+/// that are sent to them for longer than that.
+#[test]
+fn callers_are_served_while_all_servers_of_a_service_leave() {
+    with_cluster(2, async |cluster| {
+        let servers = plain_servers(cluster);
+        for server in &servers {
+            let _ = server.take_calls();
+        }
+        let load = Load::start(cluster, DRAIN_TIME + NOTICE_TIME);
+        sleep(Duration::from_secs(1)).await;
+        cluster.store.set_mode(Mode::Busy);
+        for server in &servers {
+            server.set_leaving(true);
+        }
+        let told = Instant::now();
+        let answers = load.end().await;
+        let early: Vec<_> = answers
+            .iter()
+            .copied()
+            .filter(|(sent, _)| *sent < told + DRAIN_TIME / 2)
+            .collect();
+        assert_served(&early);
+        let all: Vec<Instant> = servers.iter().flat_map(|s| arrivals(s)).collect();
+        let late = all.iter().filter(|at| **at > told + DRAIN_TIME);
+        assert_eq!(late.count(), 0, "requests reached the leaving servers");
+        let lost = answers.iter().filter(|(_, s)| ![200, 503].contains(s));
+        assert_eq!(lost.count(), 0);
+    });
+}
