Keep the port of a stand-in that is stopped

A stand-in that was stopped and started again could not listen when the system had given its port to an outgoing connection meanwhile. The port is now bound for as long as the stand-in lives, but does not listen while it is stopped.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod gossip;
 pub mod operator;
 pub mod platform;
+mod port;
 pub mod proxy;
 pub mod shard;
 mod slots;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -5,10 +5,11 @@
 //! Connections are accepted in every mode.
 
 use {
-    std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
+    crate::port::ReservedPort,
+    std::{io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::TcpStream,
         sync::watch,
     },
 };
@@ -36,7 +37,7 @@
 pub struct Proxy {
     /// Where it accepts connections.
     pub addr: SocketAddr,
-    server: Rc<Cell<SocketAddr>>,
+    server: watch::Sender<SocketAddr>,
     mode: watch::Sender<LinkMode>,
     /// How often the open connections were silenced.
     silences: watch::Sender<u64>,
@@ -49,14 +50,15 @@
     /// # Errors
     ///
     /// The listener cannot be bound.
+    // A future, so that it is polled within the runtime that the listener needs.
+    #[allow(clippy::unused_async)]
     pub async fn bind(at: SocketAddr, server: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(at).await?;
-        let addr = listener.local_addr()?;
-        let server = Rc::new(Cell::new(server));
+        let port = ReservedPort::bind(at)?;
+        let (listener, addr) = (port.listen()?, port.addr());
+        let (server, to) = watch::channel(server);
         let (mode, mode_receiver) = watch::channel(LinkMode::Normal);
         let (silences, seen) = watch::channel(0);
         let (accepting, mut accepts) = watch::channel(true);
-        let to = server.clone();
         actix_rt::spawn(async move {
             let mut listener = Some(listener);
             loop {
@@ -68,14 +70,15 @@
                 };
                 tokio::select! {
                     Ok((stream, _)) = accepted => {
-                        let forwarded = forward(stream, to.get(), mode_receiver.clone(), seen.clone());
+                        let to = *to.borrow();
+                        let forwarded = forward(stream, to, mode_receiver.clone(), seen.clone());
                         // The result is ignored: the caller and the server notice a broken connection.
                         actix_rt::spawn(forwarded);
                     }
                     Ok(()) = accepts.changed() => {
                         listener = None;
                         if *accepts.borrow_and_update() {
-                            listener = TcpListener::bind(addr).await.ok();
+                            listener = port.listen().inspect_err(|e| eprintln!("{port:?}: {e}")).ok();
                         }
                     }
                     else => return,
@@ -93,7 +96,7 @@
 
     /// Changes the server that new connections are forwarded to.
     pub fn set_server(&self, server: SocketAddr) {
-        self.server.set(server);
+        self.server.send_replace(server);
     }
 
     /// Changes the mode, also for connections that are open.
--- a/crates/standins/src/shard.rs
+++ b/crates/standins/src/shard.rs
@@ -24,6 +24,7 @@
         calls::{Call, CallLog},
         operator::register_target,
         platform,
+        port::ReservedPort,
         slots::Slots,
     },
     actix_http::{
@@ -36,13 +37,13 @@
     std::{
         collections::BTreeMap,
         io,
-        net::SocketAddr,
+        net::{Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::TcpStream,
         sync::watch,
     },
     tokio_util::codec::Decoder,
@@ -378,13 +379,15 @@
 /// # Errors
 ///
 /// The listener cannot be bound.
+// A future, so that it is polled within the runtime that the listener needs.
+#[allow(clippy::unused_async)]
 pub async fn spawn(config: TargetConfig) -> io::Result<Arc<State>> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let addr = listener.local_addr()?;
+    let port = ReservedPort::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let listener = port.listen()?;
     let (running, mut changes) = watch::channel(true);
     let state = Arc::new(State {
         config,
-        addr,
+        addr: port.addr(),
         running,
         slots: Slots::default(),
         inner: Mutex::new(Inner {
@@ -409,7 +412,7 @@
                 Ok(()) = changes.changed() => {
                     listener = None;
                     if *changes.borrow_and_update() {
-                        listener = TcpListener::bind(shared.addr).await.ok();
+                        listener = port.listen().inspect_err(|e| eprintln!("{port:?}: {e}")).ok();
                     }
                 }
                 else => return,
