Count a target's own 503 through a peer as run

What callers saw: a non-idempotent request ran twice, 5 of 5.

Cause: a request that was passed on and came back with status 503 counted as not run. A target's own 503 has run; only the peer's own one says that it has not.

Change: the verdict is decided in the core from the status and the signature. The test failed before.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -23,6 +23,35 @@
 /// while the targets are down for everyone.
 const PEER_PAUSE: Duration = Duration::from_secs(1);
 
+/// What a peer's answer says about the request that was passed on to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerVerdict {
+    /// It ran, or the peer tried to run it.
+    Ran,
+    /// The peer has not run it and never will, but another one may.
+    NotRun,
+}
+
+impl PeerVerdict {
+    /// The verdict of an answer with this status. `signed` tells whether it is a target's own answer,
+    /// which has run whatever its status is.
+    ///
+    /// ```
+    /// use rattanturn_core::relay::PeerVerdict;
+    /// assert_eq!(PeerVerdict::of(503, false), PeerVerdict::NotRun);
+    /// assert_eq!(PeerVerdict::of(503, true), PeerVerdict::Ran);
+    /// assert_eq!(PeerVerdict::of(504, false), PeerVerdict::Ran);
+    /// ```
+    #[must_use]
+    pub fn of(status: u16, signed: bool) -> Self {
+        match status {
+            _ if signed => Self::Ran,
+            503 => Self::NotRun,
+            _ => Self::Ran,
+        }
+    }
+}
+
 /// What one daemon knows of its peers as relays.
 ///
 /// ```
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -21,7 +21,12 @@
         RequestHead, RequestHeadType,
         header::{HeaderName, HeaderValue},
     },
-    rattanturn_core::{Time, addresses::Frontend, relay::Relays, rendezvous},
+    rattanturn_core::{
+        Time,
+        addresses::Frontend,
+        relay::{PeerVerdict, Relays},
+        rendezvous,
+    },
     rattanturn_platform::http::{relay_headers, request_id, return_headers},
     std::{cell::RefCell, collections::HashMap, net::SocketAddr},
     tokio::time::timeout,
@@ -138,12 +143,11 @@
         match timeout(remaining, trip).await {
             Ok(Ok(answer)) => {
                 self.keep(peer.addr, connection);
-                let ran = answer.status != 503;
-                request.ending.was_relayed.set(ran);
-                if ran {
-                    PeerOutcome::Ran(answer)
-                } else {
-                    PeerOutcome::NotRun
+                let verdict = PeerVerdict::of(answer.status, answer.head.signature.is_some());
+                request.ending.was_relayed.set(verdict == PeerVerdict::Ran);
+                match verdict {
+                    PeerVerdict::Ran => PeerOutcome::Ran(answer),
+                    PeerVerdict::NotRun => PeerOutcome::NotRun,
                 }
             }
             Ok(Err(_)) | Err(_) => PeerOutcome::Lost,
--- a/crates/demo/tests/tier/stranded.rs
+++ b/crates/demo/tests/tier/stranded.rs
@@ -5,7 +5,7 @@
     super::{fetch, front_addr, plain_servers, run_count, with_cluster},
     actix_rt::time::sleep,
     rattanturn_demo::tier_cluster::{TierCluster, request},
-    rattanturn_standins::proxy::LinkMode,
+    rattanturn_standins::{proxy::LinkMode, shard::Fault},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -25,14 +25,14 @@
 
 /// What the cut does to connections that are open. New ones are refused.
 #[derive(Clone, Copy)]
-enum Cut {
+pub(super) enum Cut {
     Hang,
     Reset,
     /// Open connections live on.
     NewOnly,
 }
 
-fn cut_off(cluster: &TierCluster, cut: Cut) {
+pub(super) fn cut_off(cluster: &TierCluster, cut: Cut) {
     for proxy in &cluster.gateway {
         proxy.set_accepting(false);
         match cut {
@@ -182,6 +182,38 @@
     });
 }
 
+/// Guards against a second run of what must not repeat, after a failure that a server answers with
+/// status 503 and that has run: only `x-not-executed` promises that it has not.
+#[test]
+fn a_relayed_request_that_a_server_fails_with_503_runs_once() {
+    with_cluster(2, async |cluster| {
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        let at = front_addr(cluster, 2);
+        cut_off(cluster, Cut::Reset);
+        let settled = Instant::now() + SETTLE_TIME;
+        while Instant::now() < settled {
+            served_part(at, &format!("early{:?}", settled - Instant::now())).await;
+        }
+        let servers = plain_servers(cluster);
+        for server in &servers {
+            server.set_fault(Fault::Unavailable);
+        }
+        let mut seen = Vec::new();
+        for n in 0..5 {
+            let id = format!("own-503-{n}");
+            let answer = request(at, "/once/x", &id, "body").await.unwrap();
+            let sealed = !answer.header("x-server-seal").is_empty();
+            seen.push((answer.status, sealed, run_count(&servers, &id)));
+            sleep(Duration::from_millis(1_100)).await;
+        }
+        let bad = |(status, sealed, runs): &&(u16, bool, u32)| {
+            *runs > 1 || (*runs > 0 && *status == 503 && !sealed)
+        };
+        assert_eq!(seen.iter().filter(bad).count(), 0, "{seen:?}");
+    });
+}
+
 /// A daemon reaches one server of a service and none of the others, so it is no longer advertised.
 /// Guards against a pool that shrinks while callers still come on the connections that they keep.
 #[test]
