Pass on no answer of a peer that does not say where it ends

An answer without a length that is closed inside looks like a whole one. Daemons state the length of each answer, so one without it counts as lost.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -100,6 +100,9 @@
     pub(crate) status: u16,
     pub(crate) headers: actix_http::header::HeaderMap,
     pub(crate) body: Bytes,
+    /// Whether the answer itself says where its body ends. If not, a body that was closed inside
+    /// looks like a whole one; only a reset shows.
+    pub(crate) framed: bool,
 }
 
 /// A connection to one target, which the target may close at any time.
@@ -200,12 +203,14 @@
                 break head;
             }
         };
+        let framed = is_framed(&head);
         let (body, last) = self.read_body(&head, count).await?;
         let answer = Answer {
             head: answer_head(&head),
             status: head.status.as_u16(),
             headers: head.headers,
             body,
+            framed,
         };
         let keep_alive = self.codec.as_ref().is_some_and(ClientCodec::keep_alive);
         self.reusable = keep_alive && !last;
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -141,6 +141,8 @@
         request.ending.was_relayed.set(true);
         let trip = connection.round_trip(head, &call.body, call.id.as_deref(), &self.open_bytes);
         match timeout(remaining, trip).await {
+            // Daemons state the length of each answer.
+            Ok(Ok(answer)) if !answer.framed => PeerOutcome::Lost,
             Ok(Ok(answer)) => {
                 self.keep(peer.addr, connection);
                 let verdict = PeerVerdict::of(answer.status, answer.head.signature.is_some());
