Divide credits by the recorded daemons, not by the advertised ones

Found by reading: shares of what daemons may run on credit were counted from who is seen to take callers. While the two large daemons of ten stop, each small one takes the share of a large one, 24 requests where 8 are allowed. Shares now follow from the recorded capacities. The test of the rule goes through daemons that stop, have ended or are not known.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -7,6 +7,7 @@
 use crate::{
     NodeId,
     addresses::{self, Frontend, MIN_CAPACITY},
+    rate_share::fraction,
 };
 
 /// Fraction of a target's connections that goes to the daemons that serve callers. The rest is for
@@ -92,3 +93,33 @@
     let quota = quota as u32;
     quota.max(1)
 }
+
+/// Fraction of all requests on credit that a daemon may run.
+///
+/// It depends on the capacities of the recorded daemons, `own` among them, and not on which daemons
+/// are seen to take callers: those that stop, or that others take for dead, still run requests while
+/// others take their place. `sharing` is the result of [`sharing_daemons`], and `calling` the number of
+/// all daemons. A daemon that is not recorded, while others are, gets nothing.
+///
+/// ```
+/// use rattanturn_core::quota::credit_fraction;
+/// let recorded = [4.0, 4.0, 1.0];
+/// assert!((credit_fraction(2, 3, Some(4.0), &recorded) - 0.45).abs() < 1e-9);
+/// assert!((credit_fraction(2, 3, Some(1.0), &recorded) - 0.1).abs() < 1e-9);
+/// ```
+#[must_use]
+pub fn credit_fraction(sharing: usize, calling: usize, own: Option<f64>, recorded: &[f64]) -> f64 {
+    let Some(own) = own else {
+        let is_first = recorded.is_empty();
+        return if is_first {
+            fraction(sharing, calling, true)
+        } else {
+            0.0
+        };
+    };
+    let best = recorded.iter().copied().fold(0.0, f64::max);
+    let is_small = |capacity: f64| capacity < best * MIN_CAPACITY;
+    let small = recorded.iter().filter(|c| is_small(**c)).count();
+    let large = sharing.max(recorded.len() - small);
+    fraction(large, calling.max(large + small), !is_small(own))
+}
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -5,7 +5,7 @@
     NodeId,
     addresses::Frontend,
     cold,
-    quota::{connection_quota, known_daemons, sharing_daemons},
+    quota::{connection_quota, credit_fraction, known_daemons, sharing_daemons},
 };
 
 /// Connections that a target accepts and number of daemons, at two sites.
@@ -63,3 +63,48 @@
         }
     }
 }
+
+/// Requests that daemons run on credit must not add up to more than all of them may, whoever of them
+/// is seen to take callers. Guards against small daemons that each get the share of a large one when
+/// all large ones stop, and against shares beside those of all others for daemons that stop.
+#[test]
+fn credits_fit_while_daemons_stop_end_and_start() {
+    for (large, small) in [(8, 0), (2, 8), (6, 24), (30, 0), (1, 3)] {
+        let count = large + small;
+        let capacity = |id: usize| if id < large { 8.0 } else { 2.0 };
+        let recorded: Vec<f64> = (0..count).map(capacity).collect();
+        // The first ones stop, or have ended, or are not known by the others yet.
+        for (gone, leaves) in (0..=count).flat_map(|n| [(n, true), (n, false)]) {
+            let frontend = |id: usize| Frontend {
+                id: NodeId(id as u64),
+                addr: ([127, 0, 0, 1], 80).into(),
+                centre: "a".into(),
+                accepting: id >= gone,
+                capacity: capacity(id),
+            };
+            let share = |me: usize| {
+                let is_seen = |id: &usize| leaves || *id == me || *id >= gone;
+                let frontends: Vec<Frontend> = (0..count).filter(is_seen).map(frontend).collect();
+                let leaving: Vec<NodeId> = (0..gone).map(|id| NodeId(id as u64)).collect();
+                let known = known_daemons(&frontends, &leaving);
+                let sharing = sharing_daemons(known, &recorded);
+                credit_fraction(sharing, count, Some(capacity(me)), &recorded)
+            };
+            for size in [8.0, 40.0] {
+                let total: f64 = (0..count).map(|me| (share(me) * size).floor()).sum();
+                assert!(
+                    total <= size,
+                    "{gone} of {large} and {small} gone ({leaves}): {total} of {size}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against credits beside those of all others for daemons that have just started.
+#[test]
+fn daemons_that_are_not_recorded_yet_run_nothing_on_credit() {
+    let recorded = [8.0; 8];
+    assert!(credit_fraction(8, 38, None, &recorded) <= 0.0);
+    assert!(credit_fraction(8, 8, None, &[]) > 0.1);
+}
--- a/crates/daemon/src/tier/control/quotas.rs
+++ b/crates/daemon/src/tier/control/quotas.rs
@@ -15,7 +15,7 @@
         allowance::{Ask, Lent, Limit, Returned, Standing, owner_of},
         catalog::Catalog,
         membership::State,
-        rate_share,
+        quota,
     },
     rattanturn_wire::{Datagram, encode},
     serde_json::Value,
@@ -94,8 +94,10 @@
             if is_planted(WHOLE_LIMIT) {
                 ids = vec![self.me];
             }
+            let recorded: Vec<f64> = self.cluster.daemons.values().copied().collect();
+            let own = self.cluster.daemons.get(&self.settings.name).copied();
             let (sharing, calling) = (view.sharing_daemons, view.calling_daemons);
-            let part = rate_share::fraction(sharing, calling, view.advertised);
+            let part = quota::credit_fraction(sharing, calling, own, &recorded);
             self.quotas.set_daemons(&ids, part, standing);
         }
         self.quotas.tick(limits(catalog.as_deref()));
