Count the targets of a data centre that returns as cold until they are read

Cause: the end of an evacuation was applied before the targets were read again, and the header that states the rest of the warmup was not read. Calls that waited for a connection were not counted against the limit of a cold target.

Change: targets of a data centre that returns count as cold until their entries were read one heartbeat later, the header is taken over, and waiting calls count. The new setting `heartbeat` states the interval of the entries.

--- a/crates/core/src/cold.rs
+++ b/crates/core/src/cold.rs
@@ -57,6 +57,22 @@
 }
 
 impl SlidingWindowLimiter {
+    /// Number of requests that were sent within the last second.
+    ///
+    /// ```
+    /// use {rattanturn_core::{Time, cold::SlidingWindowLimiter}, std::time::Duration};
+    /// let mut limiter = SlidingWindowLimiter::default();
+    /// let now = Time::from_millis(5_000);
+    /// assert!(limiter.try_acquire(now, 1));
+    /// assert_eq!(limiter.sent(now), 1);
+    /// assert_eq!(limiter.sent(now + Duration::from_millis(1_001)), 0);
+    /// ```
+    #[must_use]
+    pub fn sent(&self, now: Time) -> usize {
+        let outside = |t: &&Time| now.since(**t) > WINDOW;
+        self.sent.len() - self.sent.iter().take_while(outside).count()
+    }
+
     /// Returns true and counts a request if fewer than `quota` were sent within the last second.
     pub fn try_acquire(&mut self, now: Time, quota: u32) -> bool {
         while self.sent.front().is_some_and(|t| now.since(*t) > WINDOW) {
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -71,7 +71,7 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Longest time between two announcements of a daemon that reads the store. It is shorter than
 /// [`readers::STALE_AFTER`], so that the other daemons do not start to read as well.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
+pub(crate) const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
 /// Shortest time between two announcements that a daemon passes on without a change.
 const RELAY_INTERVAL: Duration = Duration::from_millis(300);
 /// A daemon that got an announcement from another data centre within this time passes on what it
--- a/crates/daemon/src/tier/control/publish.rs
+++ b/crates/daemon/src/tier/control/publish.rs
@@ -133,6 +133,7 @@
             takes_callers: is_advertised || (still_called && took_callers),
             catalog: self.cluster.catalog.clone(),
             services,
+            evacuated: self.cluster.evacuated.clone(),
             rollouts,
             uses_rollouts,
             frontends,
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -209,7 +209,9 @@
             }
             // A caller that may have left waits for no connection.
             Some(u) if self.input_ended() && !u.has_free_connection() => Some(MissingReason::Busy),
-            Some(u) if !u.try_take_slot(now) => Some(MissingReason::Limited),
+            Some(u) if !u.has_cold_room(now) || !u.try_take_slot(now) => {
+                Some(MissingReason::Limited)
+            }
             Some(_) => None,
         };
         let progress = Rc::<Progress>::default();
--- a/crates/daemon/src/tier/rollouts.rs
+++ b/crates/daemon/src/tier/rollouts.rs
@@ -277,7 +277,7 @@
             route,
             target: &target.id,
             new: target.version == rollout.order.version,
-            cold: upstream.cold_until.get() > clock::now(),
+            cold: upstream.is_cold(clock::now()),
             outcome,
             latency: took,
             at_ms: clock::unix_ms(),
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -19,9 +19,9 @@
 };
 
 /// Length of a long poll for targets. It is short because there is nearly always a change.
-const TARGETS_POLL_TIME: Duration = Duration::from_millis(200);
+pub(crate) const TARGETS_POLL_TIME: Duration = Duration::from_millis(200);
 /// Pause between two polls for targets. A leaving target must get no request after 3 s.
-const TARGETS_POLL_PAUSE: Duration = Duration::from_millis(700);
+pub(crate) const TARGETS_POLL_PAUSE: Duration = Duration::from_millis(700);
 /// Pause between two polls for what operators write.
 const OPERATOR_POLL_PAUSE: Duration = Duration::from_millis(50);
 /// Length of a long poll for what daemons write. Nothing depends on it within seconds.
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -100,6 +100,8 @@
     pub(crate) budgets: RefCell<Budgets>,
     /// Extra calls that all daemons together may save up.
     retry_slack: f64,
+    /// Interval at which targets write their entries.
+    heartbeat: Duration,
     /// Address at which targets are reached instead of their own.
     gateway: Option<IpAddr>,
     /// Data centre of this daemon.
@@ -166,6 +168,7 @@
             reach: RefCell::default(),
             budgets: RefCell::new(Budgets::new(initial)),
             retry_slack: tier.retry_slack,
+            heartbeat: tier.heartbeat,
             gateway: tier.target_gateway,
             centre,
             calls: Rc::default(),
@@ -196,6 +199,8 @@
     /// The current view. A new one is first applied to the upstreams.
     pub(crate) fn view(self: &Rc<Self>) -> Arc<View> {
         let newest = self.shared.load();
+        let read = self.gauges.read_micros.load(Ordering::Relaxed);
+        self.calls.targets_read.set(Time::from_micros(read));
         if !Arc::ptr_eq(&newest, &self.view.borrow()) {
             let newest = newest.clone();
             self.apply_view(&newest);
@@ -222,13 +227,14 @@
 
     /// Those of some targets that are available, in the order to try them.
     ///
-    /// Targets whose rate limit leaves no slot are not among them, unless all are such.
+    /// Targets whose rate limit leaves no slot, or that get no more requests for now because they are
+    /// cold, are not among them, unless all are such.
     pub(crate) fn order_among(&self, now: Time, targets: Vec<usize>) -> Vec<usize> {
         let usable = self.callable(now, targets);
         let upstreams = self.upstreams.borrow();
-        let (mut usable, exhausted): (Vec<usize>, Vec<usize>) = usable
-            .into_iter()
-            .partition(|i| upstreams[i].room(now) < Room::Exhausted);
+        let (mut usable, exhausted): (Vec<usize>, Vec<usize>) = usable.into_iter().partition(|i| {
+            upstreams[i].room(now) < Room::Exhausted && upstreams[i].has_cold_room(now)
+        });
         if usable.is_empty() {
             usable = exhausted;
         }
--- a/crates/daemon/src/tier/traffic/upstreams.rs
+++ b/crates/daemon/src/tier/traffic/upstreams.rs
@@ -4,13 +4,18 @@
     super::Traffic,
     crate::{
         clock,
-        tier::{upstream::Upstream, view::View},
+        tier::{
+            control::ANNOUNCE_INTERVAL,
+            sources::{TARGETS_POLL_PAUSE, TARGETS_POLL_TIME},
+            upstream::Upstream,
+            view::View,
+        },
     },
     rattanturn_core::{
         catalog::Service, cold::request_quota, discovery::Target, quota::connection_quota,
         rate_share,
     },
-    std::{collections::HashMap, rc::Rc, sync::Arc},
+    std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Fractions of the allowed slack that hedges and retries of all daemons together may save up.
@@ -18,6 +23,12 @@
 const RETRY_SLACK_FRACTION: f64 = 0.35;
 /// Connections that all daemons together may have to a target whose service sets no limit.
 const DEFAULT_MAX_CONNECTIONS: u32 = 64;
+/// How much older than their confirmation what a daemon knows of the targets may be: the reader that
+/// announces it polls at this interval, and announces at the other.
+const READ_LAG: Duration = TARGETS_POLL_TIME
+    .saturating_add(TARGETS_POLL_PAUSE)
+    .saturating_add(ANNOUNCE_INTERVAL);
+
 impl Traffic {
     /// Creates, updates and removes upstreams so that they match the view's targets.
     ///
@@ -32,6 +43,10 @@
         let mut by_service: HashMap<String, Vec<usize>> = HashMap::new();
         let mut upstreams = self.upstreams.borrow_mut();
         let old = self.by_id.take();
+        let old_view = self.view.borrow().clone();
+        let returns = |centre: &String| {
+            old_view.evacuated.contains(centre) && !view.evacuated.contains(centre)
+        };
         for (service, targets) in &view.services {
             let settings = view.catalog.as_ref().and_then(|c| c.service(service));
             for target in targets {
@@ -48,6 +63,11 @@
                 let upstream = &upstreams[&index];
                 *upstream.target.borrow_mut() = target.clone();
                 set_limits(upstream, view, settings);
+                let cold_rate = settings.and_then(|s| s.cold_rate);
+                if cold_rate.is_some() && returns(&target.centre) {
+                    let known = now + self.heartbeat + READ_LAG;
+                    upstream.unread_until.set(known);
+                }
                 if !target.cold_left.is_zero() {
                     upstream.cold_until.set(now + target.cold_left);
                 }
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -67,6 +67,8 @@
     /// When the stop of this daemon gives all open requests their final answers; `None` while it
     /// serves.
     pub(crate) answers_due: Cell<Option<Time>>,
+    /// When the targets were last read from the store or confirmed by a peer.
+    pub(crate) targets_read: Cell<Time>,
     open_bytes: OpenBytes,
 }
 
@@ -83,6 +85,11 @@
     /// Requests a second that this daemon may send until `cold_until`; `None` is unlimited.
     pub(crate) cold_quota: Cell<Option<u32>>,
     pub(crate) cold_until: Cell<Time>,
+    /// The target also counts as cold until the targets were read at this time or later: it may have
+    /// become cold before, which its entry did not tell yet.
+    pub(crate) unread_until: Cell<Time>,
+    /// Calls that wait to be sent.
+    unsent: Cell<u32>,
     /// Moving average of this target's call times, each divided by its route's average.
     pub(crate) relative_latency: Cell<f64>,
     /// False if the target must get no more calls: its entry says that it leaves, was removed, it is
@@ -105,6 +112,22 @@
     limited_calls: Cell<u64>,
 }
 
+/// Counts a waiting call until this is dropped, also because the call was cancelled.
+struct CountedCall<'a>(&'a Cell<u32>);
+
+impl<'a> CountedCall<'a> {
+    fn new(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Upstream {
     pub(crate) fn new(
         target: Arc<Target>,
@@ -119,6 +142,8 @@
             tried: Cell::default(),
             cold_quota: Cell::new(None),
             cold_until: Cell::new(Time::ZERO),
+            unread_until: Cell::new(Time::ZERO),
+            unsent: Cell::default(),
             relative_latency: Cell::new(1.0),
             usable: Cell::new(true),
             leaving_at: Cell::default(),
@@ -348,6 +373,7 @@
 
     async fn send(&self, call: &Call) -> Outcome {
         let leaving = self.leaving_at.get();
+        let unsent = CountedCall::new(&self.unsent);
         let _permit = match self.wait_for_permit(call).await {
             Ok(permit) => permit,
             Err(why) => return Outcome::NotRun(why),
@@ -388,8 +414,9 @@
         };
         if !self.try_admit(now) {
             self.keep(connection);
-            return Outcome::NotRun(MissingReason::Busy);
+            return Outcome::NotRun(MissingReason::Limited);
         }
+        drop(unsent);
         self.limited_calls.set(self.limited_calls.get() + 1);
         let id = self.target.borrow().id.clone();
         let mut extra = call_headers(&id, remaining);
@@ -415,6 +442,7 @@
                 self.waiting_since.set(now);
                 if !answer.head.misdirected {
                     self.set_rate_limit(answer.head.rate_limit);
+                    self.set_cold(now, answer.head.cold_left);
                     if answer.head.leaving {
                         self.note_leaving();
                     }
--- a/crates/daemon/src/tier/upstream/limits.rs
+++ b/crates/daemon/src/tier/upstream/limits.rs
@@ -4,6 +4,7 @@
     super::Upstream,
     crate::clock,
     rattanturn_core::{Time, rate_share::Room},
+    std::time::Duration,
 };
 
 impl Upstream {
@@ -51,11 +52,30 @@
         }
     }
 
+    /// Whether the target is cold, or may be as far as this daemon knows.
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until.get() || self.shared.targets_read.get() < self.unread_until.get()
+    }
+
+    /// Takes over how long the target stays cold, as it says itself.
+    pub(super) fn set_cold(&self, now: Time, left: Option<Duration>) {
+        if let Some(left) = left {
+            self.cold_until.set(now + left);
+            self.unread_until.set(Time::ZERO);
+        }
+    }
+
+    /// Whether a call may be sent without exceeding this daemon's share of what the target takes while
+    /// it is cold. Calls that wait to be sent count.
+    pub(crate) fn has_cold_room(&self, now: Time) -> bool {
+        let quota = self.cold_quota.get().filter(|_| self.is_cold(now));
+        let waiting = self.unsent.get() as usize;
+        quota.is_none_or(|n| self.limiter.borrow().sent(now) + waiting < n as usize)
+    }
+
     /// Counts a call against the limit of a cold target; false if the limit is reached.
     pub(super) fn try_admit(&self, now: Time) -> bool {
-        match self.cold_quota.get() {
-            Some(n) if now < self.cold_until.get() => self.limiter.borrow_mut().try_acquire(now, n),
-            _ => true,
-        }
+        let quota = self.cold_quota.get().filter(|_| self.is_cold(now));
+        quota.is_none_or(|n| self.limiter.borrow_mut().try_acquire(now, n))
     }
 }
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -11,7 +11,7 @@
         shutdown::StopSchedule,
     },
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -42,6 +42,8 @@
     pub(crate) catalog: Option<Arc<Catalog>>,
     /// Usable targets by service: neither leaving nor in an evacuated data centre.
     pub(crate) services: HashMap<String, Vec<Arc<Target>>>,
+    /// Names of the evacuated data centres.
+    pub(crate) evacuated: BTreeSet<String>,
     /// Roll-outs by service. The targets in `services` are those whose versions may be called.
     pub(crate) rollouts: HashMap<String, Arc<Rollout>>,
     /// Whether the settings ask for roll-outs.
--- a/crates/demo/tests/tier/targets.rs
+++ b/crates/demo/tests/tier/targets.rs
@@ -5,7 +5,7 @@
     actix_rt::time::sleep,
     rattanturn_demo::tier_cluster::{TierCluster, get, request},
     rattanturn_standins::{
-        operator::{deregister_target, register_target},
+        operator::{deregister_target, register_target, set_evacuated},
         platform::Mode,
         shard::State,
     },
@@ -17,8 +17,17 @@
 
 /// Interval of one caller's requests.
 const LOAD_INTERVAL: Duration = Duration::from_millis(15);
+/// Interval at which servers write their entries.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time in which daemons notice what the store says while it is stable.
 const NOTICE_TIME: Duration = Duration::from_secs(4);
+/// Requests a second that a cold server takes, and the most that may reach it in a second: 1.5 times
+/// that and 5 more.
+const COLD_RATE: f64 = 6.0;
+const COLD_BOUND: usize = 14;
+/// Time for which a server is cold.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
 /// How much slower one server is than the other, so that daemons prefer the other.
 const SLOWER: f64 = 4.0;
 
@@ -162,3 +171,40 @@
         assert_eq!(lost.count(), 0);
     });
 }
+
+/// Guards against a flood at a server that became cold while its data centre was evacuated, before its
+/// next entry tells.
+#[test]
+fn a_server_that_returns_cold_is_not_flooded() {
+    with_cluster(2, async |cluster| {
+        cluster.config = std::mem::take(&mut cluster.config).cold_rate(COLD_RATE);
+        cluster.config.write(&cluster.store);
+        let servers = plain_servers(cluster);
+        let cold = &servers[1];
+        set_evacuated(&cluster.store, &cold.config().centre, true);
+        sleep(NOTICE_TIME).await;
+        let load = Load::start(cluster, COLD_TIME + NOTICE_TIME);
+        let _ = cold.take_calls();
+        cold.set_cold(COLD_TIME);
+        let warm_at = Instant::now() + COLD_TIME;
+        sleep(Duration::from_millis(300)).await;
+        set_evacuated(&cluster.store, &cold.config().centre, false);
+        sleep(HEARTBEAT.checked_sub(Duration::from_millis(300)).unwrap()).await;
+        register_target(&cluster.store, cold, "ready", 2);
+        sleep(warm_at.saturating_duration_since(Instant::now())).await;
+        register_target(&cluster.store, cold, "ready", 3);
+        assert_served(&load.end().await);
+        let all = arrivals(cold);
+        let while_cold: Vec<&Instant> = all.iter().filter(|at| **at < warm_at).collect();
+        let in_second = |from: &Instant| {
+            let end = *from + Duration::from_secs(1);
+            while_cold
+                .iter()
+                .filter(|at| **at >= from && ***at < end)
+                .count()
+        };
+        let most = while_cold.iter().map(|at| in_second(at)).max().unwrap_or(0);
+        assert!(most <= COLD_BOUND, "{most} requests in a second");
+        assert!(all.len() > while_cold.len(), "the warm server gets nothing");
+    });
+}
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -95,6 +95,9 @@
 
 /// Time within which daemons apply a configuration or an evacuation, if the settings give none.
 const DEFAULT_CHANGE_LIMIT: Duration = Duration::from_secs(3);
+/// Interval at which targets write their entries, if the settings give none: that of the platform's
+/// small deployments.
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// Time within which a revoked key must be refused, if the settings give none.
 const DEFAULT_REVOKE_LIMIT: Duration = Duration::from_secs(5);
@@ -127,6 +130,8 @@
     pub config_limit: Duration,
     /// The same for the evacuation of a data centre.
     pub evacuation_limit: Duration,
+    /// Interval at which targets write their entries into the store.
+    pub heartbeat: Duration,
     /// Address at which this VM reaches all targets, on the ports that they registered; `None` if
     /// it reaches them directly.
     pub target_gateway: Option<IpAddr>,
@@ -309,6 +314,7 @@
         retry_slack: tier.parse("repeat-slack", DEFAULT_RETRY_SLACK, "a number"),
         config_limit: tier.duration("config-limit", DEFAULT_CHANGE_LIMIT),
         evacuation_limit: tier.duration("evacuation-limit", DEFAULT_CHANGE_LIMIT),
+        heartbeat: tier.duration("heartbeat", DEFAULT_HEARTBEAT),
         target_gateway: tier
             .text("target-gateway")
             .map(|_| tier.parse("target-gateway", no_gateway, "an IP address")),
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -135,7 +135,7 @@
 }
 
 /// Every key of a daemon's settings.
-const KEYS: [&str; 37] = [
+const KEYS: [&str; 38] = [
     "name",
     "data-centre",
     "ip",
@@ -161,6 +161,7 @@
     "repeat-slack",
     "config-limit",
     "evacuation-limit",
+    "heartbeat",
     "target-gateway",
     "exposure",
     "exposure-slack",
