Let an entry of the store that cannot be read hide only itself

What callers saw: requests at targets that drain, and daemons that do not start. Another operator reported daemons that end again and again.

Ports out of range already hid only their own entry.

Change: lists and watches are split into objects without parsing these, and each object is read by itself. What cannot be read is counted and said once in the log. Numbers and durations in entries are bounded, so that sums of times stay in range. The store's stand-in writes values of any bytes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`accounts`]: the accounts of callers and their keys.
 //! - [`catalog`]: the operators' routes and services, one version of the whole configuration.
 //! - [`discovery`]: which targets exist, from the entries that they write into a store.
+//! - [`unusable_entries`]: which entries that cannot be used are logged.
 //! - [`health`]: whether a target is down, judged by its last calls.
 //! - [`silence`]: notices early that no target answers any more.
 //! - [`reach`]: whether a daemon has lost most targets.
@@ -100,6 +101,7 @@
 pub mod silence;
 pub mod snapshot;
 mod time;
+pub mod unusable_entries;
 pub mod versioned;
 pub mod voter_sets;
 pub mod watch_position;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod supervise;
 mod tier;
 mod traffic;
+mod unusable_log;
 
 use {
     crate::{
--- a/crates/daemon/src/tier/control/stored_evidence.rs
+++ b/crates/daemon/src/tier/control/stored_evidence.rs
@@ -34,12 +34,15 @@
     pub(super) fn apply_stored_evidence(&mut self, event: StoreEvent) -> Option<StoreEvent> {
         match event {
             StoreEvent::Listed(QUARANTINE, list) => {
+                self.cluster.note_unreadable(QUARANTINE, &list.unreadable);
                 self.stored.0.clear();
                 for object in &list.objects {
                     self.take_over(object);
                 }
             }
             StoreEvent::Changed(QUARANTINE, changes) => {
+                self.cluster
+                    .note_unreadable(QUARANTINE, &changes.unreadable);
                 for change in &changes.events {
                     if change.removed {
                         self.stored.0.remove(&change.object.name);
@@ -57,7 +60,9 @@
         let stored: StoredEvidence = match serde_json::from_value(object.spec.clone()) {
             Ok(stored) => stored,
             Err(error) => {
-                tracing::warn!(name = %object.name, %error, "ignored an invalid quarantined request");
+                let name = Some(object.name.as_str());
+                let problem = error.to_string();
+                self.cluster.unusable.note_entry(QUARANTINE, name, &problem);
                 return;
             }
         };
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -7,10 +7,13 @@
 //! state different revisions. Peers fetch only the parts that differ.
 
 use {
-    crate::tier::{
-        known_rollouts::KnownRollouts,
-        peers::{TargetsReply, TargetsUpdate},
-        sources::StoreEvent,
+    crate::{
+        tier::{
+            known_rollouts::KnownRollouts,
+            peers::{TargetsReply, TargetsUpdate},
+            sources::StoreEvent,
+        },
+        unusable_log::UnusableLog,
     },
     rattanturn_core::{
         Time,
@@ -21,7 +24,7 @@
         rendezvous,
     },
     rattanturn_platform::{
-        Object,
+        Object, UnreadableEntry,
         entries::{self, ConfigError},
         objects,
     },
@@ -35,6 +38,10 @@
 /// Findings in the accounts of one configuration that are logged one by one.
 const MAX_LOGGED_FINDINGS: usize = 20;
 
+/// Most cores that a daemon's entry may state; no machine has more. A larger figure would make all
+/// other daemons look small beside it.
+const MAX_CORES: f64 = 4_096.0;
+
 /// What `revision` of [`ClusterState`] stands for; a change is announced to peers.
 #[derive(Clone, Default, PartialEq)]
 struct SharedState {
@@ -85,6 +92,8 @@
     shared: SharedState,
     /// Digest of the state at `revision`; 0 if nothing is known.
     digest: u64,
+    /// Entries that cannot be used, as far as they were logged.
+    pub(crate) unusable: UnusableLog,
     /// The last reply to a peer, with the digest of what it requested. Many peers request the same
     /// after a change.
     last_reply: Option<(u64, TargetsReply)>,
@@ -99,13 +108,41 @@
         }
     }
 
-    /// Decodes a target's entry.
-    fn decode_target(&self, object: &Object) -> Option<Target> {
-        let mut target = entries::decode_target(&object.name, &object.spec)?;
-        if !self.uses_rollouts {
-            target.version.clear();
+    /// Decodes a target's entry; `None` if it names no target to use, which is noted.
+    fn decode_target(&mut self, object: &Object) -> Option<Target> {
+        match entries::decode_target(&object.name, &object.spec) {
+            Ok(mut target) => {
+                if !self.uses_rollouts {
+                    target.version.clear();
+                }
+                Some(target)
+            }
+            Err(problem) => {
+                self.unusable
+                    .note_entry(entries::TARGETS, Some(&object.name), &problem);
+                None
+            }
+        }
+    }
+
+    /// Decodes the cores in a daemon's entry; `None` if they cannot be used, which is noted.
+    fn decode_cores(&mut self, object: &Object) -> Option<f64> {
+        let cores = object.spec.get("cores").and_then(Value::as_f64);
+        let cores = cores.filter(|c| *c > 0.0 && *c <= MAX_CORES);
+        if cores.is_none() {
+            let problem = "cores is not a number of processor cores";
+            self.unusable
+                .note_entry(objects::DAEMONS, Some(&object.name), problem);
+        }
+        cores
+    }
+
+    /// Notes what could not be read in an answer of the store.
+    pub(crate) fn note_unreadable(&mut self, kind: &'static str, unreadable: &[UnreadableEntry]) {
+        for entry in unreadable {
+            self.unusable
+                .note_entry(kind, entry.name.as_deref(), &entry.problem);
         }
-        Some(target)
     }
 
     /// Version of the configuration; 0 if none is known.
@@ -123,11 +160,13 @@
         match event {
             StoreEvent::Listed(kind, list) => {
                 self.store_recovered(kind);
+                self.note_unreadable(kind, &list.unreadable);
                 self.apply_list(now, kind, list.objects);
                 self.record_read(now, kind, list.position.revision);
             }
             StoreEvent::Changed(kind, changes) => {
                 self.store_recovered(kind);
+                self.note_unreadable(kind, &changes.unreadable);
                 for change in changes.events {
                     self.apply_change(now, kind, &change.object, change.removed);
                 }
@@ -180,8 +219,9 @@
         } else if kind == objects::DAEMONS {
             let daemons = objects
                 .into_iter()
-                .filter_map(|o| Some((o.name, parse_cores(&o.spec)?)));
-            self.set_daemons(daemons.collect());
+                .filter_map(|o| self.decode_cores(&o).map(|cores| (o.name, cores)))
+                .collect();
+            self.set_daemons(daemons);
         } else {
             for object in &objects {
                 self.apply_change(now, kind, object, false);
@@ -202,7 +242,8 @@
                     tracing::info!(%target_id, %service, revision, "target is leaving");
                 }
             } else {
-                tracing::debug!(entry = %object.name, "ignored an entry without a usable target");
+                // A list would no longer name this target either.
+                self.targets.entry_removed(now, &object.name);
             }
         } else if kind == entries::EVACUATIONS {
             let mut evacuated = self.evacuated.clone();
@@ -215,7 +256,12 @@
         } else if kind == entries::ROLLOUTS {
             self.rollouts.apply_change(now, object, removed);
         } else if kind == objects::DAEMONS {
-            match parse_cores(&object.spec).filter(|_| !removed) {
+            let cores = if removed {
+                None
+            } else {
+                self.decode_cores(object)
+            };
+            match cores {
                 Some(cores) => self.daemons.insert(object.name.clone(), cores),
                 None => self.daemons.remove(&object.name),
             };
@@ -271,7 +317,7 @@
             return false;
         }
         self.set_shared(state);
-        self.revision = self.seen_revision.max(self.revision + 1);
+        self.revision = self.seen_revision.max(self.revision.saturating_add(1));
         true
     }
 
@@ -430,7 +476,3 @@
 pub(crate) fn daemon_spec(cores: f64) -> Value {
     json!({"cores": cores})
 }
-
-fn parse_cores(spec: &Value) -> Option<f64> {
-    spec.get("cores")?.as_f64()
-}
--- /dev/null
+++ b/crates/daemon/src/unusable_log.rs
@@ -0,0 +1,28 @@
+//! Counts and logs what this daemon reads and cannot use, each entry once.
+
+use rattanturn_core::unusable_entries::{Report, UnusableEntries, shorten};
+
+/// Entries that cannot be used, as far as they were logged.
+#[derive(Debug, Default)]
+pub(crate) struct UnusableLog(UnusableEntries);
+
+impl UnusableLog {
+    /// Counts an entry of the store that cannot be used, and logs it unless it was logged before.
+    pub(crate) fn note_entry(&mut self, kind: &'static str, name: Option<&str>, problem: &str) {
+        match self.record(kind, name, problem) {
+            Report::Entry => {
+                let (name, problem) = (name.map(shorten), shorten(problem));
+                tracing::warn!(kind, ?name, problem, "an entry of the store cannot be used");
+            }
+            Report::Omission => {
+                tracing::warn!("further entries of the store that cannot be used are not logged");
+            }
+            Report::Nothing => {}
+        }
+    }
+
+    fn record(&mut self, kind: &'static str, name: Option<&str>, problem: &str) -> Report {
+        metrics::counter!("rattanturn_odd_entries_total", "kind" => kind).increment(1);
+        self.0.report(kind, name.unwrap_or(problem))
+    }
+}
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -8,6 +8,7 @@
 mod endless_answers;
 mod keys_under_failure;
 mod late_configuration;
+mod odd_entries;
 mod odd_peer;
 mod overload;
 mod quotas;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -8,32 +8,21 @@
 //! All versions of all objects stay in memory until the stand-in is dropped, and each poll of a
 //! watch scans them all, which is fast enough for tests only.
 
+mod serving;
+
 use {
-    actix_http::{
-        Method, Request, Response,
-        body::BoxBody,
-        header::{HeaderName, HeaderValue},
-    },
-    actix_rt::time::sleep,
-    rattanturn_http::{Limits, Server, query_parameter, read_body, response, spawn},
-    serde_json::{Value, json},
+    rattanturn_http::{Limits, Server, spawn},
+    serde_json::Value,
+    serving::{encode, handle, handle_or_hang},
     std::{
         collections::{BTreeMap, BTreeSet},
         io,
         net::{SocketAddr, TcpListener},
         sync::{Arc, Mutex, PoisonError},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
-/// Longest body of a write.
-const MAX_BODY_BYTES: usize = 1 << 20;
-/// Interval at which a waiting watch looks for changes.
-const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Largest number of objects on one page of a list.
-const PAGE_SIZE: usize = 50;
-/// Header of all answers: how often the store has come back from an older copy.
-const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Kind of the objects that the daemons and the command-line tool keep in the store.
 const OWN_KIND: &str = "rattanturn";
 
@@ -68,6 +57,8 @@
     revision: u64,
     /// The object's value, or `None` if this change removed the object.
     spec: Option<Value>,
+    /// What answers hold in place of the value: bytes that need not be JSON.
+    raw: Option<Vec<u8>>,
     /// What was written to the object's path `status`; null before.
     status: Value,
     /// Revision at which the object was created, in place of a time.
@@ -100,6 +91,7 @@
         let version = Version {
             revision,
             spec,
+            raw: None,
             status: present.map_or(Value::Null, |v| v.status.clone()),
             created: present.map_or(revision, |v| v.created),
         };
@@ -146,12 +138,15 @@
     }
 
     /// Changes of objects of a kind after a revision, oldest first, as a watch reports them.
-    fn changes(&self, kind: &str, after: u64) -> Vec<Value> {
-        let mut out: Vec<(u64, Value)> = Vec::new();
+    fn changes(&self, kind: &str, after: u64) -> Vec<Vec<u8>> {
+        let mut out: Vec<(u64, Vec<u8>)> = Vec::new();
         for ((k, name), versions) in &self.objects {
             for v in versions.iter().filter(|v| k == kind && v.revision > after) {
-                let event = json!({"deleted": v.spec.is_none(), "object": encode(name, v)});
-                out.push((v.revision, event));
+                let start = format!("{{\"deleted\":{},\"object\":", v.spec.is_none());
+                out.push((
+                    v.revision,
+                    [start.as_bytes(), &encode(name, v), b"}"].concat(),
+                ));
             }
         }
         out.sort_by_key(|e| e.0);
@@ -159,17 +154,6 @@
     }
 }
 
-fn encode(name: &str, version: &Version) -> Value {
-    json!({
-        "meta": {
-            "name": name, "revision": version.revision, "created": version.created,
-            "finalizers": [], "deleting": false,
-        },
-        "spec": version.spec,
-        "status": version.status,
-    })
-}
-
 impl State {
     /// Sets how the store treats requests from now on; it starts in [`Mode::Up`].
     pub fn set_mode(&self, mode: Mode) {
@@ -223,6 +207,18 @@
         self.with(|i| i.write(kind, name, Some(spec)))
     }
 
+    /// Like [`Self::write`], with a value of any bytes, which need not be JSON.
+    pub fn write_bytes(&self, kind: &str, name: &str, spec: &[u8]) -> u64 {
+        self.with(|i| {
+            let revision = i.write(kind, name, Some(Value::Null));
+            let versions = i.objects.get_mut(&(kind.into(), name.into()));
+            if let Some(newest) = versions.and_then(|v| v.last_mut()) {
+                newest.raw = Some(spec.into());
+            }
+            revision
+        })
+    }
+
     /// Writes the status of an object that exists, whatever the mode.
     pub fn set_status(&self, kind: &str, name: &str, status: Value) {
         self.with(|i| i.write_status(kind, name, status));
@@ -366,210 +362,3 @@
         self.state.clone()
     }
 }
-
-async fn handle_or_hang(state: Arc<State>, request: Request) -> Response<BoxBody> {
-    let path = request.path().to_owned();
-    let response = handle(state.clone(), request).await;
-    let hung = state.with(|i| i.hung_kind);
-    if hung.is_some_and(|kind| path.starts_with(&format!("/v1/objects/{kind}"))) {
-        std::future::pending::<()>().await;
-    }
-    response
-}
-
-async fn handle(state: Arc<State>, request: Request) -> Response<BoxBody> {
-    let mut response = answer_request(&state, request).await;
-    let era = HeaderValue::from(state.with(|i| i.era));
-    response.headers_mut().insert(ERA, era);
-    response
-}
-
-async fn answer_request(state: &State, mut request: Request) -> Response<BoxBody> {
-    let mode = state.with(|i| i.mode);
-    if let Mode::Slow(time) = mode {
-        sleep(time).await;
-    }
-    if mode == Mode::Down {
-        return unreadable_answer();
-    }
-    if mode == Mode::Busy {
-        return response(503, &[], "busy");
-    }
-    let path = request.path().to_owned();
-    let Some(path) = path.strip_prefix("/v1/objects/") else {
-        return response(404, &[], "no such path");
-    };
-    let (kind, name) = match path.split_once('/') {
-        Some((kind, name)) => (kind, Some(name)),
-        None => (path, None),
-    };
-    state.with(|i| i.called_kinds.insert(kind.to_owned()));
-    match (request.method().clone(), name) {
-        (Method::GET, Some(name)) => read(state, kind, name),
-        (Method::GET, None) if query_parameter(&request, "watch").is_some() => {
-            watch(state, kind, &request).await
-        }
-        (Method::GET, None) => list(state, kind, &request),
-        (Method::PUT, Some(path)) if path.ends_with("/status") => {
-            let name = path.trim_end_matches("/status");
-            let answer = write_status(state, kind, name, &mut request).await;
-            lose_answer(mode, answer)
-        }
-        (Method::POST | Method::PUT, name) => {
-            let name = name.map(ToOwned::to_owned);
-            let answer = write(state, kind, name, &mut request).await;
-            lose_answer(mode, answer)
-        }
-        (Method::DELETE, Some(name)) => {
-            state.count("remove");
-            let removed = state.with(|i| {
-                let present = i.newest(kind, name).is_some();
-                present.then(|| i.write(kind, name, None))
-            });
-            let status = if removed.is_some() { 200 } else { 404 };
-            lose_answer(mode, response(status, &[], "{}"))
-        }
-        _ => response(405, &[], "no such call"),
-    }
-}
-
-/// Replaces the answer of a write or a removal in [`Mode::LoseAnswers`].
-fn lose_answer(mode: Mode, answer: Response<BoxBody>) -> Response<BoxBody> {
-    if mode == Mode::LoseAnswers {
-        return unreadable_answer();
-    }
-    answer
-}
-
-/// An answer that is not JSON. Clients treat it like a missing answer, but without waiting for a
-/// timeout.
-fn unreadable_answer() -> Response<BoxBody> {
-    response(200, &[], "lost")
-}
-
-fn answer(status: u16, body: &Value) -> Response<BoxBody> {
-    let json = ("content-type", "application/json".to_owned());
-    response(status, &[json], body.to_string())
-}
-
-fn read(state: &State, kind: &str, name: &str) -> Response<BoxBody> {
-    state.count("read");
-    match state.with(|i| i.read(kind, name)) {
-        Some(version) => answer(200, &encode(name, &version)),
-        None => answer(404, &json!({"error": "no such object"})),
-    }
-}
-
-fn list(state: &State, kind: &str, request: &Request) -> Response<BoxBody> {
-    state.count("list");
-    let after = query_parameter(request, "after").unwrap_or("");
-    let (items, more, revision) = state.with(|i| {
-        let names = i.names(kind);
-        let later = names.iter().filter(|n| n.as_str() > after);
-        let found: Vec<Value> = later
-            .filter_map(|n| Some(encode(n, &i.read(kind, n)?)))
-            .collect();
-        let more = found.len() > PAGE_SIZE;
-        let page: Vec<Value> = found.into_iter().take(PAGE_SIZE).collect();
-        (page, more, i.revision)
-    });
-    let body = json!({"items": items, "hasMore": more, "storeRevision": revision});
-    answer(200, &body)
-}
-
-async fn watch(state: &State, kind: &str, request: &Request) -> Response<BoxBody> {
-    state.count("watch");
-    let number = |name| query_parameter(request, name).and_then(|v| v.parse::<u64>().ok());
-    let after = number("watch").unwrap_or(0);
-    let end = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
-    loop {
-        let (mode, history_start, revision, events) =
-            state.with(|i| (i.mode, i.history_start, i.revision, i.changes(kind, after)));
-        if mode == Mode::Down {
-            return unreadable_answer();
-        }
-        if after < history_start || after > revision {
-            return response(410, &[], "this history is gone");
-        }
-        if !(events.is_empty() || mode == Mode::Stale) || Instant::now() >= end {
-            let events = if mode == Mode::Stale {
-                Vec::new()
-            } else {
-                events
-            };
-            let reported = if mode == Mode::Stale { after } else { revision };
-            return answer(200, &json!({"events": events, "storeRevision": reported}));
-        }
-        sleep(WATCH_POLL_INTERVAL).await;
-    }
-}
-
-async fn write(
-    state: &State,
-    kind: &str,
-    name: Option<String>,
-    request: &mut Request,
-) -> Response<BoxBody> {
-    state.count("write");
-    let Ok(body) = read_body(request, MAX_BODY_BYTES).await else {
-        return response(413, &[], "too large");
-    };
-    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
-        return response(400, &[], "not JSON");
-    };
-    let create = name.is_none();
-    let body_name = body.pointer("/meta/name").and_then(Value::as_str);
-    let Some(name) = name.or_else(|| body_name.map(ToOwned::to_owned)) else {
-        return response(400, &[], "no name");
-    };
-    // A write without a revision is unconditional.
-    let expected = body.pointer("/meta/revision").and_then(Value::as_u64);
-    state.with(|i| {
-        let present = i.newest(kind, &name).cloned();
-        match (&present, create, expected) {
-            (Some(v), true, _) => return answer(409, &encode(&name, v)),
-            (None, false, _) => return answer(404, &json!({"error": "no such object"})),
-            (Some(v), false, Some(e)) if e != v.revision => return answer(409, &encode(&name, v)),
-            _ => {}
-        }
-        let spec = body.get("spec").cloned();
-        // A write that changes nothing does not make a new revision.
-        if present.as_ref().is_none_or(|v| v.spec != spec) {
-            i.write(kind, &name, Some(spec.unwrap_or(Value::Null)));
-        }
-        let newest = i.newest(kind, &name).cloned();
-        newest.map_or_else(
-            || response(500, &[], ""),
-            |v| answer(200, &encode(&name, &v)),
-        )
-    })
-}
-
-/// Writes the status of an object, conditionally if the body names a revision.
-async fn write_status(
-    state: &State,
-    kind: &str,
-    name: &str,
-    request: &mut Request,
-) -> Response<BoxBody> {
-    state.count("write");
-    let Ok(body) = read_body(request, MAX_BODY_BYTES).await else {
-        return response(413, &[], "too large");
-    };
-    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
-        return response(400, &[], "not JSON");
-    };
-    let expected = body.pointer("/meta/revision").and_then(Value::as_u64);
-    let status = body.get("status").cloned().unwrap_or_default();
-    state.with(|i| {
-        let Some(present) = i.newest(kind, name).cloned() else {
-            return answer(404, &json!({"error": "no such object"}));
-        };
-        if expected.is_some_and(|e| e != present.revision) {
-            return answer(409, &encode(name, &present));
-        }
-        i.write_status(kind, name, status);
-        let newest = i.newest(kind, name).cloned().unwrap_or(present);
-        answer(200, &encode(name, &newest))
-    })
-}
