Remove a target that lapsed in an outage only after a read of the store

Cause: taking over a peer's state ended the wait for expired entries, and with it the outage.

Change: what peers send does not end the wait; a read after the time for renewals does. A daemon that waits tells its peers that targets missing from its state may be in use, and names those that are certainly gone. Two states with the same revision are settled by a daemon that reads the store.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -9,11 +9,18 @@
 //! do not mean that their targets have stopped. Such a target is kept until [`EXPIRY_GRACE`] after
 //! the store is reachable again and is removed if it has not renewed its entry within that time.
 //! The price is that a target that really stopped during an outage stays in use for that long.
+//!
+//! Whether an expired entry came back is known only from reads of the store, because a renewal that
+//! changes nothing else is not passed on to peers. So what peers send does not end the wait for an
+//! entry; a read after the time for renewals does. Until then this daemon tells the peers that targets
+//! missing from its state may be in use, see [`ExpiryNotice`]; afterwards it announces its state anew. A
+//! daemon that reads the store likewise waits for the entry of a target that only a peer has named.
 
 use {
     crate::{
         Time,
         buckets::{BUCKETS, BucketDigests, bucket},
+        readers::STALE_AFTER,
         rendezvous,
     },
     serde::{Deserialize, Serialize},
@@ -27,10 +34,6 @@
 /// Time that targets have to renew expired entries once the store is reachable again. The platform
 /// promises two seconds.
 pub const EXPIRY_GRACE: Duration = Duration::from_millis(2_200);
-/// A removal this soon after the first failed read may be an expiry caused by the outage. The value
-/// has no effect at present, because `may_have_expired` treats every removal during an outage as
-/// such an expiry.
-const OUTAGE_EXPIRY_WINDOW: Duration = Duration::from_millis(1_500);
 /// Time for which a removed incarnation is remembered, so that a late entry does not add it again.
 const REMOVAL_RETENTION: Duration = Duration::from_mins(2);
 
@@ -97,6 +100,42 @@
     }
 }
 
+/// A target whose entry was removed, with the version of its last entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RemovedTarget {
+    /// Id of the target.
+    pub id: String,
+    /// Incarnation of its last entry.
+    #[serde(rename = "born")]
+    pub incarnation: u64,
+    /// Number of its last entry within the incarnation.
+    #[serde(rename = "beat")]
+    pub sequence: u64,
+}
+
+/// What a daemon tells a peer with its targets while some that it lacks may be in use: it waits for
+/// expired entries, or has just started and may have read the store while entries were missing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpiryNotice {
+    /// Time that targets still have to renew their entries; zero during an outage, and after that
+    /// time until the daemon has read the store.
+    pub left: Duration,
+    /// Whether entries may have expired in an outage that the daemon noticed.
+    pub outage: bool,
+    /// Targets that are certainly not in use, although the daemon waits for others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<RemovedTarget>,
+}
+
+/// The targets in use at a peer, as it sent them.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTargets {
+    /// All of them.
+    pub targets: Vec<Target>,
+    /// What the peer says of expired entries.
+    pub expiry: Option<ExpiryNotice>,
+}
+
 /// The targets currently in use, kept up to date from the entries in the store.
 ///
 /// A target is shown as in its last entry that changed something callers depend on. Targets renew
@@ -109,12 +148,18 @@
     newest: HashMap<String, (u64, u64)>,
     /// Removed targets, with the version of their last entry and the time of the removal.
     removed: HashMap<String, ((u64, u64), Time)>,
-    /// Targets whose entries are gone, with the earliest time at which they may be removed.
+    /// Targets whose entries are gone or were not read yet, with the earliest time at which a read
+    /// that does not find the entry removes them.
     expiring: HashMap<String, Time>,
     /// When the store became unreachable; `None` while it is reachable.
     outage_start: Option<Time>,
     /// When the last outage of the store ended; zero before the first.
     outage_end: Time,
+    /// Until when targets may renew entries that expired in an outage, which a daemon that has just
+    /// started would not have noticed. `None` once this daemon has read the store after that.
+    awaits_until: Option<Time>,
+    /// When this daemon last read the store; zero if never.
+    last_read: Time,
     changes: u64,
     digests: BucketDigests,
 }
@@ -131,13 +176,22 @@
         self.changes
     }
 
-    /// Adds or updates a target from its entry; returns whether anything changed that callers
-    /// depend on. Entries that are older than the known one, or not newer than the last entry of a
-    /// removed target, are ignored.
+    /// Adds or updates a target from its entry in the store; returns whether anything changed that
+    /// callers depend on. Entries that are older than the known one, or not newer than the last entry
+    /// of a removed target, are ignored.
     pub fn upsert(&mut self, now: Time, target: Target) -> bool {
         self.expiring.remove(&target.id);
+        self.merge(now, target)
+    }
+
+    /// Whether an entry is not newer than the last one of a removed target.
+    fn was_removed(&self, target: &Target) -> bool {
         let removed = self.removed.get(&target.id);
-        if removed.is_some_and(|(version, _)| target.version() <= *version) {
+        removed.is_some_and(|(version, _)| target.version() <= *version)
+    }
+
+    fn merge(&mut self, now: Time, target: Target) -> bool {
+        if self.was_removed(&target) {
             return false;
         }
         let newest = self.newest.get(&target.id);
@@ -176,7 +230,9 @@
     /// store.
     pub fn entry_removed(&mut self, now: Time, id: &str) {
         if self.targets.contains_key(id) && self.may_have_expired(now) {
-            self.expiring.insert(id.into(), now + EXPIRY_GRACE);
+            let ended = self.outage_start.map_or(self.outage_end, |_| now);
+            let due = ended + EXPIRY_GRACE;
+            self.expiring.insert(id.into(), due);
         } else {
             self.remove(now, id);
         }
@@ -197,9 +253,7 @@
             self.upsert(now, target);
         }
         for id in missing {
-            if !self.expiring.contains_key(&id) {
-                self.entry_removed(now, &id);
-            }
+            self.entry_removed(now, &id);
         }
     }
 
@@ -218,31 +272,68 @@
         self.targets().filter(move |t| wanted[bucket(&t.id)])
     }
 
-    /// Adopts the targets in use at a peer; `list` are all of those in the buckets `indexes`.
+    /// Adopts the targets in use at a peer, which are all of those in the buckets `indexes`. Returns
+    /// whether they name a target that was removed here, so that the peer is to learn of that.
     ///
-    /// The peer's list still contains targets whose entries may have expired because of an outage,
-    /// so targets of these buckets that it does not contain are removed at once.
-    pub fn adopt_buckets(&mut self, now: Time, indexes: &[usize], list: Vec<Target>) {
-        self.outage_start = None;
-        self.expiring.clear();
-        let present: HashSet<String> = list.iter().map(|t| t.id.clone()).collect();
-        for target in list {
-            self.upsert(now, target);
+    /// Targets of these buckets that the peer does not name are removed at once, because it still
+    /// contains those whose entries may have expired in an outage. They are kept if the peer waits
+    /// for such entries and does not name them as removed, as it may have started without knowing
+    /// them, or if this daemon does and reads the store itself.
+    pub fn adopt_buckets(&mut self, now: Time, indexes: &[usize], from: PeerTargets) -> bool {
+        let present: HashSet<String> = from.targets.iter().map(|t| t.id.clone()).collect();
+        let mut refused = false;
+        let reads = self.reads(now);
+        for target in from.targets {
+            let (id, known) = (target.id.clone(), self.targets.contains_key(&target.id));
+            refused |= self.was_removed(&target);
+            self.merge(now, target);
+            if reads && !known && self.targets.contains_key(&id) {
+                self.expiring.insert(id, now + EXPIRY_GRACE);
+            }
         }
-        let known = self.in_buckets(indexes);
-        let absent: Vec<String> = known
-            .filter(|t| !present.contains(&t.id))
-            .map(|t| t.id.clone())
-            .collect();
-        for id in absent {
-            self.remove(now, &id);
+        if let Some(expiry) = from.expiry {
+            for target in &expiry.removed {
+                let newest = self.newest.get(&target.id);
+                if newest.is_some_and(|n| *n <= (target.incarnation, target.sequence)) {
+                    self.remove(now, &target.id);
+                }
+            }
+            self.adopt_notice(now, &expiry);
+        } else if !self.awaits_own_entries(now) {
+            let known = self.in_buckets(indexes);
+            let absent: Vec<String> = known
+                .filter(|t| !present.contains(&t.id))
+                .map(|t| t.id.clone())
+                .collect();
+            for id in absent {
+                self.remove(now, &id);
+            }
         }
+        refused
     }
 
     /// Adopts all targets in use at a peer, as in [`Self::adopt_buckets`].
-    pub fn adopt_from_peer(&mut self, now: Time, list: Vec<Target>) {
+    pub fn adopt_from_peer(&mut self, now: Time, from: PeerTargets) -> bool {
         let all: Vec<usize> = (0..BUCKETS).collect();
-        self.adopt_buckets(now, &all, list);
+        self.adopt_buckets(now, &all, from)
+    }
+
+    /// What a peer that gets targets is told of expired entries; `None` if targets that are missing
+    /// here are not in use.
+    #[must_use]
+    pub fn expiry_notice(&self, now: Time) -> Option<ExpiryNotice> {
+        let until = self.outage_start.map_or(self.awaits_until, |_| Some(now))?;
+        let removed = self.removed.iter();
+        let removed = removed.map(|(id, ((incarnation, sequence), _))| RemovedTarget {
+            id: id.clone(),
+            incarnation: *incarnation,
+            sequence: *sequence,
+        });
+        Some(ExpiryNotice {
+            left: until.since(now),
+            outage: self.may_have_expired(now),
+            removed: removed.collect(),
+        })
     }
 
     /// Records that a read of the store failed at `now`.
@@ -250,42 +341,82 @@
         self.outage_start.get_or_insert(now);
     }
 
-    /// Records that the store was read at `now`, which ends an outage.
+    /// Whether an outage is over and targets may still renew their entries.
+    #[must_use]
+    pub fn awaits_entries(&self) -> bool {
+        self.awaits_until.is_some()
+    }
+
+    /// Records that this daemon or a peer could read the store at `now`, which ends an outage.
     pub fn store_available(&mut self, now: Time) {
         if self.outage_start.take().is_some() {
             self.outage_end = now;
+            self.awaits_until = self.awaits_until.max(Some(now + EXPIRY_GRACE));
         }
     }
 
-    /// Removes targets whose expired entries were not renewed in time; does nothing during an
-    /// outage.
-    pub fn tick(&mut self, now: Time) {
-        if self.outage_start.is_some() {
-            return;
+    /// Records that this daemon has applied all that it read of the store up to `now`.
+    ///
+    /// Targets whose entries expired in an outage are removed if they were not renewed in time. The
+    /// targets then count as changed in any case: peers that kept a target because of
+    /// [`Self::expiry_notice`] compare theirs again.
+    pub fn read_complete(&mut self, now: Time) {
+        self.store_available(now);
+        if self.last_read == Time::ZERO {
+            self.awaits_until = self.awaits_until.max(Some(now + EXPIRY_GRACE));
         }
-        let due = |until: &Time| now >= *until && now >= self.outage_end + EXPIRY_GRACE;
-        let absent: Vec<String> = self
-            .expiring
-            .iter()
-            .filter(|(_, until)| due(until))
-            .map(|(id, _)| id.clone())
-            .collect();
+        self.last_read = now;
+        let absent: Vec<String> = {
+            let due = self.expiring.iter().filter(|(_, due)| now >= **due);
+            due.map(|(id, _)| id.clone()).collect()
+        };
         for id in absent {
-            self.expiring.remove(&id);
             self.remove(now, &id);
         }
+        if self.awaits_until.take_if(|until| now >= *until).is_some() {
+            self.changes += 1;
+        }
+    }
+
+    /// Ends the wait for expired entries at a daemon that does not read the store: those that do have
+    /// ended theirs and announced it by then.
+    pub fn tick(&mut self, now: Time) {
+        if self.outage_start.is_none() {
+            self.awaits_until
+                .take_if(|until| now >= *until + STALE_AFTER);
+        }
+    }
+
+    /// Takes over what a peer says of expired entries.
+    fn adopt_notice(&mut self, now: Time, expiry: &ExpiryNotice) {
+        let until = now + expiry.left.min(EXPIRY_GRACE);
+        self.awaits_until = self.awaits_until.max(Some(until));
+        if expiry.outage && expiry.left.is_zero() && !self.reads(now) {
+            self.outage_start.get_or_insert(now);
+        } else if expiry.outage {
+            self.outage_end = self.outage_end.max(until - EXPIRY_GRACE);
+        }
+    }
+
+    /// Whether this daemon reads the store itself.
+    fn reads(&self, now: Time) -> bool {
+        self.last_read > Time::ZERO && now.since(self.last_read) <= STALE_AFTER
+    }
+
+    /// Whether this daemon waits for expired entries and learns of them by reads of its own.
+    fn awaits_own_entries(&self, now: Time) -> bool {
+        let has_read = self.last_read > Time::ZERO && self.last_read >= self.outage_end;
+        has_read && self.outage_start.is_none() && self.may_have_expired(now)
     }
 
     /// Whether an entry that is removed at `now` may have expired because of an outage.
     fn may_have_expired(&self, now: Time) -> bool {
         let recently = self.outage_end > Time::ZERO && now.since(self.outage_end) < EXPIRY_GRACE;
-        let just_failed = self
-            .outage_start
-            .is_some_and(|at| now.since(at) < OUTAGE_EXPIRY_WINDOW);
-        recently || just_failed || self.outage_start.is_some()
+        recently || self.outage_start.is_some()
     }
 
     fn remove(&mut self, now: Time, id: &str) {
+        self.expiring.remove(id);
         if let Some(old) = self.targets.remove(id) {
             self.changes += 1;
             self.digests.toggle(id, old.digest());
--- a/crates/core/tests/discovery.rs
+++ b/crates/core/tests/discovery.rs
@@ -4,7 +4,7 @@
 use {
     rattanturn_core::{
         Time,
-        discovery::{EXPIRY_GRACE, Target, TargetSet},
+        discovery::{EXPIRY_GRACE, PeerTargets, Target, TargetSet},
         object_history::ObjectHistory,
     },
     std::time::Duration,
@@ -32,6 +32,14 @@
     }
 }
 
+/// What a peer with these targets sends.
+fn sent(targets: Vec<Target>) -> PeerTargets {
+    PeerTargets {
+        targets,
+        ..PeerTargets::default()
+    }
+}
+
 fn at(ms: u64) -> Time {
     Time::from_millis(10_000 + ms)
 }
@@ -83,7 +91,7 @@
         "a target was removed before it could renew its entry"
     );
     set.upsert(at(61_500), target("renewed", 1, 2));
-    set.tick(at(60_000) + EXPIRY_GRACE + Duration::from_millis(1));
+    set.read_complete(at(60_000) + EXPIRY_GRACE + Duration::from_millis(1));
     assert_eq!(ids(&set), ["renewed"]);
 }
 
@@ -114,7 +122,7 @@
     set.upsert(at(0), target("running", 1, 1));
     set.upsert(at(0), target("stopped", 1, 1));
     set.store_unavailable(at(100));
-    set.adopt_from_peer(at(2_000), vec![target("running", 1, 2)]);
+    set.adopt_from_peer(at(2_000), sent(vec![target("running", 1, 2)]));
     assert_eq!(ids(&set), ["running"]);
 }
 
--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -5,7 +5,7 @@
     rattanturn_core::{
         NodeId, Time,
         buckets::BUCKETS,
-        discovery::{Target, TargetSet},
+        discovery::{PeerTargets, Target, TargetSet},
         dissemination::{Peer, RELAYS, reader_audience, relay_audience},
     },
     std::{collections::BTreeSet, time::Duration},
@@ -111,6 +111,10 @@
     let differing = from.digests().differing(to.digests().as_slice());
     let sent: Vec<Target> = from.in_buckets(&differing).cloned().collect();
     let count = sent.len();
+    let sent = PeerTargets {
+        targets: sent,
+        ..PeerTargets::default()
+    };
     to.adopt_buckets(Time::from_millis(9), &differing, sent);
     assert_eq!(from.digests(), to.digests());
     assert!(from.targets().eq(to.targets()));
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -125,6 +125,8 @@
     /// When this daemon last passed an announcement on, and when it last got one to pass on.
     last_relayed: Time,
     relay_since: Option<Time>,
+    /// When this daemon last raised the revision of its state because a peer gave it to another.
+    last_raised: Time,
     /// When the gauges were last exported.
     gauges_set: Time,
     stale_entries: StaleEntries,
@@ -197,6 +199,7 @@
         last_announced: Time::ZERO,
         last_relayed: Time::ZERO,
         relay_since: None,
+        last_raised: Time::ZERO,
         gauges_set: Time::ZERO,
         stale_entries: StaleEntries::default(),
         tier: start.tier,
@@ -351,6 +354,7 @@
             self.cluster.adopt_revision(versions.voter_sets);
             self.share_state();
         }
+        self.settle_conflict(now, versions);
         if versions.voter_sets > self.cluster.revision {
             let revision = versions.voter_sets;
             self.peer_sync.note_newer(TARGETS_KEY, rpc, revision, wait);
@@ -363,6 +367,20 @@
         self.fetch_newer();
     }
 
+    /// Raises the revision if a peer has another state of the same one, so that the peer fetches this
+    /// daemon's state. Only a daemon that reads the store does: what it may not know yet, it reads.
+    fn settle_conflict(&mut self, now: Time, versions: Versions) {
+        let reads = self.read_session.is_some() && self.cluster.is_read_complete();
+        let digests = (versions.digest, self.cluster.digest());
+        let differs = digests.0 != digests.1 && digests.0 != 0 && digests.1 != 0;
+        let due = now.since(self.last_raised) > readers::STALE_AFTER;
+        if reads && differs && due && versions.voter_sets == self.cluster.revision {
+            self.last_raised = now;
+            self.cluster.raise_revision();
+            self.share_state();
+        }
+    }
+
     fn fetch_newer(&mut self) {
         let (version, revision) = (self.cluster.config_version(), self.cluster.revision);
         let known = || KnownTargets {
@@ -377,9 +395,9 @@
     async fn handle_targets_event(&mut self, socket: &UdpSocket, event: TargetsEvent) {
         match event {
             TargetsEvent::Requested(request) => {
-                let reply = self
-                    .cluster
-                    .reply_to_peer(&request.digests, request.daemons);
+                let reply =
+                    self.cluster
+                        .reply_to_peer(clock::now(), &request.digests, request.daemons);
                 // Sending fails only if the peer's connection was closed meanwhile.
                 let _ = request.reply.send(reply);
             }
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -19,7 +19,7 @@
         Time,
         accounts::Finding,
         catalog::Catalog,
-        discovery::{Target, TargetSet},
+        discovery::{PeerTargets, Target, TargetSet},
         readers::STALE_AFTER,
         rendezvous,
     },
@@ -178,7 +178,9 @@
                 if *count == 1 {
                     tracing::warn!(kind, %error, "cannot read the store");
                 }
-                if self.is_stale(now) {
+                // A failure while entries are awaited means that they cannot be renewed either.
+                let awaited = kind == entries::TARGETS && self.targets.awaits_entries();
+                if self.is_stale(now) || awaited {
                     self.targets.store_unavailable(now);
                 }
             }
@@ -281,7 +283,7 @@
     fn record_read(&mut self, now: Time, kind: &'static str, revision: u64) {
         self.own_reads.insert(kind, now);
         if kind == entries::TARGETS {
-            self.targets.store_available(now);
+            self.targets.read_complete(now);
             self.targets_read = now;
             self.seen_revision = self.seen_revision.max(revision);
         } else if kind == entries::CATALOG.0 {
@@ -332,6 +334,12 @@
         self.last_reply = None;
     }
 
+    /// Raises the revision, so that a peer with another state of the same revision fetches this one.
+    pub(crate) fn raise_revision(&mut self) {
+        self.revision += 1;
+        self.last_reply = None;
+    }
+
     /// Applies a configuration if its version is newer than the current one's. `from` names its
     /// source in the log.
     pub(crate) fn apply_catalog(&mut self, spec: &Value, from: &str) {
@@ -370,10 +378,14 @@
         if !self.uses_rollouts {
             update.targets.iter_mut().for_each(|t| t.version.clear());
         }
-        match update.buckets {
-            Some(buckets) => self.targets.adopt_buckets(now, &buckets, update.targets),
-            None => self.targets.adopt_from_peer(now, update.targets),
-        }
+        let from = PeerTargets {
+            targets: update.targets,
+            expiry: update.expiry,
+        };
+        let refused = match update.buckets {
+            Some(buckets) => self.targets.adopt_buckets(now, &buckets, from),
+            None => self.targets.adopt_from_peer(now, from),
+        };
         self.set_evacuated(update.evacuated.into_iter().collect());
         if let Some(daemons) = update.daemons {
             self.set_daemons(daemons);
@@ -382,7 +394,8 @@
             self.rollouts.set_all(now, rollouts);
             self.rollouts.confirm_read(now);
         }
-        self.revision = reply.revision;
+        // Daemons that have the peer's state fetch this one if it lacks a target that was removed.
+        self.revision = reply.revision + u64::from(refused);
         self.targets_read = now;
         self.set_shared(self.shared_state());
         true
@@ -390,7 +403,12 @@
 
     /// What a peer lacks whose buckets of targets and whose registered daemons have these digests.
     /// No digests stand for a peer that knows nothing.
-    pub(crate) fn reply_to_peer(&mut self, digests: &[u64], daemons: u64) -> TargetsReply {
+    pub(crate) fn reply_to_peer(
+        &mut self,
+        now: Time,
+        digests: &[u64],
+        daemons: u64,
+    ) -> TargetsReply {
         let bytes = digests.iter().flat_map(|d| d.to_le_bytes());
         let bytes: Vec<u8> = bytes.chain(daemons.to_le_bytes()).collect();
         let request = rendezvous::digest(&bytes);
@@ -400,13 +418,16 @@
             return reply.clone();
         }
         let buckets = self.targets.digests().differing(digests);
-        let targets = self.targets.in_buckets(&buckets).cloned().collect();
+        let targets: Vec<Target> = self.targets.in_buckets(&buckets).cloned().collect();
+        let expiry = self.targets.expiry_notice(now);
+        let lasting = expiry.is_none();
         let update = TargetsUpdate {
             evacuated: self.evacuated.iter().cloned().collect(),
             daemons: (digests.is_empty() || daemons != self.daemons_digest)
                 .then(|| self.daemons.clone()),
             buckets: (!digests.is_empty()).then_some(buckets),
             targets,
+            expiry,
             rollouts: (self.rollouts.last_read() > Time::ZERO)
                 .then(|| self.rollouts.objects().cloned().collect()),
         };
@@ -414,7 +435,8 @@
             revision: self.revision,
             body: update.encode(),
         };
-        self.last_reply = Some((request, reply.clone()));
+        // What is said of expired entries depends on the time.
+        self.last_reply = lasting.then(|| (request, reply.clone()));
         reply
     }
 
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -12,7 +12,10 @@
     },
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
-    rattanturn_core::{discovery::Target, rendezvous},
+    rattanturn_core::{
+        discovery::{ExpiryNotice, Target},
+        rendezvous,
+    },
     rattanturn_platform::Object,
     rattanturn_wire::peer_capnp::peer,
     serde::{Deserialize, Serialize},
@@ -42,6 +45,10 @@
     pub(crate) buckets: Option<Vec<usize>>,
     /// All targets of these buckets.
     pub(crate) targets: Vec<Target>,
+    /// What the daemon says of expired entries, while it waits for them; a daemon of an older build
+    /// ignores it.
+    #[serde(rename = "settling", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) expiry: Option<ExpiryNotice>,
     /// Orders for roll-outs with their status, as in the store; `None` from a daemon of an older
     /// build, or one whose settings name no limits for them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/demo/tests/tier/targets.rs
+++ b/crates/demo/tests/tier/targets.rs
@@ -9,8 +9,10 @@
         platform::Mode,
         shard::State,
     },
+    serde_json::json,
     std::{
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -19,6 +21,8 @@
 const LOAD_INTERVAL: Duration = Duration::from_millis(15);
 /// Interval at which servers write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Length of an outage of the store in which entries expire.
+const OUTAGE: Duration = Duration::from_millis(4_500);
 /// Time in which daemons notice what the store says while it is stable.
 const NOTICE_TIME: Duration = Duration::from_secs(4);
 /// Requests a second that a cold server takes, and the most that may reach it in a second: 1.5 times
@@ -172,6 +176,57 @@
     });
 }
 
+/// Writes the entries of some servers, the first ones earlier than the last.
+async fn renew(cluster: &TierCluster, servers: &[Arc<State>], within: Duration) {
+    let count = u32::try_from(servers.len()).unwrap();
+    for server in servers {
+        sleep(within / count).await;
+        register_target(&cluster.store, server, "ready", 10);
+    }
+}
+
+/// Changes the entries of some servers in turn, so that daemons take over each other's targets.
+async fn change(cluster: &TierCluster, servers: &[Arc<State>], time: Duration) {
+    let end = Instant::now() + time;
+    for (sequence, server) in (11..).zip(servers.iter().cycle()) {
+        if Instant::now() >= end {
+            return;
+        }
+        let mut entry = server.entry("ready", sequence);
+        entry["maxConcurrency"] = json!(sequence);
+        cluster.store.write("servers", &server.id(), entry);
+        sleep(Duration::from_millis(150)).await;
+    }
+}
+
+/// Guards against a server whose entry lapsed in an outage of the store and that stays in use, and
+/// against living ones that are dropped after it.
+#[test]
+fn a_server_that_lapsed_in_an_outage_gets_nothing_after_it() {
+    with_cluster(3, async |cluster| {
+        let lapsed = plain_servers(cluster)[0].clone();
+        let is_lapsed = |s: &Arc<State>| s.id() == lapsed.id();
+        let living = cluster.servers.iter().filter(|s| !is_lapsed(s));
+        let living: Vec<Arc<State>> = living.cloned().collect();
+        let _ = lapsed.take_calls();
+        cluster.store.set_mode(Mode::Busy);
+        sleep(OUTAGE / 2).await;
+        for server in &cluster.servers {
+            deregister_target(&cluster.store, server);
+        }
+        let load = Load::start(cluster, OUTAGE / 2 + NOTICE_TIME + DRAIN_TIME);
+        sleep(OUTAGE / 2).await;
+        cluster.store.set_mode(Mode::Up);
+        let back = Instant::now();
+        renew(cluster, &living, HEARTBEAT).await;
+        change(cluster, &living, Duration::from_secs(3)).await;
+        assert_served(&load.end().await);
+        let late = arrivals(&lapsed);
+        let late = late.iter().filter(|at| **at > back + NOTICE_TIME);
+        assert_eq!(late.count(), 0, "requests reached the lapsed server");
+    });
+}
+
 /// Guards against a flood at a server that became cold while its data centre was evacuated, before its
 /// next entry tells.
 #[test]
