Let an item of a peer's message that cannot be read hide only itself

The same as for entries of the store, in what peers send: a datagram or an update was dropped as a whole if one item could not be read, or the rest of an update went out of use.

Change: each item of a list is read by itself. What an unreadable item names stays as it is known, unless the peer says that it is gone, and it is counted and said once in the log.

--- a/crates/core/src/discovery.rs
+++ b/crates/core/src/discovery.rs
@@ -130,8 +130,10 @@
 /// The targets in use at a peer, as it sent them.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTargets {
-    /// All of them.
+    /// Those that can be read.
     pub targets: Vec<Target>,
+    /// Ids of those that cannot be read: the peer has them, and no more is known.
+    pub unreadable: Vec<String>,
     /// What the peer says of expired entries.
     pub expiry: Option<ExpiryNotice>,
 }
@@ -275,12 +277,14 @@
     /// Adopts the targets in use at a peer, which are all of those in the buckets `indexes`. Returns
     /// whether they name a target that was removed here, so that the peer is to learn of that.
     ///
-    /// Targets of these buckets that the peer does not name are removed at once, because it still
+    /// A target that is known here and cannot be read in what the peer sent stays as it is. Targets of
+    /// these buckets that the peer does not name are removed at once, because it still
     /// contains those whose entries may have expired in an outage. They are kept if the peer waits
     /// for such entries and does not name them as removed, as it may have started without knowing
     /// them, or if this daemon does and reads the store itself.
     pub fn adopt_buckets(&mut self, now: Time, indexes: &[usize], from: PeerTargets) -> bool {
-        let present: HashSet<String> = from.targets.iter().map(|t| t.id.clone()).collect();
+        let mut present: HashSet<String> = from.unreadable.into_iter().collect();
+        present.extend(from.targets.iter().map(|t| t.id.clone()));
         let mut refused = false;
         let reads = self.reads(now);
         for target in from.targets {
--- a/crates/core/tests/discovery.rs
+++ b/crates/core/tests/discovery.rs
@@ -4,7 +4,7 @@
 use {
     rattanturn_core::{
         Time,
-        discovery::{EXPIRY_GRACE, PeerTargets, Target, TargetSet},
+        discovery::{EXPIRY_GRACE, ExpiryNotice, PeerTargets, RemovedTarget, Target, TargetSet},
         object_history::ObjectHistory,
     },
     std::time::Duration,
@@ -126,6 +126,43 @@
     assert_eq!(ids(&set), ["running"]);
 }
 
+/// Guards against targets that go out of use because a peer of another build passes them on in a form
+/// that cannot be read here.
+#[test]
+fn a_target_that_cannot_be_read_in_a_peers_list_stays_until_it_is_gone() {
+    let mut set = TargetSet::default();
+    for id in ["odd", "running", "stopped"] {
+        set.upsert(at(0), target(id, 1, 4));
+    }
+    let unreadable = || vec!["never-seen".into(), "odd".into()];
+    let from = PeerTargets {
+        unreadable: unreadable(),
+        ..sent(vec![target("running", 1, 5)])
+    };
+    set.adopt_from_peer(at(100), from);
+    assert_eq!(ids(&set), ["odd", "running"]);
+    assert!(set.targets().all(|t| *t == target(&t.id, 1, 4)));
+    let removed = RemovedTarget {
+        id: "odd".into(),
+        incarnation: 1,
+        sequence: 4,
+    };
+    let from = PeerTargets {
+        unreadable: unreadable(),
+        expiry: Some(ExpiryNotice {
+            removed: vec![removed],
+            ..ExpiryNotice::default()
+        }),
+        ..sent(vec![target("running", 1, 5)])
+    };
+    set.adopt_from_peer(at(200), from);
+    assert_eq!(ids(&set), ["running"]);
+    let mut set = TargetSet::default();
+    set.upsert(at(0), target("odd", 1, 4));
+    set.adopt_from_peer(at(100), sent(Vec::new()));
+    assert!(ids(&set).is_empty());
+}
+
 /// The targets as daemons pass them on: a line of JSON for each.
 fn lines(set: &TargetSet) -> Vec<u8> {
     let lines = set.targets().map(|t| serde_json::to_string(t).unwrap());
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -22,6 +22,7 @@
         },
         routing::{self, Inputs, Interner, LeaseState, SharedRouting},
         traffic::{Gauges, rpc::SharedObjects},
+        unusable_log::UnusableLog,
     },
     rattanturn_core::{
         NodeId, Time,
@@ -120,6 +121,7 @@
     stop_reply: Option<oneshot::Sender<String>>,
     /// Version of the tables that were found invalid last, so that each is reported once.
     refused_tables: u64,
+    unusable: UnusableLog,
     usage: Usage,
 }
 
@@ -201,6 +203,7 @@
             phase: Phase::Serving,
             stop_reply: None,
             refused_tables: 0,
+            unusable: UnusableLog::default(),
             usage: Usage::start(),
             settings,
         }
@@ -229,10 +232,11 @@
     async fn handle_datagram(&mut self, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
         let now = clock::now();
         self.usage.record_received(bytes.len());
-        let Ok(datagram) = decode(bytes) else {
+        let Ok((datagram, unreadable)) = decode(bytes) else {
             tracing::debug!(%from, "dropped a datagram that cannot be decoded");
             return;
         };
+        self.unusable.note_items("peer-datagram", &unreadable);
         match datagram {
             Datagram::Gossip(message) => {
                 let out = self.membership.receive(now, from, &message);
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -257,19 +257,26 @@
 
 impl Control {
     async fn receive(&mut self, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
-        match decode(bytes) {
-            Ok(Datagram::Gossip(message)) => {
+        let Ok((datagram, unreadable)) = decode(bytes) else {
+            tracing::debug!(%from, "dropped a datagram that cannot be decoded");
+            return;
+        };
+        self.cluster
+            .unusable
+            .note_items("peer-datagram", &unreadable);
+        match datagram {
+            Datagram::Gossip(message) => {
                 meters::count_datagram("received", message.kind, bytes.len());
                 self.receive_gossip(socket, from, &message).await;
             }
-            Ok(Datagram::Evidence(from, reports)) => {
+            Datagram::Evidence(from, reports) => {
                 self.receive_evidence(socket, from, &reports).await;
             }
-            Ok(Datagram::Rollouts(from, parts)) => self.receive_rollout_evidence(from, &parts),
-            Ok(Datagram::Borrow(from, asks)) => self.receive_asks(socket, from, &asks).await,
-            Ok(Datagram::Lent(_, answers)) => self.receive_tokens(socket, &answers).await,
-            Ok(Datagram::Returned(from, list)) => self.quotas.take_back(from, &list),
-            Ok(_) | Err(_) => {
+            Datagram::Rollouts(from, parts) => self.receive_rollout_evidence(from, &parts),
+            Datagram::Borrow(from, asks) => self.receive_asks(socket, from, &asks).await,
+            Datagram::Lent(_, answers) => self.receive_tokens(socket, &answers).await,
+            Datagram::Returned(from, list) => self.quotas.take_back(from, &list),
+            Datagram::LeaseRequests(..) | Datagram::LeaseVotes(..) => {
                 tracing::debug!(%from, "dropped a datagram that is not for the tier");
             }
         }
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -28,6 +28,7 @@
         entries::{self, ConfigError},
         objects,
     },
+    rattanturn_wire::items::{Items, UnreadableItem, Values},
     serde_json::{Value, json},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -375,23 +376,27 @@
                 return false;
             }
         };
+        self.note_update(&update);
         if !self.uses_rollouts {
-            update.targets.iter_mut().for_each(|t| t.version.clear());
+            let targets = update.targets.readable.iter_mut();
+            targets.for_each(|t| t.version.clear());
         }
         let from = PeerTargets {
-            targets: update.targets,
-            expiry: update.expiry,
+            targets: update.targets.readable,
+            unreadable: ids(update.targets.unreadable),
+            expiry: update.expiry.map(Into::into),
         };
         let refused = match update.buckets {
             Some(buckets) => self.targets.adopt_buckets(now, &buckets, from),
             None => self.targets.adopt_from_peer(now, from),
         };
-        self.set_evacuated(update.evacuated.into_iter().collect());
+        self.adopt_evacuated(update.evacuated);
         if let Some(daemons) = update.daemons {
-            self.set_daemons(daemons);
+            self.adopt_daemons(daemons);
         }
         if let Some(rollouts) = update.rollouts.filter(|_| self.uses_rollouts) {
-            self.rollouts.set_all(now, rollouts);
+            let unreadable = ids(rollouts.unreadable);
+            self.rollouts.adopt(now, rollouts.readable, &unreadable);
             self.rollouts.confirm_read(now);
         }
         // Daemons that have the peer's state fetch this one if it lacks a target that was removed.
@@ -401,6 +406,47 @@
         true
     }
 
+    /// Notes what could not be read of a peer's update.
+    fn note_update(&mut self, update: &TargetsUpdate) {
+        self.unusable
+            .note_items("peer-targets", &update.targets.unreadable);
+        self.unusable
+            .note_items("peer-evacuations", &update.evacuated.unreadable);
+        if let Some(daemons) = &update.daemons {
+            self.unusable
+                .note_items("peer-daemons", &daemons.unreadable);
+        }
+        if let Some(expiry) = &update.expiry {
+            self.unusable
+                .note_items("peer-removed", &expiry.removed.unreadable);
+        }
+        if let Some(rollouts) = &update.rollouts {
+            self.unusable
+                .note_items("peer-rollouts", &rollouts.unreadable);
+        }
+    }
+
+    /// Takes over a peer's evacuated data centres. While some of their names cannot be read, none is
+    /// taken back.
+    fn adopt_evacuated(&mut self, sent: Items<String>) {
+        let mut evacuated: BTreeSet<String> = sent.readable.into_iter().collect();
+        if !sent.unreadable.is_empty() {
+            evacuated.extend(self.evacuated.iter().cloned());
+        }
+        self.set_evacuated(evacuated);
+    }
+
+    /// Takes over a peer's registered daemons. One whose cores cannot be read stays as it is known.
+    fn adopt_daemons(&mut self, sent: Values<f64>) {
+        let mut daemons = sent.readable;
+        for name in ids(sent.unreadable) {
+            if let Some(cores) = self.daemons.get(&name) {
+                daemons.insert(name, *cores);
+            }
+        }
+        self.set_daemons(daemons);
+    }
+
     /// What a peer lacks whose buckets of targets and whose registered daemons have these digests.
     /// No digests stand for a peer that knows nothing.
     pub(crate) fn reply_to_peer(
@@ -422,14 +468,14 @@
         let expiry = self.targets.expiry_notice(now);
         let lasting = expiry.is_none();
         let update = TargetsUpdate {
-            evacuated: self.evacuated.iter().cloned().collect(),
+            evacuated: self.evacuated.iter().cloned().collect::<Vec<_>>().into(),
             daemons: (digests.is_empty() || daemons != self.daemons_digest)
-                .then(|| self.daemons.clone()),
+                .then(|| self.daemons.clone().into()),
             buckets: (!digests.is_empty()).then_some(buckets),
-            targets,
-            expiry,
+            targets: targets.into(),
+            expiry: expiry.map(Into::into),
             rollouts: (self.rollouts.last_read() > Time::ZERO)
-                .then(|| self.rollouts.objects().cloned().collect()),
+                .then(|| self.rollouts.objects().cloned().collect::<Vec<_>>().into()),
         };
         let reply = TargetsReply {
             revision: self.revision,
@@ -470,6 +516,11 @@
     }
 }
 
+/// Ids of items that cannot be read, as far as these can be.
+fn ids(unreadable: Vec<UnreadableItem>) -> Vec<String> {
+    unreadable.into_iter().filter_map(|item| item.id).collect()
+}
+
 /// Logs why the accounts of a configuration cannot be used.
 fn log_findings(findings: &[Finding], spec: &Value, from: &str) {
     let version = spec["version"].as_u64();
--- a/crates/daemon/src/tier/known_rollouts.rs
+++ b/crates/daemon/src/tier/known_rollouts.rs
@@ -87,6 +87,14 @@
         self.last_read = now;
     }
 
+    /// Replaces all objects by those of a peer. Known ones among the `unreadable` that it named besides
+    /// stay as they are.
+    pub(crate) fn adopt(&mut self, now: Time, mut objects: Vec<Object>, unreadable: &[String]) {
+        let known = unreadable.iter().filter_map(|n| self.objects.get(n));
+        objects.extend(known.cloned());
+        self.set_all(now, objects);
+    }
+
     /// Replaces all objects.
     pub(crate) fn set_all(&mut self, now: Time, objects: Vec<Object>) {
         let present: BTreeSet<String> = objects.iter().map(|o| o.name.clone()).collect();
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -13,13 +13,16 @@
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     rattanturn_core::{
-        discovery::{ExpiryNotice, Target},
+        discovery::{ExpiryNotice, RemovedTarget, Target},
         rendezvous,
     },
     rattanturn_platform::Object,
-    rattanturn_wire::peer_capnp::peer,
+    rattanturn_wire::{
+        items::{Items, Values},
+        peer_capnp::peer,
+    },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, time::Duration},
     tokio::sync::{mpsc::UnboundedSender, oneshot},
 };
 
@@ -36,23 +39,56 @@
 pub(crate) struct TargetsUpdate {
     /// Names of the evacuated data centres.
     #[serde(rename = "out")]
-    pub(crate) evacuated: Vec<String>,
+    pub(crate) evacuated: Items<String>,
     /// Processor cores of each registered daemon, by its name; `None` if the peer knows them.
-    pub(crate) daemons: Option<BTreeMap<String, f64>>,
+    pub(crate) daemons: Option<Values<f64>>,
     /// Indexes of the buckets that the update replaces; `None` replaces all targets. A daemon of the
     /// previous version ignores it and gets only whole updates.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) buckets: Option<Vec<usize>>,
     /// All targets of these buckets.
-    pub(crate) targets: Vec<Target>,
+    pub(crate) targets: Items<Target>,
     /// What the daemon says of expired entries, while it waits for them; a daemon of an older build
     /// ignores it.
     #[serde(rename = "settling", default, skip_serializing_if = "Option::is_none")]
-    pub(crate) expiry: Option<ExpiryNotice>,
+    pub(crate) expiry: Option<PeerExpiryNotice>,
     /// Orders for roll-outs with their status, as in the store; `None` from a daemon of an older
     /// build, or one whose settings name no limits for them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) rollouts: Option<Vec<Object>>,
+    pub(crate) rollouts: Option<Items<Object>>,
+}
+
+/// A [`ExpiryNotice`] as it is sent.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct PeerExpiryNotice {
+    left: Duration,
+    outage: bool,
+    #[serde(default, skip_serializing_if = "is_empty")]
+    pub(crate) removed: Items<RemovedTarget>,
+}
+
+impl From<ExpiryNotice> for PeerExpiryNotice {
+    fn from(expiry: ExpiryNotice) -> Self {
+        Self {
+            left: expiry.left,
+            outage: expiry.outage,
+            removed: expiry.removed.into(),
+        }
+    }
+}
+
+impl From<PeerExpiryNotice> for ExpiryNotice {
+    fn from(sent: PeerExpiryNotice) -> Self {
+        Self {
+            left: sent.left,
+            outage: sent.outage,
+            removed: sent.removed.readable,
+        }
+    }
+}
+
+fn is_empty(items: &Items<RemovedTarget>) -> bool {
+    items.readable.is_empty()
 }
 
 impl TargetsUpdate {
--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -1,27 +1,71 @@
 //! A peer of another build that passes on what a daemon cannot read.
 
 use {
-    super::{DRAIN_TIME, fetch, front_addr, with_cluster},
+    super::{DRAIN_TIME, fetch, front_addr, plain_servers, with_cluster},
     actix_rt::time::{sleep, timeout},
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::AsyncReadExt as _,
     rattanturn_core::{
         NodeId,
+        discovery::Target,
         membership::{Endpoints, MemberRecord, Message, MessageKind, State, Versions},
     },
-    rattanturn_demo::tier_cluster::{Answer, TierCluster, request},
-    rattanturn_wire::{Datagram, encode},
-    serde_json::Value,
-    std::{net::SocketAddr, time::Duration},
+    rattanturn_demo::tier_cluster::{Answer, PLAIN, TierCluster, request},
+    rattanturn_standins::shard,
+    rattanturn_wire::{Datagram, encode, peer_capnp::peer},
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt},
         net::{TcpListener, TcpStream, UdpSocket},
         task::JoinHandle,
     },
+    tokio_util::compat::TokioAsyncReadCompatExt,
 };
 
+/// Revision of what the peer sends, higher than any of the store's stand-in.
+const REVISION: u64 = 1_000_000;
+
 /// Time for traffic to get to know of a peer and of connections that ended. The daemon suspects the peer
 /// later than that: it answers no probe.
 const VIEW_TIME: Duration = Duration::from_millis(100);
 
+/// A peer that answers requests for targets with this body.
+struct OddPeer(Vec<u8>);
+
+impl peer::Server for OddPeer {
+    async fn targets(
+        self: Rc<Self>,
+        _: peer::TargetsParams,
+        mut results: peer::TargetsResults,
+    ) -> Result<(), capnp::Error> {
+        let mut out = results.get();
+        out.set_revision(REVISION);
+        out.set_body(&self.0);
+        Ok(())
+    }
+}
+
+/// Serves one connection; returns the address.
+async fn serve(body: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let (reader, writer) = stream.compat().split();
+        let options = capnp::message::ReaderOptions::default();
+        let network = VatNetwork::new(reader, writer, Side::Server, options);
+        let client: peer::Client = capnp_rpc::new_client(OddPeer(body));
+        // The daemon closes the connection once it has the answer.
+        let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+    });
+    addr
+}
+
 /// Tells the first daemon of a peer that has targets of this revision; its ports are all the same.
 async fn announce(cluster: &TierCluster, rpc: SocketAddr, revision: u64) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
@@ -56,6 +100,88 @@
     socket.send_to(&bytes, to).await.unwrap();
 }
 
+/// A server as daemons pass it on.
+fn item(server: &shard::State) -> Value {
+    let entry = server.entry("ready", 1);
+    let target = Target {
+        id: server.id(),
+        service: server.config().service.clone(),
+        addr: server.addr(),
+        centre: server.config().centre.clone(),
+        slots: 3,
+        leaving: false,
+        version: String::new(),
+        cold_left: Duration::ZERO,
+        incarnation: entry["born"].as_u64().unwrap(),
+        sequence: 1,
+    };
+    serde_json::to_value(target).unwrap()
+}
+
+/// Has a peer of the only daemon send this update, in which no shard has a server, and waits until the
+/// daemon has applied it.
+async fn apply(cluster: &TierCluster, update: Value) {
+    let rpc = serve(update.to_string().into_bytes()).await;
+    announce(cluster, rpc, REVISION).await;
+    let started = Instant::now();
+    while fetch(cluster, "/all/x", "all").await.status == 200 {
+        assert!(started.elapsed() < DRAIN_TIME, "the update was not applied");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Asserts that the daemon calls both servers behind `/one/`.
+async fn assert_used(cluster: &TierCluster) {
+    let servers = plain_servers(cluster);
+    let before: Vec<u64> = servers.iter().map(|s| s.arrivals()).collect();
+    for n in 0..20 {
+        let answer = fetch(cluster, "/one/x", &format!("o{n}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    for (server, before) in servers.iter().zip(before) {
+        assert!(server.arrivals() > before, "{} is not used", server.id());
+    }
+}
+
+/// Guards against a target that goes out of use without a word.
+#[test]
+fn a_target_that_cannot_be_read_in_a_peers_update_stays_in_use() {
+    with_cluster(1, async |cluster| {
+        let servers = plain_servers(cluster);
+        let mut odd = item(&servers[0]);
+        odd["slots"] = json!("three");
+        let targets = json!([odd, item(&servers[1]), 8]);
+        apply(cluster, json!({"out": [], "targets": targets})).await;
+        assert_used(cluster).await;
+    });
+}
+
+/// Guards against an update that is dropped as a whole.
+#[test]
+fn an_odd_daemon_or_removal_in_a_peers_update_hides_only_itself() {
+    with_cluster(1, async |cluster| {
+        let servers = plain_servers(cluster);
+        let removed = cluster
+            .servers
+            .iter()
+            .filter(|s| s.config().service != PLAIN);
+        let mut removed: Vec<Value> = removed
+            .map(|s| json!({"id": s.id(), "born": 1, "beat": 1}))
+            .collect();
+        removed.push(json!({"id": servers[0].id(), "born": -1, "beat": 1}));
+        let update = json!({
+            "out": [7],
+            "daemons": {"d9": "two"},
+            "settling": {
+                "left": {"secs": 0, "nanos": 0}, "outage": false, "removed": removed,
+            },
+            "targets": [],
+        });
+        apply(cluster, update).await;
+        assert_used(cluster).await;
+    });
+}
+
 /// A request that the only daemon has passed on to a peer that answers nothing by itself.
 struct PassedOn {
     answer: JoinHandle<Option<Answer>>,
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -10,7 +10,10 @@
 //! the schema differ from those of the core, because names on the wire never change.
 
 use {
-    crate::peer_capnp::{datagram, fact, gossip, lease_request, lease_vote},
+    crate::{
+        items::{Items, UnreadableItem},
+        peer_capnp::{datagram, fact, gossip, lease_request, lease_vote},
+    },
     capnp::{message, serialize_packed},
     rattanturn_core::{
         NodeId,
@@ -62,25 +65,41 @@
 #[derive(Deserialize)]
 struct ReadMessage {
     from: NodeId,
-    evidence: Option<Vec<Evidence>>,
-    rollouts: Option<Vec<rollout::Evidence>>,
-    borrow: Option<Vec<Ask>>,
-    lent: Option<Vec<Lent>>,
-    returned: Option<Vec<Returned>>,
+    #[serde(default)]
+    evidence: Option<Items<Evidence>>,
+    #[serde(default)]
+    rollouts: Option<Items<rollout::Evidence>>,
+    #[serde(default)]
+    borrow: Option<Items<Ask>>,
+    #[serde(default)]
+    lent: Option<Items<Lent>>,
+    #[serde(default)]
+    returned: Option<Items<Returned>>,
 }
 
 impl ReadMessage {
-    /// The list; `None` if it is of an unknown kind.
-    fn list(self) -> Option<JsonList> {
-        let evidence = self.evidence.map(JsonList::Evidence);
-        let rollouts = self.rollouts.map(JsonList::Rollouts);
-        let borrow = self.borrow.map(JsonList::Borrow);
-        let lent = self.lent.map(JsonList::Lent);
-        let returned = self.returned.map(JsonList::Returned);
+    /// The datagram and what could not be read of it; `None` if it is of an unknown kind.
+    fn datagram(self) -> Option<Decoded> {
+        let from = self.from;
+        let evidence = decoded(self.evidence, |list| Datagram::Evidence(from, list));
+        let rollouts = decoded(self.rollouts, |list| Datagram::Rollouts(from, list));
+        let borrow = decoded(self.borrow, |list| Datagram::Borrow(from, list));
+        let lent = decoded(self.lent, |list| Datagram::Lent(from, list));
+        let returned = decoded(self.returned, |list| Datagram::Returned(from, list));
         evidence.or(rollouts).or(borrow).or(lent).or(returned)
     }
 }
 
+/// A datagram, and what could not be read of it.
+type Decoded = (Datagram, Vec<UnreadableItem>);
+
+fn decoded<T>(
+    items: Option<Items<T>>,
+    datagram: impl FnOnce(Vec<T>) -> Datagram,
+) -> Option<Decoded> {
+    items.map(|items| (datagram(items.readable), items.unreadable))
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 enum JsonList {
@@ -96,7 +115,7 @@
 /// ```
 /// use {rattanturn_core::NodeId, rattanturn_wire::{Datagram, decode, encode}};
 /// let datagram = Datagram::LeaseVotes(NodeId(3), vec![]);
-/// assert_eq!(decode(&encode(&datagram)).unwrap(), datagram);
+/// assert_eq!(decode(&encode(&datagram)).unwrap(), (datagram, vec![]));
 /// ```
 #[must_use]
 pub fn encode(datagram: &Datagram) -> Vec<u8> {
@@ -123,30 +142,31 @@
     serde_json::to_vec(&JsonMessage { from, list }).unwrap_or_default()
 }
 
-/// Decodes a datagram.
+/// Decodes a datagram, and returns what cannot be read of its lists besides: such an item hides only
+/// itself.
 ///
 /// # Errors
 ///
-/// The bytes are no valid datagram of this schema, a JSON datagram is of an unknown kind, or a member in it has an unknown state or an
-/// invalid gossip address.
-pub fn decode(bytes: &[u8]) -> capnp::Result<Datagram> {
+/// The bytes are no valid datagram of this schema, or a JSON datagram is of an unknown kind.
+///
+/// ```
+/// use {rattanturn_core::NodeId, rattanturn_wire::{Datagram, decode}};
+/// let (datagram, unreadable) = decode(br#"{"from": 3, "evidence": [7]}"#).unwrap();
+/// assert_eq!(datagram, Datagram::Evidence(NodeId(3), vec![]));
+/// assert_eq!(unreadable.len(), 1);
+/// ```
+pub fn decode(bytes: &[u8]) -> capnp::Result<(Datagram, Vec<UnreadableItem>)> {
     if bytes.first() == Some(&b'{') {
         let message: ReadMessage = serde_json::from_slice(bytes)
             .map_err(|error| capnp::Error::failed(format!("invalid JSON datagram: {error}")))?;
-        let from = message.from;
         let unknown = || capnp::Error::failed("JSON datagram of an unknown kind".into());
-        return Ok(match message.list().ok_or_else(unknown)? {
-            JsonList::Evidence(list) => Datagram::Evidence(from, list),
-            JsonList::Rollouts(list) => Datagram::Rollouts(from, list),
-            JsonList::Borrow(list) => Datagram::Borrow(from, list),
-            JsonList::Lent(list) => Datagram::Lent(from, list),
-            JsonList::Returned(list) => Datagram::Returned(from, list),
-        });
+        return message.datagram().ok_or_else(unknown);
     }
     let reader = serialize_packed::read_message(bytes, message::ReaderOptions::new())?;
     let root = reader.get_root::<datagram::Reader<'_>>()?;
-    Ok(match root.which()? {
-        datagram::Gossip(m) => Datagram::Gossip(read_gossip(m?)?),
+    let mut unreadable = Vec::new();
+    let datagram = match root.which()? {
+        datagram::Gossip(m) => Datagram::Gossip(read_gossip(m?, &mut unreadable)?),
         datagram::Requests(m) => {
             let m = m?;
             let from = NodeId(m.get_from());
@@ -176,7 +196,8 @@
                 m.get_list()?.iter().map(read).collect(),
             )
         }
-    })
+    };
+    Ok((datagram, unreadable))
 }
 
 /// The last other lease term that the voter granted the unit to. Number 0 means that it knows none.
@@ -262,7 +283,11 @@
     out.set_threads(record.endpoints.threads);
 }
 
-fn read_gossip(m: gossip::Reader<'_>) -> capnp::Result<Message> {
+/// Reads a membership message; records that cannot be read are added to `unreadable`.
+fn read_gossip(
+    m: gossip::Reader<'_>,
+    unreadable: &mut Vec<UnreadableItem>,
+) -> capnp::Result<Message> {
     let n = m.get_number();
     let kind = match m.which()? {
         gossip::Probe(()) => MessageKind::Probe(n),
@@ -270,8 +295,16 @@
         gossip::Ack(()) => MessageKind::Ack(n),
         gossip::Sync(wanted) => MessageKind::Sync(wanted),
     };
-    let records: capnp::Result<Vec<MemberRecord>> =
-        m.get_facts()?.iter().map(read_record).collect();
+    let mut records = Vec::new();
+    for fact in m.get_facts()? {
+        match read_record(fact) {
+            Ok(record) => records.push(record),
+            Err(error) => unreadable.push(UnreadableItem {
+                id: Some(NodeId(fact.get_id()).to_string()),
+                problem: error.extra,
+            }),
+        }
+    }
     Ok(Message {
         from: NodeId(m.get_from()),
         kind,
@@ -281,7 +314,7 @@
             voter_sets: m.get_panels(),
             digest: m.get_targets_digest(),
         },
-        records: records?,
+        records,
     })
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! UDP datagrams. Everything else uses RPC over TCP.
 
 mod datagram;
+pub mod items;
 #[allow(missing_docs, unsafe_code, clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
 pub mod peer_capnp;
--- a/crates/wire/tests/evidence.rs
+++ b/crates/wire/tests/evidence.rs
@@ -32,7 +32,7 @@
     let datagram = Datagram::Evidence(NodeId(u64::MAX), (0..MAX_REPORTS).map(report).collect());
     let bytes = encode(&datagram);
     assert!(bytes.len() <= PACKET_BYTES, "{} bytes", bytes.len());
-    assert_eq!(decode(&bytes).unwrap(), datagram);
+    assert_eq!(decode(&bytes).unwrap().0, datagram);
 }
 
 /// Daemons of older builds send this form, and newer ones may add fields.
@@ -40,7 +40,7 @@
 fn evidence_of_older_and_newer_builds_is_read() {
     let old = r#"{"from":7,"evidence":[{"request":"000102030405060708090a0b0c0d0e0f","round":1,"ended":[3,4],"trials":1,"age_ms":5}]}"#;
     let new = old.replace("\"age_ms\":5", "\"age_ms\":5,\"later\":{}");
-    let read = decode(old.as_bytes()).unwrap();
-    assert_eq!(decode(new.as_bytes()).unwrap(), read);
+    let read = decode(old.as_bytes()).unwrap().0;
+    assert_eq!(decode(new.as_bytes()).unwrap().0, read);
     assert_eq!(encode(&read), old.as_bytes());
 }
--- a/crates/wire/tests/rollouts.rs
+++ b/crates/wire/tests/rollouts.rs
@@ -26,7 +26,7 @@
     evidence.record(NodeId(2), &call);
     for part in evidence.split(MAX_ROLLOUT_BYTES) {
         let sent = Datagram::Rollouts(NodeId(2), vec![part.clone()]);
-        let Ok(Datagram::Rollouts(from, read)) = decode(&encode(&sent)) else {
+        let Ok((Datagram::Rollouts(from, read), _)) = decode(&encode(&sent)) else {
             panic!("cannot be read: {sent:?}");
         };
         assert_eq!(from, NodeId(2));
@@ -54,5 +54,5 @@
         evidence.record(NodeId(u64::MAX), &call);
     }
     let datagram = Datagram::Rollouts(NodeId(7), vec![evidence.of_node(NodeId(u64::MAX))]);
-    assert_eq!(decode(&encode(&datagram)).unwrap(), datagram);
+    assert_eq!(decode(&encode(&datagram)).unwrap().0, datagram);
 }
--- a/crates/wire/tests/tokens.rs
+++ b/crates/wire/tests/tokens.rs
@@ -27,7 +27,7 @@
     };
     let borrow = Datagram::Borrow(NodeId(u64::MAX), vec![ask()]);
     for datagram in [borrow, Datagram::Lent(NodeId(2), vec![lent])] {
-        assert_eq!(decode(&encode(&datagram)).unwrap(), datagram);
+        assert_eq!(decode(&encode(&datagram)).unwrap().0, datagram);
     }
 }
 
@@ -47,7 +47,7 @@
 #[test]
 fn unknown_fields_are_ignored_and_unknown_kinds_refused() {
     let text = r#"{"later":[1],"from":4,"borrow":[{"account":"a","tokens":1,"seq":2,"x":{}}]}"#;
-    let datagram = decode(text.as_bytes()).unwrap();
+    let datagram = decode(text.as_bytes()).unwrap().0;
     assert!(matches!(datagram, Datagram::Borrow(NodeId(4), list) if list.len() == 1));
     for text in [
         r#"{"from":4,"later":[]}"#,
