Count an answer of a pool's target as run only if its body is whole

What callers of the own interface saw: 42 of 112 query answers were wrong when a target closes in the middle of its answer.

Cause: the HTTP client takes a body for whole when the connection ends, whatever length was stated.

Change: an answer of a call that ran counts only if its body has the stated length; without a length, nothing tells whether it was cut, and it is lost. The tests failed before.

--- a/crates/daemon/src/traffic/target_client.rs
+++ b/crates/daemon/src/traffic/target_client.rs
@@ -7,6 +7,10 @@
 //! An answer counts only if it names its call: a target may send a second copy of an earlier answer,
 //! which arrives when the connection is in use again. The call is then lost, and so are the kept
 //! connections, because each further answer on that one would be of an earlier call.
+//!
+//! The client library takes a body for whole when the connection ends, whatever length was stated. So
+//! an answer of a call that ran counts only if its body has the stated length; one without a length,
+//! for example in chunks, is lost, because nothing tells whether it was cut.
 
 use {
     crate::clock,
@@ -205,8 +209,19 @@
         body: Vec::new(),
     };
     match response.body().limit(MAX_ANSWER_BYTES).await {
+        Ok(body) if kind == AnswerKind::Ran && stated_length(response) != Some(body.len()) => {
+            let stated = stated_length(response);
+            tracing::warn!(?stated, read = body.len(), "an answer of a target was cut");
+            answer.kind = AnswerKind::Lost;
+        }
         Ok(body) => answer.body = body.to_vec(),
         Err(_) => answer.kind = AnswerKind::Lost,
     }
     answer
 }
+
+/// Length of the body as the answer's head states it.
+fn stated_length(response: &ClientResponse) -> Option<usize> {
+    let value = response.headers().get("content-length")?;
+    value.to_str().ok()?.trim().parse().ok()
+}
--- a/crates/demo/tests/promises/main.rs
+++ b/crates/demo/tests/promises/main.rs
@@ -5,6 +5,7 @@
 //! wait for a state, such as every daemon using the newest tables, and then check what targets and
 //! callers observed.
 
+mod broken_answers;
 mod late_copies;
 mod once;
 
