End each request of the own interface with an answer during a stop

What callers saw: requests open in a stop had no answer: 8 of 8 open ones, 1 of 1 half sent. The stop took up to 7 s longer than the drain limit, so that its supervisor killed it.

Cause: the limit began 7 s after the signal, and cut what was open. A panic in a request dropped its connection.

Change: the stop keeps to the times of `core::shutdown`. Requests that cannot end in time are refused, open ones get their final answers, idle connections are closed, and a stop waits for what is being written and for answers that other daemons wait for. Requests that panic are answered. Answers to callers have a module of their own.

--- a/crates/daemon/src/control/dump.rs
+++ b/crates/daemon/src/control/dump.rs
@@ -5,10 +5,7 @@
     super::Control,
     crate::{clock, routing},
     rattanturn_core::membership::Member,
-    std::{
-        net::SocketAddr,
-        sync::{PoisonError, atomic::Ordering},
-    },
+    std::{net::SocketAddr, sync::PoisonError},
 };
 
 impl Control {
@@ -50,7 +47,7 @@
             "tables": self.tables.version(),
             "panels": self.voter_sets.version(),
             "watching": !self.watches.is_empty(),
-            "requests": self.gauges.open_requests.load(Ordering::Acquire),
+            "requests": self.gauges.open_requests(),
             "leases": self.leases.dump(),
             "control": self.usage.dump(),
             "members": self.membership.members().map(member).collect::<Vec<_>>(),
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -84,6 +84,8 @@
     receive
 }
 
+pub(crate) use shutdown::{stop_schedule, stop_without_control};
+
 /// Arguments of [`run`].
 pub(crate) struct Start {
     pub(crate) settings: Settings,
@@ -295,8 +297,8 @@
                 // Sending fails only if the operator's connection was closed meanwhile.
                 let _ = send.send(self.dump());
             }
-            Event::Stop(_, send) => self.begin_stop(send),
-            Event::Hurry => {}
+            Event::Stop(began, send) => self.begin_stop(began, send),
+            Event::Hurry => self.hurry_stop(),
             Event::Freeze(time) => std::thread::sleep(time),
             Event::Kill => {}
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -45,6 +45,8 @@
     traffic: Vec<Arbiter>,
     events: mpsc::UnboundedSender<Event>,
     gauges: Arc<Gauges>,
+    drain_limit: Duration,
+    hurried: Arc<Notify>,
 }
 
 /// Addresses that a daemon listens on.
@@ -110,6 +112,7 @@
             }));
         }
         let (events, inbox) = mpsc::unbounded_channel();
+        let drain_limit = settings.drain_limit;
         let start = control::Start {
             settings,
             me,
@@ -133,6 +136,8 @@
             traffic: arbiters,
             events,
             gauges,
+            drain_limit,
+            hurried: Arc::default(),
         })
     }
 
@@ -148,16 +153,23 @@
     }
 
     /// Stops gracefully: the daemon is no longer advertised, then closes its listeners, and ends
-    /// once its requests are finished and its leases released, but at most the drain limit after
-    /// the listeners closed. Returns a text that says how many requests and units were left.
+    /// once its requests are finished and its leases released, a moment before the drain limit at the
+    /// latest. Returns a text that says how many requests and units were left.
     ///
-    /// The stop begins with the call, before the future is polled.
+    /// The stop begins with the call, before the future is polled. If control has ended, it goes on
+    /// without control.
     pub fn stop(self) -> impl Future<Output = String> {
+        let asked = control::stop_schedule(clock::now(), self.drain_limit);
         let reply = control::ask_stop(&self.events);
         async move {
-            let left = reply.await;
+            let left = if let Ok(left) = reply.await {
+                left
+            } else {
+                let threads = self.traffic.len();
+                control::stop_without_control(&self.gauges, threads, asked, &self.hurried).await
+            };
             self.end();
-            left.unwrap_or_else(|_| "control had ended".into())
+            left
         }
     }
 
@@ -172,7 +184,7 @@
     pub fn stop_handle(&self) -> StopHandle {
         StopHandle {
             events: self.events.clone(),
-            hurried: Arc::default(),
+            hurried: self.hurried.clone(),
         }
     }
 
@@ -191,9 +203,6 @@
     }
 
     fn end(self) {
-        self.gauges
-            .listeners_closed
-            .store(true, std::sync::atomic::Ordering::Release);
         self.control.stop();
         for arbiter in self.traffic {
             arbiter.stop();
@@ -213,7 +222,9 @@
 impl StopHandle {
     /// Has a stop that has begun end soon; without one, nothing happens.
     ///
-    /// A daemon of the tier gives all open requests their final answers at once.
+    /// A daemon of the tier gives all open requests their final answers at once. A [`Daemon`] closes
+    /// its listeners at once and ends when its open requests have ended by themselves; those that
+    /// have not get their final answers before the drain limit.
     pub fn hurry(&self) {
         self.hurried.notify_one();
         // Sending fails only if the stop or control has ended.
--- a/crates/daemon/src/traffic/caller_frontend.rs
+++ b/crates/daemon/src/traffic/caller_frontend.rs
@@ -14,28 +14,34 @@
         clock,
         routing::SharedRouting,
         traffic::{
-            Gauges,
+            Gauges, OpenRequest,
+            answers::{
+                Refused, panicked, refusal_outcome, refuse, refuse_for_now, refuse_stopping,
+                render, render_once,
+            },
             calls::Calls,
             once::{DedupOwner, OnceRequest, ask_owner},
             query::{Answer, Queries, Query},
         },
     },
     actix_http::{Method, Request, Response, body::BoxBody},
+    futures::FutureExt,
     rattanturn_core::{
         Priority, Time, addresses,
         admission::{Admission, Dispatch, RequestId, Verdict},
         dedup::Outcome,
-        gather::{Counts, Part},
+        hedge::CallLatency,
+        shutdown::{LateRequest, StopSchedule},
     },
     rattanturn_http::{BodyError, header, query_parameter, read_body, response},
     rattanturn_tables::Route,
-    serde::Serialize,
-    serde_json::{json, value::RawValue},
+    serde_json::json,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
+        panic::AssertUnwindSafe,
         rc::Rc,
-        sync::{Arc, atomic::Ordering},
+        sync::Arc,
         time::Duration,
     },
     tokio::sync::oneshot,
@@ -44,6 +50,10 @@
 /// Longest accepted `x-request-id`; the deduplication tables keep ids in memory.
 const MAX_REQUEST_ID_BYTES: usize = 128;
 
+/// Quantile of a route's durations that is expected of a request which arrives during a stop; see
+/// [`LateRequest::usual`].
+const USUAL_QUANTILE: f64 = 0.75;
+
 /// Admission control of one pool, and the requests that wait to be admitted.
 #[derive(Default)]
 struct PoolAdmission {
@@ -60,63 +70,18 @@
     dedup_owner: DedupOwner,
     gauges: Arc<Gauges>,
     pools: RefCell<BTreeMap<String, PoolAdmission>>,
+    /// Durations of requests by route.
+    latencies: RefCell<HashMap<String, CallLatency>>,
     /// Source of the ids of waiting requests and of values that break ties.
     sequence: Cell<u64>,
 }
 
-/// Body of a merged answer.
-#[derive(Serialize)]
-struct MergedAnswer<'a> {
-    outcome: &'static str,
-    route: &'a str,
-    snapshot: u64,
-    /// Version of the tables that the query was run with.
-    tables: u64,
-    coverage: Coverage<'a>,
-    calls: CallCounts,
-    /// The targets' answers by service, or null for an answer that is not JSON.
-    results: BTreeMap<&'a str, Box<RawValue>>,
-}
-
-/// Which services answered, and why the others did not.
-#[derive(Serialize)]
-struct Coverage<'a> {
-    answered: usize,
-    of: usize,
-    /// Reasons by service.
-    missing: BTreeMap<&'a str, &'static str>,
-}
-
-/// Number of calls made for an answer, by cause.
-#[derive(Serialize)]
-struct CallCounts {
-    first: u32,
-    hedges: u32,
-    retries: u32,
-    restarts: u32,
-}
-
-impl From<Counts> for CallCounts {
-    fn from(c: Counts) -> Self {
-        Self {
-            first: c.first,
-            hedges: c.hedges,
-            retries: c.retries,
-            restarts: c.restarts,
-        }
-    }
-}
-
-/// An error response, which ends the handling of a request.
-struct Refused(Response<BoxBody>);
-
-/// Counts a request as open until it is dropped.
-struct OpenRequest(Arc<Gauges>);
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::AcqRel);
-    }
+/// What a request that may run has brought with it.
+struct Admitted {
+    body: Vec<u8>,
+    /// Request id and time of issue of a non-idempotent request.
+    once: Option<(String, u64)>,
+    permit: AdmissionPermit,
 }
 
 /// Permission to run a request on a pool. Dropping it reports the request's duration and overload
@@ -142,6 +107,17 @@
     }
 }
 
+impl AdmissionPermit {
+    fn new(frontend: &Rc<CallerFrontend>, pool: &str) -> Self {
+        Self {
+            frontend: frontend.clone(),
+            pool: pool.to_owned(),
+            started: clock::now(),
+            overloaded: Cell::new(false),
+        }
+    }
+}
+
 impl PoolAdmission {
     fn execute(&mut self, dispatch: Dispatch) {
         for (id, wait) in dispatch.refuse {
@@ -180,22 +156,24 @@
             dedup_owner,
             gauges,
             pools: RefCell::default(),
+            latencies: RefCell::default(),
             sequence: Cell::new(0),
         }
     }
 
     /// Handles one HTTP request of a caller.
     pub(crate) async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
-        self.gauges.open_requests.fetch_add(1, Ordering::AcqRel);
-        let _open = OpenRequest(self.gauges.clone());
+        let open = OpenRequest::new(&self.gauges);
         let path = request.path().to_owned();
         let mut answer = match (request.method(), path.as_str()) {
             (&Method::GET, "/addresses") => self.addresses(&request),
             (&Method::POST, p) if p.starts_with("/query/") => {
                 let name = p.trim_start_matches("/query/");
-                self.query(name, &mut request)
-                    .await
-                    .unwrap_or_else(|refused| refused.0)
+                let query = AssertUnwindSafe(self.query(name, &mut request));
+                match query.catch_unwind().await {
+                    Ok(answer) => answer.unwrap_or_else(|refused| refused.0),
+                    Err(_) => panicked(name, header(&request, "x-request-id")),
+                }
             }
             _ => {
                 refuse(
@@ -211,6 +189,9 @@
                 .head_mut()
                 .set_connection_type(actix_http::ConnectionType::Close);
         }
+        if let Some(connection) = rattanturn_http::connection(&request) {
+            connection.keep_until_written(open);
+        }
         answer
     }
 
@@ -242,9 +223,10 @@
     fn addresses(&self, request: &Request) -> Response<BoxBody> {
         let centre = query_parameter(request, "centre").unwrap_or("");
         self.sequence.set(self.sequence.get() + 1);
-        let list = addresses::choose(&self.routing.load().frontends, centre, self.sequence.get());
+        let addresses =
+            addresses::choose(&self.routing.load().frontends, centre, self.sequence.get());
         let body = json!({
-            "addresses": list,
+            "addresses": addresses,
             "lifetime_ms": clock::millis(addresses::ANSWER_TTL),
         });
         response(
@@ -272,25 +254,16 @@
         };
         let deadline = arrived + time_limit(request, &route)?;
         let priority = request_priority(request, &route)?;
-        let body = match read_body(request, self.max_body).await {
-            Ok(body) => body,
-            Err(BodyError::TooLarge) => {
-                let why = format!("the body is longer than {} bytes", self.max_body);
-                return Err(refuse(413, "not-run", &why));
+        self.check_stop(&route, deadline)?;
+        let admitted = tokio::select! {
+            biased;
+            admitted = self.admit_request(request, &route, priority, deadline) => admitted?,
+            () = self.gauges.stop_time(StopSchedule::answer_by) => {
+                return Err(refuse_stopping(&route));
             }
-            Err(BodyError::Broken) => return Err(refuse(400, "not-run", "the body is broken")),
         };
-        let once = if route.idempotent {
-            None
-        } else {
-            Some(once_headers(request)?)
-        };
-        let permit = self
-            .admit(&route, priority, deadline)
-            .await
-            .map_err(|(wait, reason)| {
-                refuse_for_now(refusal_outcome(once.is_some()), wait, reason)
-            })?;
+        self.check_stop(&route, deadline)?;
+        let Admitted { body, once, permit } = admitted;
         let Some((id, issued)) = once else {
             self.sequence.set(self.sequence.get() + 1);
             let tie_break = self.sequence.get();
@@ -302,24 +275,93 @@
                 body,
                 tie_break,
             };
-            let answer = self.queries.run(&query).await;
+            let cut = self.gauges.stop_time(StopSchedule::answer_by);
+            let answer = self.queries.run(&query, cut).await;
             permit.overloaded.set(answer.overloaded);
+            if !answer.was_cut {
+                self.record_latency(&query.route.name, permit.started);
+            }
             record_metrics(&query, &answer, arrived);
             return Ok(render(&query, answer));
         };
-        let pool = route.pool;
-        let once = OnceRequest {
+        let request = OnceRequest {
             id,
             issued,
-            pool,
+            pool: route.pool,
             deadline,
             priority,
             body,
         };
-        let outcome = ask_owner(&self.routing, &self.calls, &self.dedup_owner, once).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = ask_owner(&self.routing, &self.calls, &self.dedup_owner, request) => outcome,
+            // It may go on at its owner, which records the outcome for a retry.
+            () = self.gauges.stop_time(StopSchedule::answer_by) => Outcome::Unknown,
+        };
+        if matches!(outcome, Outcome::Ran(_)) {
+            self.record_latency(&route.name, permit.started);
+        }
         Ok(render_once(outcome))
     }
 
+    /// Reads the rest of a request and waits until it may run.
+    async fn admit_request(
+        self: &Rc<Self>,
+        request: &mut Request,
+        route: &Route,
+        priority: Priority,
+        deadline: Time,
+    ) -> Result<Admitted, Refused> {
+        let body = match read_body(request, self.max_body).await {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => {
+                let why = format!("the body is longer than {} bytes", self.max_body);
+                return Err(refuse(413, "not-run", &why));
+            }
+            Err(BodyError::Broken) => return Err(refuse(400, "not-run", "the body is broken")),
+        };
+        let once = if route.idempotent {
+            None
+        } else {
+            Some(once_headers(request)?)
+        };
+        let permit = self
+            .admit(route, priority, deadline)
+            .await
+            .map_err(|(wait, reason)| {
+                refuse_for_now(refusal_outcome(once.is_some()), wait, reason)
+            })?;
+        Ok(Admitted { body, once, permit })
+    }
+
+    /// Refuses a request if this daemon is about to stop and leaves it too little time.
+    fn check_stop(&self, route: &Route, deadline: Time) -> Result<(), Refused> {
+        let Some(stop) = *self.gauges.stop.borrow() else {
+            return Ok(());
+        };
+        let now = clock::now();
+        let latencies = self.latencies.borrow();
+        let late = LateRequest {
+            usual: latencies.get(&route.name).and_then(CallLatency::usual),
+            time_limit: deadline.since(now),
+            idempotent: route.idempotent,
+            ..LateRequest::default()
+        };
+        if late.fits(stop.answer_by().since(now)) {
+            return Ok(());
+        }
+        Err(refuse_stopping(route))
+    }
+
+    /// Records how long an admitted request of a route took.
+    fn record_latency(&self, route: &str, started: Time) {
+        let mut latencies = self.latencies.borrow_mut();
+        let latency = latencies
+            .entry(route.to_owned())
+            .or_insert_with(|| CallLatency::at(USUAL_QUANTILE));
+        latency.record(clock::now().since(started));
+    }
+
     /// Waits until the request may run on the route's pool. An error is the time after which to retry
     /// and the reason.
     async fn admit(
@@ -343,19 +385,14 @@
                 }
             }
         };
-        if let Some(receive) = admitted {
-            match receive.await {
+        if let Some(admitted) = admitted {
+            match admitted.await {
                 Ok(Ok(())) => {}
                 Ok(Err(wait)) => return Err((wait, "overloaded")),
                 Err(_) => return Err((Duration::from_secs(1), "the daemon stops")),
             }
         }
-        Ok(AdmissionPermit {
-            frontend: self.clone(),
-            pool: route.pool.clone(),
-            started: clock::now(),
-            overloaded: Cell::new(false),
-        })
+        Ok(AdmissionPermit::new(self, &route.pool))
     }
 }
 
@@ -408,105 +445,6 @@
     Ok((id.to_owned(), issued))
 }
 
-/// An error response; `outcome` tells the caller whether the request ran.
-fn refuse(status: u16, outcome: &str, reason: &str) -> Refused {
-    let body = json!({"outcome": outcome, "reason": reason});
-    let headers = [("content-type", "application/json".into())];
-    Refused(response(status, &headers, body.to_string()))
-}
-
-/// Outcome of a request that is refused before its deduplication table was asked. An earlier attempt
-/// of a non-idempotent request may have run.
-fn refusal_outcome(once: bool) -> &'static str {
-    if once { "unknown" } else { "not-run" }
-}
-
-/// The response to a request that is not run now and can be retried after `wait`.
-fn refuse_for_now(outcome: &str, wait: Duration, reason: &str) -> Refused {
-    let wait_ms = clock::millis(wait).max(1);
-    let body = json!({"outcome": outcome, "reason": reason, "retry_after_ms": wait_ms});
-    let headers = [
-        ("content-type", "application/json".to_owned()),
-        ("retry-after", wait_ms.div_ceil(1_000).to_string()),
-    ];
-    metrics::counter!("rattanturn_refused_total", "reason" => reason.to_owned()).increment(1);
-    Refused(response(503, &headers, body.to_string()))
-}
-
-/// The response to a non-idempotent request.
-fn render_once(outcome: Outcome) -> Response<BoxBody> {
-    match outcome {
-        Outcome::Ran(body) => {
-            let headers = [
-                ("content-type", "application/json".to_owned()),
-                ("x-outcome", "ran".to_owned()),
-            ];
-            response(200, &headers, body)
-        }
-        Outcome::NotRun(why) => refuse(503, "not-run", &why).0,
-        Outcome::Unknown => refuse(504, "unknown", "whether the request ran is not known").0,
-    }
-}
-
-/// The response to a query: 200 if all services answered, 206 if enough did for the route's minimum
-/// coverage, 504 otherwise. The body lists the answers that arrived in every case.
-fn render(query: &Query, answer: Answer) -> Response<BoxBody> {
-    let total = answer.parts.len();
-    let mut results = BTreeMap::new();
-    let mut missing = BTreeMap::new();
-    for (name, part) in answer.names.iter().zip(answer.parts) {
-        match part {
-            Part::Covered(body) => drop(results.insert(name.as_str(), json_or_null(body))),
-            Part::Missing(reason) => drop(missing.insert(name.as_str(), reason.as_str())),
-        }
-    }
-    let answered = results.len();
-    let status = match answered {
-        n if n == total => 200,
-        n if n > 0 && ratio(n, total) >= query.route.min_coverage => 206,
-        _ => 504,
-    };
-    let merged = MergedAnswer {
-        // A call without an answer may still have run, so without any answer it is not known
-        // whether the query did.
-        outcome: if answered > 0 { "ran" } else { "unknown" },
-        route: &query.route.name,
-        snapshot: answer.snapshot,
-        tables: answer.tables,
-        coverage: Coverage {
-            answered,
-            of: total,
-            missing,
-        },
-        calls: answer.counts.into(),
-        results,
-    };
-    match serde_json::to_vec(&merged) {
-        Ok(body) => response(status, &[("content-type", "application/json".into())], body),
-        Err(error) => {
-            refuse(
-                500,
-                "unknown",
-                &format!("the answer cannot be written: {error}"),
-            )
-            .0
-        }
-    }
-}
-
-/// `part` divided by `whole`.
-fn ratio(part: usize, whole: usize) -> f64 {
-    // Counts of services always fit into 32 bits, which convert to f64 without loss.
-    let number = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
-    number(part) / number(whole.max(1))
-}
-
-/// A target's answer as JSON, or null if it is not valid JSON.
-fn json_or_null(body: Vec<u8>) -> Box<RawValue> {
-    let text = String::from_utf8(body).unwrap_or_default();
-    RawValue::from_string(text).unwrap_or_else(|_| RawValue::NULL.to_owned())
-}
-
 /// Records the metrics of a query's answer.
 fn record_metrics(query: &Query, answer: &Answer, arrived: Time) {
     let route = query.route.name.clone();
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 //! [`Gauges`]. The price is that a call to a target of another thread goes over RPC, even within one
 //! daemon.
 
+mod answers;
 mod caller_frontend;
 mod calls;
 mod holder;
@@ -17,35 +18,94 @@
     crate::{
         clock,
         routing::SharedRouting,
+        stop::stop_time,
         traffic::{
             caller_frontend::CallerFrontend, calls::Calls, holder::Holder, once::DedupOwner,
             query::Queries,
         },
     },
     actix_rt::Arbiter,
-    rattanturn_core::NodeId,
+    rattanturn_core::{NodeId, Time, shutdown::StopSchedule},
     rattanturn_tables::{Settings, SlotPolicy},
     std::{
         net::TcpListener,
         rc::Rc,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicUsize, Ordering},
         },
     },
+    tokio::sync::watch,
 };
 
 /// State that the traffic threads of a daemon share with its control thread.
 #[derive(Debug, Default)]
 pub(crate) struct Gauges {
-    /// Number of callers' requests that are being handled.
-    pub(crate) open_requests: AtomicUsize,
-    /// Set by control when the daemon stops; the threads then close their HTTP listeners.
-    pub(crate) listeners_closed: AtomicBool,
+    /// Number of callers' requests whose answers are not written yet.
+    open_requests: AtomicUsize,
+    /// Number of other daemons' requests that are not answered yet.
+    peer_requests: AtomicUsize,
+    /// The times of the graceful stop, as soon as one begins.
+    pub(crate) stop: watch::Sender<Option<StopSchedule>>,
+    /// Number of threads that have closed their HTTP listener.
+    closed_listeners: AtomicUsize,
     /// Latest state of each thread, for the state dump; null for a thread that has reported none.
     pub(crate) thread_dumps: Mutex<Vec<serde_json::Value>>,
 }
 
+impl Gauges {
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Acquire)
+    }
+
+    /// Number of answers that this daemon owes to other daemons.
+    pub(crate) fn owed_to_peers(&self) -> usize {
+        self.peer_requests.load(Ordering::Acquire)
+    }
+
+    /// Whether all of so many threads have closed their listeners, so that no new connection is served.
+    pub(crate) fn listeners_are_closed(&self, threads: usize) -> bool {
+        self.closed_listeners.load(Ordering::Acquire) >= threads
+    }
+
+    /// Completes at a time of the stop's schedule.
+    pub(crate) async fn stop_time(&self, time: fn(&StopSchedule) -> Time) {
+        stop_time(self.stop.subscribe(), time).await;
+    }
+}
+
+/// Counts a request as open until it is dropped.
+pub(crate) struct OpenRequest(Arc<Gauges>);
+
+impl OpenRequest {
+    pub(crate) fn new(gauges: &Arc<Gauges>) -> Self {
+        gauges.open_requests.fetch_add(1, Ordering::AcqRel);
+        Self(gauges.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Counts another daemon's request as open until it is dropped.
+pub(crate) struct PeerRequest(Arc<Gauges>);
+
+impl PeerRequest {
+    pub(crate) fn new(gauges: &Arc<Gauges>) -> Self {
+        gauges.peer_requests.fetch_add(1, Ordering::AcqRel);
+        Self(gauges.clone())
+    }
+}
+
+impl Drop for PeerRequest {
+    fn drop(&mut self) {
+        self.0.peer_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// What a traffic thread needs to start.
 pub(crate) struct Start {
     pub(crate) settings: Settings,
@@ -98,12 +158,13 @@
     ));
     start.rpc.set_nonblocking(true)?;
     let rpc = tokio::net::TcpListener::from_std(start.rpc)?;
-    actix_rt::spawn(rpc::serve(
-        rpc,
-        holder.clone(),
-        dedup_owner.clone(),
-        start.objects,
-    ));
+    let server = rpc::Server {
+        holder: holder.clone(),
+        dedup_owner: dedup_owner.clone(),
+        objects: start.objects,
+        gauges: start.gauges.clone(),
+    };
+    actix_rt::spawn(rpc::serve(rpc, server));
     let handler = {
         let frontend = frontend.clone();
         move |request| {
@@ -111,11 +172,9 @@
             async move { frontend.handle(request).await }
         }
     };
-    let mut server = Some(rattanturn_http::spawn(
-        start.http,
-        rattanturn_http::Limits::default(),
-        handler,
-    )?);
+    let limits = rattanturn_http::Limits::default();
+    let server = rattanturn_http::spawn(start.http, limits, handler)?;
+    actix_rt::spawn(close_at_stop(server, start.gauges.clone()));
     let cpu = cpu_time::ThreadTime::now();
     let mut ticks = 0_u64;
     loop {
@@ -123,9 +182,6 @@
         holder.tick();
         dedup_owner.tick();
         frontend.tick();
-        if start.gauges.listeners_closed.load(Ordering::Acquire) {
-            server.take();
-        }
         ticks += 1;
         if ticks.is_multiple_of(20) {
             let dump = serde_json::json!({
@@ -142,6 +198,13 @@
     }
 }
 
+/// Closes a thread's listener when the graceful stop wants it.
+async fn close_at_stop(server: rattanturn_http::Server, gauges: Arc<Gauges>) {
+    gauges.stop_time(StopSchedule::close_at).await;
+    server.close().await;
+    gauges.closed_listeners.fetch_add(1, Ordering::AcqRel);
+}
+
 /// Stores a thread's state for the state dump.
 fn publish_dump(gauges: &Gauges, thread: usize, dump: serde_json::Value) {
     let mut dumps = gauges
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -26,6 +26,7 @@
     std::{
         cell::RefCell,
         collections::{BTreeMap, HashMap, VecDeque},
+        pin::pin,
         rc::Rc,
         time::Duration,
     },
@@ -69,6 +70,8 @@
     pub(crate) counts: Counts,
     /// Whether a call was shed or waited too long, which admission control reacts to.
     pub(crate) overloaded: bool,
+    /// Whether the query was ended before its deadline without all parts.
+    pub(crate) was_cut: bool,
 }
 
 /// Runs the queries of one traffic thread; clones share their state.
@@ -119,8 +122,9 @@
         }
     }
 
-    /// Runs a query until its answer is final: complete, or with the parts that arrived in time.
-    pub(crate) async fn run(&self, query: &Query) -> Answer {
+    /// Runs a query until its answer is final: complete, or with the parts that arrived in time, or
+    /// until `cut` completes.
+    pub(crate) async fn run(&self, query: &Query, cut: impl Future<Output = ()>) -> Answer {
         let routing = self.routing.load_full();
         let (names, services) = services_of(&routing, query);
         let plan = self.plan(query, services);
@@ -147,9 +151,18 @@
         );
         let mut overloaded = false;
         let mut finished = self.execute(&mut running, actions);
+        let mut cut = pin!(cut);
+        let mut was_cut = false;
         while !finished {
             let actions = tokio::select! {
                 biased;
+                () = &mut cut, if !was_cut => {
+                    was_cut = true;
+                    // A trace does not tell that its query was cut.
+                    recorder = None;
+                    gather.shorten_deadline(clock::now());
+                    self.tick(&mut gather, query, None)
+                }
                 Some(attempt) = attempts.recv() => {
                     overloaded |= is_overloaded(query, &attempt.result);
                     self.handle_result(&mut gather, &services, &running, attempt, recorder.as_mut())
@@ -170,6 +183,7 @@
             parts: gather.into_parts(),
             names,
             overloaded,
+            was_cut,
         }
     }
 
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -10,6 +10,7 @@
         clock,
         routing::Destination,
         traffic::{
+            Gauges, PeerRequest,
             holder::{CallResult, Holder, HolderCall, Outcome, ResultCallback},
             once::DedupOwner,
         },
@@ -39,6 +40,10 @@
 /// the deadline, so a connection without an answer by then has stopped working.
 const RESULT_GRACE: Duration = Duration::from_millis(500);
 
+/// Time after the end of a method for which its answer counts as unsent. It is sent in the same turn of
+/// the event loop, unless the connection is congested.
+const ANSWER_SEND_TIME: Duration = Duration::from_millis(50);
+
 /// Shared objects with their recent versions, which other daemons can fetch.
 pub(crate) type SharedObjects = Arc<Mutex<ObjectHistory>>;
 
@@ -46,23 +51,13 @@
 pub(crate) type DeliverResult = Rc<dyn Fn(CallResult)>;
 
 /// Serves RPC on `listener`; never returns.
-pub(crate) async fn serve(
-    listener: tokio::net::TcpListener,
-    holder: Holder,
-    dedup_owner: DedupOwner,
-    objects: SharedObjects,
-) {
+pub(crate) async fn serve(listener: tokio::net::TcpListener, server: Server) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        let server = Server {
-            holder: holder.clone(),
-            dedup_owner: dedup_owner.clone(),
-            objects: objects.clone(),
-        };
-        let client: peer::Client = capnp_rpc::new_client(server);
+        let client: peer::Client = capnp_rpc::new_client(server.clone());
         let system = RpcSystem::new(
             Box::new(vat_network(stream, Side::Server)),
             Some(client.client),
@@ -88,10 +83,13 @@
     )
 }
 
-struct Server {
-    holder: Holder,
-    dedup_owner: DedupOwner,
-    objects: SharedObjects,
+/// What a traffic thread does for other daemons.
+#[derive(Clone)]
+pub(crate) struct Server {
+    pub(crate) holder: Holder,
+    pub(crate) dedup_owner: DedupOwner,
+    pub(crate) objects: SharedObjects,
+    pub(crate) gauges: Arc<Gauges>,
 }
 
 impl peer::Server for Server {
@@ -100,6 +98,7 @@
         params: peer::RunParams,
         _: peer::RunResults,
     ) -> Result<(), capnp::Error> {
+        let _open = PeerRequest::new(&self.gauges);
         let params = params.get()?;
         let outbox = Rc::new(Outbox {
             sink: params.get_sink()?,
@@ -140,9 +139,14 @@
         params: peer::RunOnceParams,
         mut results: peer::RunOnceResults,
     ) -> Result<(), capnp::Error> {
+        let open = PeerRequest::new(&self.gauges);
         let request = crate::traffic::once::read_request(params.get()?.get_request()?)?;
         let outcome = self.dedup_owner.run(request).await;
         crate::traffic::once::write_answer(results.get().init_result(), outcome.as_ref());
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(ANSWER_SEND_TIME).await;
+            drop(open);
+        });
         Ok(())
     }
 
--- /dev/null
+++ b/crates/daemon/tests/own_interface.rs
@@ -0,0 +1,401 @@
+//! Requests of the own interface end with an answer when the daemon's process stops.
+
+use {
+    actix_rt::{Arbiter, System},
+    rattanturn_platform::objects::TABLES_KEY,
+    rattanturn_standins::{
+        platform::Platform,
+        target::{State, Target, TargetConfig},
+    },
+    rattanturn_tables::TablesObject,
+    std::{
+        fs,
+        io::{self, BufRead, BufReader, Read, Write},
+        net::{SocketAddr, TcpStream},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{Arc, mpsc},
+        thread::{self, JoinHandle},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// `drain-limit` of the daemon: its supervisor kills it this long after SIGTERM.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// Longest wait for an answer or for a line of the log.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Requests run only if they are issued later than the start of the lease term by more than the
+/// tolerated clock skew.
+const CLOCK_SKEW: Duration = Duration::from_secs(2);
+/// Median time of a call at the start.
+const CALL_TIME: Duration = Duration::from_millis(20);
+/// Stands for the status of a request that was not sent, as its connection was closed before.
+const CLOSED: u16 = 1;
+/// Factor that makes calls take about half of the drain limit.
+const SLOW: f64 = 75.0;
+/// Factor that makes calls outlast every test.
+const ENDLESS: f64 = 1e5;
+
+/// Settings of a daemon with one traffic thread.
+const ONE_THREAD: &str = "rpc-port = 0\n";
+/// Routes with the same pool; what is usual is learned for each.
+const ROUTES: &str = "\
+[route search]
+kind = single-record
+pool = events
+deadline = 5s
+[route slow-search]
+kind = single-record
+pool = events
+deadline = 5s
+[route renew]
+kind = single-record
+pool = events
+idempotent = no
+hedging = no
+deadline = 5s
+[route slow-renew]
+kind = single-record
+pool = events
+idempotent = no
+hedging = no
+deadline = 5s
+";
+
+/// A daemon's process, which is killed when the test ends.
+struct Daemon {
+    child: Child,
+    /// Address for callers.
+    addr: SocketAddr,
+    gossip: String,
+    lines: mpsc::Receiver<String>,
+    settings: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a daemon with `settings` as further lines in its section `[daemon]`.
+    fn spawn(name: &str, platform: SocketAddr, settings: &str) -> Self {
+        let text = format!(
+            "[daemon]\nname = {name}\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\n\
+             gossip-port = 0\nhttp-port = 0\ndrain-limit = {}s\n{settings}\
+             [platform]\naddress = {platform}\n[log]\nformat = json\nlevel = info\n",
+            DRAIN_LIMIT.as_secs(),
+        );
+        let file = format!("own-{name}-{}.ini", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        fs::write(&settings, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        let (send, lines) = mpsc::channel();
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                // The test may have ended.
+                let _ = send.send(line);
+            }
+        });
+        let mut daemon = Self {
+            child,
+            addr: ([127, 0, 0, 1], 0).into(),
+            gossip: String::new(),
+            lines,
+            settings,
+        };
+        let line = daemon.wait_for_line("\"serving\"");
+        let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+        let at = |name: &str| line["fields"][name].as_str().unwrap();
+        daemon.addr = at("callers").parse().unwrap();
+        daemon.gossip = at("gossip").into();
+        daemon
+    }
+
+    fn wait_for_line(&self, text: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(WAIT_LIMIT).expect(text);
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for the end of the process, and kills it at the drain limit as a supervisor does.
+    fn supervise(&mut self, began: Instant) -> Option<i32> {
+        while began.elapsed() < DRAIN_LIMIT {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.child.kill().unwrap();
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The process may have exited already, so errors are ignored.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// One or two daemons, of which the first is stopped, with one target and a platform.
+struct Site {
+    stopped: Daemon,
+    other: Option<Daemon>,
+    platform: SocketAddr,
+    target: Arc<State>,
+    standins: Arbiter,
+}
+
+impl Site {
+    fn spawn(name: &str) -> Self {
+        let mut site = Self::spawn_lone(name, ONE_THREAD);
+        let settings = format!("{ONE_THREAD}peers = {}\n", site.stopped.gossip);
+        site.other = Some(Daemon::spawn(
+            &format!("{name}-2"),
+            site.platform,
+            &settings,
+        ));
+        site.wait_ready();
+        site
+    }
+
+    /// Starts a single daemon, which need not be ready yet.
+    fn spawn_lone(name: &str, settings: &str) -> Self {
+        let standins = Arbiter::new();
+        let (platform, target, state) = spawn_standins(&standins);
+        let pools = format!(
+            "[data-centre a]\nregion = r\nstate = in\n\
+             [pool events]\nslots = 16\nconnections = 40\n\
+             [service events/e]\ntargets = a@{target}\n"
+        );
+        let tables = TablesObject::new(ROUTES, &pools, None).unwrap();
+        let body = serde_json::to_vec(&tables).unwrap();
+        platform.1.put(TABLES_KEY, &body);
+        let stopped = Daemon::spawn(&format!("{name}-1"), platform.0, settings);
+        Self {
+            stopped,
+            other: None,
+            platform: platform.0,
+            target: state,
+            standins,
+        }
+    }
+
+    /// Waits until requests of both kinds run.
+    fn wait_ready(&self) {
+        let start = Instant::now();
+        thread::sleep(CLOCK_SKEW);
+        let mut n = 0;
+        let mut good = 0;
+        // The daemons may still divide the targets and the request ids among themselves.
+        while good < 20 {
+            assert!(start.elapsed() < WAIT_LIMIT, "the daemons do not serve");
+            n += 1;
+            let seen = [search(), renew(&format!("ready-{n}"))].map(|t| ask(self.addr(), &t));
+            good = if seen == [200, 200] { good + 1 } else { 0 };
+            thread::sleep(CALL_TIME);
+        }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.stopped.addr
+    }
+
+    /// Waits until this many calls run at the target.
+    fn wait_for_calls(&self, calls: u32) {
+        let start = Instant::now();
+        while self.target.running() < calls {
+            assert!(start.elapsed() < WAIT_LIMIT, "the calls did not arrive");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.standins.stop();
+    }
+}
+
+type PlatformHandle = (SocketAddr, Arc<rattanturn_standins::platform::State>);
+
+fn spawn_standins(arbiter: &Arbiter) -> (PlatformHandle, SocketAddr, Arc<State>) {
+    let (send, receive) = mpsc::channel();
+    arbiter.spawn_fn(move || {
+        let platform = Platform::spawn().unwrap();
+        let target = Target::spawn(TargetConfig {
+            service: "events/e".into(),
+            centre: "a".into(),
+            slots: 16,
+            cold_calls: 16,
+            max_connections: 40,
+            connect_time: Duration::ZERO,
+            service_time: CALL_TIME,
+            remote_delay: Duration::ZERO,
+            seed: 1,
+        })
+        .unwrap();
+        let shared = (
+            (platform.addr(), platform.state()),
+            target.addr(),
+            target.state(),
+        );
+        send.send(shared).unwrap();
+        // Dropping a stand-in would close its listener.
+        std::mem::forget((platform, target));
+    });
+    receive.recv().unwrap()
+}
+
+fn search() -> String {
+    search_on("search")
+}
+
+fn renew(id: &str) -> String {
+    renew_on("renew", id)
+}
+
+fn search_on(route: &str) -> String {
+    format!("POST /query/{route} HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\nx")
+}
+
+fn renew_on(route: &str, id: &str) -> String {
+    renew_issued_at(route, id, unix_ms())
+}
+
+fn renew_issued_at(route: &str, id: &str, issued: u128) -> String {
+    format!(
+        "POST /query/{route} HTTP/1.1\r\nhost: h\r\nx-request-id: {id}\r\nx-issued: {issued}\r\n\
+         content-length: 1\r\n\r\nx"
+    )
+}
+
+fn unix_ms() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap().as_millis()
+}
+
+/// Sends bytes on a new connection and returns the status of the answer; 0 without one.
+fn ask(addr: SocketAddr, text: &str) -> u16 {
+    let answer = TcpStream::connect(addr).and_then(|stream| exchange(stream, text));
+    answer.unwrap_or(0)
+}
+
+fn exchange(mut stream: TcpStream, text: &str) -> io::Result<u16> {
+    stream.set_read_timeout(Some(WAIT_LIMIT))?;
+    stream.write_all(text.as_bytes())?;
+    let mut status = [0; 12];
+    stream.read_exact(&mut status)?;
+    let status = std::str::from_utf8(&status[9..]).ok();
+    Ok(status.and_then(|s| s.parse().ok()).unwrap_or(0))
+}
+
+fn spawn_asks(addr: SocketAddr, texts: Vec<String>) -> Vec<JoinHandle<u16>> {
+    let spawn = |text: String| thread::spawn(move || ask(addr, &text));
+    texts.into_iter().map(spawn).collect()
+}
+
+/// Whether the daemon has closed a connection on which nothing was sent.
+fn is_closed(mut stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let closed = matches!(stream.read(&mut [0]), Ok(0));
+    stream.set_nonblocking(false).unwrap();
+    closed
+}
+
+fn statuses(asks: Vec<JoinHandle<u16>>) -> Vec<u16> {
+    asks.into_iter().map(|a| a.join().unwrap()).collect()
+}
+
+/// Guards against requests that are cut at the end of a stop, and a stop that outlasts its limit.
+#[test]
+fn requests_open_at_the_end_of_a_stop_are_answered() {
+    System::new().block_on(async {
+        let mut site = Site::spawn("open");
+        site.target.set_slow(ENDLESS);
+        let mut texts = vec![search(); 4];
+        texts.extend((0..4).map(|n| renew(&format!("open-{n}"))));
+        let running = spawn_asks(site.addr(), texts);
+        site.wait_for_calls(8);
+        let part = "POST /query/search HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nx";
+        let partial = spawn_asks(site.addr(), vec![part.into()]);
+        thread::sleep(CALL_TIME);
+        let began = Instant::now();
+        site.stopped.terminate();
+        let code = site.stopped.supervise(began);
+        // Whether the first ones ran is not known.
+        assert_eq!(
+            (statuses(running), statuses(partial)),
+            (vec![504; 8], vec![503])
+        );
+        assert_eq!(code, Some(0));
+    });
+}
+
+/// Guards against requests that are begun although they cannot end before the stop does.
+#[test]
+fn requests_that_cannot_end_before_the_stop_are_refused_at_once() {
+    System::new().block_on(async {
+        let mut site = Site::spawn("late");
+        // The usual time of both routes becomes longer than what the stop leaves.
+        site.target.set_slow(SLOW);
+        let mut slow = vec![search_on("slow-search"); 6];
+        slow.extend((0..6).map(|n| renew_on("slow-renew", &format!("slow-{n}"))));
+        statuses(spawn_asks(site.addr(), slow));
+        let ran = site.target.counters().ran;
+        let began = Instant::now();
+        site.stopped.terminate();
+        thread::sleep(DRAIN_LIMIT * 6 / 10);
+        let late = spawn_asks(
+            site.addr(),
+            vec![search_on("slow-search"), renew_on("slow-renew", "late")],
+        );
+        assert_eq!(statuses(late), [503, 503]);
+        assert_eq!(site.stopped.supervise(began), Some(0));
+        assert_eq!(site.target.counters().ran, ran);
+    });
+}
+
+/// Guards against requests on open connections that are cut when the listener closes.
+#[test]
+fn open_connections_are_served_or_closed_cleanly_during_a_stop() {
+    System::new().block_on(async {
+        let mut site = Site::spawn("idle");
+        // None sends its request while the connections close.
+        let times = (0..20).filter(|n| !(12..16).contains(n));
+        let streams: Vec<_> = times
+            .map(|n| (n, TcpStream::connect(site.addr()).unwrap()))
+            .collect();
+        let began = Instant::now();
+        site.stopped.terminate();
+        let callers: Vec<_> = streams
+            .into_iter()
+            .map(|(n, stream)| {
+                thread::spawn(move || {
+                    thread::sleep(DRAIN_LIMIT * n / 20);
+                    if is_closed(&stream) {
+                        return CLOSED;
+                    }
+                    exchange(stream, &search()).unwrap_or(0)
+                })
+            })
+            .collect();
+        let code = site.stopped.supervise(began);
+        let seen = statuses(callers);
+        assert!(seen.iter().all(|s| [200, CLOSED].contains(s)), "{seen:?}");
+        assert!(seen.contains(&200) && seen.contains(&CLOSED), "{seen:?}");
+        assert_eq!(code, Some(0));
+    });
+}
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -21,6 +21,9 @@
 
 /// Threads that all targets share; the platform has one more.
 const TARGET_THREADS: usize = 2;
+/// Time between the begin of a daemon's graceful stop and its end at the latest. Two thirds of it are
+/// longer than the 7 s after which no caller uses the daemon's address any more.
+const DRAIN_LIMIT: Duration = Duration::from_secs(17);
 /// Longest wait for the daemons to agree on members, tables and leases.
 const READY_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -249,7 +252,7 @@
             threads: 1,
             log_level: "info".into(),
             log_format: LogFormat::Text,
-            drain_limit: Duration::from_secs(10),
+            drain_limit: DRAIN_LIMIT,
             max_body: 65_536,
             slot_policy: self.options.slot_policy,
             peer_delay: self.options.centre_delay * 2,
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -145,6 +145,12 @@
         self.with(|i| i.counters.clone())
     }
 
+    /// Number of calls that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.with(|i| i.running)
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
     }
