Cancel the calls of a query whose caller has left

What targets of the own interface saw: they work on for callers that left, 3 calls half a limit later.

Cause: a dropped query cancelled nothing.

An admission that comes for a request which was dropped meanwhile is given back (found by reading, without a test). Half-closed callers get an answer.

--- a/crates/daemon/src/traffic/caller_frontend.rs
+++ b/crates/daemon/src/traffic/caller_frontend.rs
@@ -13,6 +13,7 @@
     crate::{
         clock,
         routing::SharedRouting,
+        tier::ending::HALF_CLOSED_TIME,
         traffic::{
             Gauges, OpenRequest,
             answers::{
@@ -33,12 +34,13 @@
         hedge::CallLatency,
         shutdown::{LateRequest, StopSchedule},
     },
-    rattanturn_http::{BodyError, header, query_parameter, read_body, response},
+    rattanturn_http::{BodyError, Connection, header, query_parameter, read_body, response},
     rattanturn_tables::Route,
     serde_json::json,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
+        future::pending,
         panic::AssertUnwindSafe,
         rc::Rc,
         sync::Arc,
@@ -107,6 +109,22 @@
     }
 }
 
+/// A request that waits to be admitted. Dropping it, also when its caller left, gives a permission back
+/// that came meanwhile.
+struct AdmissionWait<'a> {
+    frontend: &'a Rc<CallerFrontend>,
+    pool: &'a str,
+    admitted: oneshot::Receiver<Result<(), Duration>>,
+}
+
+impl Drop for AdmissionWait<'_> {
+    fn drop(&mut self) {
+        if matches!(self.admitted.try_recv(), Ok(Ok(()))) {
+            drop(AdmissionPermit::new(self.frontend, self.pool));
+        }
+    }
+}
+
 impl AdmissionPermit {
     fn new(frontend: &Rc<CallerFrontend>, pool: &str) -> Self {
         Self {
@@ -255,12 +273,18 @@
         let deadline = arrived + time_limit(request, &route)?;
         let priority = request_priority(request, &route)?;
         self.check_stop(&route, deadline)?;
+        let connection = rattanturn_http::connection(request);
+        let connection = connection.as_deref();
         let admitted = tokio::select! {
             biased;
             admitted = self.admit_request(request, &route, priority, deadline) => admitted?,
             () = self.gauges.stop_time(StopSchedule::answer_by) => {
                 return Err(refuse_stopping(&route));
             }
+            () = caller_left(connection) => {
+                let outcome = refusal_outcome(!route.idempotent);
+                return Err(refuse_for_now(outcome, Duration::ZERO, "the caller has left"));
+            }
         };
         self.check_stop(&route, deadline)?;
         let Admitted { body, once, permit } = admitted;
@@ -275,7 +299,12 @@
                 body,
                 tie_break,
             };
-            let cut = self.gauges.stop_time(StopSchedule::answer_by);
+            let cut = async {
+                tokio::select! {
+                    () = self.gauges.stop_time(StopSchedule::answer_by) => {}
+                    () = caller_left(connection) => {}
+                }
+            };
             let answer = self.queries.run(&query, cut).await;
             permit.overloaded.set(answer.overloaded);
             if !answer.was_cut {
@@ -386,7 +415,12 @@
             }
         };
         if let Some(admitted) = admitted {
-            match admitted.await {
+            let mut wait = AdmissionWait {
+                frontend: self,
+                pool: &route.pool,
+                admitted,
+            };
+            match (&mut wait.admitted).await {
                 Ok(Ok(())) => {}
                 Ok(Err(wait)) => return Err((wait, "overloaded")),
                 Err(_) => return Err((Duration::from_secs(1), "the daemon stops")),
@@ -396,6 +430,15 @@
     }
 }
 
+/// Completes when the caller counts as having left, a while after the end of its input.
+async fn caller_left(connection: Option<&Connection>) {
+    let Some(connection) = connection else {
+        return pending().await;
+    };
+    let ended = connection.input_end().await;
+    actix_rt::time::sleep_until((ended + HALF_CLOSED_TIME).into()).await;
+}
+
 /// Time that a request may take: that of the route, or that of `x-deadline-ms` if it is shorter.
 fn time_limit(request: &Request, route: &Route) -> Result<Duration, Refused> {
     let Some(text) = header(request, "x-deadline-ms") else {
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -104,8 +104,10 @@
     result: CallResult,
 }
 
-/// What is needed to make and cancel the calls of a running query.
+/// What is needed to make and cancel the calls of a running query. Dropping it cancels those that are
+/// open, because nobody waits for their results.
 struct RunningQuery<'a> {
+    calls: &'a Calls,
     query: &'a Query,
     routing: &'a Routing,
     sender: mpsc::UnboundedSender<FinishedAttempt>,
@@ -113,6 +115,13 @@
     call_numbers: HashMap<AttemptId, CallNumber>,
 }
 
+impl Drop for RunningQuery<'_> {
+    fn drop(&mut self) {
+        let numbers: Vec<CallNumber> = self.call_numbers.values().copied().collect();
+        self.calls.cancel(&numbers);
+    }
+}
+
 impl Queries {
     pub(crate) fn new(routing: SharedRouting, calls: Calls) -> Self {
         Self {
@@ -139,6 +148,7 @@
         });
         let (sender, mut attempts) = mpsc::unbounded_channel();
         let mut running = RunningQuery {
+            calls: &self.calls,
             query,
             routing: &routing,
             sender,
--- a/crates/daemon/tests/own_interface.rs
+++ b/crates/daemon/tests/own_interface.rs
@@ -11,7 +11,7 @@
     std::{
         fs,
         io::{self, BufRead, BufReader, Read, Write},
-        net::{SocketAddr, TcpStream},
+        net::{Shutdown, SocketAddr, TcpStream},
         path::PathBuf,
         process::{Child, Command, Stdio},
         sync::{Arc, mpsc},
@@ -22,6 +22,8 @@
 
 /// `drain-limit` of the daemon: its supervisor kills it this long after SIGTERM.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// Time limit of all requests.
+const DEADLINE: Duration = Duration::from_secs(5);
 /// Longest wait for an answer or for a line of the log.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 /// Requests run only if they are issued later than the start of the lease term by more than the
@@ -399,3 +401,49 @@
         assert_eq!(code, Some(0));
     });
 }
+
+/// Guards against targets that stay at work for callers that have left.
+#[test]
+fn targets_are_freed_when_callers_leave() {
+    System::new().block_on(async {
+        let site = Site::spawn("left");
+        site.target.set_slow(ENDLESS);
+        let send = || {
+            let mut stream = TcpStream::connect(site.addr()).unwrap();
+            stream.write_all(search().as_bytes()).unwrap();
+            stream
+        };
+        let (closed, reset) = (send(), send());
+        site.wait_for_calls(2);
+        reset.set_nonblocking(true).unwrap();
+        let reset = tokio::net::TcpStream::from_std(reset).unwrap();
+        reset.set_zero_linger().unwrap();
+        drop((closed, reset));
+        let left = Instant::now();
+        while site.target.running() > 0 {
+            let calls = site.target.running();
+            assert!(left.elapsed() < DEADLINE / 2, "{calls} calls still run");
+            thread::sleep(Duration::from_millis(10));
+        }
+    });
+}
+
+/// Guards against requests that are dropped, or run for too long, when only the input has ended.
+#[test]
+fn half_closed_callers_get_an_answer() {
+    System::new().block_on(async {
+        let site = Site::spawn("half");
+        let half_closed = |text: &str| {
+            let mut stream = TcpStream::connect(site.addr()).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+            stream.shutdown(Shutdown::Write).unwrap();
+            exchange(stream, "").unwrap_or(0)
+        };
+        let short = [search(), renew("half")].map(|t| half_closed(&t));
+        assert_eq!(short, [200, 200]);
+        site.target.set_slow(ENDLESS);
+        let began = Instant::now();
+        assert_eq!(half_closed(&search()), 504);
+        assert!(began.elapsed() < DEADLINE / 2, "{:?}", began.elapsed());
+    });
+}
