Start background tasks again after a panic

What callers saw: targets that left are called for ever, and a daemon stays "out of reach" for ever.

A read session that panics is followed by the next one.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -21,6 +21,7 @@
             shutdown::Phase,
         },
         routing::{self, Inputs, Interner, LeaseState, SharedRouting},
+        supervise::restarted,
         traffic::{Gauges, rpc::SharedObjects},
         unusable_log::UnusableLog,
     },
@@ -465,7 +466,10 @@
             ];
             for (key, version) in known {
                 let (platform, events) = (self.platform.clone(), self.events.clone());
-                let watch = objects::watch(platform, key, version, self.me.0, events);
+                let me = self.me.0;
+                let watch = restarted("store watch", move || {
+                    objects::watch(platform.clone(), key, version, me, events.clone())
+                });
                 self.watches.push(actix_rt::spawn(watch));
             }
         }
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -517,7 +517,7 @@
                 .should_read(now, self.reader_context, self.cluster.targets_read);
         if wanted && self.read_session.is_none() {
             let events = self.store_events.clone();
-            let reading = session(self.store.clone(), self.tier, events);
+            let reading = session(self.store.clone(), Box::new(self.tier), events);
             self.read_session = Some(actix_rt::spawn(reading));
         } else if !wanted && let Some(session) = self.read_session.take() {
             session.abort();
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -13,7 +13,7 @@
     crate::{
         clock, planted,
         stop::{sleep_until, stop_time},
-        supervise::panic_text,
+        supervise::{panic_text, restarted},
         tier::{
             ending::{Ending, HALF_CLOSED_TIME, Stage},
             meters, query, relay,
@@ -64,7 +64,10 @@
 pub(crate) async fn serve(listener: TcpListener, traffic: Rc<Traffic>) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    accept_until_closing(&listener, &traffic).await;
+    restarted("callers' connections", || {
+        accept_until_closing(&listener, &traffic)
+    })
+    .await;
     let closed = accept_waiting(listener, |stream| spawn_connection(stream, &traffic));
     if let Err(error) = closed {
         tracing::warn!(%error, "connections that waited to be accepted are reset");
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -165,13 +165,11 @@
         traffic.spawn_fn(move || {
             let traffic = traffic::Traffic::new(view, counts, states, &tier, centre);
             let reporter = traffic.clone();
-            actix_rt::spawn(async move {
-                loop {
-                    reporter.publish_gauges();
-                    reporter.watch_reach();
-                    clock::sleep_until(clock::now() + GAUGES_INTERVAL).await;
-                }
+            supervise::spawn_periodic("gauges", GAUGES_INTERVAL, move || {
+                reporter.publish_gauges();
             });
+            let judge = traffic.clone();
+            supervise::spawn_periodic("reach", GAUGES_INTERVAL, move || judge.watch_reach());
             actix_rt::spawn(async move {
                 if let Err(error) = front::serve(front, traffic.clone()).await {
                     tracing::error!(%error, "cannot start the listener for callers");
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         control::objects,
+        supervise::restarted,
         traffic::rpc::{self, SharedObjects},
     },
     capnp::capability::Rc as ObjectRef,
@@ -266,6 +267,17 @@
 ) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    restarted("peers' connections", || {
+        accept(&listener, &objects, &targets)
+    })
+    .await
+}
+
+async fn accept(
+    listener: &tokio::net::TcpListener,
+    objects: &SharedObjects,
+    targets: &UnboundedSender<TargetsEvent>,
+) -> ! {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/daemon/src/tier/sources.rs
+++ b/crates/daemon/src/tier/sources.rs
@@ -8,6 +8,7 @@
 //! It starts with a single call, so that retrying is cheap while the store is down.
 
 use {
+    crate::supervise::unless_panicked,
     rand::RngExt,
     rattanturn_core::{readers, watch_position::WatchPosition},
     rattanturn_platform::{
@@ -75,8 +76,19 @@
     }
 }
 
-/// Runs a read session until one kind cannot be read or the task is dropped.
-pub(crate) async fn session(store: Store, tier: TierSettings, events: UnboundedSender<StoreEvent>) {
+/// Runs a read session until one kind cannot be read, it panics or the task is dropped.
+pub(crate) async fn session(
+    store: Store,
+    tier: Box<TierSettings>,
+    events: UnboundedSender<StoreEvent>,
+) {
+    let reading = read_store(store, tier, events.clone());
+    unless_panicked("store reading", reading).await;
+    // Control starts the next session. If it has ended, nobody needs one.
+    let _ = events.send(StoreEvent::SessionEnded);
+}
+
+async fn read_store(store: Store, tier: Box<TierSettings>, events: UnboundedSender<StoreEvent>) {
     let catalog = operator_kind(entries::CATALOG.0, tier.config_limit);
     let evacuations = operator_kind(entries::EVACUATIONS, tier.evacuation_limit);
     let rollouts = tier
@@ -100,7 +112,6 @@
             let _ = events.send(StoreEvent::Failed(catalog.name, error));
         }
     }
-    let _ = events.send(StoreEvent::SessionEnded);
 }
 
 /// Like [`watch_kind`] for a kind that the settings may not ask for.
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::{
-        clock,
+        clock, supervise,
         tier::{
             accounts::KeyChecks,
             admission::AdmissionQueue,
@@ -187,15 +187,24 @@
             meters: Meters::default(),
             stop: watch::Sender::default(),
         });
-        actix_rt::spawn(apply_views(traffic.clone()));
-        actix_rt::spawn(restore_withdrawn_targets(traffic.clone()));
-        actix_rt::spawn(close_idle_connections(traffic.clone()));
-        actix_rt::spawn(probe_down_targets(traffic.clone()));
-        actix_rt::spawn(watch_evidence(traffic.clone()));
-        actix_rt::spawn(watch_stop(traffic.clone()));
+        traffic.spawn_task("view", apply_views);
+        traffic.spawn_task("withdrawn targets", restore_withdrawn_targets);
+        traffic.spawn_task("idle connections", close_idle_connections);
+        traffic.spawn_task("probes", probe_down_targets);
+        traffic.spawn_task("evidence", watch_evidence);
+        traffic.spawn_task("stop", watch_stop);
         traffic
     }
 
+    /// Starts a task without end.
+    fn spawn_task<F>(self: &Rc<Self>, name: &'static str, task: impl Fn(Rc<Self>) -> F + 'static)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let traffic = self.clone();
+        supervise::spawn(name, move || task(traffic.clone()));
+    }
+
     /// The current view. A new one is first applied to the upstreams.
     pub(crate) fn view(self: &Rc<Self>) -> Arc<View> {
         let newest = self.shared.load();
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -19,6 +19,7 @@
         clock,
         routing::SharedRouting,
         stop::stop_time,
+        supervise::spawn_periodic,
         traffic::{
             caller_frontend::CallerFrontend, calls::Calls, holder::Holder, once::DedupOwner,
             query::Queries,
@@ -34,10 +35,14 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicUsize, Ordering},
         },
+        time::Duration,
     },
     tokio::sync::watch,
 };
 
+/// Interval at which a thread stores its state for the state dump.
+const DUMP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// State that the traffic threads of a daemon share with its control thread.
 #[derive(Debug, Default)]
 pub(crate) struct Gauges {
@@ -123,16 +128,14 @@
 pub(crate) fn spawn(start: Start) -> Arbiter {
     let arbiter = Arbiter::new();
     arbiter.spawn_fn(move || {
-        actix_rt::spawn(async move {
-            if let Err(error) = run(start).await {
-                tracing::error!(%error, "traffic thread failed to start");
-            }
-        });
+        if let Err(error) = run(start) {
+            tracing::error!(%error, "traffic thread failed to start");
+        }
     });
     arbiter
 }
 
-async fn run(start: Start) -> std::io::Result<()> {
+fn run(start: Start) -> std::io::Result<()> {
     let settings = &start.settings;
     let routing = start.routing.clone();
     let sharing_daemons =
@@ -175,26 +178,49 @@
     let limits = rattanturn_http::Limits::default();
     let server = rattanturn_http::spawn(start.http, limits, handler)?;
     actix_rt::spawn(close_at_stop(server, start.gauges.clone()));
-    let cpu = cpu_time::ThreadTime::now();
-    let mut ticks = 0_u64;
-    loop {
-        actix_rt::time::sleep(holder::TICK_INTERVAL).await;
-        holder.tick();
-        dedup_owner.tick();
-        frontend.tick();
-        ticks += 1;
-        if ticks.is_multiple_of(20) {
-            let dump = serde_json::json!({
-                "thread": start.thread,
-                "time_us": clock::now().micros(),
-                "cpu_s": cpu.elapsed().as_secs_f64(),
-                "targets": holder.dump(),
-                "admission": frontend.dump(),
-                "journal_entries": dedup_owner.len(),
-                "traces": frontend.traces(),
-            });
-            publish_dump(&start.gauges, start.thread as usize, dump);
-        }
+    let queues = holder.clone();
+    spawn_periodic("queues", holder::TICK_INTERVAL, move || queues.tick());
+    let tables = dedup_owner.clone();
+    spawn_periodic("deduplication tables", holder::TICK_INTERVAL, move || {
+        tables.tick();
+    });
+    let admission = frontend.clone();
+    spawn_periodic("admission", holder::TICK_INTERVAL, move || admission.tick());
+    let state = ThreadState {
+        thread: start.thread,
+        gauges: start.gauges,
+        holder,
+        dedup_owner,
+        frontend,
+        cpu: cpu_time::ThreadTime::now(),
+    };
+    spawn_periodic("state dump", DUMP_INTERVAL, move || {
+        publish_dump(&state.gauges, state.thread as usize, state.dump());
+    });
+    Ok(())
+}
+
+/// What the state dump tells of a traffic thread.
+struct ThreadState {
+    thread: u32,
+    gauges: Arc<Gauges>,
+    holder: Holder,
+    dedup_owner: DedupOwner,
+    frontend: Rc<CallerFrontend>,
+    cpu: cpu_time::ThreadTime,
+}
+
+impl ThreadState {
+    fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "thread": self.thread,
+            "time_us": clock::now().micros(),
+            "cpu_s": self.cpu.elapsed().as_secs_f64(),
+            "targets": self.holder.dump(),
+            "admission": self.frontend.dump(),
+            "journal_entries": self.dedup_owner.len(),
+            "traces": self.frontend.traces(),
+        })
     }
 }
 
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -9,6 +9,7 @@
     crate::{
         clock,
         routing::Destination,
+        supervise::restarted,
         traffic::{
             Gauges, PeerRequest,
             holder::{CallResult, Holder, HolderCall, Outcome, ResultCallback},
@@ -52,6 +53,10 @@
 
 /// Serves RPC on `listener`; never returns.
 pub(crate) async fn serve(listener: tokio::net::TcpListener, server: Server) {
+    restarted("peers' connections", || accept(&listener, &server)).await;
+}
+
+async fn accept(listener: &tokio::net::TcpListener, server: &Server) -> ! {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
