Go on accepting at the closing after one connection has failed

Cause: the first error ended the accepting.

Change: an error of one connection is passed over, up to a bound for a lack of descriptors, which would fail for ever.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -39,6 +39,10 @@
 /// are read at once; the time is for the thread to be told of them.
 const LAST_READ_TIME: Duration = Duration::from_millis(20);
 
+/// Number of accepts that may fail when a listener closes. One that lacks descriptors fails again at
+/// once, and the connections that wait cannot be served then.
+pub const MAX_FAILED_ACCEPTS: u32 = 100;
+
 /// Limits on the resources that the clients of one listener can use.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -233,20 +237,54 @@
 ///
 /// # Errors
 ///
-/// The listener cannot be used, or an accept failed.
+/// The listener cannot be used, or too many accepts failed.
 pub fn accept_waiting(
     listener: tokio::net::TcpListener,
     serve: impl Fn(TcpStream),
 ) -> io::Result<()> {
     let listener = listener.into_std()?;
+    each_waiting(
+        || listener.accept(),
+        |(stream, _)| {
+            stream.set_nonblocking(true)?;
+            serve(TcpStream::from_std(stream)?);
+            Ok(())
+        },
+    )
+}
+
+/// Calls `serve` with each connection that `accept` returns, until it returns
+/// [`io::ErrorKind::WouldBlock`]. A failure of one connection, which an accept may report, does not
+/// keep the others from being served.
+///
+/// ```
+/// use std::io;
+/// let mut queue = vec![Ok(2), Err(io::ErrorKind::ConnectionAborted.into()), Ok(1)];
+/// let mut served = Vec::new();
+/// let accept = || queue.pop().unwrap_or(Err(io::ErrorKind::WouldBlock.into()));
+/// rattanturn_http::each_waiting(accept, |n| Ok(served.push(n)))?;
+/// assert_eq!(served, [1, 2]);
+/// # Ok::<(), io::Error>(())
+/// ```
+///
+/// # Errors
+///
+/// More than [`MAX_FAILED_ACCEPTS`] accepts or connections failed.
+pub fn each_waiting<T>(
+    mut accept: impl FnMut() -> io::Result<T>,
+    mut serve: impl FnMut(T) -> io::Result<()>,
+) -> io::Result<()> {
+    let mut failed = 0;
     loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
-                serve(TcpStream::from_std(stream)?);
-            }
+        let served = match accept() {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error),
+            accepted => accepted.and_then(&mut serve),
+        };
+        if let Err(error) = served {
+            failed += 1;
+            if failed > MAX_FAILED_ACCEPTS {
+                return Err(error);
+            }
         }
     }
 }
--- a/crates/http/tests/answers.rs
+++ b/crates/http/tests/answers.rs
@@ -8,9 +8,9 @@
         net::TcpStream,
         time::{sleep, timeout},
     },
-    rattanturn_http::{Limits, Server, connection, response},
+    rattanturn_http::{Limits, Server, connection, each_waiting, response},
     std::{
-        io::{Read, Write},
+        io::{self, ErrorKind, Read, Write},
         net::{SocketAddr, TcpListener},
         rc::Rc,
         sync::atomic::Ordering,
@@ -174,3 +174,28 @@
         assert_eq!(partial.await.unwrap(), 200);
     });
 }
+
+/// Guards against connections that are reset because another one in the queue had failed.
+#[test]
+fn a_failed_connection_does_not_end_the_last_accepts() {
+    let accept_all = |results: Vec<io::Result<u32>>| {
+        let mut results = results.into_iter();
+        let mut served = Vec::new();
+        let end = each_waiting(
+            || results.next().unwrap_or(Err(ErrorKind::WouldBlock.into())),
+            |number| {
+                if number == 0 {
+                    return Err(ErrorKind::InvalidInput.into());
+                }
+                served.push(number);
+                Ok(())
+            },
+        );
+        (served, end.is_ok())
+    };
+    let aborted = || Err(ErrorKind::ConnectionAborted.into());
+    let queue = vec![Ok(1), aborted(), Ok(0), Ok(2)];
+    assert_eq!(accept_all(queue), (vec![1, 2], true));
+    let endless = (0..10_000).map(|_| aborted()).collect();
+    assert_eq!(accept_all(endless), (vec![], false));
+}
