Hand deduplication tables over whole when several owners stop

Causes, in the same code: - A table was passed on before the one of the previous term had arrived, and was lost between two owners that stop. Now the previous table is awaited, one that arrives late is sent once more, and one that cannot be forwarded is kept. - A lease was released before its table was sent, as the limit began with the wish to release it instead of the end of its work. - A request could begin in a table that had been handed over, and its retry run at the next owner (test of the rule). - A late table replaced one of a later term (two tests of the rule). Tables are kept by lease term. - A panic in a non-idempotent request left it open for ever (by reading, without a test). It ends as "unknown". - The state of a lease changed in several steps, so that a unit could be opened again while it was handed over (by reading, test of the rule).

The tables and when a lease may be released are decided in the core.

--- a/crates/core/src/dedup.rs
+++ b/crates/core/src/dedup.rs
@@ -162,6 +162,12 @@
         Verdict::Run
     }
 
+    /// Whether an attempt at a request has begun.
+    #[must_use]
+    pub fn contains(&self, id: &str) -> bool {
+        self.entries.contains_key(id)
+    }
+
     /// Records how a request ended; does nothing if `id` is not in the table.
     ///
     /// The entry of a request that did not run is removed, so that a retry can run it.
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -30,7 +30,10 @@
 /// the longest call plus clock drift.
 pub const LEASE_GRACE: Duration = Duration::from_millis(1_500);
 /// Time for which a voter remembers an expired grant, to name it as the previous term.
-const TERM_RETENTION: Duration = Duration::from_mins(1);
+pub const TERM_RETENTION: Duration = Duration::from_mins(1);
+/// Time within which the votes on a request are expected. A round trip between data centres takes
+/// less, and a lost vote is asked for again after it.
+pub const VOTE_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a holder renews its lease.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -73,6 +76,15 @@
     pub number: u64,
 }
 
+/// The term of a lease, and the term that it directly follows if the voters agree on one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaseTerms {
+    /// The term; `None` if the lease is not held.
+    pub current: Option<LeaseTerm>,
+    /// The term before it.
+    pub previous: Option<LeaseTerm>,
+}
+
 /// A request to acquire, renew or release a unit's lease, sent to all voters of the unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseRequest {
@@ -208,6 +220,8 @@
     sent_at: Time,
     epoch: u64,
     votes: Vec<(NodeId, Option<LeaseTerm>)>,
+    /// Whether votes on a request are awaited.
+    awaiting: bool,
     until: Time,
     since: Option<Time>,
     number: u64,
@@ -225,6 +239,7 @@
             sent_at: Time::ZERO,
             epoch: 0,
             votes: Vec::new(),
+            awaiting: false,
             until: Time::ZERO,
             since: None,
             number: 1,
@@ -242,6 +257,7 @@
         self.sent_at = now;
         self.epoch = voters.epoch;
         self.votes.clear();
+        self.awaiting = true;
         if !self.held(now) && self.since.take().is_some() {
             self.number = self.round;
         }
@@ -264,6 +280,7 @@
         if self.votes.len() != voters.majority() {
             return false;
         }
+        self.awaiting = false;
         self.until = self.sent_at + LEASE_DURATION;
         if self.since.is_none() {
             self.since = Some(self.sent_at);
@@ -279,6 +296,7 @@
         self.round += 1;
         self.until = Time::ZERO;
         self.votes.clear();
+        self.awaiting = false;
         let request = self.build_request(true);
         self.since = None;
         self.number = self.round + 1;
@@ -291,6 +309,26 @@
         now < self.until
     }
 
+    /// Whether this daemon does not hold the lease but voters may be granting it: a request was sent, and
+    /// its votes may still arrive.
+    ///
+    /// A release at that time would end a term that the voters name as the previous one, although its
+    /// daemon never knew of it and could hand nothing over in it.
+    ///
+    /// ```
+    /// use rattanturn_core::{NodeId, Time, lease::{LeaseClient, VOTE_TIME, VoterSet, UnitId}};
+    /// let voters = VoterSet { epoch: 1, voters: vec![NodeId(9)] };
+    /// let mut lease = LeaseClient::new(UnitId(1), NodeId(2));
+    /// assert!(!lease.may_be_granted(Time::ZERO));
+    /// lease.request(Time::ZERO, &voters);
+    /// assert!(lease.may_be_granted(Time::from_millis(1)));
+    /// assert!(!lease.may_be_granted(Time::ZERO + VOTE_TIME));
+    /// ```
+    #[must_use]
+    pub fn may_be_granted(&self, now: Time) -> bool {
+        self.awaiting && !self.held(now) && now.since(self.sent_at) < VOTE_TIME
+    }
+
     /// When the lease expires unless it is renewed; [`Time::ZERO`] before the first majority and
     /// after a release.
     #[must_use]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 //! - [`voter_sets`]: which daemons vote on leases, and how these sets change safely.
 //! - [`dedup`]: outcomes of non-idempotent requests by request id, so that a retry does not run the
 //!   request again.
+//! - [`partitions`]: the tables of such outcomes, as they move from one owner to the next.
 //!
 //! Daemons among themselves:
 //!
@@ -85,6 +86,7 @@
 pub mod membership;
 pub mod merge;
 pub mod object_history;
+pub mod partitions;
 pub mod permits;
 mod priority;
 pub mod quarantine;
--- a/crates/daemon/src/control/leases.rs
+++ b/crates/daemon/src/control/leases.rs
@@ -9,11 +9,15 @@
 use {
     crate::{
         clock,
-        routing::{LeaseState, LeaseTerms, Unit},
+        routing::{LeaseState, Unit},
     },
     rattanturn_core::{
         NodeId, Time,
-        lease::{LeaseClient, LeaseRequest, RENEW_INTERVAL, UnitId, Vote, Voter, VoterSet},
+        lease::{
+            LeaseClient, LeaseRequest, LeaseTerms, RENEW_INTERVAL, UnitId, VOTE_TIME, Vote, Voter,
+            VoterSet,
+        },
+        partitions::Release,
         voter_sets::VoterSets,
     },
     std::{
@@ -24,11 +28,7 @@
 };
 
 /// Interval between requests for a lease that this daemon wants and does not hold.
-const ACQUIRE_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time that a deduplication table's handover delays the release of its lease. After that,
-/// the lease is released without it, and the next holder answers retries of the table's requests
-/// with "unknown".
-const HANDOVER_LIMIT: Duration = Duration::from_secs(1);
+const ACQUIRE_INTERVAL: Duration = VOTE_TIME;
 /// Maximum number of lease requests in one datagram, and so of votes in the reply.
 pub(crate) const MAX_PER_DATAGRAM: usize = 32;
 
@@ -42,8 +42,8 @@
     /// True for a partition of request ids: its deduplication table must be handed over before the
     /// lease is released.
     dedup: bool,
-    /// When the unit, no longer wanted, was first considered for release.
-    closed: Option<Time>,
+    /// Decides when the unit, no longer wanted, is released.
+    release: Release,
     /// When the next request is due.
     next: Time,
 }
@@ -51,14 +51,19 @@
 impl HeldUnit {
     /// Whether the lease of an unwanted unit can be released: it has expired, or no work is in
     /// progress and the handover of its deduplication table, if any, has ended or takes too long.
+    ///
+    /// The lease of such a table that may just be granted is awaited: the table of the previous term may
+    /// be here, and the next owner gets it only with the term in between.
     fn may_release(&mut self, now: Time) -> bool {
-        if !self.lease.held(now) {
+        let held = self.lease.held(now);
+        if !held && self.dedup && self.lease.may_be_granted(now) {
+            return false;
+        }
+        if !held {
             return true;
         }
-        let closed = *self.closed.get_or_insert(now);
-        let settled =
-            !self.dedup || self.shared.handover_finished() || now.since(closed) > HANDOVER_LIMIT;
-        settled && self.shared.in_use() == 0
+        let handed_over = !self.dedup || self.shared.handover_finished();
+        self.release.is_due(now, self.shared.in_use(), handed_over)
     }
 }
 
@@ -108,15 +113,14 @@
                     shared: Arc::default(),
                     wanted: true,
                     dedup: unit.centre.is_none(),
-                    closed: None,
+                    release: Release::default(),
                     next: Time::ZERO,
                 });
                 // A table that is being handed over must get no new entries in this term. The lease
                 // is released first, and then requested for a new term.
-                if !held.shared.handover_started() {
+                if held.shared.reopen() {
                     held.wanted = true;
-                    held.closed = None;
-                    held.shared.reopen();
+                    held.release = Release::default();
                 }
             }
             unit.lease = self.held.get(&unit.id).map(|h| h.shared.clone());
@@ -238,8 +242,9 @@
             previous: held.lease.previous(),
         };
         // The start of a term must not shift between renewals, whatever happens to the wall clock.
-        let start_ms = if terms == held.shared.terms() {
-            held.shared.start_ms()
+        let (known, known_start_ms) = held.shared.term();
+        let start_ms = if terms == known {
+            known_start_ms
         } else {
             let since = held.lease.since().unwrap_or(now);
             clock::unix_ms().saturating_sub(clock::millis(now.since(since)))
--- a/crates/daemon/src/control/shutdown.rs
+++ b/crates/daemon/src/control/shutdown.rs
@@ -3,7 +3,8 @@
 //! First the daemon is no longer advertised to callers. It still accepts requests until every
 //! address answer that named it has expired, as far as the limit leaves time for that, and releases
 //! the leases of its units meanwhile. Then it closes its listeners, and ends as soon as no answer is
-//! owed and no lease is held. Requests that are still open a while before the limit get their final answers, and the
+//! owed, no lease is held, and the deduplication tables that others handed over to it meanwhile are
+//! forwarded. Requests that are still open a while before the limit get their final answers, and the
 //! daemon ends in any case; see [`rattanturn_core::shutdown`] for the times.
 
 use {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -14,7 +14,7 @@
     arc_swap::ArcSwap,
     rattanturn_core::{
         NodeId, Time, addresses,
-        lease::{LeaseTerm, UnitId},
+        lease::{LeaseTerms, UnitId},
         membership::{MemberRecord, State},
         rendezvous,
     },
@@ -23,12 +23,15 @@
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering},
         },
     },
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Number of partitions of the ids of non-idempotent requests. Each partition is a unit whose
 /// holder keeps its deduplication table.
 pub(crate) const DEDUP_PARTITIONS: u64 = 16;
@@ -42,20 +45,21 @@
 pub(crate) struct LeaseState {
     /// Expiry time in microseconds; 0 if the lease is not held.
     until: AtomicU64,
-    start_ms: AtomicU64,
-    closing: AtomicBool,
-    handover_started: AtomicBool,
-    handover_finished: AtomicBool,
+    handover: AtomicU8,
     in_use: AtomicUsize,
-    terms: Mutex<LeaseTerms>,
+    /// The terms, and when the current one began, in milliseconds since 1970. Locked while `until`
+    /// changes with them.
+    term: Mutex<(LeaseTerms, u64)>,
 }
 
-/// The term of a lease, and the term that it directly follows if the voters agree on one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LeaseTerms {
-    pub(crate) current: Option<LeaseTerm>,
-    pub(crate) previous: Option<LeaseTerm>,
-}
+/// Values of [`LeaseState::handover`]: new work may start.
+const OPEN: u8 = 0;
+/// New work is stopped; the unit can be opened again.
+const CLOSING: u8 = 1;
+/// The unit's deduplication table is being handed over.
+const HANDING_OVER: u8 = 2;
+/// The handover has ended.
+const HANDED_OVER: u8 = 3;
 
 impl LeaseState {
     /// A lease that is always held, for [`rattanturn_tables::SlotPolicy::StaticShares`].
@@ -69,49 +73,70 @@
     ///
     /// `start_ms` is when the current term began, in milliseconds since 1970.
     pub(crate) fn set(&self, until: Time, start_ms: u64, terms: LeaseTerms) {
-        *self.terms.lock().unwrap_or_else(PoisonError::into_inner) = terms;
-        self.start_ms.store(start_ms, Ordering::Release);
+        let mut term = self.lock_term();
+        *term = (terms, start_ms);
         self.until.store(until.micros(), Ordering::Release);
     }
 
     /// Stops new work; work in progress continues.
     pub(crate) fn close(&self) {
-        self.closing.store(true, Ordering::Release);
+        self.change_handover(OPEN, CLOSING);
     }
 
-    /// Allows new work again.
-    pub(crate) fn reopen(&self) {
-        self.closing.store(false, Ordering::Release);
+    /// Allows new work again, unless a handover has started. Returns whether new work is allowed.
+    pub(crate) fn reopen(&self) -> bool {
+        self.change_handover(CLOSING, OPEN);
+        !self.closing()
     }
 
     /// Whether new work is stopped.
     pub(crate) fn closing(&self) -> bool {
-        self.closing.load(Ordering::Acquire)
+        self.handover.load(Ordering::Acquire) != OPEN
     }
 
     /// Marks that the unit's deduplication table is being sent to another daemon. From then on no
-    /// new work may start in the current term, as the receiver would not know of it.
-    pub(crate) fn start_handover(&self) {
-        self.handover_started.store(true, Ordering::Release);
+    /// new work may start in the current term, as the receiver would not know of it. Returns false if
+    /// the unit was opened again meanwhile, or the handover had started before.
+    pub(crate) fn start_handover(&self) -> bool {
+        self.change_handover(CLOSING, HANDING_OVER)
     }
 
-    /// Whether [`Self::start_handover`] was called.
+    /// Whether a handover was started.
     pub(crate) fn handover_started(&self) -> bool {
-        self.handover_started.load(Ordering::Acquire)
+        self.handover.load(Ordering::Acquire) >= HANDING_OVER
     }
 
     /// Marks the handover as ended, successfully or not, so that control can release the lease.
     pub(crate) fn finish_handover(&self) {
-        self.handover_finished.store(true, Ordering::Release);
+        self.change_handover(HANDING_OVER, HANDED_OVER);
     }
 
     /// Whether [`Self::finish_handover`] was called.
     pub(crate) fn handover_finished(&self) -> bool {
-        self.handover_finished.load(Ordering::Acquire)
+        self.handover.load(Ordering::Acquire) == HANDED_OVER
+    }
+
+    fn change_handover(&self, from: u8, to: u8) -> bool {
+        let order = Ordering::AcqRel;
+        let changed = self
+            .handover
+            .compare_exchange(from, to, order, Ordering::Acquire);
+        changed.is_ok()
+    }
+
+    /// The terms, and when the current one began, in milliseconds since 1970.
+    pub(crate) fn term(&self) -> (LeaseTerms, u64) {
+        *self.lock_term()
+    }
+
+    /// The same if new work may start at `now`.
+    pub(crate) fn usable_term(&self, now: Time) -> Option<(LeaseTerms, u64)> {
+        let term = self.lock_term();
+        self.usable(now).then_some(*term)
     }
 
-    pub(crate) fn terms(&self) -> LeaseTerms {
-        *self.terms.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_term(&self) -> MutexGuard<'_, (LeaseTerms, u64)> {
+        self.term.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// When the lease expires unless it is renewed; [`Time::ZERO`] if it is not held.
@@ -119,11 +144,6 @@
         Time::from_micros(self.until.load(Ordering::Acquire))
     }
 
-    /// When the current term began, in milliseconds since 1970.
-    pub(crate) fn start_ms(&self) -> u64 {
-        self.start_ms.load(Ordering::Acquire)
-    }
-
     /// Whether new work may start at `now`: the lease is held and not closed.
     pub(crate) fn usable(&self, now: Time) -> bool {
         now < self.until() && !self.closing()
--- a/crates/daemon/src/traffic/mod.rs
+++ b/crates/daemon/src/traffic/mod.rs
@@ -54,6 +54,8 @@
     pub(crate) stop: watch::Sender<Option<StopSchedule>>,
     /// Number of threads that have closed their HTTP listener.
     closed_listeners: AtomicUsize,
+    /// Number of deduplication tables here that are to be forwarded to their owners.
+    pub(crate) foreign_tables: AtomicUsize,
     /// Latest state of each thread, for the state dump; null for a thread that has reported none.
     pub(crate) thread_dumps: Mutex<Vec<serde_json::Value>>,
 }
@@ -63,9 +65,11 @@
         self.open_requests.load(Ordering::Acquire)
     }
 
-    /// Number of answers that this daemon owes to other daemons.
+    /// Number of answers that this daemon owes to other daemons, and of deduplication tables that it
+    /// is to forward.
     pub(crate) fn owed_to_peers(&self) -> usize {
-        self.peer_requests.load(Ordering::Acquire)
+        let tables = self.foreign_tables.load(Ordering::Acquire);
+        self.peer_requests.load(Ordering::Acquire) + tables
     }
 
     /// Whether all of so many threads have closed their listeners, so that no new connection is served.
@@ -149,7 +153,7 @@
         holder.clone(),
         settings.peer_delay,
     );
-    let dedup_owner = DedupOwner::new(routing.clone(), calls.clone());
+    let dedup_owner = DedupOwner::new(routing.clone(), calls.clone(), start.gauges.clone());
     let queries = Queries::new(routing.clone(), calls.clone());
     let frontend = Rc::new(CallerFrontend::new(
         routing,
--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -9,21 +9,24 @@
     super::{DedupOwner, read_outcome, write_outcome},
     crate::{
         clock,
-        routing::{LeaseState, Unit},
+        routing::{Destination, LeaseState, Unit},
         traffic::rpc,
     },
     rattanturn_core::{
         NodeId,
         dedup::{DedupEntry, DedupTable},
         lease::{LeaseTerm, UnitId},
+        partitions::{ARRIVAL_TIMEOUT, HANDOVER_TIMEOUT},
     },
     rattanturn_wire::peer_capnp::{journal, journal_entry},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
-/// Timeout of sending a table. Until it is sent, the lease is not released, and nobody runs the
-/// partition's requests.
-const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before a table is sent again, which is long enough to learn that its next owner has ended.
+const SEND_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 impl DedupOwner {
     /// Starts to hand over the tables of partitions that other daemons should own, and forwards
@@ -32,15 +35,46 @@
         let routing = self.routing.load();
         for unit in routing.dedup_units() {
             if let Some(lease) = &unit.lease
-                && lease.closing()
-                && !lease.handover_started()
-                && lease.in_use() == 0
+                && self.may_hand_over(unit, lease)
+                && lease.start_handover()
             {
-                lease.start_handover();
-                self.hand_over(unit, lease.clone());
+                self.hand_over(unit.id, lease.clone());
             }
             self.forward(unit);
         }
+        self.partitions.borrow_mut().expire(clock::now());
+        self.publish_foreign_tables();
+    }
+
+    /// Tells control how many tables are here that belong to other daemons, which a stop must not end
+    /// before they are forwarded.
+    fn publish_foreign_tables(&self) {
+        let (routing, partitions) = (self.routing.load(), self.partitions.borrow());
+        let foreign = |u: &&Unit| u.destination.is_some_and(|d| !self.calls.is_local(d));
+        let units = routing.dedup_units().iter().filter(foreign);
+        let waiting = units.filter(|u| partitions.has_received(u.id)).count();
+        let count = waiting + self.sending.get();
+        let before = self.foreign_tables.replace(count);
+        // The sum over all threads; a decrease wraps around.
+        let change = count.wrapping_sub(before);
+        self.gauges
+            .foreign_tables
+            .fetch_add(change, Ordering::AcqRel);
+    }
+
+    /// Whether the table of a partition is to be handed over now. Nothing is handed over without a lease
+    /// term, and the table of the previous term is awaited if it is probably on its way here.
+    fn may_hand_over(&self, unit: &Unit, lease: &LeaseState) -> bool {
+        let due = lease.closing() && !lease.handover_started() && lease.in_use() == 0;
+        let (terms, start_ms) = lease.term();
+        if !due || terms.current.is_none() {
+            return false;
+        }
+        let age = Duration::from_millis(clock::unix_ms().saturating_sub(start_ms));
+        let now = clock::now();
+        let mut partitions = self.partitions.borrow_mut();
+        partitions.open(now, unit.id, terms, start_ms);
+        age >= ARRIVAL_TIMEOUT || !partitions.expects_table(now, unit.id)
     }
 
     /// Forwards a table that was handed over to this daemon, if the partition has gone to yet
@@ -56,10 +90,15 @@
         else {
             return;
         };
-        let id = unit.id;
+        let (id, this) = (unit.id, self.clone());
+        self.sending.set(self.sending.get() + 1);
         actix_rt::spawn(async move {
-            // If this fails, the owner has no table and answers "unknown" to retries.
-            let _ = send(to.addr, id, term, &table).await;
+            if let Err(error) = send(to.addr, id, term, &table).await {
+                tracing::warn!(%error, to = %to.addr, "dedup table not forwarded; it is tried again");
+                let mut partitions = this.partitions.borrow_mut();
+                partitions.put_back(clock::now(), id, term, table);
+            }
+            this.sending.set(this.sending.get() - 1);
         });
     }
 
@@ -79,29 +118,50 @@
         self.partitions
             .borrow_mut()
             .receive(clock::now(), UnitId(message.get_unit()), term, table);
+        self.publish_foreign_tables();
         Ok(())
     }
 
     /// Sends a partition's table to its next owner, then lets the lease be released.
-    fn hand_over(&self, unit: &Unit, lease: Arc<LeaseState>) {
-        let (Some(to), Some(term)) = (unit.destination, lease.terms().current) else {
+    fn hand_over(&self, id: UnitId, lease: Arc<LeaseState>) {
+        let table = self.partitions.borrow_mut().hand_over(id);
+        let (Some(term), Some(table)) = (lease.term().0.current, table) else {
             lease.finish_handover();
             return;
         };
-        let table = self
-            .partitions
-            .borrow_mut()
-            .open(clock::now(), unit.id, &lease)
-            .table
-            .clone();
-        let (id, local) = (unit.id, self.calls.is_local(to));
+        let this = self.clone();
         actix_rt::spawn(async move {
-            if !local && let Err(error) = send(to.addr, id, term, &table).await {
-                tracing::warn!(%error, "dedup table not handed over; retries get \"unknown\"");
+            let sent = this.send_until_taken(id, term, &table);
+            if tokio::time::timeout(HANDOVER_TIMEOUT, sent).await.is_err() {
+                tracing::warn!("dedup table not handed over in time; retries get \"unknown\"");
             }
             lease.finish_handover();
         });
     }
+
+    /// Sends a table to the owner that routing names, or to the next one if that daemon has ended.
+    async fn send_until_taken(&self, id: UnitId, term: LeaseTerm, table: &DedupTable) {
+        loop {
+            let owner = self.destination(id).filter(|d| !self.calls.is_local(*d));
+            let Some(to) = owner else {
+                return;
+            };
+            match send(to.addr, id, term, table).await {
+                Ok(()) => return,
+                Err(error) => {
+                    tracing::info!(%error, to = %to.addr, "dedup table not taken; it is sent again");
+                }
+            }
+            actix_rt::time::sleep(SEND_RETRY_DELAY).await;
+        }
+    }
+
+    /// Where the next owner of a partition is reached.
+    fn destination(&self, id: UnitId) -> Option<Destination> {
+        let routing = self.routing.load();
+        let mut units = routing.dedup_units().iter();
+        units.find(|u| u.id == id)?.destination
+    }
 }
 
 async fn send(
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -8,28 +8,33 @@
 //! that the call was not run; if that is not known, the request ends as unknown.
 
 mod handover;
-mod partitions;
 
 use {
     crate::{
         clock,
         routing::{LeaseState, SharedRouting},
         traffic::{
+            Gauges,
             calls::{Calls, OutgoingCall, call_template},
             holder::{CallResult, HolderCall, Outcome as CallOutcome},
-            once::partitions::Partitions,
             rpc::priority,
         },
     },
     rattanturn_core::{
         Priority, Time,
         dedup::{Outcome, Verdict},
-        lease::UnitId,
+        lease::{LeaseTerms, UnitId},
+        partitions::Partitions,
         rendezvous,
     },
     rattanturn_wire::peer_capnp::{self, once_request, once_result},
-    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
-    tokio::sync::oneshot,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::sync::{Notify, oneshot},
 };
 
 /// Time for which a request waits until its partition has an owner.
@@ -58,20 +63,70 @@
     pub(crate) body: Vec<u8>,
 }
 
+/// A request that has begun. Its lease is not released until this is dropped, and if that happens
+/// without an outcome, as in a panic, the request may have run.
+struct RunningRequest {
+    owner: DedupOwner,
+    unit: UnitId,
+    lease: Arc<LeaseState>,
+    id: String,
+    outcome: Outcome,
+}
+
+impl RunningRequest {
+    fn begin(owner: &DedupOwner, unit: UnitId, lease: Arc<LeaseState>, id: &str) -> Self {
+        lease.begin_use();
+        Self {
+            owner: owner.clone(),
+            unit,
+            lease,
+            id: id.to_owned(),
+            outcome: Outcome::Unknown,
+        }
+    }
+
+    /// Records the outcome for retries and returns it.
+    fn end(mut self, outcome: Outcome) -> Outcome {
+        self.outcome = outcome.clone();
+        outcome
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        if let Some(table) = self.owner.partitions.borrow_mut().get(self.unit) {
+            table.finish(&self.id, self.outcome.clone());
+        }
+        self.owner.request_ended.notify_waiters();
+        self.lease.end_use();
+    }
+}
+
 /// Owns the partitions whose leases one traffic thread holds; clones share their state.
 #[derive(Clone)]
 pub(crate) struct DedupOwner {
     routing: SharedRouting,
     calls: Calls,
     partitions: Rc<RefCell<Partitions>>,
+    /// Notifies retries that wait for an earlier attempt whenever a request ends.
+    request_ended: Rc<Notify>,
+    /// Number of tables that are being forwarded.
+    sending: Rc<Cell<usize>>,
+    /// What this thread has added to [`Gauges::foreign_tables`].
+    foreign_tables: Rc<Cell<usize>>,
+    gauges: Arc<Gauges>,
 }
 
 impl DedupOwner {
-    pub(crate) fn new(routing: SharedRouting, calls: Calls) -> Self {
+    pub(crate) fn new(routing: SharedRouting, calls: Calls, gauges: Arc<Gauges>) -> Self {
         Self {
             routing,
             calls,
             partitions: Rc::default(),
+            request_ended: Rc::default(),
+            sending: Rc::default(),
+            foreign_tables: Rc::default(),
+            gauges,
         }
     }
 
@@ -84,87 +139,67 @@
     ///
     /// Returns `None`, without running the request, if this daemon does not own its partition.
     pub(crate) async fn run(&self, request: OnceRequest) -> Option<Outcome> {
-        let (unit, lease) = self.open_partition(&request.id)?;
-        Some(self.run_once(unit, lease, request).await)
+        let (unit, lease, terms) = self.open_partition(&request.id)?;
+        self.run_once(unit, lease, terms, request).await
     }
 
     async fn run_once(
         &self,
         unit: UnitId,
         lease: Arc<LeaseState>,
+        terms: LeaseTerms,
         request: OnceRequest,
-    ) -> Outcome {
+    ) -> Option<Outcome> {
         let digest = rendezvous::key(&format!("{}:{:?}", request.pool, request.body));
         loop {
-            let (verdict, request_ended) = {
+            let request_ended = self.request_ended.notified();
+            let verdict = {
                 let mut partitions = self.partitions.borrow_mut();
-                let Some(partition) = partitions.get(unit) else {
-                    return Outcome::Unknown;
-                };
-                let now = clock::unix_ms();
-                let verdict = partition
-                    .table
-                    .begin(now, request.issued, &request.id, digest);
-                (verdict, partition.request_ended.clone())
+                // The table may have gone to the next owner during a wait.
+                let table = partitions.table_for(unit, terms, &request.id)?;
+                table.begin(clock::unix_ms(), request.issued, &request.id, digest)
             };
             match verdict {
-                Verdict::Run => {
-                    // The lease is not released while the request runs.
-                    lease.begin_use();
-                    break;
-                }
-                Verdict::Ended(outcome) => return outcome,
+                Verdict::Run => break,
+                Verdict::Ended(outcome) => return Some(outcome),
                 Verdict::Unknown => {
                     if !self.partitions.borrow().expects_table(clock::now(), unit) {
-                        return Outcome::Unknown;
+                        return Some(Outcome::Unknown);
                     }
                     actix_rt::time::sleep(TABLE_POLL_INTERVAL).await;
                 }
-                Verdict::Refused(why) => return Outcome::NotRun(why.into()),
+                Verdict::Refused(why) => return Some(Outcome::NotRun(why.into())),
                 Verdict::Running => {
                     let left = request.deadline.since(clock::now());
-                    if tokio::time::timeout(left, request_ended.notified())
-                        .await
-                        .is_err()
-                    {
-                        return Outcome::Unknown;
+                    if tokio::time::timeout(left, request_ended).await.is_err() {
+                        return Some(Outcome::Unknown);
                     }
                 }
             }
         }
+        let running = RunningRequest::begin(self, unit, lease, &request.id);
         // The request runs in a task of its own, so that its outcome is recorded for a retry even
         // if the caller closes its connection.
         let this = self.clone();
         let run = actix_rt::spawn(async move {
-            let outcome = this.run_and_record(unit, &request).await;
-            lease.end_use();
-            outcome
+            let outcome = this.try_targets(unit, &request).await;
+            running.end(outcome)
         });
-        run.await.unwrap_or(Outcome::Unknown)
-    }
-
-    async fn run_and_record(&self, unit: UnitId, request: &OnceRequest) -> Outcome {
-        let outcome = self.try_targets(unit, request).await;
-        if let Some(partition) = self.partitions.borrow_mut().get(unit) {
-            partition.table.finish(&request.id, outcome.clone());
-            partition.request_ended.notify_waiters();
-        }
-        outcome
+        Some(run.await.unwrap_or(Outcome::Unknown))
     }
 
     /// Finds a request's partition and makes sure that its table is valid for the current lease
     /// term. Returns `None` if this daemon does not hold the lease or is about to release it.
-    fn open_partition(&self, id: &str) -> Option<(UnitId, Arc<LeaseState>)> {
+    fn open_partition(&self, id: &str) -> Option<(UnitId, Arc<LeaseState>, LeaseTerms)> {
         let routing = self.routing.load();
         let unit = routing.dedup_unit(id)?;
         let lease = unit.lease.clone()?;
-        if !lease.usable(clock::now()) {
-            return None;
-        }
+        let now = clock::now();
+        let (terms, start_ms) = lease.usable_term(now)?;
         self.partitions
             .borrow_mut()
-            .open(clock::now(), unit.id, &lease);
-        Some((unit.id, lease))
+            .open(now, unit.id, terms, start_ms);
+        Some((unit.id, lease, terms))
     }
 
     /// Calls one target after another until one of them may have run the request.
--- a/crates/demo/tests/promises/once.rs
+++ b/crates/demo/tests/promises/once.rs
@@ -212,3 +212,32 @@
         );
     });
 }
+
+/// Guards against tables that are lost with a daemon that ends before it has forwarded them: the one
+/// that handed them over did not know that it stops as well.
+#[test]
+fn retry_gets_the_first_outcome_after_two_owners_were_stopped_in_a_hurry() {
+    with_cluster(6, async |cluster| {
+        sleep(Duration::from_secs(2)).await;
+        let issued = unix_ms();
+        let other = cluster.frontends()[5];
+        for n in 0..60 {
+            assert_eq!(renew(other, &format!("r{n}"), issued).await, "ran");
+        }
+        let mut stops = Vec::new();
+        for daemon in [0, 2].into_iter().filter_map(|i| cluster.take_daemon(i)) {
+            let handle = daemon.stop_handle();
+            stops.push(daemon.stop());
+            handle.hurry();
+        }
+        futures::future::join_all(stops).await;
+        cluster.wait_ready().await.unwrap();
+        let mut outcomes = BTreeMap::new();
+        for n in 0..60 {
+            let outcome = renew(other, &format!("r{n}"), issued).await;
+            *outcomes.entry(outcome).or_insert(0) += 1;
+        }
+        assert_eq!(outcomes, BTreeMap::from([("ran".to_owned(), 60)]));
+        assert_eq!(totals(&cluster.targets).duplicates, 0);
+    });
+}
