Name daemons that leave but still serve while no other is known

Cause: each directory left out all daemons that leave.

Change: while no advertised daemon is known to be alive, those are named that leave and have not closed their listeners, for a second at a time. The closing time of another daemon is an estimate from when it was learned that it leaves.

--- a/crates/core/src/addresses.rs
+++ b/crates/core/src/addresses.rs
@@ -2,9 +2,13 @@
 //!
 //! A caller may use an answer for [`ANSWER_TTL`]. A daemon that leaves is omitted from new answers
 //! at once, and keeps accepting requests until every answer that contained it has expired.
+//!
+//! While no daemon stays, as when all of a deployment are stopped within seconds, those are named that
+//! leave but have not closed their listeners. A caller that gets no address fails, while such a daemon
+//! still serves it, or refuses at once, so that the caller tries the next one.
 
 use {
-    crate::{NodeId, alternate::alternate_centres, rendezvous},
+    crate::{NodeId, Time, alternate::alternate_centres, rendezvous},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
@@ -17,6 +21,10 @@
 /// time when the data centre is lost.
 const MIN_ELSEWHERE: usize = 2;
 
+/// How long a caller may use an answer that names daemons that leave. It is short because others
+/// may start at any moment.
+pub const LEAVING_ANSWER_TTL: Duration = Duration::from_secs(1);
+
 /// A daemon that callers may be directed to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Frontend {
@@ -29,6 +37,10 @@
     /// Whether the daemon may be advertised; false for example while it leaves or while its data
     /// centre is evacuated.
     pub accepting: bool,
+    /// Whether the daemon does not answer probes, so that it may be dead.
+    pub suspect: bool,
+    /// When the daemon closes its listeners, if it leaves.
+    pub closes_at: Option<Time>,
     /// Capacity in any unit that all daemons share, for example processor cores; 0 if unknown.
     pub capacity: f64,
 }
@@ -47,15 +59,44 @@
 /// target on more calls.
 #[must_use]
 pub fn advertised(frontends: &[Frontend]) -> Vec<&Frontend> {
-    let mut accepting: Vec<&Frontend> = frontends.iter().filter(|f| f.accepting).collect();
-    accepting.sort_by(|a, b| b.capacity.total_cmp(&a.capacity));
-    let largest = accepting.first().map_or(0.0, |f| f.capacity);
-    let large = accepting
+    largest(frontends.iter().filter(|f| f.accepting).collect())
+}
+
+/// Those with a large capacity, and at least two of them.
+fn largest(mut frontends: Vec<&Frontend>) -> Vec<&Frontend> {
+    frontends.sort_by(|a, b| b.capacity.total_cmp(&a.capacity));
+    let largest = frontends.first().map_or(0.0, |f| f.capacity);
+    let large = frontends
         .iter()
         .filter(|f| f.capacity >= largest * MIN_CAPACITY)
         .count();
-    accepting.truncate(large.max(MIN_ADVERTISED));
-    accepting
+    frontends.truncate(large.max(MIN_ADVERTISED));
+    frontends
+}
+
+/// The daemons that an answer may name: the advertised ones or, while none of them is known to be
+/// alive, those that leave and have not closed their listeners yet.
+fn candidates(frontends: &[Frontend], now: Time) -> Vec<&Frontend> {
+    let advertised = advertised(frontends);
+    if advertised.iter().any(|f| !f.suspect) {
+        return advertised;
+    }
+    let takes = |f: &&Frontend| f.closes_at.is_some_and(|at| now < at);
+    let leaving: Vec<&Frontend> = frontends.iter().filter(takes).collect();
+    if leaving.is_empty() {
+        advertised
+    } else {
+        largest(leaving)
+    }
+}
+
+/// Addresses for a caller, and for how long it may use them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// At most four, in the order in which they should be tried.
+    pub addrs: Vec<SocketAddr>,
+    /// Time for which they may be used, if the deployment does not ask for a shorter one.
+    pub ttl: Duration,
 }
 
 /// Returns the daemons whose death should be found soon, because callers are directed to them: none
@@ -76,27 +117,35 @@
     large.iter().map(|f| f.id).collect()
 }
 
-/// Returns up to four advertised addresses for a caller: those in its data centre `centre` first, and
-/// two in different other data centres, or more if there are not enough in its own.
+/// Returns up to four addresses for a caller: those in its data centre `centre` first, and two in
+/// different other data centres, or more if there are not enough in its own. They are of advertised
+/// daemons; while none of these is known to be alive, of daemons that leave but still take requests.
 ///
 /// Within a data centre `tie_break` decides the order. It should differ from caller to caller, so
 /// that callers are distributed over the daemons.
 ///
 /// ```
-/// use rattanturn_core::{NodeId, addresses::{Frontend, choose}};
+/// use rattanturn_core::{NodeId, Time, addresses::{Frontend, LEAVING_ANSWER_TTL, choose}};
 /// let frontend = |id, accepting| Frontend {
 ///     id: NodeId(id),
 ///     addr: format!("127.0.0.{id}:80").parse().unwrap(),
 ///     centre: "a".into(),
 ///     accepting,
+///     suspect: false,
+///     closes_at: (!accepting).then_some(Time::from_millis(4_000)),
 ///     capacity: 1.0,
 /// };
-/// let chosen = choose(&[frontend(1, true), frontend(2, false)], "a", 0);
-/// assert_eq!(chosen, ["127.0.0.1:80".parse().unwrap()]);
+/// let now = Time::from_millis(3_000);
+/// let chosen = choose(&[frontend(1, true), frontend(2, false)], "a", 0, now);
+/// assert_eq!(chosen.addrs, ["127.0.0.1:80".parse().unwrap()]);
+/// let leaving = choose(&[frontend(2, false)], "a", 0, now);
+/// assert_eq!(leaving.addrs, ["127.0.0.2:80".parse().unwrap()]);
+/// assert_eq!(leaving.ttl, LEAVING_ANSWER_TTL);
 /// ```
 #[must_use]
-pub fn choose(frontends: &[Frontend], centre: &str, tie_break: u64) -> Vec<SocketAddr> {
-    let mut candidates = advertised(frontends);
+pub fn choose(frontends: &[Frontend], centre: &str, tie_break: u64, now: Time) -> Choice {
+    let mut candidates = candidates(frontends, now);
+    let all_leave = !candidates.is_empty() && candidates.iter().all(|f| f.closes_at.is_some());
     candidates.sort_by_key(|f| rendezvous::score(f.id, tie_break));
     let (own, others): (Vec<&Frontend>, Vec<&Frontend>) =
         candidates.into_iter().partition(|f| f.centre == centre);
@@ -104,5 +153,12 @@
     let elsewhere = MIN_ELSEWHERE.min(others.len());
     let near = own.len().min(MAX_ADDRESSES - elsewhere);
     let chosen = own[..near].iter().chain(&others).chain(&own[near..]);
-    chosen.take(MAX_ADDRESSES).map(|f| f.addr).collect()
+    Choice {
+        addrs: chosen.take(MAX_ADDRESSES).map(|f| f.addr).collect(),
+        ttl: if all_leave {
+            LEAVING_ANSWER_TTL
+        } else {
+            ANSWER_TTL
+        },
+    }
 }
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -53,6 +53,8 @@
 ///     addr: ([127, 0, 0, 1], 80).into(),
 ///     centre: "a".into(),
 ///     accepting,
+///     suspect: false,
+///     closes_at: None,
 ///     capacity: 1.0,
 /// };
 /// let frontends = [frontend(1, true), frontend(2, true), frontend(3, false), frontend(4, false)];
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -61,6 +61,8 @@
 ///     addr: format!("127.0.0.{id}:80").parse().unwrap(),
 ///     centre: "a".into(),
 ///     accepting: true,
+///     suspect: false,
+///     closes_at: None,
 ///     capacity: 1.0,
 /// };
 /// let all = [frontend(1), frontend(2), frontend(3)];
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -47,6 +47,8 @@
                     addr: ([127, 0, 0, 1], 80).into(),
                     centre: "a".into(),
                     accepting: id >= stopping,
+                    suspect: false,
+                    closes_at: None,
                     capacity: 0.25,
                 })
                 .collect();
@@ -80,6 +82,8 @@
                 addr: ([127, 0, 0, 1], 80).into(),
                 centre: "a".into(),
                 accepting: id >= gone,
+                suspect: false,
+                closes_at: None,
                 capacity: capacity(id),
             };
             let share = |me: usize| {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -20,6 +20,8 @@
         addr: format!("127.0.0.{}:80", i + 1).parse().unwrap(),
         centre: (*centre).to_owned(),
         accepting: true,
+        suspect: false,
+        closes_at: None,
         capacity: 1.0,
     };
     centres.iter().enumerate().map(frontend).collect()
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -393,6 +393,8 @@
         id: r.id,
         addr: SocketAddr::new(r.endpoints.gossip.ip(), r.endpoints.http),
         centre: r.endpoints.centre.clone(),
+        suspect: r.state == State::Suspect,
+        closes_at: None,
         accepting: matches!(r.state, State::Alive)
             && !inputs
                 .tables
--- a/crates/daemon/src/tier/control/publish.rs
+++ b/crates/daemon/src/tier/control/publish.rs
@@ -12,10 +12,10 @@
         tier::view::{Phase, View},
     },
     rattanturn_core::{
-        NodeId,
+        NodeId, Time,
         addresses::{self, Frontend},
         discovery::Target,
-        membership::State,
+        membership::{Member, State},
         quota,
         shutdown::StopSchedule,
     },
@@ -71,11 +71,24 @@
             } else {
                 accepts(m.record.state)
             },
+            suspect: m.record.state == State::Suspect,
+            closes_at: self.closing_time(m),
             capacity: self.capacity(&m.record.endpoints.name),
         });
         frontends.collect()
     }
 
+    /// When a daemon that leaves closes its listeners. That of another daemon is an estimate: its stop
+    /// began when this daemon learned that it leaves, and has the same limit.
+    fn closing_time(&self, member: &Member) -> Option<Time> {
+        if member.record.id == self.me {
+            let stopping = self.stopping.as_ref();
+            return stopping.map(|(schedule, _)| schedule.close_at());
+        }
+        let schedule = StopSchedule::new(member.changed, self.settings.drain_limit);
+        (member.record.state == State::Leaving).then(|| schedule.close_at())
+    }
+
     /// Publishes a new view for traffic if something changed.
     pub(super) fn publish_view(&mut self) {
         let inputs = ViewInputs {
--- a/crates/daemon/src/tier/directory.rs
+++ b/crates/daemon/src/tier/directory.rs
@@ -1,7 +1,7 @@
 //! Answers address lookups of callers and readiness checks of the platform.
 
 use {
-    crate::tier::view::SharedView,
+    crate::{clock, tier::view::SharedView},
     actix_http::{Request, Response, body::BoxBody},
     rattanturn_core::{addresses, rendezvous},
     rattanturn_http::{Limits, Server, query_parameter, response, spawn},
@@ -29,12 +29,13 @@
         RESOLVE_PATH => {
             let centre = query_parameter(request, RESOLVE_CENTRE_PARAM).unwrap_or("");
             let tie_break = rendezvous::key(&format!("{:?}", request.peer_addr()));
-            let addrs = addresses::choose(&view.frontends, centre, tie_break);
-            if addrs.is_empty() {
+            let chosen = addresses::choose(&view.frontends, centre, tie_break, clock::now());
+            if chosen.addrs.is_empty() {
                 return response(503, &[], "no daemon takes callers\n");
             }
             let json = ("content-type", "application/json".to_owned());
-            response(200, &[json], resolve_body(&addrs, ANSWER_TTL))
+            let ttl = chosen.ttl.min(ANSWER_TTL);
+            response(200, &[json], resolve_body(&chosen.addrs, ttl))
         }
         _ => response(404, &[], "no such path\n"),
     }
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -102,7 +102,10 @@
             ..self.clone()
         };
         let own = view.frontends.iter_mut().filter(|f| f.id == self.me);
-        own.for_each(|f| f.accepting = false);
+        own.for_each(|f| {
+            f.accepting = false;
+            f.closes_at = Some(stop.close_at());
+        });
         view
     }
 }
--- a/crates/daemon/src/traffic/caller_frontend.rs
+++ b/crates/daemon/src/traffic/caller_frontend.rs
@@ -241,10 +241,10 @@
     fn addresses(&self, request: &Request) -> Response<BoxBody> {
         let centre = query_parameter(request, "centre").unwrap_or("");
         self.sequence.set(self.sequence.get() + 1);
-        let addresses =
-            addresses::choose(&self.routing.load().frontends, centre, self.sequence.get());
+        let (routing, tie_break) = (self.routing.load(), self.sequence.get());
+        let chosen = addresses::choose(&routing.frontends, centre, tie_break, clock::now());
         let body = json!({
-            "addresses": addresses,
+            "addresses": chosen.addrs,
             "lifetime_ms": clock::millis(addresses::ANSWER_TTL),
         });
         response(
--- a/crates/demo/tests/tier/stops.rs
+++ b/crates/demo/tests/tier/stops.rs
@@ -3,6 +3,7 @@
 use {
     super::{CONFIG_APPLY_TIME, DRAIN_TIME, front_addr, plain_servers, run_count, with_cluster},
     actix_rt::{task::JoinHandle, time::sleep},
+    rattanturn_daemon::Tier,
     rattanturn_demo::tier_cluster::{PLAIN, TierCluster},
     rattanturn_standins::operator::{HOST, register_target},
     serde_json::json,
@@ -372,3 +373,32 @@
         assert!(late.is_empty(), "held and not run: {late:?}");
     });
 }
+
+/// All daemons stop at the same moment, as in an update of a whole deployment. Guards against callers
+/// that get no address although the daemons serve for another 4 s.
+#[test]
+fn callers_get_the_address_of_a_daemon_that_still_serves_while_all_stop() {
+    with_slow_servers(10, 30, async |cluster| {
+        let directories: Vec<_> = cluster.daemons.iter().map(Tier::addresses).collect();
+        let stops = std::mem::take(&mut cluster.daemons);
+        let stops: Vec<_> = stops
+            .into_iter()
+            .map(|daemon| actix_rt::spawn(daemon.stop()))
+            .collect();
+        for i in 0..6 {
+            sleep(Duration::from_millis(500)).await;
+            for at in &directories {
+                let addrs = cluster.resolve(*at, "a").await.unwrap();
+                assert!(!addrs.is_empty(), "look-up {i}");
+                for addr in addrs {
+                    let id = format!("{i}-{}-{}", at.directory, addr);
+                    let answer = Kept::open(addr).await.send("/query/x", &id).await;
+                    assert_eq!(answer.map(|a| a.status), Some(200), "{id}");
+                }
+            }
+        }
+        for stop in stops {
+            assert_eq!(stop.await.unwrap(), "0 requests left open");
+        }
+    });
+}
