Answer a request of no route with 404 also while the daemon closes

What callers saw: 503 for a route that is not there, which they try again elsewhere. The stop was looked at before the route. The test failed before.

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -92,10 +92,6 @@
         log_refused(request_id(head), "no-configuration");
         return Reply::not_run("no configuration is known yet\n", RETRY_AFTER);
     };
-    if view.phase == Phase::Closing {
-        log_refused(request_id(head), "closing");
-        return Reply::not_run("this daemon is closing\n", Duration::ZERO);
-    }
     let host = head.headers.get("host").and_then(|h| h.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or("");
     let Some(route) = catalog.route(host, head.uri.path()) else {
@@ -110,6 +106,11 @@
             return Reply::denied(denial);
         }
     };
+    // After what any other daemon would answer as well, such as 404.
+    if view.phase == Phase::Closing {
+        log_refused(request_id(head), "closing");
+        return Reply::not_run("this daemon is closing\n", Duration::ZERO);
+    }
     let deadline =
         fan_out::deadline(route, incoming.arrived, deadline(head)) - RESPONSE_TRANSIT_TIME;
     if let Some(refusal) = refuse_late(traffic, &view, route, head, deadline) {
--- a/crates/demo/tests/tier/stops.rs
+++ b/crates/demo/tests/tier/stops.rs
@@ -402,3 +402,28 @@
         }
     });
 }
+
+/// Guards against a 503 for what no daemon serves, so that its caller tries again elsewhere.
+#[test]
+fn a_request_of_no_route_gets_404_while_the_daemon_closes() {
+    with_slow_servers(10, 30, async |cluster| {
+        let at = front_addr(cluster, 0);
+        let stop = actix_rt::spawn(cluster.daemons.remove(0).stop());
+        sleep(DRAIN_LIMIT / 2).await;
+        let mut open = Vec::new();
+        for (path, status) in [("/nowhere/x", "404"), ("/query/x", "503")] {
+            let mut stream = TcpStream::connect(at).await.unwrap();
+            let head = format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            open.push((stream, status));
+        }
+        sleep(DRAIN_LIMIT / 4).await;
+        for (mut stream, status) in open {
+            stream.write_all(b"x-request-id: n\r\n\r\n").await.unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            assert_eq!(answer.get(9..12), Some(status), "{answer}");
+        }
+        assert_eq!(stop.await.unwrap(), "0 requests left open");
+    });
+}
