Answer 504 at the caller's own limit also after the end of its input

What callers saw: 502 at the caller's own limit, after the end of its input, for a request that goes on to its deadline.

Cause: the request's stage was looked at before its deadline.

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -219,7 +219,9 @@
     fn without_answer(&self, ran: bool, [not_run, late, lost]: [&'static str; 3]) -> Reply {
         let stage = self.incoming.ending.stage();
         let is_late = clock::now() + RESPONSE_TRANSIT_TIME >= self.deadline;
-        if stage >= Stage::CallerLeft {
+        // What must not run twice goes on after the end of its caller's input, until its deadline.
+        let late_first = stage == Stage::CallerLeft && ran && is_late;
+        if stage >= Stage::CallerLeft && !late_first {
             return Self::ended_answer(stage, ran);
         }
         if !ran {
--- a/crates/demo/tests/tier/answers.rs
+++ b/crates/demo/tests/tier/answers.rs
@@ -321,6 +321,23 @@
     });
 }
 
+/// Guards against a caller that is told that its request was lost, when its own time limit ended it.
+#[test]
+fn after_the_end_of_input_a_call_that_goes_on_ends_at_its_deadline_as_late() {
+    with_cluster(1, async |cluster| {
+        write_config(cluster, 30).await;
+        for s in &plain_servers(cluster) {
+            s.set_slow(ENDLESS);
+        }
+        let request = format!(
+            "POST /once/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: l\r\nx-deadline-ms: 600\r\n\
+             content-length: 4\r\n\r\nbody"
+        );
+        let heard = send_half_closed(front_addr(cluster, 0), &request).await;
+        assert_eq!(heard.status(), 504, "{heard:?}");
+    });
+}
+
 /// Guards against targets that work on for a caller that may have left, because enough of the others
 /// have answered.
 #[test]
