Let a request that a target answers with its own 503 cost its token

What targets saw: an account beyond its limit by requests that end in 503, as a target's own 503 gave the token back. Only a target that says that it has not run the call does that.

--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -153,10 +153,9 @@
 }
 
 impl AccountUse<'_> {
-    /// Ends the use with the answer. The token goes back if no target ran the request here: a peer
-    /// that ran it has taken one of its own.
-    fn end(mut self, answer: &Reply, summary: &RequestSummary) {
-        if answer.status == 503 || summary.relayed {
+    /// Ends the use. The token also goes back if a peer ran the request, which has taken one of its own.
+    fn end(mut self, summary: &RequestSummary) {
+        if summary.relayed {
             self.permit = None;
         }
     }
@@ -184,7 +183,7 @@
             permit,
         };
         let (answer, summary) = self.run().await;
-        used.end(&answer, &summary);
+        used.end(&summary);
         (answer, Some(summary))
     }
 
--- a/crates/demo/tests/tier/quotas_under_failure.rs
+++ b/crates/demo/tests/tier/quotas_under_failure.rs
@@ -148,6 +148,28 @@
     });
 }
 
+/// Guards against a limit that does not count requests that a target runs and answers with status 503:
+/// only `x-not-executed` says that it has not run them.
+#[test]
+fn request_that_a_target_fails_with_503_costs_its_token() {
+    with_cluster(1, async |cluster| {
+        write_limit(cluster, 1_000, 0.2, 4.0);
+        sleep(CONFIG_APPLY_TIME).await;
+        for server in plain_servers(cluster) {
+            server.set_fault(Fault::Unavailable);
+        }
+        let at = front_addr(cluster, 0);
+        let mut refused = 0;
+        for n in 0..12 {
+            let answer = call(at, "/once/x", &format!("f{n}"), HOT_KEY).await;
+            refused += u32::from(answer.unwrap().0 == 429);
+        }
+        // One of four tokens may arrive meanwhile.
+        assert!(refused >= 7, "{refused} of 12 refused");
+        assert_counts(cluster).await;
+    });
+}
+
 /// Guards against a caller that exceeds its limit, or a route's attempts, because it says that a daemon
 /// passed its request on.
 #[test]
