Count no failed trial while a more suspected request ends targets

Cause: its trial met the request that ends targets at the same target, as daemons differ for a moment in which targets are usable.

Change: a failed trial tells nothing if a more suspected request lost a target within the last second. At most a few ends count, so that crashing requests are still refused after few.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -43,6 +43,10 @@
 /// Time for which one daemon may make a trial that is due; then it is the turn of the next one, which
 /// may be the one that callers send the request to.
 const TRIAL_TURN: Duration = Duration::from_secs(5);
+/// A failed trial of a request tells nothing if a more suspected one lost a target within this time,
+/// which may have been on trial at the same target: daemons differ for a moment in which targets are
+/// usable, and so in the targets that they choose.
+const TRIAL_OVERLAP: Duration = Duration::from_secs(1);
 /// Time after the last end from which on a trial may go to the only usable target of a service, if no
 /// service has another one. Targets that start again are back by then.
 const LONE_TARGET_PAUSE: Duration = Duration::from_secs(30);
@@ -284,7 +288,8 @@
     }
 
     /// Records that a target ended while it had a call for the request. `target` identifies the run of
-    /// its process, and `trial` tells whether the call was a trial.
+    /// its process, and `trial` tells whether the call was a trial, which counts as failed unless a more
+    /// suspected request may have ended the target.
     pub fn record_end(
         &mut self,
         now: Time,
@@ -293,18 +298,28 @@
         trial: bool,
     ) -> Option<QuarantineChange> {
         self.make_room(now, request);
+        let failed = trial && !self.is_outdone(now, request);
         let entry = self.entries.entry(request).or_insert(Entry::new(now));
         let before = entry.level();
         // The lower half is as good a digest as the whole.
         #[allow(clippy::cast_possible_truncation)]
         entry.add_ended(now, [rendezvous::key(target) as u32]);
-        entry.trials = entry.trials.saturating_add(u32::from(trial));
+        entry.trials = entry.trials.saturating_add(u32::from(failed));
         entry.changed_at = now;
         self.news.insert(request);
         let after = self.clear_if_answered(now, request);
         change(before, after)
     }
 
+    /// Whether more targets ended under another request, the last of them within [`TRIAL_OVERLAP`]. At
+    /// most [`MAX_ENDED`] count, so a crashing request is outdone for a few ends at most.
+    fn is_outdone(&self, now: Time, request: Fingerprint) -> bool {
+        let ended = self.entries.get(&request).map_or(0, |e| e.ended.len());
+        self.entries.values().any(|e| {
+            e.is_suspected() && e.ended.len() > ended && now.since(e.changed_at) <= TRIAL_OVERLAP
+        })
+    }
+
     /// Records that a target answered the request, which clears it.
     pub fn record_answer(&mut self, now: Time, request: Fingerprint) -> Option<QuarantineChange> {
         self.remember_answer(now, request, now);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -55,6 +55,45 @@
     matches!(quarantine.verdict(now, request), Verdict::Refuse { .. })
 }
 
+/// Guards against an innocent request that is refused because its trial went to the same target as that
+/// of the request that ends targets.
+#[test]
+fn a_trial_that_a_more_suspected_request_may_have_failed_tells_nothing() {
+    let (poison, other) = (request("/poison"), request("/other"));
+    let (mut quarantine, now) = (Quarantine::default(), Time::from_millis(1_000));
+    for target in ["i-1", "i-2", "i-3"] {
+        quarantine.record_end(now, poison, target, false);
+    }
+    for target in ["i-1", "i-2"] {
+        quarantine.record_end(now, other, target, false);
+    }
+    quarantine.record_end(now, other, "i-4", true);
+    quarantine.record_end(now, poison, "i-4", true);
+    assert_eq!(quarantine.verdict(now, other), Verdict::Trial);
+    assert!(refuses(&quarantine, now, poison));
+    let later = now + Duration::from_secs(2);
+    quarantine.record_end(later, other, "i-5", true);
+    assert!(refuses(&quarantine, later, other));
+}
+
+/// Guards against requests that excuse each other for ever.
+#[test]
+fn requests_that_end_targets_at_the_same_time_are_refused_after_few_ends() {
+    let all = ["/a", "/b", "/c"].map(request);
+    let (mut quarantine, now) = (Quarantine::default(), Time::from_millis(1_000));
+    let mut ends = 0;
+    while let Some(next) = all.iter().find(|r| !refuses(&quarantine, now, **r)) {
+        let trial = quarantine.verdict(now, *next) == Verdict::Trial;
+        for request in all.iter().filter(|r| trial || *r == next) {
+            if !refuses(&quarantine, now, *request) {
+                ends += 1;
+                quarantine.record_end(now, *request, &format!("i-{ends}"), trial);
+            }
+        }
+    }
+    assert!(ends <= 5 * all.len(), "{ends} targets ended");
+}
+
 #[test]
 fn targets_that_ended_at_different_daemons_count_together() {
     let (poison, mut now) = (request("/poison"), Time::from_millis(1_000));
