Leave targets that are out of use out of the judgement on reach

Cause: entries whose address a later run of a target has counted as lost targets.

Change: only targets that are in use count. `/state` has `targets_lost`.

--- a/crates/daemon/src/tier/control/dump.rs
+++ b/crates/daemon/src/tier/control/dump.rs
@@ -37,6 +37,7 @@
             "reads_store": self.read_session.is_some(),
             "targets": self.cluster.targets.targets().count(),
             "leaving": self.gauges.withdrawn_targets.load(Ordering::Relaxed),
+            "targets_lost": self.gauges.targets_lost.load(Ordering::Relaxed),
             "out": self.cluster.evacuated,
             "rollouts": self.rollouts_dump(),
             "members": members,
--- a/crates/daemon/src/tier/traffic/reach.rs
+++ b/crates/daemon/src/tier/traffic/reach.rs
@@ -30,7 +30,9 @@
     pub(crate) fn watch_reach(self: &Rc<Self>) {
         self.watch_silence();
         self.judge_reach();
-        let withdrawn = self.relay.is_withdrawn(self.reach.borrow().is_lost());
+        let lost = self.reach.borrow().is_lost();
+        let withdrawn = self.relay.is_withdrawn(lost);
+        self.gauges.targets_lost.store(lost, Ordering::Relaxed);
         self.gauges.withdrawn.store(withdrawn, Ordering::Relaxed);
     }
 
@@ -50,7 +52,9 @@
     /// Updates whether most targets are lost, of those about which anything is known.
     fn judge_reach(&self) {
         let upstreams = self.upstreams.borrow();
-        let tried = upstreams.values().filter(|u| u.was_tried());
+        // Targets that leave, or whose address another target has now, have been reached.
+        let used = upstreams.values().filter(|u| u.is_used());
+        let tried = used.filter(|u| u.was_tried());
         let known = tried.clone().count();
         let available = tried.filter(|u| u.is_available()).count();
         meters::set_unreachable_targets(known - available);
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -123,6 +123,8 @@
     pub(crate) upstreams: AtomicUsize,
     /// Targets that have said in an answer that they leave; set by traffic.
     pub(crate) withdrawn_targets: AtomicUsize,
+    /// Whether most targets are out of reach; set by traffic.
+    pub(crate) targets_lost: AtomicBool,
     /// Whether callers should be directed to other daemons, because this one has lost the targets
     /// and its peers have not; set by traffic.
     pub(crate) withdrawn: AtomicBool,
--- a/crates/demo/tests/tier/targets.rs
+++ b/crates/demo/tests/tier/targets.rs
@@ -107,6 +107,29 @@
     serde_json::from_slice(&answer.body).unwrap()
 }
 
+/// Guards against a daemon that counts servers as out of reach because they started again under other
+/// ids, while the store still has the entries of the earlier ones.
+#[test]
+fn servers_that_started_again_under_other_ids_are_within_reach() {
+    with_cluster(1, async |cluster| {
+        let at = front_addr(cluster, 0);
+        for run in 0..2 {
+            for server in &cluster.servers {
+                server.stop();
+                server.start();
+                register_target(&cluster.store, server, "ready", 1);
+            }
+            for n in 0..100 {
+                let (id, path) = (format!("{run}-{n}"), ["/all/x", "/one/x"][n % 2]);
+                request(at, path, &id, "").await;
+                sleep(LOAD_INTERVAL).await;
+            }
+        }
+        assert_eq!(request(at, "/all/x", "last", "").await.unwrap().status, 200);
+        assert_eq!(dump(cluster, 0).await["targets_lost"], false);
+    });
+}
+
 /// Guards against requests at a server that says in its answers that it leaves, which the store
 /// cannot tell during an outage.
 #[test]
