Count a lack of descriptors at a daemon not as a loss of targets

What callers saw: 502 for all open idempotent requests, 4 of 4 open gathers.

Cause: a connection that this process cannot open counted as a target that is down, and all of them as the loss of the targets.

Change: errors that are a lack of this process or machine do not change a target's health.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -18,6 +18,7 @@
     bytes::{Bytes, BytesMut},
     rattanturn_core::Time,
     rattanturn_platform::http::{AnswerHead, answer_head},
+    rustix::io::Errno,
     std::{cell::Cell, io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -326,6 +327,19 @@
     kinds.contains(&error.kind())
 }
 
+/// Whether an error in opening a connection is a lack of this process or VM, such as of file descriptors,
+/// and tells nothing about the target.
+pub(crate) fn is_local(error: &io::Error) -> bool {
+    let lacks = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+    ];
+    Errno::from_io_error(error).is_some_and(|errno| lacks.contains(&errno))
+}
+
 /// The codec is missing because reading an earlier body failed.
 fn unusable() -> io::Error {
     invalid_data("the connection broke before")
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -11,7 +11,7 @@
     crate::{
         clock,
         tier::{
-            connection::{Answer, OpenBytes, TargetConnection, is_closed},
+            connection::{Answer, OpenBytes, TargetConnection, is_closed, is_local},
             meters,
             permits::{ConnectionPermit, ConnectionPermits},
         },
@@ -241,14 +241,16 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Whether the target accepts a connection within `limit`; the connection is kept.
+    /// Whether the target accepts a connection within `limit`; the connection is kept. It counts as
+    /// accepted if this daemon cannot open any.
     pub(crate) async fn accepts_connection(&self, limit: Duration) -> bool {
         match timeout(limit, TargetConnection::connect(self.addr())).await {
             Ok(Ok(connection)) => {
                 self.keep(connection);
                 true
             }
-            Ok(Err(_)) | Err(_) => false,
+            Ok(Err(error)) => is_local(&error),
+            Err(_) => false,
         }
     }
 
@@ -505,7 +507,7 @@
     }
 
     /// Takes a reusable idle connection or opens one; idle ones that it passes over are closed. `None`
-    /// if none can be opened, for which the target is down.
+    /// if none can be opened, for which the target is down unless the cause is here.
     async fn take_connection(&self, non_idempotent: bool) -> Option<TargetConnection> {
         let now = clock::now();
         while let Some(connection) = self.idle.borrow_mut().pop() {
@@ -515,7 +517,7 @@
         }
         let addr = self.addr();
         let connected = TargetConnection::connect(addr).await;
-        if connected.is_err() {
+        if connected.as_ref().is_err_and(|error| !is_local(error)) {
             self.update_health(|h| h.connect_failed(clock::now()));
         }
         connected.ok()
