End the process although nobody reads its log

What operators saw: a stopped daemon that never ends, then SIGKILL: the process ran 6 s after a stop that took 4 s.

Cause: the exit waited until the log was written.

Change: the rest of the log is written by another thread, for a second at most and as far as the drain limit allows it.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! `rattanturnd`: runs one daemon as a process, from a settings file until a signal stops it.
 //!
-//! The process writes its log to stdout and errors at start to stderr.
+//! The process writes its log to stdout and errors at start to stderr. Neither can end it: the log drops
+//! lines that nothing reads, and what cannot be written to stderr is given up.
 //!
 //! SIGTERM comes from a supervisor, which may repeat it and kills the process once the drain limit has
 //! passed: during a stop it changes nothing, whichever signal began the stop. SIGINT comes from
@@ -13,6 +14,7 @@
 
 use {
     eyre::{Context, bail, eyre},
+    rattanturn_core::{Time, shutdown::StopSchedule},
     rattanturn_daemon::{Daemon, StopHandle, Tier},
     rattanturn_tables::{Findings, LogFormat, Settings},
     std::{
@@ -23,7 +25,8 @@
         path::{Path, PathBuf},
         pin::pin,
         process::ExitCode,
-        time::Duration,
+        sync::mpsc,
+        time::{Duration, Instant},
     },
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
@@ -107,8 +110,11 @@
             again: false,
         },
         log,
+        exit_by: None,
     };
-    match process.run(&mut signals).await {
+    let ran = process.run(&mut signals).await;
+    process.finish_log();
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             report(format_args!("rattanturnd: {error:#}"));
@@ -248,13 +254,16 @@
 const LOG_BUFFER_LINES: usize = 4_096;
 /// Interval of the check for dropped log lines.
 const DROP_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest time for which the process writes its log after the daemon has ended.
+const MAX_FLUSH_TIME: Duration = Duration::from_secs(1);
+
 /// A log that never blocks the daemon: if nothing reads its output, lines are dropped.
 struct Log {
     filter: FilterHandle,
     /// Counts the dropped lines.
     dropped: ErrorCounter,
-    /// Writes the waiting lines when it is dropped.
-    _writer: WorkerGuard,
+    /// Writes the waiting lines when it is dropped, which may block without end if nothing reads them.
+    writer: WorkerGuard,
 }
 
 /// Installs the process's log, which writes to stdout.
@@ -276,7 +285,7 @@
     Log {
         filter: handle,
         dropped,
-        _writer: guard,
+        writer: guard,
     }
 }
 
@@ -284,6 +293,8 @@
 struct Process {
     file: SettingsFile,
     log: Log,
+    /// When it exits at the latest, once it was asked to stop.
+    exit_by: Option<Instant>,
 }
 
 impl Process {
@@ -295,6 +306,7 @@
             let at = daemon.addresses();
             tracing::info!(callers = %at.http, operators = %at.admin, gossip = %at.gossip, "serving");
             let asked = self.serve(signals, daemon.control_ended()).await;
+            self.note_stop();
             let handle = daemon.stop_handle();
             self.await_stop(daemon.stop(), &handle, signals).await;
             return asked;
@@ -307,11 +319,37 @@
             "serving"
         );
         let asked = self.serve(signals, daemon.control_ended()).await;
+        self.note_stop();
         let handle = daemon.stop_handle();
         self.await_stop(daemon.stop(), &handle, signals).await;
         asked
     }
 
+    /// Notes that the stop begins now.
+    fn note_stop(&mut self) {
+        let schedule = StopSchedule::new(Time::ZERO, self.file.current.drain_limit);
+        self.exit_by = Some(Instant::now() + schedule.exit_by().since(Time::ZERO));
+    }
+
+    /// Writes the rest of the log as far as the time allows it.
+    fn finish_log(self) {
+        let left = self.exit_by.map_or(MAX_FLUSH_TIME, |at| {
+            at.saturating_duration_since(Instant::now())
+        });
+        let writer = self.log.writer;
+        let (done, wait) = mpsc::channel();
+        let flush = move || {
+            drop(writer);
+            // Sending fails only if the time is up.
+            let _ = done.send(());
+        };
+        // Without a thread, the lines are lost.
+        if std::thread::Builder::new().spawn(flush).is_ok() {
+            // An error means that the time is up.
+            let _ = wait.recv_timeout(left.min(MAX_FLUSH_TIME));
+        }
+    }
+
     /// Handles SIGHUP and reports dropped log lines until a signal asks the daemon to stop. Fails if
     /// control ends before, when the daemon must stop as well: its supervisor starts it again, with a
     /// control that follows the store and the peers.
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::mpsc,
@@ -20,6 +21,8 @@
 
 /// `drain-limit` in [`SETTINGS`].
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// More lines than the log's buffer of 4,096 lines and a pipe of 64 KiB hold.
+const LINES_IN_FULL_LOG: usize = 6_000;
 /// Settings of a daemon with the project's own interface.
 const OWN_INTERFACE: &str = "[daemon]\nname = d0\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\n\
     rpc-port = 0\ngossip-port = 0\nhttp-port = 0\ndrain-limit = 3s\n\
@@ -284,3 +287,62 @@
     let ended = daemon.child.try_wait().unwrap();
     assert_eq!(ended, None, "SIGHUP ended the process");
 }
+
+/// Guards against a process that never ends because nothing reads its log any more: what is written at
+/// its end waits for the thread that is stuck in writing the log.
+#[test]
+fn a_full_log_that_nothing_reads_does_not_hold_up_the_exit() {
+    let settings = settings_path("unread-log");
+    fs::write(&settings, SETTINGS.replace("limit = 3s", "limit = 6s")).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
+        .arg(&settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn();
+    let (_, lines) = mpsc::channel();
+    let mut daemon = Daemon {
+        child: child.unwrap(),
+        lines,
+        settings,
+    };
+    // It stays open and is not read any more.
+    let mut log = BufReader::new(daemon.child.stdout.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("\"serving\"") {
+        line.clear();
+        assert!(log.read_line(&mut line).unwrap() > 0, "no line of a start");
+    }
+    let serving: serde_json::Value = serde_json::from_str(&line).unwrap();
+    let front = serving["fields"]["callers"].as_str().unwrap();
+    send_refused(front.parse().unwrap(), LINES_IN_FULL_LOG);
+    let began = Instant::now();
+    daemon.send_signal("-TERM");
+    let status = loop {
+        if let Some(status) = daemon.child.try_wait().unwrap() {
+            break status;
+        }
+        assert!(began.elapsed() < 2 * DRAIN_LIMIT, "still runs");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    assert_eq!(status.code(), Some(0));
+}
+
+/// Sends requests to a daemon without a configuration, which refuses each with a line of its log.
+fn send_refused(front: SocketAddr, count: usize) {
+    let mut stream = TcpStream::connect(front).unwrap();
+    let mut answers = stream.try_clone().unwrap();
+    let reader = std::thread::spawn(move || {
+        let mut text = String::new();
+        answers.read_to_string(&mut text).unwrap();
+        text.matches("HTTP/1.1 503").count()
+    });
+    for _ in 1..count {
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            .unwrap();
+    }
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    assert_eq!(reader.join().unwrap(), count);
+}
