Send no call that has waited too long for a connection

What callers saw: 504 for nearly all, while a target gets more than it can run.

Cause: calls were sent however little time they had left, so that all of the target's work was lost.

Change: a call that has waited is not sent with less time left than calls usually take, and one that would wait too long is refused at once and not held. A call that finds a free connection is always sent, which corrects estimates that are too high. A key that was revoked while a call waited in vain is answered with 401.

--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -263,6 +263,38 @@
         out
     }
 
+    /// Until when the answer of a further call is of use: the deadline, or the cutoff once there are
+    /// enough parts without it.
+    ///
+    /// ```
+    /// use {rattanturn_core::{Time, gather::*}, std::time::Duration};
+    /// let ms = Time::from_millis;
+    /// let plan = Plan {
+    ///     services: vec![vec![0], vec![1]],
+    ///     hedge_delays: vec![Duration::ZERO; 2],
+    ///     deadline: ms(100),
+    ///     snapshot: 7,
+    ///     hedging: false,
+    ///     idempotent: true,
+    ///     max_attempts: 1,
+    ///     max_ended: max_ended(2),
+    ///     cutoff: Some(Cutoff { at: ms(40), min_parts: 1 }),
+    ///     budgets: vec![],
+    /// };
+    /// let mut budgets = Budgets::default();
+    /// let (mut gather, _) = Gather::start(Time::ZERO, plan, &mut budgets);
+    /// assert_eq!(gather.useful_until(), ms(100));
+    /// let reply = Reply::Done { snapshot: 7, body: b"x".to_vec() };
+    /// gather.reply(ms(3), AttemptId(0), reply, 7, &mut budgets);
+    /// assert_eq!(gather.useful_until(), ms(40));
+    /// ```
+    #[must_use]
+    pub fn useful_until(&self) -> Time {
+        let cutoff = self.plan.cutoff;
+        let enough = cutoff.filter(|c| self.covered() >= c.min_parts);
+        enough.map_or(self.plan.deadline, |c| c.at.min(self.plan.deadline))
+    }
+
     /// Time at which [`Gather::tick`] must be called next, at the latest the deadline.
     ///
     /// Every call to [`Gather::reply`] or [`Gather::tick`] may change it.
@@ -459,12 +491,11 @@
     }
 
     fn retry(&mut self, now: Time, service: usize, budgets: &mut Budgets, out: &mut Vec<Action>) {
+        use MissingReason::{Deadline, Limited, NoHolder, Unreachable};
         // The failed attempt cost no target any work, so its retry adds no load to targets and
         // needs no budget.
-        let exempt = matches!(
-            self.states[service].reason,
-            Some(MissingReason::NoHolder | MissingReason::Unreachable | MissingReason::Limited)
-        );
+        let reason = self.states[service].reason;
+        let exempt = matches!(reason, Some(NoHolder | Unreachable | Limited | Deadline));
         if exempt || budgets.pair(self.budget(service)).try_withdraw_retry() {
             self.counts.retries += 1;
             self.call_next_target(now, service, out);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 //!
 //! - [`quota`]: the part of each target's connections that this daemon may use.
 //! - [`permits`]: which call gets a free connection.
+//! - [`call_times`]: how long calls to a target take, and until when a waiting one is sent.
 //! - [`cold`]: how many requests this daemon sends to a target that still warms up.
 //! - [`rate_share`]: when this daemon may send a request to a target that limits its rate.
 //! - [`lease`]: which daemon may use a unit, such as a group of targets, right now; granted by a
@@ -72,6 +73,7 @@
 pub mod allowance;
 mod alternate;
 pub mod buckets;
+pub mod call_times;
 pub mod catalog;
 pub mod cold;
 pub mod dedup;
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -198,6 +198,20 @@
     );
 }
 
+/// Guards against a service that is left out although another target has time for it: a call that was not
+/// sent cost no target anything.
+#[test]
+fn a_call_that_was_not_sent_for_lack_of_time_costs_no_budget() {
+    let mut budgets = Budgets::default();
+    budgets.pair(0).hedge.set_tokens(0.0);
+    budgets.pair(0).retry.set_tokens(0.0);
+    let mut gather = start_query(1, &mut budgets);
+    let late = Reply::NotRun(MissingReason::Deadline);
+    let now = Time::from_millis(5);
+    let actions = gather.reply(now, AttemptId(0), late, 7, &mut budgets);
+    assert_eq!(calls(&actions), 1);
+}
+
 /// Starts a query over `services` services of two targets each, with a retry for each of them.
 fn start_query(services: usize, budgets: &mut Budgets) -> Gather {
     let plan = Plan {
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -217,6 +217,8 @@
         let progress = Rc::<Progress>::default();
         // A further call to a service means that the earlier ones were slow or failed.
         for earlier in self.attempts.iter().filter(|a| a.service == service) {
+            let waited = progress.waited.get() || earlier.progress.waited.get();
+            progress.waited.set(waited);
             if earlier.refusal.is_none() {
                 self.traffic
                     .record_relative_latency(now, earlier.index, STALLED_RELATIVE_LATENCY);
@@ -394,6 +396,7 @@
             .map(|a| a.service);
         let budgets = &mut self.traffic.budgets.borrow_mut();
         let actions = gather.reply(now, ended.attempt, reply, ONE_SNAPSHOT, budgets);
+        self.request.call.useful_until.set(gather.useful_until());
         if gather.covered() > covered
             && let Some(service) = service
         {
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -495,6 +495,8 @@
             body: self.incoming.body.clone(),
             id: request_id(head).map(Rc::from),
             deadline: self.deadline,
+            route: Rc::from(self.route.name.as_str()),
+            useful_until: Rc::new(Cell::new(self.deadline)),
             non_idempotent: !self.route.idempotent,
             identity: self.identity.clone(),
             access: self.access.clone(),
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -19,6 +19,7 @@
     actix_http::RequestHeadType,
     rattanturn_core::{
         Time,
+        call_times::CallTimes,
         cold::SlidingWindowLimiter,
         discovery::Target,
         gather::MissingReason,
@@ -48,8 +49,6 @@
 /// A call with less time left than this is not sent, because it could not be answered in time.
 const MIN_CALL_TIME: Duration = Duration::from_millis(2);
 
-/// Weight of the newest call in the average of the times for which calls hold a connection.
-const HELD_WEIGHT: f64 = 0.1;
 /// Time in which an attempt to connect shows that nothing listens at a target's address any more. An
 /// answer to it takes some milliseconds; a target that gives none has lost its network or its power.
 const END_CHECK_TIME: Duration = Duration::from_millis(50);
@@ -102,8 +101,8 @@
     health: Cell<TargetHealth>,
     /// This daemon's part of the connections that the target accepts.
     permits: ConnectionPermits,
-    /// Moving average of the times for which calls held a connection.
-    held: Cell<Duration>,
+    /// Times for which calls held a connection.
+    times: RefCell<CallTimes>,
     idle: RefCell<Vec<TargetConnection>>,
     limiter: RefCell<SlidingWindowLimiter>,
     /// The rate limit that the target's last answer stated, and this daemon's share of it.
@@ -150,7 +149,7 @@
             waits_ended: Notify::new(),
             health: Cell::default(),
             permits: ConnectionPermits::new(1),
-            held: Cell::default(),
+            times: RefCell::default(),
             idle: RefCell::default(),
             limiter: RefCell::default(),
             rate_share: RefCell::new(RateShare::new(rand::random())),
@@ -296,7 +295,7 @@
             return Duration::ZERO;
         }
         let (waiting, connections) = (self.permits.waiting(), self.permits.limit());
-        expected_wait(self.held.get(), waiting, connections)
+        expected_wait(self.times.borrow().recent(), waiting, connections)
     }
 
     /// Whether the stop of this daemon leaves a call too little time, which may have waited for its turn
@@ -309,7 +308,7 @@
             return true;
         }
         let late = LateRequest {
-            usual: Some(self.held.get()),
+            usual: Some(self.times.borrow().recent()),
             time_limit: call.deadline.since(now),
             ..LateRequest::default()
         };
@@ -320,17 +319,45 @@
     ///
     /// # Errors
     ///
-    /// The call is not to be sent: its target leaves or is out of use, or the request needs it no more.
+    /// The call is not to be sent: its target leaves or is out of use, the request needs it no more, or
+    /// it has waited or would wait until its answer came too late.
     async fn wait_for_permit(&self, call: &Call) -> Result<ConnectionPermit<'_>, MissingReason> {
+        if !self.has_free_connection() {
+            call.progress.waited.set(true);
+            let (waiting, connections) = (self.permits.waiting(), self.permits.limit());
+            let (now, until) = (clock::now(), call.useful_until.get());
+            let times = self.times.borrow();
+            if times.waits_too_long(&call.route, now, until, waiting, connections) {
+                return Err(too_late(call));
+            }
+        }
         let mut permit = pin!(self.permits.acquire());
-        tokio::select! {
-            biased;
-            () = self.waits_ended.notified() => Err(MissingReason::Unreachable),
-            () = call.progress.revocation() => Err(MissingReason::Deadline),
-            permit = &mut permit => Ok(permit),
+        loop {
+            if self.has_waited_too_long(call) {
+                return Err(too_late(call));
+            }
+            tokio::select! {
+                biased;
+                () = self.waits_ended.notified() => return Err(MissingReason::Unreachable),
+                () = call.progress.revocation() => return Err(MissingReason::Deadline),
+                permit = &mut permit => return Ok(permit),
+                () = clock::sleep_until(self.send_by(call)) => {}
+            }
         }
     }
 
+    /// Last time at which a call may be sent if it has waited.
+    fn send_by(&self, call: &Call) -> Time {
+        let times = self.times.borrow();
+        times.send_by(&call.route, call.useful_until.get())
+    }
+
+    /// Whether a call has waited for a connection, here or to another target, and has less time left than
+    /// calls to this target usually take.
+    fn has_waited_too_long(&self, call: &Call) -> bool {
+        call.progress.waited.get() && clock::now() >= self.send_by(call)
+    }
+
     /// Closes idle connections that cannot be reused, and all of them once the target is unusable.
     pub(crate) fn close_idle(&self, now: Time) {
         let mut idle = self.idle.borrow_mut();
@@ -370,6 +397,10 @@
         }
         let now = clock::now();
         self.update_health(|h| h.timed_out(now));
+        if let Some(permitted) = call.progress.permitted.get() {
+            let held = now.since(permitted);
+            self.times.borrow_mut().record_timeout(&call.route, held);
+        }
         Outcome::Lost("no answer in time".into())
     }
 
@@ -383,6 +414,9 @@
         if call.progress.revoked() {
             return Outcome::NotRun(MissingReason::Deadline);
         }
+        if self.has_waited_too_long(call) {
+            return Outcome::NotRun(too_late(call));
+        }
         let permitted = clock::now();
         if self.is_too_late(call, permitted) {
             return Outcome::NotRun(MissingReason::Deadline);
@@ -454,7 +488,7 @@
                     self.keep(connection);
                 }
                 let outcome = self.classify(answer);
-                self.record_time(now.since(permitted));
+                self.record_time(call, &outcome, now.since(permitted));
                 if matches!(outcome, Outcome::NotRun(_)) {
                     call.calls_sent.set(call.calls_sent.get() - 1);
                 }
@@ -468,13 +502,14 @@
     }
 
     /// Records for how long an answered call held its connection.
-    fn record_time(&self, held: Duration) {
-        let known = self.held.get();
-        self.held.set(if known.is_zero() {
-            held
-        } else {
-            known.mul_f64(1.0 - HELD_WEIGHT) + held.mul_f64(HELD_WEIGHT)
-        });
+    fn record_time(&self, call: &Call, outcome: &Outcome, held: Duration) {
+        let mut times = self.times.borrow_mut();
+        match outcome {
+            Outcome::Answered(a) if (200..300).contains(&a.status) => {
+                times.record_answer(&call.route, held);
+            }
+            _ => times.record_other(held),
+        }
     }
 
     /// Whether the target's process has ended, so that connections to its address are refused. One
@@ -523,3 +558,12 @@
         connected.ok()
     }
 }
+
+/// Why a call that has waited too long is not sent. A key that was revoked meanwhile comes first, so that
+/// the caller does not try again with it.
+fn too_late(call: &Call) -> MissingReason {
+    match call.access.confirm() {
+        Ok(_) => MissingReason::Deadline,
+        Err(_) => MissingReason::Unauthorized,
+    }
+}
--- a/crates/daemon/src/tier/upstream/call.rs
+++ b/crates/daemon/src/tier/upstream/call.rs
@@ -49,6 +49,11 @@
     /// Request id that the answer must repeat.
     pub(crate) id: Option<Rc<str>>,
     pub(crate) deadline: Time,
+    /// Name of the request's route.
+    pub(crate) route: Rc<str>,
+    /// Until when an answer is of use to the request: the deadline, or an earlier time from which it can
+    /// do without.
+    pub(crate) useful_until: Rc<Cell<Time>>,
     /// The call must not run twice. It gets a new connection: a request on a kept one that the
     /// target is just closing is lost, and it would not be known whether it ran.
     pub(crate) non_idempotent: bool,
@@ -68,6 +73,8 @@
     pub(crate) stage: Cell<CallStage>,
     /// When the call got the right to a connection.
     pub(crate) permitted: Cell<Option<Time>>,
+    /// Whether it has waited for a connection, or an earlier call of the request to the same service has.
+    pub(crate) waited: Cell<bool>,
     /// Whether the call must not be written any more, because its request was answered.
     revoked: Cell<bool>,
     /// Ends the call's wait for a connection when it is revoked.
--- a/crates/demo/tests/tier/waiting_calls.rs
+++ b/crates/demo/tests/tier/waiting_calls.rs
@@ -1,11 +1,15 @@
 //! Calls that wait for a connection to their target.
 
 use {
-    super::{CONFIG_APPLY_TIME, front_addr, plain_servers, with_cluster},
+    super::{CONFIG_APPLY_TIME, front_addr, plain_servers, run_count, with_cluster},
     actix_rt::time::sleep,
-    rattanturn_demo::tier_cluster::request_within,
-    rattanturn_standins::operator::deregister_target,
-    std::time::{Duration, Instant},
+    rattanturn_demo::tier_cluster::{TierCluster, request, request_within},
+    rattanturn_standins::{operator::deregister_target, shard::State},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Time between two requests; the target takes about twice as long for one.
@@ -16,6 +20,61 @@
 const ORDER_LIMIT: Duration = Duration::from_millis(ORDER_LIMIT_MS);
 /// Number of later requests that may be served first: they can overtake on the way to the daemon.
 const OVERTAKES: usize = 5;
+/// Connections that a target accepts, of which the only daemon uses 0.6, and the factor by which it is
+/// slower than usual: with 200 ms a request, it runs 30 a second.
+const CONNECTIONS: u32 = 10;
+const SLOWDOWN: f64 = 20.0;
+/// Time limit and latency goal of the route.
+const LIMIT_MS: u64 = 1_000;
+/// Requests sent before the daemon knows how long the target takes, or before a queue is full.
+const ONSET: usize = 40;
+/// Time in which a request that cannot be served must be refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
+/// What a caller gets for a request.
+#[derive(Debug)]
+struct Seen {
+    id: String,
+    status: u16,
+    took: Duration,
+}
+
+/// Leaves the daemon one server, which accepts [`CONNECTIONS`].
+async fn keep_one_server(cluster: &mut TierCluster) -> Arc<State> {
+    let servers = plain_servers(cluster);
+    deregister_target(&cluster.store, &servers[1]);
+    cluster.config = std::mem::take(&mut cluster.config)
+        .limits(LIMIT_MS, LIMIT_MS)
+        .max_connections(CONNECTIONS);
+    cluster.config.write(&cluster.store);
+    sleep(CONFIG_APPLY_TIME).await;
+    servers[0].set_slow(SLOWDOWN);
+    servers[0].clone()
+}
+
+/// Sends `count` requests that must not be repeated, one each `interval`.
+async fn send_load(at: SocketAddr, name: &str, count: usize, interval: Duration) -> Vec<Seen> {
+    let mut open = Vec::new();
+    for n in 0..count {
+        let id = format!("{name}{n}");
+        open.push(actix_rt::spawn(async move {
+            let sent = Instant::now();
+            let answer = request(at, "/once/x", &id, "body").await;
+            Seen {
+                id,
+                status: answer.map_or(0, |a| a.status),
+                took: sent.elapsed(),
+            }
+        }));
+        sleep(interval).await;
+    }
+    let mut all = Vec::new();
+    for request in open {
+        all.push(request.await.unwrap());
+    }
+    all
+}
+
 /// Guards against calls that wait again behind all others when a new one takes the connection that
 /// they were woken for.
 #[test]
@@ -50,3 +109,45 @@
         assert!(most <= Some(OVERTAKES), "overtaken by {most:?} later ones");
     });
 }
+
+/// Twice as many requests arrive as the target can run. Guards against calls that are sent so late that
+/// all of the target's work is lost.
+#[test]
+fn a_target_that_cannot_keep_up_works_on_requests_that_can_be_answered() {
+    with_cluster(1, async |cluster| {
+        let servers = [keep_one_server(cluster).await];
+        let interval = Duration::from_millis(16);
+        let seen = send_load(front_addr(cluster, 0), "o", 250, interval).await;
+        let later = &seen[ONSET..];
+        let ran = |s: &&Seen| run_count(&servers, &s.id) > 0;
+        let runs = later.iter().filter(ran).count();
+        let served = later.iter().filter(|s| s.status == 200).count();
+        assert!(served > 0, "none was served of {runs} that ran");
+        assert!(
+            served * 10 >= runs * 8,
+            "{served} served of {runs} that ran"
+        );
+    });
+}
+
+/// Guards against requests that wait for a connection until their time is up, although it is known from
+/// the start that they get none in time.
+#[test]
+fn a_request_that_would_wait_too_long_for_a_connection_is_refused_at_once() {
+    with_cluster(1, async |cluster| {
+        let servers = [keep_one_server(cluster).await];
+        let interval = Duration::from_millis(8);
+        let seen = send_load(front_addr(cluster, 0), "r", 250, interval).await;
+        let later = seen[ONSET..].iter();
+        let not_run: Vec<&Seen> = later.filter(|s| run_count(&servers, &s.id) == 0).collect();
+        let others = not_run.iter().filter(|s| s.status != 503);
+        assert_eq!(others.count(), 0, "{not_run:?}");
+        let held = not_run.iter().filter(|s| s.took > REFUSAL_TIME).count();
+        assert!(not_run.len() > 50, "{} not run", not_run.len());
+        assert!(
+            held * 4 <= not_run.len(),
+            "{held} of {} held back",
+            not_run.len()
+        );
+    });
+}
