--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -138,13 +138,15 @@
 
     async fn run(&mut self, traffic: &Rc<Traffic>) -> io::Result<()> {
         loop {
-            let limits = caller_limits(traffic);
-            match self.wait_for_request(traffic, limits.idle_time).await {
+            let idle_time = caller_limits(traffic).idle_time;
+            match self.wait_for_request(traffic, idle_time).await {
                 Ok(()) => {}
                 Err(ReadError::Idle) => return self.linger().await,
                 Err(_) => return Ok(()),
             }
             let _open = traffic.open_request();
+            // The configuration may have changed while the connection was idle.
+            let limits = caller_limits(traffic);
             let incoming = match self.read_until_stop(traffic, limits).await {
                 Ok(incoming) => incoming,
                 Err(ReadError::Refused(answer)) => {
--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -5,10 +5,18 @@
     super::{CONFIG_APPLY_TIME, DRAIN_TIME, front_addr, shard_servers, with_cluster},
     actix_rt::time::sleep,
     rattanturn_daemon::Tier,
-    rattanturn_demo::tier_cluster::{TierCluster, request},
-    rattanturn_standins::{operator::register_target, platform::Platform, proxy::Proxy},
+    rattanturn_demo::tier_cluster::{PLAIN, TierCluster, request},
+    rattanturn_standins::{
+        operator::{HOST, register_target},
+        platform::Platform,
+        proxy::Proxy,
+    },
     serde_json::json,
     std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 /// Time after a fault in which the platform holds daemons to no time limit.
@@ -147,3 +155,46 @@
         }
     });
 }
+
+/// Writes a configuration that allows bodies of `body_bytes`.
+fn write_body_limit(cluster: &TierCluster, version: u64, body_bytes: usize) {
+    let spec = json!({
+        "version": version, "services": [{"name": PLAIN, "maxConns": 8}],
+        "routes": [{
+            "name": "one", "host": HOST, "pathPrefix": "/one/", "type": "idempotent",
+            "service": PLAIN, "timeoutMs": 5_000, "maxAttempts": 2, "priority": 2,
+        }],
+        "limits": {
+            "headerBytes": 16_384, "maxBodyBytes": body_bytes, "headerTimeoutMs": 5_000,
+            "idleTimeoutMs": 20_000,
+        },
+    });
+    cluster.store.write("config", "main", spec);
+}
+
+/// Sends a request with a body of `bytes` on a kept connection and returns the answer's status line.
+async fn post(stream: &mut TcpStream, id: &str, bytes: usize) -> String {
+    let head = format!(
+        "POST /one/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\ncontent-length: {bytes}\r\n\r\n"
+    );
+    let body = "x".repeat(bytes);
+    stream.write_all((head + &body).as_bytes()).await.unwrap();
+    let mut answer = [0; 4096];
+    let read = stream.read(&mut answer).await.unwrap();
+    let text = String::from_utf8_lossy(&answer[..read]);
+    text.lines().next().unwrap_or("").to_owned()
+}
+
+/// Guards against a 413 to a body that only the configuration of the connection's last request forbids.
+#[test]
+fn limits_of_a_new_configuration_hold_on_connections_that_were_idle() {
+    with_cluster(1, async |cluster| {
+        write_body_limit(cluster, 1_000, 100);
+        sleep(CONFIG_APPLY_TIME).await;
+        let mut stream = TcpStream::connect(front_addr(cluster, 0)).await.unwrap();
+        assert_eq!(post(&mut stream, "before", 100).await, "HTTP/1.1 200 OK");
+        write_body_limit(cluster, 1_001, 10_000);
+        sleep(CONFIG_APPLY_TIME).await;
+        assert_eq!(post(&mut stream, "after", 10_000).await, "HTTP/1.1 200 OK");
+    });
+}
