Read a target's answer while the request is still written

What callers saw: 502 or 504 although the target had answered or refused, because an answer was read only once the request was written.

Change: both happen at a time. What cannot be written any more does not hide an answer that came before. Such a connection is not used again.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -1,9 +1,10 @@
 //! HTTP/1 client connection to one target.
 //!
 //! Requests are not pipelined, so at most one is open on a connection, and an answer counts only if
-//! it carries that request's id. Targets may send an answer twice, late, truncated or without a
-//! length. An answer to another request is skipped, and unexpected bytes on an idle connection
-//! make it unusable. A body without a length is complete if the target closes the connection
+//! it carries that request's id. A target may answer before it has read the whole request, so its
+//! answer is read while the request is still being written. Targets may send an answer twice, late,
+//! truncated or without a length. An answer to another request is skipped, and unexpected bytes on
+//! an idle connection make it unusable. A body without a length is complete if the target closes the connection
 //! without an error. Answers are not streamed: a body is held in memory as a whole. A target may
 //! also send bytes without end, in any part of an answer, so everything that is read for a call
 //! counts towards [`MAX_CALL_BYTES`] and [`MAX_OPEN_BYTES`].
@@ -110,6 +111,11 @@
 pub(crate) struct TargetConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Bytes of the request that are not written yet.
+    unsent: BytesMut,
+    /// Why the rest of the request could not be written. What the target answered before can still
+    /// be read.
+    write_error: Option<io::Error>,
     /// `None` while a body is read, and for good after reading one has failed.
     codec: Option<ClientCodec>,
     idle_since: Time,
@@ -130,6 +136,8 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            unsent: BytesMut::new(),
+            write_error: None,
             codec: Some(ClientCodec::default()),
             idle_since: clock::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -139,14 +147,17 @@
 
     /// Whether another request may be sent.
     ///
-    /// This needs that the last answer was complete and allowed it, that nothing came since, not
-    /// even the target's close, and that the target's idle timeout is not near.
+    /// This needs that the last request was written as a whole, that its answer was complete and
+    /// allowed it, that nothing came since, not even the target's close, and that the target's idle
+    /// timeout is not near.
     pub(crate) fn is_reusable(&self, now: Time) -> bool {
         let no_input = || {
             let read = self.stream.try_read(&mut [0]);
             matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
         };
         self.reusable
+            && self.unsent.is_empty()
+            && self.write_error.is_none()
             && self.buffer.is_empty()
             && now.since(self.idle_since) < self.idle_timeout
             && no_input()
@@ -181,8 +192,7 @@
         let codec = self.codec()?;
         codec.encode(Message::Item((head, size)), &mut out)?;
         out.extend_from_slice(body);
-        self.stream.write_all(&out).await?;
-        drop(out);
+        self.unsent = out;
         for _ in 0..=MAX_SKIPPED_ANSWERS {
             let answer = self.read_answer(&mut count).await?;
             if answer.head.request.as_deref() == id {
@@ -288,9 +298,29 @@
         Ok(self.buffer.split().freeze())
     }
 
+    /// Reads more of an answer, and writes what is left of the request meanwhile. Returns 0 if the
+    /// target has closed the connection.
     async fn read_more(&mut self, count: &mut ByteCount<'_>) -> io::Result<usize> {
         self.buffer.reserve(READ_BUFFER_BYTES);
-        let read = self.stream.read_buf(&mut self.buffer).await?;
+        let (mut reader, mut writer) = self.stream.split();
+        let read = loop {
+            tokio::select! {
+                biased;
+                written = writer.write_buf(&mut self.unsent), if !self.unsent.is_empty() => {
+                    self.write_error = written.err();
+                    if self.write_error.is_some() || self.unsent.is_empty() {
+                        self.unsent = BytesMut::new();
+                    }
+                }
+                read = reader.read_buf(&mut self.buffer) => break read?,
+            }
+        };
+        // The end of input does not show whether the connection was reset, which the write did.
+        if read == 0
+            && let Some(error) = self.write_error.take()
+        {
+            return Err(error);
+        }
         count.add(read)?;
         Ok(read)
     }
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -5,6 +5,7 @@
 mod broken_answers;
 mod cluster;
 mod crashing_request;
+mod early_answers;
 mod endless_answers;
 mod keys_under_failure;
 mod late_configuration;
