End answers to HEAD, and those with status 204 or 304, with their heads

What callers saw: 504 for HEAD and for answers without a body, as the method and the status were not looked at and the stated length was awaited.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -12,7 +12,7 @@
 use {
     crate::clock,
     actix_http::{
-        RequestHeadType, ResponseHead, Version,
+        Method, RequestHeadType, ResponseHead, Version,
         body::BodySize,
         h1::{ClientCodec, Message, MessageType},
     },
@@ -189,12 +189,13 @@
             len => BodySize::Sized(len as u64),
         };
         let mut out = BytesMut::with_capacity(512 + body.len());
+        let to_head = head.as_ref().method == Method::HEAD;
         let codec = self.codec()?;
         codec.encode(Message::Item((head, size)), &mut out)?;
         out.extend_from_slice(body);
         self.unsent = out;
         for _ in 0..=MAX_SKIPPED_ANSWERS {
-            let answer = self.read_answer(&mut count).await?;
+            let answer = self.read_answer(to_head, &mut count).await?;
             if answer.head.request.as_deref() == id {
                 return Ok(answer);
             }
@@ -206,7 +207,12 @@
         Err(invalid_data("the answer belongs to another request"))
     }
 
-    async fn read_answer(&mut self, count: &mut ByteCount<'_>) -> io::Result<Answer> {
+    /// Reads an answer; `to_head` tells whether the request's method is HEAD.
+    async fn read_answer(
+        &mut self,
+        to_head: bool,
+        count: &mut ByteCount<'_>,
+    ) -> io::Result<Answer> {
         let head = loop {
             let head = self.read_head(count).await?;
             // Informational (1xx) answers are followed by the final one.
@@ -214,8 +220,13 @@
                 break head;
             }
         };
-        let framed = is_framed(&head);
-        let (body, last) = self.read_body(&head, count).await?;
+        let without_body = to_head || matches!(head.status.as_u16(), 204 | 304);
+        let framed = without_body || is_framed(&head);
+        let (body, last) = if without_body {
+            (Bytes::new(), self.expects_body()?)
+        } else {
+            self.read_body(&head, count).await?
+        };
         let answer = Answer {
             head: answer_head(&head),
             status: head.status.as_u16(),
@@ -254,17 +265,22 @@
         }
     }
 
+    /// Whether the codec expects a body, so that the connection cannot be kept after an answer that has
+    /// none.
+    fn expects_body(&mut self) -> io::Result<bool> {
+        Ok(self.codec()?.message_type() != MessageType::None)
+    }
+
     /// Reads the body of an answer; the flag is true if the connection cannot be kept after it.
     async fn read_body(
         &mut self,
         head: &ResponseHead,
         count: &mut ByteCount<'_>,
     ) -> io::Result<(Bytes, bool)> {
-        let status = head.status.as_u16();
-        if !is_framed(head) && status != 204 && status != 304 {
+        if !is_framed(head) {
             return Ok((self.read_to_end(count).await?, true));
         }
-        if self.codec()?.message_type() == MessageType::None {
+        if !self.expects_body()? {
             return Ok((Bytes::new(), false));
         }
         let codec = self.codec.take().ok_or_else(unusable)?;
--- a/crates/demo/tests/tier/early_answers.rs
+++ b/crates/demo/tests/tier/early_answers.rs
@@ -154,3 +154,46 @@
         assert_eq!(status, 503, "after {took:?}");
     });
 }
+
+/// Guards against waiting for the body of an answer to HEAD, which has none.
+#[test]
+fn an_answer_to_head_ends_with_its_head() {
+    with_cluster(1, async |cluster| {
+        for head in [
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 32\r\n",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+        ] {
+            let server = spawn_server(Behaviour {
+                head,
+                body: "",
+                closes: false,
+            });
+            register(cluster, &[server]).await;
+            let (status, took) = ask(front_addr(cluster, 0), "HEAD", b"").await;
+            assert_eq!(status, 200, "{head:?} after {took:?}");
+            assert!(took < ANSWER_TIME, "{head:?}: {took:?}");
+        }
+    });
+}
+
+/// Guards against waiting for the body of an answer whose status has none.
+#[test]
+fn an_answer_with_a_status_without_a_body_ends_with_its_head() {
+    with_cluster(1, async |cluster| {
+        for (head, expected) in [
+            ("HTTP/1.1 204 No Content\r\n", 204),
+            ("HTTP/1.1 304 Not Modified\r\ncontent-length: 32\r\n", 304),
+        ] {
+            let server = spawn_server(Behaviour {
+                head,
+                body: "",
+                closes: false,
+            });
+            register(cluster, &[server]).await;
+            let (status, took) = ask(front_addr(cluster, 0), "POST", b"x").await;
+            assert_eq!(status, expected, "{head:?} after {took:?}");
+            assert!(took < ANSWER_TIME, "{head:?}: {took:?}");
+        }
+    });
+}
