Answer requests that ask for another protocol

What callers saw: no answer, nothing after 2 s, because all that follows such a request was taken for its body. No connection is switched, so the request is served without a body and the connection closes after it; one that states a length gets 400.

--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -323,8 +323,19 @@
         request: &Request,
         limits: CallerLimits,
     ) -> Result<Bytes, ReadError> {
-        if self.codec.message_type() == MessageType::None {
-            return Ok(Bytes::new());
+        match self.codec.message_type() {
+            MessageType::None => return Ok(Bytes::new()),
+            // The request asks for another protocol, to which no connection is switched. The codec would
+            // read its body until the connection ends, whatever the length; a new one closes the
+            // connection after the answer.
+            MessageType::Stream => {
+                if request.head().headers.contains_key("content-length") {
+                    return refuse(400, "the request's body cannot be read\n");
+                }
+                self.codec = Codec::default();
+                return Ok(Bytes::new());
+            }
+            MessageType::Payload => {}
         }
         if request.head().expect() {
             self.stream
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -19,6 +19,7 @@
 mod stops;
 mod stranded;
 mod targets;
+mod upgrade_requests;
 mod waiting_calls;
 
 use {
