--- a/crates/tables/src/reader.rs
+++ b/crates/tables/src/reader.rs
@@ -215,7 +215,7 @@
                 self.problem(
                     key,
                     &format!("`{key} = {text}`: {problem}"),
-                    "write a whole number followed by us, ms, s or min",
+                    "write a number followed by us, ms, s or min",
                 );
                 default
             }
@@ -304,24 +304,28 @@
     }
 }
 
-/// Parses a duration with its unit. The error is a problem for a finding.
+/// Parses a duration, a whole or decimal number with its unit. The error is a problem for a finding.
 fn duration(text: &str) -> Result<Duration, &'static str> {
     let end = text
-        .find(|c: char| !c.is_ascii_digit())
+        .find(|c: char| !c.is_ascii_digit() && c != '.')
         .unwrap_or(text.len());
-    let (digits, unit) = text.split_at(end);
-    let n: u64 = digits.parse().map_err(|_| "not a number")?;
-    let micros = match unit.trim() {
-        "us" => 1,
-        "ms" => 1_000,
-        "s" => 1_000_000,
-        "min" => 60_000_000,
+    let (number, unit) = text.split_at(end);
+    let (whole, fraction) = number.split_once('.').unwrap_or((number, "0"));
+    let whole: u64 = whole.parse().map_err(|_| "not a number")?;
+    let fraction: f64 = format!("0.{fraction}")
+        .parse()
+        .map_err(|_| "not a number")?;
+    let unit = match unit.trim() {
+        "us" => Duration::from_micros(1),
+        "ms" => Duration::from_millis(1),
+        "s" => Duration::from_secs(1),
+        "min" => Duration::from_mins(1),
         "" => return Err("the unit is missing"),
         _ => return Err("unknown unit"),
     };
-    n.checked_mul(micros)
-        .map(Duration::from_micros)
-        .ok_or("too large")
+    let micros = u128::from(whole) * unit.as_micros();
+    let micros = u64::try_from(micros).map_err(|_| "too large")?;
+    Ok(Duration::from_micros(micros) + unit.mul_f64(fraction))
 }
 
 /// Splits a heading into its kind and its name, which may be empty.
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -99,6 +99,35 @@
     assert!(lines.contains(&3) && lines.contains(&4) && lines.contains(&6));
 }
 
+/// Guards against a daemon that does not start because a deployment's bound is a fraction.
+#[test]
+fn a_duration_may_be_a_decimal_number() {
+    let settings = |limit: &str| {
+        let text = format!(
+            "[daemon]\nname = a1\ndata-centre = a\ndrain-limit = {limit}\n\
+             [platform]\naddress = 127.0.0.1:7000\n"
+        );
+        Settings::parse("daemon.ini", &text).map(|(settings, _)| settings.drain_limit)
+    };
+    let ms = |text| settings(text).unwrap().as_millis();
+    assert_eq!(
+        ["7.5s", "6.0s", "6s", "1200.5ms", "0.1min"].map(ms),
+        [7_500, 6_000, 6_000, 1_200, 6_000]
+    );
+    for wrong in [
+        "7.5",
+        "s",
+        ".",
+        "1.2.3s",
+        "-1s",
+        "1e3s",
+        "99999999999999999999s",
+        "18446744073709551615.5s",
+    ] {
+        assert!(settings(wrong).is_err(), "{wrong}");
+    }
+}
+
 /// A parser that stops at the first line that is not INI syntax would hide the findings about all
 /// other lines.
 #[test]
