Test the failures of a version alone as well

Change: failures are a second criterion beside all bad answers, and the bounds of the tests allow for both.

--- a/crates/core/src/rollout/counters.rs
+++ b/crates/core/src/rollout/counters.rs
@@ -96,6 +96,9 @@
     /// By digest of the target's id.
     #[serde(rename = "n", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(super) new: BTreeMap<u32, TargetCounts>,
+    /// As [`TargetCounts::slots`], of failures alone.
+    #[serde(rename = "f", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) failed_slots: BTreeMap<u32, u8>,
 }
 
 impl Period {
@@ -107,6 +110,9 @@
             ours.counts.add(theirs.counts);
             ours.slots |= theirs.slots;
         }
+        for (id, slots) in &other.failed_slots {
+            *self.failed_slots.entry(*id).or_default() |= slots;
+        }
     }
 
     /// Takes over newer counters of the same daemon.
@@ -117,6 +123,11 @@
             grew |= ours.counts.raise(theirs.counts) || (theirs.slots & !ours.slots) != 0;
             ours.slots |= theirs.slots;
         }
+        for (id, slots) in &other.failed_slots {
+            let ours = self.failed_slots.entry(*id).or_default();
+            grew |= (slots & !*ours) != 0;
+            *ours |= slots;
+        }
         grew
     }
 }
@@ -140,10 +151,15 @@
         let period = self.periods.entry(number).or_default();
         if call.new {
             self.new.add(counts);
-            let target = period.new.entry(target_key(call.target)).or_default();
+            let key = target_key(call.target);
+            let target = period.new.entry(key).or_default();
             target.counts.add(counts);
+            let slot = 1 << (age_ms % PERIOD_MS / CORRELATED_MS);
             if counts.bad() > 0 {
-                target.slots |= 1 << (age_ms % PERIOD_MS / CORRELATED_MS);
+                target.slots |= slot;
+            }
+            if counts.failed > 0 {
+                *period.failed_slots.entry(key).or_default() |= slot;
             }
         } else {
             self.old.add(counts);
--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -285,11 +285,15 @@
 fn pieces(period: &Period) -> impl Iterator<Item = Period> {
     let old = Period {
         old: period.old,
-        new: BTreeMap::new(),
+        ..Period::default()
     };
-    let new = period.new.iter().map(|(id, counts)| Period {
-        old: Counts::default(),
-        new: BTreeMap::from([(*id, *counts)]),
+    let new = period.new.iter().map(|(id, counts)| {
+        let slots = period.failed_slots.get(id);
+        Period {
+            old: Counts::default(),
+            new: BTreeMap::from([(*id, *counts)]),
+            failed_slots: slots.map(|s| (*id, *s)).into_iter().collect(),
+        }
     });
     let has_old = !is_empty(&old.old);
     has_old.then_some(old).into_iter().chain(new)
--- a/crates/core/src/rollout/verdict.rs
+++ b/crates/core/src/rollout/verdict.rs
@@ -7,16 +7,16 @@
 //! 1954). This needs a higher upper bound for the same rate of false alarms, so a faulty version gets
 //! some more bad answers than in a test that ends.
 //!
+//! Failures are also tested alone, because slow answers of an old version whose targets have too little
+//! processor time would hide them.
+//!
 //! Bad answers count less where they have a common cause: those of one target within 100 ms count
 //! once, and a target that has only bad answers for a while may be paused ([`PAUSE_PERIODS`]). While
 //! the old version has no answers, a burst of errors that would reach both looks like a fault of the
 //! new one, so several periods must show it ([`MAX_LONE_STEP`]).
 
 use {
-    super::{
-        Counts, Evidence,
-        counters::{Period, TargetCounts},
-    },
+    super::{Counts, Evidence, counters::Period},
     std::collections::BTreeMap,
 };
 
@@ -94,10 +94,11 @@
 /// bad version: on routes with few requests, a test of their own would not end in time.
 pub(super) fn judge(evidence: &Evidence) -> Judgement {
     let series = all_series(evidence);
-    let (lower, upper) = bounds(series.len());
+    let (lower, upper) = bounds(series.len() * Criterion::ALL.len());
     let mut highest = lower;
-    for (name, one) in &series {
-        let ratio = one.ratio(lower, upper).last;
+    let criteria = |one| Criterion::ALL.map(|criterion| (one, criterion));
+    for ((name, one), criterion) in series.iter().flat_map(criteria) {
+        let ratio = one.ratio(criterion, lower, upper).last;
         if ratio >= upper {
             let route = (*name).to_owned();
             return Judgement {
@@ -109,9 +110,11 @@
         highest = highest.max(ratio);
     }
     let leans_to_bad = highest > MAX_LEAN;
-    let all = series.get(ALL_ROUTES).map(|s| s.ratio(lower, upper));
-    let all = all.filter(|r| r.least <= lower);
-    let is_accepted = all.as_ref().is_some_and(|r| r.last <= lower * KEPT);
+    let all = series.get(ALL_ROUTES);
+    let all = all.map(|s| Criterion::ALL.map(|criterion| s.ratio(criterion, lower, upper)));
+    let all = all.filter(|ratios| ratios.iter().all(|r| r.least <= lower));
+    let is_kept = |ratios: &[Ratio; 2]| ratios.iter().all(|r| r.last <= lower * KEPT);
+    let is_accepted = all.as_ref().is_some_and(is_kept);
     let verdict = if is_accepted && !leans_to_bad {
         Verdict::Good
     } else {
@@ -132,6 +135,24 @@
     (lower, upper)
 }
 
+/// Answers that a test counts as bad.
+#[derive(Clone, Copy)]
+enum Criterion {
+    FailedOrSlow,
+    Failed,
+}
+
+impl Criterion {
+    const ALL: [Self; 2] = [Self::FailedOrSlow, Self::Failed];
+
+    fn count(self, counts: Counts) -> u64 {
+        match self {
+            Self::FailedOrSlow => counts.bad(),
+            Self::Failed => counts.failed,
+        }
+    }
+}
+
 /// Answers of all daemons by period, on one route or on all.
 #[derive(Default)]
 struct Series {
@@ -163,13 +184,13 @@
 
 impl Series {
     /// Logarithm of the likelihood ratio of H1 to H0 over all periods.
-    fn ratio(&self, lower: f64, upper: f64) -> Ratio {
+    fn ratio(&self, criterion: Criterion, lower: f64, upper: f64) -> Ratio {
         let (mut ratio, mut least) = (0.0_f64, 0.0_f64);
         let mut silent = BTreeMap::new();
         for (number, period) in &self.periods {
-            let (answers, bad) = effective(period, *number, &mut silent);
+            let (answers, bad) = effective(period, *number, criterion, &mut silent);
             if answers > 0.0 {
-                let step = step(answers, bad, self.expected(*number, period.old));
+                let step = step(answers, bad, self.expected(criterion, *number, period.old));
                 let control = (answers * MIN_CONTROL).max(MIN_CONTROL_ANSWERS);
                 let is_lone = float(period.old.answers) < control;
                 let most = if is_lone {
@@ -199,15 +220,16 @@
 
     /// Fraction of bad answers that a good version has in a period: the largest of the old version's
     /// over all time, around the period, and `within` it.
-    fn expected(&self, number: u32, within: Counts) -> f64 {
-        let overall = (float(self.old.bad()) + 1.0) / (float(self.old.answers) + 2.0);
+    fn expected(&self, criterion: Criterion, number: u32, within: Counts) -> f64 {
+        let overall = (float(criterion.count(self.old)) + 1.0) / (float(self.old.answers) + 2.0);
         let weighted = |counts: Counts| {
-            if counts.bad() == 0 {
+            let bad = criterion.count(counts);
+            if bad == 0 {
                 return 0.0;
             }
 
             let answers = float(counts.answers) + PRIOR_WEIGHT;
-            let fraction = (float(counts.bad()) + PRIOR_WEIGHT * overall) / answers;
+            let fraction = (float(bad) + PRIOR_WEIGHT * overall) / answers;
             // One standard deviation more: in a burst, few old answers may have had less than their
             // part of the failures.
             fraction + (fraction * (1.0 - fraction) / answers).sqrt()
@@ -231,53 +253,61 @@
 type Row = (u32, u32);
 
 /// Numbers of answers and bad answers of the new version that count as independent.
-fn effective(period: &Period, number: u32, rows: &mut BTreeMap<u32, Row>) -> (f64, f64) {
+fn effective(
+    period: &Period,
+    number: u32,
+    criterion: Criterion,
+    rows: &mut BTreeMap<u32, Row>,
+) -> (f64, f64) {
     let mut sum = (0.0, 0.0);
     for (id, target) in &period.new {
-        let is_silent = target.counts.bad() >= target.counts.answers;
-        let (answers, bad) = if is_silent {
+        let counts = target.counts;
+        let bad = float(criterion.count(counts));
+        let slots = match criterion {
+            Criterion::FailedOrSlow => target.slots,
+            Criterion::Failed => period.failed_slots.get(id).copied().unwrap_or(0),
+        };
+        let slots = f64::from(slots.count_ones().max(1));
+        let (answers, bad) = if counts.bad() >= counts.answers {
             let row = rows.entry(*id).or_insert((number, number));
             if row.1.saturating_add(1) < number {
                 *row = (number, number);
             }
             row.1 = number;
-            silent(target, number - row.0)
+            let answers = silent(slots, number - row.0);
+            (answers, answers.min(bad))
         } else {
             let row = rows.remove(id);
             let is_pause_over =
                 row.is_some_and(|(first, last)| last > first && last.saturating_add(1) >= number);
-            independent(target, is_pause_over)
+            independent(float(counts.answers), bad, slots, is_pause_over)
         };
         sum = (sum.0 + answers, sum.1 + bad);
     }
     sum
 }
 
-/// What counts of a target that has had only bad answers, also in the `before` periods before.
-fn silent(target: &TargetCounts, before: u32) -> (f64, f64) {
+/// Number of answers that count of a target that has had only bad ones, also in the `before` periods
+/// before, in this many times 100 ms.
+fn silent(slots: f64, before: u32) -> f64 {
     match before {
-        0 => (1.0, 1.0),
-        1..PAUSE_PERIODS => (0.0, 0.0),
-        _ => (slots(target), slots(target)),
+        0 => 1.0,
+        1..PAUSE_PERIODS => 0.0,
+        _ => slots,
     }
 }
 
-/// Reduces a target's answers such that its bad ones count once for each 100 ms, with the fraction of
-/// bad ones unchanged. In the period in which a pause ends, the bad ones still belong to it.
-fn independent(target: &TargetCounts, is_pause_over: bool) -> (f64, f64) {
-    let (answers, bad) = (float(target.counts.answers), float(target.counts.bad()));
+/// Reduces a target's answers such that its bad ones count once for each of the `slots` of 100 ms, with
+/// the fraction of bad ones unchanged. In the period in which a pause ends, the bad ones still belong to
+/// it.
+fn independent(answers: f64, bad: f64, slots: f64, is_pause_over: bool) -> (f64, f64) {
     if bad <= 0.0 || is_pause_over {
         return (answers - bad, 0.0);
     }
-    let counted = slots(target).min(bad);
+    let counted = slots.min(bad);
     (answers * counted / bad, counted)
 }
 
-/// Number of times 100 ms with a bad answer.
-fn slots(target: &TargetCounts) -> f64 {
-    f64::from(target.slots.count_ones().max(1))
-}
-
 // Numbers of answers are far below 2^52.
 #[allow(clippy::cast_precision_loss)]
 fn float(count: u64) -> f64 {
--- a/crates/core/tests/rollout/main.rs
+++ b/crates/core/tests/rollout/main.rs
@@ -279,6 +279,47 @@
     }
 }
 
+/// Guards against failures of a version that pass for the slow answers that both versions give.
+#[test]
+fn versions_that_fail_are_reverted_although_both_are_slow() {
+    let faults = [
+        Fault::Failures(0.2),
+        Fault::Failures(0.6),
+        Fault::OneRoute(0.6),
+    ];
+    let mut harmful = Vec::new();
+    for slow in [0.1, 0.2, 0.3] {
+        for fault in faults {
+            let trouble = Trouble::Busy { slow };
+            let harm = harm(
+                Site {
+                    fault,
+                    trouble,
+                    ..SITE
+                },
+                60,
+            );
+            if (harm.kept, harm.exposed, harm.late) != (0, 0, 0) {
+                harmful.push((slow, fault, harm.kept, harm.exposed, harm.late));
+            }
+        }
+    }
+    assert!(harmful.is_empty(), "{harmful:?}");
+}
+
+/// Guards against good versions that are judged as bad because both versions are slow.
+#[test]
+fn good_versions_are_not_judged_as_bad_while_both_are_slow() {
+    for rate in [20.0, 100.0] {
+        for slow in [0.1, 0.2, 0.3] {
+            let site = good_site(rate, 0.002, Trouble::Busy { slow });
+            let runs = play(site, TEST_SEEDS);
+            let judged = runs.iter().filter(|r| r.reason.starts_with("bad answers"));
+            assert_eq!(judged.count(), 0, "{site:?}");
+        }
+    }
+}
+
 /// Sites of the requirements on exposure: few and many requests, two routes and five.
 fn sites() -> impl Iterator<Item = Site> {
     let rates = [5.0, 20.0, 100.0, 400.0].into_iter();
--- a/crates/core/tests/rollout/sim.rs
+++ b/crates/core/tests/rollout/sim.rs
@@ -73,6 +73,10 @@
     },
     /// The new targets take five times as long for their first three seconds.
     Cold,
+    /// This fraction of the answers of both versions take five times as long.
+    Busy {
+        slow: f64,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -271,6 +275,11 @@
         let mut failed = self.rng.random_bool(self.site.failed);
         let mut lost = false;
         let mut cold = false;
+        if let Trouble::Busy { slow } = self.site.trouble
+            && self.rng.random_bool(slow)
+        {
+            latency *= 5.0;
+        }
         if let Trouble::Burst { at, failed: rate } = self.site.trouble
             && (at..at + 1_000).contains(&self.now)
         {
