--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -358,10 +358,15 @@
         };
         let relayed = self.traffic.relay.run(request).await;
         summary.relayed = !matches!(relayed, RelayResult::NotRun);
+        let texts = [
+            "no peer could take the request\n",
+            "no answer of a peer in time\n",
+            "the peer's answer was lost\n",
+        ];
         let answer = match relayed {
             RelayResult::Answered(reply) => reply,
             RelayResult::NotRun => answer,
-            RelayResult::Lost => Reply::text(502, "the peer's answer was lost\n"),
+            RelayResult::Lost => self.without_answer(true, texts),
         };
         (answer, summary)
     }
--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -242,3 +242,12 @@
         assert_eq!(passed_on.status().await, Some(502));
     });
 }
+
+/// Guards against a failure that is reported although the time ran out.
+#[test]
+fn a_request_at_a_peer_that_does_not_answer_ends_at_its_deadline_with_504() {
+    with_cluster(1, async |cluster| {
+        let passed_on = PassedOn::before_it_runs(cluster).await;
+        assert_eq!(passed_on.status().await, Some(504));
+    });
+}
