Pass no refusal of a peer on for a request that may have run

What callers saw: 408 or 429, which promise that a request has not run, for one that may have run here before it was passed on: 2 of 3 statuses. The verdict on a peer's status is decided in the core; with calls that were made here the answer is that of this daemon.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -30,6 +30,8 @@
     Ran,
     /// The peer has not run it and never will, but another one may.
     NotRun,
+    /// The peer has not run it, because the caller's account is over its limit.
+    OverLimit,
 }
 
 impl PeerVerdict {
@@ -46,7 +48,8 @@
     pub fn of(status: u16, signed: bool) -> Self {
         match status {
             _ if signed => Self::Ran,
-            503 => Self::NotRun,
+            408 | 421 | 503 => Self::NotRun,
+            429 => Self::OverLimit,
             _ => Self::Ran,
         }
     }
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -66,6 +66,8 @@
     Ran(Answer),
     /// It has certainly not run it.
     NotRun,
+    /// It has not run it, because the caller's account is over its limit.
+    OverLimit(Answer),
     /// It may have run it, but no answer came.
     Lost,
 }
@@ -98,6 +100,15 @@
                     meters::count_relay("ran");
                     return RelayResult::Answered(pass_back(answer));
                 }
+                PeerOutcome::OverLimit(answer) => {
+                    meters::count_relay("not-run");
+                    // The peer does not know of the calls that were made here before.
+                    return if request.ending.may_have_run() {
+                        RelayResult::NotRun
+                    } else {
+                        RelayResult::Answered(pass_back(answer))
+                    };
+                }
                 PeerOutcome::NotRun => meters::count_relay("not-run"),
                 // The peer may have sent it to as many targets as are allowed, so nobody else may.
                 PeerOutcome::Lost => {
@@ -150,6 +161,7 @@
                 match verdict {
                     PeerVerdict::Ran => PeerOutcome::Ran(answer),
                     PeerVerdict::NotRun => PeerOutcome::NotRun,
+                    PeerVerdict::OverLimit => PeerOutcome::OverLimit(answer),
                 }
             }
             Ok(Err(_)) | Err(_) => PeerOutcome::Lost,
--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -1,7 +1,11 @@
 //! A peer of another build that passes on what a daemon cannot read.
 
 use {
-    super::{DRAIN_TIME, fetch, front_addr, plain_servers, with_cluster},
+    super::{
+        DRAIN_TIME, fetch, front_addr, plain_servers,
+        stranded::{Cut, cut_off},
+        with_cluster,
+    },
     actix_rt::time::{sleep, timeout},
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::AsyncReadExt as _,
@@ -200,6 +204,18 @@
         Self::accept(actix_rt::spawn(sent), listener).await
     }
 
+    /// Sends a request over all shards, and cuts the daemon off while they run it.
+    async fn while_it_runs(cluster: &TierCluster) -> Self {
+        let listener = announce_peer(cluster).await;
+        cluster.servers.iter().for_each(|s| s.set_slow(500.0));
+        sleep(VIEW_TIME).await;
+        let sent = request(front_addr(cluster, 0), "/all/x", "relayed", "");
+        let answer = actix_rt::spawn(sent);
+        sleep(Duration::from_millis(50)).await;
+        cut_off(cluster, Cut::Hang);
+        Self::accept(answer, listener).await
+    }
+
     async fn accept(answer: JoinHandle<Option<Answer>>, listener: TcpListener) -> Self {
         let accepted = timeout(DRAIN_TIME, listener.accept()).await;
         let (mut peer, _) = accepted.unwrap().unwrap();
@@ -251,3 +267,24 @@
         assert_eq!(passed_on.status().await, Some(504));
     });
 }
+
+/// Guards against the promise that a request has not run, made by a peer that does not know of the
+/// calls before.
+#[test]
+fn a_refusal_of_a_peer_is_not_passed_on_if_the_request_may_have_run() {
+    let mut seen = Vec::new();
+    for status in [408, 429, 503] {
+        with_cluster(0, async |cluster| {
+            cluster.start_behind_gateway(1).await.unwrap();
+            cluster.wait_ready().await.unwrap();
+            let mut passed_on = PassedOn::while_it_runs(cluster).await;
+            let refusal = format!(
+                "HTTP/1.1 {status} Refused\r\nx-request-id: relayed\r\nretry-after: 1\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            passed_on.peer.write_all(refusal.as_bytes()).await.unwrap();
+            seen.push(passed_on.status().await);
+        });
+    }
+    assert_eq!(seen, [Some(502); 3]);
+}
