Go on with the lease terms of a unit that comes back

What callers of the own interface saw: "unknown" until a partition moves, 12 of 80 requests.

Cause: a unit that came back began again with term 1, and its table counted as handed over.

Change: the last round of each released unit is kept, so that no term occurs twice.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -247,6 +247,31 @@
         }
     }
 
+    /// Creates a client that goes on from an earlier one of the same daemon and unit, whose last round
+    /// was `round`, so that no term and no round occurs twice.
+    ///
+    /// ```
+    /// use rattanturn_core::{NodeId, lease::{LeaseClient, UnitId}};
+    /// let mut first = LeaseClient::new(UnitId(1), NodeId(2));
+    /// first.release();
+    /// let second = LeaseClient::following(UnitId(1), NodeId(2), first.round());
+    /// assert!(second.term().number > 1);
+    /// ```
+    #[must_use]
+    pub fn following(unit: UnitId, me: NodeId, round: u64) -> Self {
+        Self {
+            round,
+            number: round + 1,
+            ..Self::new(unit, me)
+        }
+    }
+
+    /// Number of the last round, 0 before the first.
+    #[must_use]
+    pub fn round(&self) -> u64 {
+        self.round
+    }
+
     /// Starts a round to acquire or renew the lease.
     ///
     /// The caller sends the request to each of `voters` and passes the replies to
--- a/crates/daemon/src/control/leases.rs
+++ b/crates/daemon/src/control/leases.rs
@@ -27,6 +27,9 @@
     },
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Interval between requests for a lease that this daemon wants and does not hold.
 const ACQUIRE_INTERVAL: Duration = VOTE_TIME;
 /// Maximum number of lease requests in one datagram, and so of votes in the reply.
@@ -75,6 +78,8 @@
     me: NodeId,
     voter: Voter,
     held: HashMap<UnitId, HeldUnit>,
+    /// Last round of each unit that was released, because a unit may come back.
+    last_rounds: HashMap<UnitId, u64>,
     /// Whether a lease was released since the last [`Self::take_released`].
     released: bool,
 }
@@ -94,6 +99,7 @@
             me,
             voter: Voter::default(),
             held: HashMap::new(),
+            last_rounds: HashMap::new(),
             released: false,
         }
     }
@@ -108,8 +114,9 @@
         }
         for unit in units {
             if unit.holder == Some(self.me) {
+                let round = self.last_rounds.get(&unit.id).copied().unwrap_or(0);
                 let held = self.held.entry(unit.id).or_insert_with(|| HeldUnit {
-                    lease: LeaseClient::new(unit.id, self.me),
+                    lease: LeaseClient::following(unit.id, self.me, round),
                     shared: Arc::default(),
                     wanted: true,
                     dedup: unit.centre.is_none(),
@@ -167,7 +174,9 @@
         }
         self.released |= !released.is_empty();
         for unit in released {
-            self.held.remove(&unit);
+            if let Some(held) = self.held.remove(&unit) {
+                self.last_rounds.insert(unit, held.lease.round());
+            }
         }
         for (voter_set, request) in own {
             let vote = self.voter.vote(now, &voter_set, &request);
--- a/crates/demo/tests/promises/once.rs
+++ b/crates/demo/tests/promises/once.rs
@@ -213,6 +213,39 @@
     });
 }
 
+/// A daemon joins, takes some of the partitions over and gives them back. Guards against a partition that
+/// its earlier owner takes for one that it has handed over, so that it answers "unknown" from then on.
+#[test]
+fn requests_run_after_their_partition_came_back_to_an_earlier_owner() {
+    with_cluster(3, async |cluster| {
+        sleep(Duration::from_secs(2)).await;
+        let (issued, addr) = (unix_ms(), cluster.frontends()[0]);
+        for n in 0..40 {
+            assert_eq!(renew(addr, &format!("b{n}"), issued).await, "ran");
+        }
+        cluster.add_daemon("fresh").unwrap();
+        cluster.wait_ready().await.unwrap();
+        let fresh = cluster.take_daemon(3).unwrap();
+        let handle = fresh.stop_handle();
+        let stop = fresh.stop();
+        handle.hurry();
+        stop.await;
+        cluster.wait_ready().await.unwrap();
+        let mut outcomes = BTreeMap::new();
+        for n in 0..40 {
+            let (retry, new) = (format!("b{n}"), format!("c{n}"));
+            for outcome in [
+                renew(addr, &retry, issued).await,
+                renew(addr, &new, unix_ms()).await,
+            ] {
+                *outcomes.entry(outcome).or_insert(0) += 1;
+            }
+        }
+        assert_eq!(outcomes, BTreeMap::from([("ran".to_owned(), 80)]));
+        assert_eq!(totals(&cluster.targets).duplicates, 0);
+    });
+}
+
 /// Guards against tables that are lost with a daemon that ends before it has forwarded them: the one
 /// that handed them over did not know that it stops as well.
 #[test]
