Keep holders for units while all daemons stop

Cause: daemons that leave hold no units, and there was no other.

Change: if all daemons leave, those that still serve go on holding units, until they have answered all their callers.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -116,8 +116,9 @@
     watches: Vec<tokio::task::JoinHandle<()>>,
     /// Fetches of the tables and of the voter sets, in this order.
     fetches: [FetchSlot; 2],
-    /// Count of membership changes and version of the tables that the routing was computed from.
-    routed_from: (u64, u64),
+    /// Count of membership changes and version of the tables that the routing was computed from, and
+    /// whether this daemon had retired.
+    routed_from: (u64, u64, bool),
     registrar: registrar::Registrar,
     phase: Phase,
     /// Receives the result of a graceful stop that has begun.
@@ -201,7 +202,7 @@
             events,
             watches: Vec::new(),
             fetches: Default::default(),
-            routed_from: (0, 0),
+            routed_from: (0, 0, false),
             registrar: registrar::Registrar::default(),
             phase: Phase::Serving,
             stop_reply: None,
@@ -399,10 +400,11 @@
         }
     }
 
-    /// Computes and publishes the routing if membership or tables changed, or if a lease was
-    /// released, whose state must no longer be in the routing.
+    /// Computes and publishes the routing if membership or tables changed, if this daemon retires, or
+    /// if a lease was released, whose state must no longer be in the routing.
     fn update_routing(&mut self) {
-        let key = (self.membership.changes(), self.tables.version());
+        let retired = self.has_retired();
+        let key = (self.membership.changes(), self.tables.version(), retired);
         if key == self.routed_from && !self.leases.take_released() {
             return;
         }
@@ -423,6 +425,7 @@
             tables: &tables,
             present: &present,
             leaving: self.phase != Phase::Serving,
+            retired,
             static_shares: is_static,
         };
         let mut routing = routing::derive(&inputs, &mut self.interner);
--- a/crates/daemon/src/control/shutdown.rs
+++ b/crates/daemon/src/control/shutdown.rs
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Whether this daemon has answered all its callers in a graceful stop, so that it gives up the units
+    /// that no other daemon could take over before.
+    pub(super) fn has_retired(&self) -> bool {
+        let threads = self.settings.threads as usize;
+        matches!(self.phase, Phase::Draining(_))
+            && self.gauges.listeners_are_closed(threads)
+            && self.gauges.open_requests() == 0
+    }
+
     /// Advances a graceful stop that has begun; true when the daemon may end.
     pub(super) async fn advance_stop(&mut self, now: Time, socket: &UdpSocket) -> bool {
         match self.phase {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -271,6 +271,8 @@
     pub(crate) present: &'a [&'a MemberRecord],
     /// True while this daemon shuts down.
     pub(crate) leaving: bool,
+    /// True once this daemon has finished its callers' requests in a stop, and gives up all units.
+    pub(crate) retired: bool,
     /// True under [`rattanturn_tables::SlotPolicy::StaticShares`]: this daemon calls every target
     /// itself and holds all units.
     pub(crate) static_shares: bool,
@@ -286,20 +288,40 @@
         frontends: frontends(inputs),
         ..Routing::default()
     };
+    let holders = possible_holders(inputs);
     for pool in inputs.tables.pools.values() {
-        add_pool(inputs, pool, interner, &mut out);
+        add_pool(inputs, &holders, pool, interner, &mut out);
     }
     out.first_partition = out.units.len();
     for share in 0..DEDUP_PARTITIONS {
         // The unit's id, and with it the voter set, is a hash of this name. The index in the name
         // spreads the partitions over the voter sets.
         let name = format!("journal/{share}");
-        out.units.push(unit(inputs, name, None));
+        out.units.push(unit(inputs, &holders, name, None));
     }
     out
 }
 
-fn add_pool(inputs: &Inputs<'_>, pool: &Pool, interner: &mut Interner, out: &mut Routing) {
+/// The daemons that may hold units: those that are not shutting down. If all are, those that still
+/// serve go on, because no other daemon can take their units over.
+fn possible_holders<'a>(inputs: &Inputs<'a>) -> Vec<&'a MemberRecord> {
+    let present = || inputs.present.iter().copied();
+    let staying: Vec<_> = present().filter(|r| r.state != State::Leaving).collect();
+    if !staying.is_empty() {
+        return staying;
+    }
+    present()
+        .filter(|r| r.id != inputs.me || !inputs.retired)
+        .collect()
+}
+
+fn add_pool(
+    inputs: &Inputs<'_>,
+    holders: &[&MemberRecord],
+    pool: &Pool,
+    interner: &mut Interner,
+    out: &mut Routing,
+) {
     let centres: BTreeSet<&str> = pool
         .services
         .iter()
@@ -312,7 +334,7 @@
         first.insert(centre, (out.units.len(), count));
         for i in 0..count {
             let name = format!("{}/{centre}/{count}/{i}", pool.name);
-            out.units.push(unit(inputs, name, Some(centre)));
+            out.units.push(unit(inputs, holders, name, Some(centre)));
         }
     }
     let mut services = Vec::new();
@@ -344,12 +366,17 @@
     out.services.insert(pool.name.clone(), services);
 }
 
-fn unit(inputs: &Inputs<'_>, name: String, centre: Option<&str>) -> Unit {
+fn unit(
+    inputs: &Inputs<'_>,
+    holders: &[&MemberRecord],
+    name: String,
+    centre: Option<&str>,
+) -> Unit {
     let id = UnitId(rendezvous::key(&name));
     let holder = if inputs.static_shares {
         Some(inputs.me)
     } else {
-        choose_holder(inputs, id, centre)
+        choose_holder(inputs, holders, id, centre)
     };
     Unit {
         id,
@@ -361,17 +388,21 @@
     }
 }
 
-/// Chooses the daemon that should hold a unit, by rendezvous hashing among the daemons that are not
-/// shutting down: those of the unit's data centre if there are any, else those outside evacuated
-/// data centres, else all.
-fn choose_holder(inputs: &Inputs<'_>, id: UnitId, centre: Option<&str>) -> Option<NodeId> {
+/// Chooses the daemon that should hold a unit, by rendezvous hashing among the possible holders: those
+/// of the unit's data centre if there are any, else those outside evacuated data centres, else all.
+fn choose_holder(
+    inputs: &Inputs<'_>,
+    holders: &[&MemberRecord],
+    id: UnitId,
+    centre: Option<&str>,
+) -> Option<NodeId> {
     let is_evacuated = |c: &str| inputs.tables.centres.get(c).is_some_and(|c| c.evacuated);
-    let staying = || inputs.present.iter().filter(|r| r.state != State::Leaving);
-    let near = staying().filter(|r| centre.is_some_and(|c| c == r.endpoints.centre));
-    let not_evacuated = staying().filter(|r| !is_evacuated(&r.endpoints.centre));
+    let holders = || holders.iter();
+    let near = holders().filter(|r| centre.is_some_and(|c| c == r.endpoints.centre));
+    let not_evacuated = holders().filter(|r| !is_evacuated(&r.endpoints.centre));
     rendezvous::first(near.map(|r| r.id), id.0)
         .or_else(|| rendezvous::first(not_evacuated.map(|r| r.id), id.0))
-        .or_else(|| rendezvous::first(staying().map(|r| r.id), id.0))
+        .or_else(|| rendezvous::first(holders().map(|r| r.id), id.0))
 }
 
 /// Where to send calls for a unit. The unit's id selects one of the holder's traffic threads, each
--- a/crates/daemon/tests/own_interface.rs
+++ b/crates/daemon/tests/own_interface.rs
@@ -447,3 +447,59 @@
         assert!(began.elapsed() < DEADLINE / 2, "{:?}", began.elapsed());
     });
 }
+
+/// Sends requests of both kinds to the daemons until their listeners close, and returns those that were
+/// neither served nor refused at once.
+fn unserved_in_stop(addrs: &[SocketAddr], began: Instant) -> Vec<(u16, Duration, Duration)> {
+    let mut unserved = Vec::new();
+    let mut n = 0;
+    while began.elapsed() < DRAIN_LIMIT / 2 {
+        n += 1;
+        for addr in addrs {
+            for text in [search(), renew(&format!("stop-{n}-{addr}"))] {
+                let sent = Instant::now();
+                let status = ask(*addr, &text);
+                if ![200, 503].contains(&status) || sent.elapsed() > DEADLINE / 5 {
+                    unserved.push((status, sent - began, sent.elapsed()));
+                }
+            }
+        }
+        thread::sleep(CALL_TIME);
+    }
+    unserved
+}
+
+/// Guards against leases that a daemon gives up although no other one can take them.
+#[test]
+fn a_lone_daemon_serves_in_the_first_part_of_its_stop() {
+    System::new().block_on(async {
+        let mut site = Site::spawn_lone("lone", ONE_THREAD);
+        site.wait_ready();
+        let began = Instant::now();
+        site.stopped.terminate();
+        let ran = site.target.counters().ran;
+        assert_eq!(unserved_in_stop(&[site.addr()], began), []);
+        assert!(site.target.counters().ran > ran, "all were refused");
+        // It ends before the limit, as it holds nothing that it has to wait for.
+        assert_eq!(site.stopped.supervise(began), Some(0));
+        let took = began.elapsed();
+        assert!(took < DRAIN_LIMIT * 7 / 8, "{took:?}");
+    });
+}
+
+/// Guards against the same if all daemons stop at once: the units of one are taken over by none.
+#[test]
+fn daemons_that_stop_at_once_serve_in_the_first_part_of_their_stop() {
+    System::new().block_on(async {
+        let mut site = Site::spawn("all");
+        let mut other = site.other.take().unwrap();
+        let began = Instant::now();
+        site.stopped.terminate();
+        other.terminate();
+        let ran = site.target.counters().ran;
+        assert_eq!(unserved_in_stop(&[site.addr(), other.addr], began), []);
+        assert!(site.target.counters().ran > ran, "all were refused");
+        let codes = [site.stopped.supervise(began), other.supervise(began)];
+        assert_eq!(codes, [Some(0); 2]);
+    });
+}
