--- a/crates/daemon/src/control/shutdown.rs
+++ b/crates/daemon/src/control/shutdown.rs
@@ -60,7 +60,8 @@
     loop {
         gauges.stop.send_replace(Some(schedule));
         let now = clock::now();
-        let finished = gauges.listeners_are_closed(threads) && gauges.open_requests() == 0;
+        let owed = gauges.open_requests() + gauges.owed_to_peers();
+        let finished = gauges.listeners_are_closed(threads) && owed == 0;
         if finished || now >= schedule.end_by() {
             return format!("{} requests were left", gauges.open_requests());
         }
--- a/crates/demo/tests/panicking_control.rs
+++ b/crates/demo/tests/panicking_control.rs
@@ -7,8 +7,13 @@
         System,
         time::{sleep, timeout},
     },
-    rattanturn_demo::tier_cluster::{Options, PLAIN, TierCluster, request},
+    rattanturn_demo::{
+        cluster::{self, Cluster},
+        load::unix_ms,
+        tier_cluster::{Options, PLAIN, TierCluster, request},
+    },
     rattanturn_standins::{operator::register_target, shard},
+    serde_json::Value,
     std::{
         io,
         net::SocketAddr,
@@ -134,3 +139,71 @@
         assert_eq!(count_cut(open).await, 0, "cut; the stop said {left:?}");
     });
 }
+
+/// The control threads of both daemons panic while one of them has calls of the other's callers. Guards
+/// against a stop that waits for its own callers only.
+#[test]
+fn a_stop_of_the_own_interface_after_a_panic_in_control_answers_calls_of_peers() {
+    const ROUTES: &str = "[route search]\nkind = single-record\npool = events\nhedging = no\n\
+        deadline = 5s\n[route renew]\nkind = single-record\npool = events\nidempotent = no\n\
+        hedging = no\ndeadline = 5s\n";
+    const POOLS: &str = "[data-centre a]\nregion = r\nstate = in\n\
+        [pool events]\nslots = 16\nconnections = 40\n\
+        [service events/e]\ntargets = a@127.0.0.1:9001\n";
+    set_writer();
+    System::new().block_on(async {
+        let mut options = cluster::Options::new(ROUTES, POOLS);
+        options.daemons = 2;
+        options.centre_delay = Duration::ZERO;
+        let mut cluster = Cluster::spawn(options).await.unwrap();
+        // Requests run only if they are issued later than the start of the lease term by more than
+        // the tolerated clock skew.
+        sleep(Duration::from_secs(2)).await;
+        let holds_target = |state: &Value| {
+            let units = state["units"].as_array().unwrap();
+            let name = |u: &Value| u["unit"].as_str().unwrap_or("").starts_with("events");
+            units.iter().any(|u| name(u) && u["mine"] == true)
+        };
+        let states = cluster.states().await;
+        let holder = states.iter().position(holds_target).unwrap();
+        let callers = cluster.frontends()[1 - holder];
+        let send = |route: &'static str, n: u32| async move {
+            let client = awc::Client::builder()
+                .timeout(Duration::from_secs(10))
+                .finish();
+            let sent = client
+                .post(format!("http://{callers}/query/{route}"))
+                .insert_header(("x-request-id", format!("peer-{n}")))
+                .insert_header(("x-issued", unix_ms().to_string()))
+                .send();
+            sent.await.map_or(0, |answer| answer.status().as_u16())
+        };
+        assert_eq!(send("search", 100).await, 200);
+        let target = cluster.targets[0].state.clone();
+        // The factor 200 makes a second of each run.
+        target.set_slow(200.0);
+        let mut open: Vec<_> = (0..4).map(|n| actix_rt::spawn(send("search", n))).collect();
+        open.extend((4..8).map(|n| actix_rt::spawn(send("renew", n))));
+        let start = Instant::now();
+        while target.running() < 8 {
+            assert!(start.elapsed() < DRAIN_LIMIT, "{} run", target.running());
+            sleep(Duration::from_millis(5)).await;
+        }
+        cluster.pools.push_str("unknown = 1\n");
+        let _ = cluster.put_tables();
+        while !cluster.states().await.is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let daemon = cluster.take_daemon(holder).unwrap();
+        let handle = daemon.stop_handle();
+        let stop = daemon.stop();
+        handle.hurry();
+        stop.await;
+        let mut seen = Vec::new();
+        for request in open {
+            seen.push(request.await.unwrap());
+        }
+        assert_eq!(seen, [200; 8]);
+        cluster.stop();
+    });
+}
