Hand the table of a lapsed lease over before it is given up

What callers of the own interface saw: "unknown". A lease that had lapsed was given up before its table was handed over, although its term directly precedes that of the next owner. The test of control failed before.

--- a/crates/daemon/src/control/leases.rs
+++ b/crates/daemon/src/control/leases.rs
@@ -52,20 +52,22 @@
 }
 
 impl HeldUnit {
-    /// Whether the lease of an unwanted unit can be released: it has expired, or no work is in
+    /// Whether the lease of an unwanted unit can be released: it is not held, or no work is in
     /// progress and the handover of its deduplication table, if any, has ended or takes too long.
     ///
     /// The lease of such a table that may just be granted is awaited: the table of the previous term may
-    /// be here, and the next owner gets it only with the term in between.
+    /// be here, and the next owner gets it only with the term in between. A term that has lapsed is
+    /// handed over as well, as it is the one before that of the next owner.
     fn may_release(&mut self, now: Time) -> bool {
         let held = self.lease.held(now);
         if !held && self.dedup && self.lease.may_be_granted(now) {
             return false;
         }
-        if !held {
+        let has_table = self.dedup && self.shared.term().0.current.is_some();
+        if !held && !has_table {
             return true;
         }
-        let handed_over = !self.dedup || self.shared.handover_finished();
+        let handed_over = !has_table || self.shared.handover_finished();
         self.release.is_due(now, self.shared.in_use(), handed_over)
     }
 }
@@ -153,7 +155,7 @@
                 released.push(*unit);
                 held.shared.set(Time::ZERO, 0, LeaseTerms::default());
                 held.lease.release()
-            } else if now >= held.next {
+            } else if now >= held.next && (held.wanted || held.lease.held(now)) {
                 let wait = if held.lease.held(now) {
                     RENEW_INTERVAL
                 } else {
--- a/crates/daemon/src/control/leases/tests.rs
+++ b/crates/daemon/src/control/leases/tests.rs
@@ -3,7 +3,7 @@
     crate::routing::Unit,
     rattanturn_core::{
         NodeId, Time,
-        lease::UnitId,
+        lease::{LEASE_DURATION, UnitId},
         voter_sets::{Candidate, VoterSets},
     },
 };
@@ -54,3 +54,25 @@
     assert!(terms[0].number < terms[1].number, "{terms:?}");
     assert!(terms[1].number < terms[2].number, "{terms:?}");
 }
+
+/// Guards against a table that is lost because the lease has lapsed before it was handed over: the next
+/// term directly follows the lapsed one.
+#[test]
+fn a_lapsed_lease_is_given_up_once_its_table_was_handed_over() {
+    let (mut leases, sets) = lone();
+    let start = Time::from_millis(10_000);
+    let mut units = [partition(ME)];
+    leases.apply_routing(&mut units);
+    leases.tick(start, &sets);
+    let lease = units[0].lease.clone().unwrap();
+    assert!(lease.usable(start));
+    leases.apply_routing(&mut [partition(NodeId(2))]);
+    let lapsed = start + LEASE_DURATION * 2;
+    leases.tick(lapsed, &sets);
+    assert_eq!(leases.len(), 1, "given up before the handover");
+    assert!(!lease.usable(lapsed), "requested again");
+    lease.start_handover();
+    lease.finish_handover();
+    leases.tick(lapsed, &sets);
+    assert_eq!(leases.len(), 0);
+}
