Forget the attempt of a daemon that never held a lease

What callers of the own interface saw: "unknown". An attempt of another daemon that failed was named as the previous term, of which no table exists. Its release now says that the term was never held. The test of the rule failed before.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -34,6 +34,8 @@
 /// Time within which the votes on a request are expected. A round trip between data centres takes
 /// less, and a lost vote is asked for again after it.
 pub const VOTE_TIME: Duration = Duration::from_millis(100);
+/// Epoch in the release of a term that was requested and never held; the epochs of voter sets begin at 1.
+const NEVER_HELD: u64 = 0;
 /// Interval at which a holder renews its lease.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -92,7 +94,8 @@
     pub unit: UnitId,
     /// Term that the sender begins, continues or ends.
     pub term: LeaseTerm,
-    /// Epoch of the unit's voter set as known to the sender.
+    /// Epoch of the unit's voter set as known to the sender; 0 in the release of a term that was never
+    /// held.
     pub epoch: u64,
     /// Number of this request at its sender; votes carry it, so that late ones do not count.
     pub round: u64,
@@ -152,6 +155,9 @@
             let current = |g: &&mut Grant| g.term == request.term && g.round <= request.round;
             if let Some(grant) = self.grants.get_mut(&request.unit).filter(current) {
                 grant.until = now;
+                if request.epoch == NEVER_HELD {
+                    self.forget_attempt(request.unit);
+                }
             }
             return vote;
         }
@@ -179,6 +185,20 @@
         vote
     }
 
+    /// Forgets the latest grant of a unit, whose term was never held, so that the one before it is the
+    /// previous term of the next holder.
+    fn forget_attempt(&mut self, unit: UnitId) {
+        let attempt = self.grants.remove(&unit);
+        if let Some((grant, term)) = attempt.and_then(|g| g.previous.map(|p| (g, p))) {
+            let before = Grant {
+                term,
+                previous: None,
+                ..grant
+            };
+            self.grants.insert(unit, before);
+        }
+    }
+
     /// Forgets grants that expired more than a minute ago.
     ///
     /// Only bounds memory: votes are correct however rarely it is called.
@@ -322,7 +342,10 @@
         self.until = Time::ZERO;
         self.votes.clear();
         self.awaiting = false;
-        let request = self.build_request(true);
+        let mut request = self.build_request(true);
+        if self.since.is_none() {
+            request.epoch = NEVER_HELD;
+        }
         self.since = None;
         self.number = self.round + 1;
         request
--- a/crates/core/tests/leases.rs
+++ b/crates/core/tests/leases.rs
@@ -374,6 +374,38 @@
     assert_eq!(world.nodes[1].lease.previous(), Some(first));
 }
 
+/// Guards against a table that the next owner does not continue, because another daemon asked for the
+/// lease in vain in between and one voter names its attempt as the previous term.
+#[test]
+fn a_new_holder_learns_the_previous_term_despite_an_attempt_of_another_daemon() {
+    let mut world = World::new(VoterSets::next_step);
+    world.run(&Op::Round {
+        node: 0,
+        voters: u8::MAX,
+    });
+    let first = world.nodes[0].lease.term();
+    let deliver = |world: &mut World| {
+        while !world.net.is_empty() {
+            world.run(&Op::Deliver { pick: 0 });
+        }
+    };
+    world.run(&Op::Release { node: 0 });
+    deliver(&mut world);
+    world.run(&Op::Round {
+        node: 2,
+        voters: 0b1,
+    });
+    assert!(!world.nodes[2].lease.held(world.now));
+    world.run(&Op::Release { node: 2 });
+    deliver(&mut world);
+    world.run(&Op::Round {
+        node: 1,
+        voters: u8::MAX,
+    });
+    assert!(world.nodes[1].lease.held(world.now));
+    assert_eq!(world.nodes[1].lease.previous(), Some(first));
+}
+
 /// A daemon must not believe that it directly follows an old term when only one of its voters
 /// remembers the term in between.
 #[test]
