--- a/crates/daemon/src/traffic/calls.rs
+++ b/crates/daemon/src/traffic/calls.rs
@@ -14,7 +14,7 @@
             rpc::{DeliverResult, Peers},
         },
     },
-    rattanturn_core::{NodeId, selection::TargetSelector},
+    rattanturn_core::{NodeId, lease::UnitId, selection::TargetSelector},
     slotmap::{Key, KeyData, SlotMap, new_key_type},
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
 };
@@ -185,6 +185,11 @@
         self.threads == 1 || u64::from(destination.addr.port().wrapping_sub(first)) == self.thread
     }
 
+    /// Whether a unit that this daemon holds belongs to this thread.
+    pub(crate) fn owns(&self, unit: UnitId) -> bool {
+        unit.0 % self.threads == self.thread
+    }
+
     fn send_batch(&self, destination: Destination, calls: Vec<HolderCall>) {
         if self.is_local(destination) {
             for call in calls {
--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -33,7 +33,9 @@
     /// tables that arrived here for another owner.
     pub(crate) fn tick(&self) {
         let routing = self.routing.load();
-        for unit in routing.dedup_units() {
+        // The tables of the others are on other threads.
+        let units = routing.dedup_units().iter();
+        for unit in units.filter(|u| self.calls.owns(u.id)) {
             if let Some(lease) = &unit.lease
                 && self.may_hand_over(unit, lease)
                 && lease.start_handover()
--- a/crates/daemon/tests/own_interface.rs
+++ b/crates/daemon/tests/own_interface.rs
@@ -11,7 +11,7 @@
     std::{
         fs,
         io::{self, BufRead, BufReader, Read, Write},
-        net::{Shutdown, SocketAddr, TcpStream},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         path::PathBuf,
         process::{Child, Command, Stdio},
         sync::{Arc, mpsc},
@@ -40,6 +40,9 @@
 
 /// Settings of a daemon with one traffic thread.
 const ONE_THREAD: &str = "rpc-port = 0\n";
+/// Traffic threads of a daemon with several.
+const THREADS: u16 = 2;
+
 /// Routes with the same pool; what is usual is learned for each.
 const ROUTES: &str = "\
 [route search]
@@ -289,6 +292,18 @@
     now.unwrap().as_millis()
 }
 
+/// The first of as many consecutive ports as a daemon with several threads needs.
+fn free_ports() -> u16 {
+    loop {
+        let first = TcpListener::bind("127.0.0.1:0").unwrap();
+        let port = first.local_addr().unwrap().port();
+        let next = (1..THREADS).map(|n| TcpListener::bind(("127.0.0.1", port.wrapping_add(n))));
+        if next.collect::<io::Result<Vec<_>>>().is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Sends bytes on a new connection and returns the status of the answer; 0 without one.
 fn ask(addr: SocketAddr, text: &str) -> u16 {
     let answer = TcpStream::connect(addr).and_then(|stream| exchange(stream, text));
@@ -503,3 +518,28 @@
         assert_eq!(codes, [Some(0); 2]);
     });
 }
+
+/// Guards against tables that a thread which does not have them hands over, so that retries get
+/// "unknown".
+#[test]
+fn retries_get_the_first_outcome_after_a_daemon_with_several_threads_was_stopped() {
+    System::new().block_on(async {
+        let threads = || format!("threads = {THREADS}\nrpc-port = {}\n", free_ports());
+        let mut site = Site::spawn_lone("threads", &threads());
+        let settings = format!("{}peers = {}\n", threads(), site.stopped.gossip);
+        let other = Daemon::spawn("threads-2", site.platform, &settings);
+        site.wait_ready();
+        let issued = unix_ms();
+        let renew_all = || -> Vec<u16> {
+            let text = |n| renew_issued_at("renew", &format!("table-{n}"), issued);
+            (0..60).map(|n| ask(other.addr, &text(n))).collect()
+        };
+        assert_eq!(renew_all(), [200; 60]);
+        let ran = site.target.counters().ran;
+        let began = Instant::now();
+        site.stopped.terminate();
+        assert_eq!(site.stopped.supervise(began), Some(0));
+        assert_eq!(renew_all(), [200; 60]);
+        assert_eq!(site.target.counters().ran, ran);
+    });
+}
