Count calls that could not be sent as not run

What callers of the own interface saw: "unknown" for calls that were not sent, 7 of 40, as a failed connection to the holder counted as a lost call. They go to another target now.

--- a/crates/daemon/src/traffic/calls.rs
+++ b/crates/daemon/src/traffic/calls.rs
@@ -11,7 +11,7 @@
         routing::{Destination, SharedRouting},
         traffic::{
             holder::{CallResult, Holder, HolderCall, Outcome},
-            rpc::{DeliverResult, Peers},
+            rpc::{DeliverResult, Peers, RunError},
         },
     },
     rattanturn_core::{NodeId, lease::UnitId, selection::TargetSelector},
@@ -201,18 +201,25 @@
         }
         let this = self.clone();
         actix_rt::spawn(async move {
-            let sent = this.peers.run(destination, &calls).await;
-            // The RPC returns after the last result. Calls that are still open are lost, and they
+            // The RPC returns after the last result. Calls that are still open then are lost, and they
             // may or may not have run.
+            let outcome = match this.peers.run(destination, &calls).await {
+                Ok(()) => Outcome::Failed,
+                Err(RunError::Lost(error)) => {
+                    tracing::debug!(peer = %destination.addr, %error, "RPC failed; its calls are lost");
+                    Outcome::Failed
+                }
+                Err(RunError::NotSent(error)) => {
+                    tracing::debug!(peer = %destination.addr, %error, "calls were not sent");
+                    Outcome::NoHolder
+                }
+            };
             for call in &calls {
                 deliver(
                     &this.inner,
-                    CallResult::without_answer(call.number, Outcome::Failed),
+                    CallResult::without_answer(call.number, outcome),
                 );
             }
-            if let Err(error) = sent {
-                tracing::debug!(peer = %destination.addr, %error, "RPC failed; its calls are lost");
-            }
         });
     }
 }
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -277,6 +277,15 @@
     system: JoinHandle<()>,
 }
 
+/// Why calls that another daemon was to run have no results.
+#[derive(Debug)]
+pub(crate) enum RunError {
+    /// The daemon cannot be reached. None was sent.
+    NotSent(eyre::Report),
+    /// No answer came. Each may have run.
+    Lost(eyre::Report),
+}
+
 /// One traffic thread's connections to the traffic threads of other daemons, one for each address.
 #[derive(Clone)]
 pub(crate) struct Peers {
@@ -305,11 +314,11 @@
     ///
     /// # Errors
     ///
-    /// The daemon cannot be reached or the connection broke. Calls that have no result by then are
-    /// lost: they may or may not have run.
-    pub(crate) async fn run(&self, to: Destination, calls: &[HolderCall]) -> eyre::Result<()> {
+    /// The daemon cannot be reached, and no call was sent, or the connection broke. Calls that have no
+    /// result by then are lost: they may or may not have run.
+    pub(crate) async fn run(&self, to: Destination, calls: &[HolderCall]) -> Result<(), RunError> {
         self.simulate_delay(to).await;
-        let client = self.client(to.addr).await?;
+        let client = self.client(to.addr).await.map_err(RunError::NotSent)?;
         let mut request = client.run_request();
         request.get().set_sink(self.sink.clone());
         let count = u32::try_from(calls.len()).unwrap_or(u32::MAX);
@@ -322,9 +331,10 @@
         let limit = deadline.since(clock::now()) + RESULT_GRACE;
         let Ok(sent) = tokio::time::timeout(limit, request.send().promise).await else {
             self.close_silent(to.addr);
-            eyre::bail!("no answer in time");
+            return Err(RunError::Lost(eyre::eyre!("no answer in time")));
         };
-        self.forget_disconnected(to.addr, sent.map(|_| ()))
+        let sent = self.forget_disconnected(to.addr, sent.map(|_| ()));
+        sent.map_err(RunError::Lost)
     }
 
     /// Cancels calls of `origin` at the daemon at `to`; errors are ignored.
--- a/crates/demo/tests/promises/once.rs
+++ b/crates/demo/tests/promises/once.rs
@@ -4,11 +4,13 @@
 use {
     super::{LOAD_TIME, route_load, with_cluster},
     actix_rt::time::sleep,
+    rattanturn_core::rendezvous,
     rattanturn_daemon::Daemon,
     rattanturn_demo::{
         load::{DaemonResolver, run, unix_ms},
         report::{false_not_run, totals},
     },
+    serde_json::Value,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -86,6 +88,36 @@
     });
 }
 
+/// Guards against "unknown" for calls that were never sent, because the daemon that held their target has
+/// ended.
+#[test]
+fn calls_that_cannot_be_sent_to_a_killed_holder_go_to_another_target() {
+    with_cluster(6, async |cluster| {
+        sleep(Duration::from_secs(2)).await;
+        let states = cluster.states().await;
+        let holds = |daemon: usize, unit: &str| {
+            let units = states[daemon]["units"].as_array().unwrap();
+            let name = |u: &Value| u["unit"].as_str().unwrap_or("").starts_with(unit);
+            units.iter().any(|u| name(u) && u["mine"] == true)
+        };
+        let killed = (0..6).find(|d| holds(*d, "events/")).unwrap();
+        // An id belongs to one of 16 partitions.
+        let is_lost = |id: &str| holds(killed, &format!("journal/{}", rendezvous::key(id) % 16));
+        let ids = (0..200).map(|n| format!("k{n}"));
+        let ids: Vec<String> = ids.filter(|id| !is_lost(id)).take(40).collect();
+        let callers = cluster.frontends()[(killed + 1) % 6];
+        cluster.kill(killed);
+        // The other daemons notice that their connections end.
+        sleep(Duration::from_millis(50)).await;
+        let issued = unix_ms();
+        let sent = ids.iter().map(|id| renew(callers, id, issued));
+        let outcomes = futures::future::join_all(sent).await;
+        let wrong = outcomes.iter().filter(|o| *o != "ran").count();
+        assert_eq!(wrong, 0, "{outcomes:?}");
+        assert_eq!(totals(&cluster.targets).duplicates, 0);
+    });
+}
+
 /// The deduplication tables of a killed daemon are lost, and the next owner cannot tell which
 /// requests have run. It must answer "unknown" to a retry instead of running it again.
 #[test]
