--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -152,6 +152,8 @@
             key: connection.key.clone(),
             sent_at,
             opened_at: connection.opened_at,
+            written_at: connection.written_at,
+            copies: 1,
             outcome,
         };
         let daemons = self.daemons.borrow();
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -11,8 +11,12 @@
         accounts::{AccountChecks, Accounts},
         connection::{Answer, Outcome},
         daemons::{Daemon, MIN_SERVING},
-        environment::{Environment, ONCE_SERVICE, SHARD_COUNT, SINGLE_SERVICES},
+        environment::{
+            Environment, LETTER_SERVICE, LONG_LIMIT, LONG_SERVICE, ONCE_SERVICE, SHARD_COUNT,
+            SINGLE_SERVICES, WIDE_SERVICES,
+        },
         rollouts::OrderChecks,
+        stop_checks::StopChecks,
     },
     rattanturn_core::merge::top_records,
     std::{
@@ -32,6 +36,9 @@
 /// Sliding window in which the platform's rules limit the extra calls (retries and hedges) of a
 /// service.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+/// Time after a request's last byte within which a connection that closes has crossed the request,
+/// so that the daemon need not have read it. The platform's rules set it.
+pub(crate) const CROSSING_TIME: Duration = Duration::from_millis(200);
 
 /// The route that a request takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,10 +50,16 @@
     Single,
     /// A request to one target that must not run twice.
     Once,
+    /// As `Single`, `Once` and `Gather`, of services whose requests may run for seconds. Only runs
+    /// with stops have them.
+    Long,
+    Letter,
+    Wide,
 }
 
 impl RequestKind {
     pub(crate) const ALL: [Self; 3] = [Self::Gather, Self::Single, Self::Once];
+    pub(crate) const LONG: [Self; 3] = [Self::Long, Self::Letter, Self::Wide];
 
     /// Path of a request. The number selects one of the paths of the route, which lead to the same
     /// services.
@@ -56,17 +69,20 @@
         format!("{route}{name}")
     }
 
-    const fn route(self) -> &'static str {
+    pub(crate) const fn route(self) -> &'static str {
         match self {
             Self::Gather => "/all/",
             Self::Single => "/one/",
             Self::Once => "/once/",
+            Self::Long => "/long/",
+            Self::Letter => "/letter/",
+            Self::Wide => "/wide/",
         }
     }
 
     /// The kind of the requests that a service gets.
     pub(crate) fn of_service(service: &str) -> Option<Self> {
-        let mut all = Self::ALL.into_iter();
+        let mut all = Self::ALL.into_iter().chain(Self::LONG);
         all.find(|k| service.starts_with(k.service_prefix()))
     }
 
@@ -75,15 +91,32 @@
         match self {
             Self::Gather => Duration::from_secs(2),
             Self::Single | Self::Once => Duration::from_millis(1_500),
+            Self::Long | Self::Letter | Self::Wide => LONG_LIMIT,
         }
     }
 
     /// Prefix of the names of the services that may run it.
-    const fn service_prefix(self) -> &'static str {
+    pub(crate) const fn service_prefix(self) -> &'static str {
         match self {
             Self::Gather => "shard-",
             Self::Single => "single-",
             Self::Once => ONCE_SERVICE,
+            Self::Long => LONG_SERVICE,
+            Self::Letter => LETTER_SERVICE,
+            Self::Wide => "wide-",
+        }
+    }
+
+    /// Whether its requests must not run twice.
+    pub(crate) const fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Letter)
+    }
+
+    /// Number of services that a gathered request needs.
+    const fn shard_count(self) -> usize {
+        match self {
+            Self::Wide => WIDE_SERVICES.len(),
+            _ => SHARD_COUNT,
         }
     }
 }
@@ -100,6 +133,10 @@
     pub(crate) sent_at: Instant,
     /// When the caller last opened a connection; `None` if it has never had one.
     pub(crate) opened_at: Option<Instant>,
+    /// When the whole request was written; `None` if it was not.
+    pub(crate) written_at: Option<Instant>,
+    /// Number of copies of a target's records that its answer must hold.
+    pub(crate) copies: usize,
     pub(crate) outcome: Outcome,
 }
 
@@ -180,11 +217,12 @@
     pub(crate) callers: u64,
     /// Requests that must not have run, and why.
     not_executed: Vec<(RequestKind, String, String)>,
-    /// Ids of the requests that must not run twice.
-    once_ids: Vec<String>,
+    /// Requests that must not run twice.
+    once_ids: Vec<(RequestKind, String)>,
     pub(crate) config: ConfigSchedule,
     pub(crate) accounts: AccountChecks,
     pub(crate) orders: OrderChecks,
+    pub(crate) stops: StopChecks,
     /// Whether accounts or versions have to be checked at the targets.
     pub(crate) records_calls: bool,
     /// Whether the last fault has been undone for as long as the daemons may feel it.
@@ -203,17 +241,18 @@
         *self.outcomes.entry(name).or_default() += 1;
     }
 
+    /// Notes a request that must not run twice, whatever its outcome.
+    pub(crate) fn note_once(&mut self, kind: RequestKind, id: &str) {
+        if kind.runs_once() {
+            self.once_ids.push((kind, id.to_owned()));
+        }
+    }
+
     /// Checks a request's outcome; call it as soon as the request has ended.
     pub(crate) fn check_request(&mut self, env: &Environment, daemon: &Daemon, request: &Request) {
         let now = Instant::now();
-        if request.kind == RequestKind::Once {
-            self.once_ids.push(request.id.clone());
-        }
-        let name = match &request.outcome {
-            Outcome::Answered(answer) => answer.status.to_string(),
-            other => format!("{other:?}"),
-        };
-        self.count_outcome(name);
+        self.note_once(request.kind, &request.id);
+        self.count_outcome(request.outcome.name());
         let from = earlier(request.sent_at, MAX_PROPAGATION + CATCH_UP_TIME);
         let starting = daemon.started_since(earlier(request.sent_at, START_TIME));
         let exempt = starting || daemon.had_outage(from, now);
@@ -222,19 +261,24 @@
             self.not_executed
                 .push((request.kind, request.id.clone(), reason));
         }
-        if daemon.incarnation != request.incarnation || daemon.had_outage(request.sent_at, now) {
-            // The process was replaced or stalled during the request, so the request may fail. An
+        self.check_content(env, request);
+        if daemon.was_disturbed(request.sent_at, now) {
+            // The process was killed or stalled during the request, so the request may fail. An
             // answer that did arrive must still be correct.
-            self.check_content(env, request);
             return;
         }
-        let closing = daemon.stopping.is_some_and(|t| now > t + MIN_SERVING);
+        self.check_usual_lost_answer(daemon, request);
+        let stop = daemon.stop_of(request.incarnation);
+        let unlisted = daemon.incarnation != request.incarnation
+            || !daemon.is_running()
+            || stop.is_some_and(|t| now > t + MIN_SERVING);
         match &request.outcome {
             Outcome::Answered(_) => {}
-            Outcome::ConnectFailed | Outcome::Closed if closing => {}
+            Outcome::ConnectFailed if unlisted => {}
             Outcome::ConnectFailed if daemon.started_since(earlier(now, START_TIME)) => {}
             // The kept-alive connection belonged to the daemon's previous process.
             Outcome::Closed if request.opened_at.is_some_and(|o| daemon.started_since(o)) => {}
+            Outcome::Closed if self.crossed_close(env, daemon, request) => {}
             other => self.add_violation(format!(
                 "{:?} request {} to {}: expected an answer, got {other:?} after {:?}; \
                  the caller last opened a connection {:?} before that; the daemon {}",
@@ -246,17 +290,45 @@
                 daemon.lifetime()
             )),
         }
-        self.check_content(env, request);
-        self.check_config(env, request, exempt);
+        if daemon.incarnation == request.incarnation {
+            self.check_config(env, request, exempt);
+        }
+    }
+
+    /// Whether a request that has just ended without any byte of an answer crossed the close of its
+    /// connection by a daemon that closes: the daemon may not have read it. No target may have seen
+    /// it then, nor see it later.
+    pub(crate) fn crossed_close(
+        &mut self,
+        env: &Environment,
+        daemon: &Daemon,
+        request: &Request,
+    ) -> bool {
+        let in_time = request
+            .written_at
+            .is_none_or(|at| at.elapsed() <= CROSSING_TIME);
+        let runs = env.run_count(request.kind.service_prefix(), &request.id);
+        let crossed = daemon.is_closing(request.incarnation) && in_time && runs == 0;
+        if crossed {
+            let reason = "it crossed the close of its connection".into();
+            self.not_executed
+                .push((request.kind, request.id.clone(), reason));
+        }
+        crossed
     }
 
     /// Checks that an answer belongs to its request, that its body is complete, and that it reports
     /// the number of missing parts correctly.
-    fn check_content(&mut self, env: &Environment, request: &Request) {
+    pub(crate) fn check_content(&mut self, env: &Environment, request: &Request) {
         let Outcome::Answered(answer) = &request.outcome else {
             return;
         };
-        if matches!(answer.status, 401 | 429 | 503) {
+        if let Some(other) = answer.request_id().filter(|id| *id != request.id) {
+            let text = format!("request {}: got the answer to request {other}", request.id);
+            self.add_violation(text);
+            return;
+        }
+        if matches!(answer.status, 401 | 408 | 421 | 429 | 503) {
             let reason = format!("answered with {}", answer.status);
             self.not_executed
                 .push((request.kind, request.id.clone(), reason));
@@ -265,8 +337,8 @@
             return;
         }
         let error = match request.kind {
-            RequestKind::Gather => gather_error(env, answer),
-            RequestKind::Single | RequestKind::Once => single_error(env, request, answer),
+            RequestKind::Gather | RequestKind::Wide => gather_error(env, request.kind, answer),
+            _ => single_error(env, request, answer),
         };
         if let Some(error) = error {
             self.add_violation(format!(
@@ -322,25 +394,39 @@
 
     /// Checks what only the targets know; call it once all calls have ended.
     pub(crate) fn check_targets(&mut self, env: &Environment, daemons: &[Daemon]) {
-        for id in std::mem::take(&mut self.once_ids) {
-            let runs = env.run_count(ONCE_SERVICE, &id);
+        for (kind, id) in std::mem::take(&mut self.once_ids) {
+            let runs = env.run_count(kind.service_prefix(), &id);
             if runs > 1 {
                 self.add_violation(format!(
                     "request {id}: must run at most once, but ran {runs} times at targets"
                 ));
             }
         }
+        self.check_not_executed(env);
+        self.check_budgets();
+        self.check_quotas(daemons);
+        self.check_orders(env, daemons);
+        self.report_stops();
+    }
+
+    /// Checks that requests of which callers may assume so have not run; lists those of one reason
+    /// together.
+    fn check_not_executed(&mut self, env: &Environment) {
+        let mut found: BTreeMap<(RequestKind, String), Vec<String>> = BTreeMap::new();
         for (kind, id, reason) in std::mem::take(&mut self.not_executed) {
             let runs = env.run_count(kind.service_prefix(), &id);
             if runs > 0 {
-                self.add_violation(format!(
-                    "{kind:?} request {id}: must not run ({reason}), but ran {runs} times at targets"
-                ));
+                let text = format!("{id} ({runs} times)");
+                found.entry((kind, reason)).or_default().push(text);
             }
         }
-        self.check_budgets();
-        self.check_quotas(daemons);
-        self.check_orders(env, daemons);
+        for ((kind, reason), ids) in found {
+            self.add_violation(format!(
+                "{} {kind:?} requests must not run ({reason}), but ran at targets: {}",
+                ids.len(),
+                ids.join(", ")
+            ));
+        }
     }
 
     /// Records how many requests were sent and how many calls arrived at targets so far.
@@ -438,7 +524,7 @@
             target.config().id
         ));
     }
-    if answer.body != target.records() {
+    if answer.body != target.records().repeat(request.copies) {
         return Some(format!(
             "expected the records of {}, which signed the answer; got another body",
             target.config().id
@@ -449,7 +535,7 @@
 }
 
 /// What is wrong with an answer that merges the parts of several shards, if anything.
-fn gather_error(env: &Environment, answer: &Answer) -> Option<String> {
+fn gather_error(env: &Environment, kind: RequestKind, answer: &Answer) -> Option<String> {
     let source = answer.source();
     let targets: Option<Vec<_>> = source
         .part_signers
@@ -466,12 +552,16 @@
         .iter()
         .map(|s| s.config().service.as_str())
         .collect();
-    if services.len() != targets.len() || services.iter().any(|s| !s.starts_with("shard-")) {
+    if services.len() != targets.len()
+        || services
+            .iter()
+            .any(|s| !s.starts_with(kind.service_prefix()))
+    {
         return Some(format!(
             "expected at most one part from each shard, got parts from {services:?}"
         ));
     }
-    if source.missing != Some(SHARD_COUNT - targets.len()) {
+    if source.missing != kind.shard_count().checked_sub(targets.len()) {
         return Some(format!(
             "the answer claims {:?} missing parts but holds {} parts",
             source.missing,
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::accounts::FORGED_NAME,
+    actix_rt::time::sleep,
     rattanturn_platform::caller::{AnswerSource, answer_source},
     rattanturn_standins::operator::HOST,
     std::{
@@ -39,6 +40,22 @@
 }
 
 impl Outcome {
+    /// The status of the answer, or the name of the failure.
+    pub(crate) fn name(&self) -> String {
+        match self {
+            Self::Answered(answer) => answer.status.to_string(),
+            other => format!("{other:?}"),
+        }
+    }
+
+    /// Whether a daemon has answered with a 502 of its own, which no target signed.
+    pub(crate) fn is_lost_answer(&self) -> bool {
+        match self {
+            Self::Answered(a) => a.status == 502 && a.source().signer.is_none(),
+            _ => false,
+        }
+    }
+
     /// Status of the answer, if there was one.
     pub(crate) fn status(&self) -> Option<u16> {
         match self {
@@ -53,7 +70,7 @@
 pub(crate) struct Answer {
     pub(crate) status: u16,
     /// By name in lower case.
-    headers: BTreeMap<String, String>,
+    pub(crate) headers: BTreeMap<String, String>,
     pub(crate) body: Vec<u8>,
 }
 
@@ -63,8 +80,13 @@
         answer_source(|name| self.headers.get(name).map(String::as_str))
     }
 
+    /// Id of the request that the answer belongs to, if it says so.
+    pub(crate) fn request_id(&self) -> Option<&str> {
+        self.headers.get("x-request-id").map(String::as_str)
+    }
+
     /// Whether the daemon closes the connection after this answer.
-    fn ends_connection(&self) -> bool {
+    pub(crate) fn ends_connection(&self) -> bool {
         let value = self.headers.get("connection");
         value.is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
@@ -78,6 +100,8 @@
     pub(crate) key: Option<String>,
     /// When it last opened a connection; `None` if it has never had one.
     pub(crate) opened_at: Option<Instant>,
+    /// When it had written the whole of its last request.
+    pub(crate) written_at: Option<Instant>,
 }
 
 impl Connection {
@@ -93,6 +117,7 @@
         limit: Duration,
     ) -> Outcome {
         let deadline = Instant::now() + limit;
+        self.written_at = None;
         let kept = self.open.take().filter(|(addr, _)| *addr == to);
         let mut stream = match kept {
             Some((_, stream)) => stream,
@@ -116,8 +141,9 @@
         if stream.write_all(text.as_bytes()).await.is_err() {
             return Outcome::Closed;
         }
+        self.written_at = Some(Instant::now());
         let left = deadline.saturating_duration_since(Instant::now());
-        let outcome = timeout(left, read_answer(&mut stream)).await;
+        let outcome = timeout(left, read_answer(&mut stream, &mut Vec::new(), None)).await;
         let outcome = outcome.unwrap_or(Outcome::TimedOut);
         if let Outcome::Answered(answer) = &outcome
             && !answer.ends_connection()
@@ -128,14 +154,24 @@
     }
 }
 
-/// Reads one answer. Bytes after it are dropped; the daemons send none unasked.
-async fn read_answer(stream: &mut TcpStream) -> Outcome {
-    let mut bytes = Vec::new();
+/// How a caller reads that is slower than the daemon writes: a part, then a pause.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    pub(crate) bytes: usize,
+    pub(crate) pause: Duration,
+}
+
+/// Reads one answer. `bytes` holds what was read of it before, and afterwards what follows it.
+pub(crate) async fn read_answer(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+    pace: Option<Pace>,
+) -> Outcome {
     let head_len = loop {
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
             break end + 4;
         }
-        match stream.read_buf(&mut bytes).await {
+        match read_part(stream, bytes, pace).await {
             Ok(n) if n > 0 => {}
             _ if bytes.is_empty() => return Outcome::Closed,
             _ => return Outcome::Truncated,
@@ -153,14 +189,28 @@
         return Outcome::Truncated;
     };
     while bytes.len() < head_len + length {
-        match stream.read_buf(&mut bytes).await {
+        match read_part(stream, bytes, pace).await {
             Ok(n) if n > 0 => {}
             _ => return Outcome::Truncated,
         }
     }
+    let rest = bytes.split_off(head_len + length);
+    let body = std::mem::replace(bytes, rest).split_off(head_len);
     Outcome::Answered(Answer {
         status,
         headers,
-        body: bytes[head_len..head_len + length].to_vec(),
+        body,
     })
 }
+
+async fn read_part(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+    pace: Option<Pace>,
+) -> std::io::Result<usize> {
+    let Some(pace) = pace else {
+        return stream.read_buf(bytes).await;
+    };
+    sleep(pace.pause).await;
+    stream.take(pace.bytes as u64).read_buf(bytes).await
+}
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -4,20 +4,27 @@
 //! a fault that was injected from one of the daemon's own.
 
 use {
+    crate::{final_answers::StopTimes, processor},
     eyre::WrapErr,
     rustix::process::{Pid, Signal, kill_process},
     std::{
         fs::{self, File},
-        net::{IpAddr, Ipv4Addr, SocketAddr},
+        net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
+        os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
         time::{Duration, Instant},
     },
 };
 
-/// The daemons' `drain-limit`: the time that a graceful shutdown may take. A daemon closes its
-/// listeners 2 s before the limit.
+/// The daemons' `drain-limit`: the time that a graceful shutdown may take.
 pub(crate) const DRAIN_LIMIT: Duration = Duration::from_secs(6);
+/// Time after SIGTERM at which a daemon closes its listeners.
+pub(crate) const CLOSING_TIME: Duration =
+    DRAIN_LIMIT.checked_mul(2).unwrap().checked_div(3).unwrap();
+/// Time after SIGTERM at which open requests get their final answers.
+pub(crate) const FINAL_ANSWER_TIME: Duration =
+    DRAIN_LIMIT.checked_mul(7).unwrap().checked_div(8).unwrap();
 /// Time after SIGTERM in which a daemon must still serve, a little less than the 4 s until it
 /// closes its listeners.
 pub(crate) const MIN_SERVING: Duration = Duration::from_millis(3_700);
@@ -50,10 +57,15 @@
     pub(crate) settings: &'a str,
 }
 
+/// Time for opening a connection on loopback, which is accepted or refused at once.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A time in which a process was dead or paused.
 #[derive(Clone, Copy, Debug)]
 struct Outage {
     from: Instant,
+    /// Whether it began with the exit of a process that was asked to stop.
+    planned: bool,
     /// `None` while it lasts.
     until: Option<Instant>,
 }
@@ -64,6 +76,24 @@
     }
 }
 
+/// A request to an incarnation to stop.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    incarnation: u32,
+    /// Right before the first signal was sent.
+    at: Instant,
+    /// Right after it was sent; the soak itself may not run in between.
+    sent: Option<Instant>,
+    /// Longest time for which a thread of the process had waited for a processor by then.
+    waited: Duration,
+    /// Number of the signals, SIGTERM and SIGINT.
+    signals: u32,
+    /// When SIGINT was first sent during the stop, which closes the listeners at once.
+    hurried: Option<Instant>,
+    /// When the process had exited.
+    ended: Option<Instant>,
+}
+
 /// One daemon through all its incarnations.
 pub(crate) struct Daemon {
     pub(crate) name: String,
@@ -75,8 +105,13 @@
     /// Number of starts so far.
     pub(crate) incarnation: u32,
     started: Option<Instant>,
-    /// When SIGTERM was sent to the current process.
+    /// When SIGTERM or SIGINT was first sent to the current process.
     pub(crate) stopping: Option<Instant>,
+    stops: Vec<Stop>,
+    /// Whether the current process is known to have accepted a connection before the last signal.
+    accepting: bool,
+    /// When a caller first got an answer with status 200 from the current process.
+    served: Option<Instant>,
     pub(crate) paused: bool,
     /// In order of time; only the last one may still last.
     outages: Vec<Outage>,
@@ -126,6 +161,9 @@
             incarnation: 0,
             started: None,
             stopping: None,
+            stops: Vec::new(),
+            accepting: false,
+            served: None,
             paused: false,
             outages: Vec::new(),
             cut_offs: Vec::new(),
@@ -177,6 +215,8 @@
         self.incarnation += 1;
         self.started = Some(Instant::now());
         self.stopping = None;
+        self.accepting = false;
+        self.served = None;
         self.paused = false;
         self.end_outage();
         Ok(())
@@ -184,7 +224,7 @@
 
     /// Ends the process with SIGKILL.
     pub(crate) fn kill(&mut self) {
-        self.begin_outage();
+        self.begin_outage(false);
         if let Some(mut child) = self.child.take() {
             // The process may just have exited by itself.
             let _ = child.kill();
@@ -194,34 +234,178 @@
 
     /// Sends a signal and records what it means for outages; does nothing without a process.
     pub(crate) fn signal(&mut self, signal: Signal) {
-        let id = self.child.as_ref().and_then(|c| i32::try_from(c.id()).ok());
-        let Some(pid) = id.and_then(Pid::from_raw) else {
+        let Some(pid) = self.pid() else {
             return;
         };
         match signal {
             Signal::STOP => {
                 self.paused = true;
-                self.begin_outage();
+                self.begin_outage(false);
             }
             Signal::CONT => {
                 self.paused = false;
                 self.end_outage();
             }
-            Signal::TERM => self.stopping = Some(Instant::now()),
+            Signal::TERM | Signal::INT => self.note_stop(signal),
             _ => {}
         }
+        if !self.accepting && !self.paused {
+            let probe = TcpStream::connect_timeout(&self.front(), PROBE_TIMEOUT);
+            self.accepting = probe.is_ok();
+        }
         // The process may just have exited by itself.
         let _ = kill_process(pid, signal);
+        let waited = processor::longest_wait(pid);
+        if let Some(stop) = self.stops.last_mut().filter(|s| s.sent.is_none()) {
+            stop.sent = Some(Instant::now());
+            stop.waited = waited;
+        }
+    }
+
+    /// Time since the current process was sent the signal that asked it to stop, and how long one of
+    /// its threads has waited for a processor since then.
+    pub(crate) fn stopping_for(&self) -> Option<(Duration, Duration)> {
+        let stop = self.find_stop(self.incarnation)?;
+        let waited = self.processor_wait().saturating_sub(stop.waited);
+        Some((stop.sent?.elapsed(), waited))
+    }
+
+    /// Longest time for which a thread of the current process has waited for a processor.
+    pub(crate) fn processor_wait(&self) -> Duration {
+        self.pid().map_or(Duration::ZERO, processor::longest_wait)
+    }
+
+    /// The current process.
+    pub(crate) fn pid(&self) -> Option<Pid> {
+        let id = i32::try_from(self.child.as_ref()?.id()).ok()?;
+        Pid::from_raw(id)
+    }
+
+    /// Whether its process has exited; [`Daemon::take_exit_status`] still returns the status.
+    pub(crate) fn has_exited(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))))
     }
 
     /// Returns the status, once, of a process that has exited other than by [`Daemon::kill`].
     pub(crate) fn take_exit_status(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok()??;
         self.child = None;
-        self.begin_outage();
+        self.begin_outage(self.stopping.is_some());
+        if self.stopping.is_some()
+            && let Some(stop) = self.stops.last_mut()
+        {
+            stop.ended = Some(Instant::now());
+        }
         Some(status)
     }
 
+    /// Whether a process may exit with this status: with code 0 after it was asked to stop. A process
+    /// that a signal ended before its handlers stood has accepted nothing, so callers lose nothing;
+    /// once it accepts connections, it must handle signals.
+    pub(crate) fn may_exit_with(&self, status: ExitStatus) -> bool {
+        let signals = [Signal::TERM, Signal::INT, Signal::HUP].map(Signal::as_raw);
+        let by_signal = status.signal().is_some_and(|s| signals.contains(&s));
+        self.stopping.is_some() && status.success() || by_signal && !self.accepting
+    }
+
+    /// When an incarnation was asked to stop, if it was.
+    pub(crate) fn stop_of(&self, incarnation: u32) -> Option<Instant> {
+        self.find_stop(incarnation).map(|stop| stop.at)
+    }
+
+    /// When an incarnation was asked to stop, and hurried, if it was.
+    pub(crate) fn stop_times(&self, incarnation: u32) -> Option<StopTimes> {
+        self.find_stop(incarnation).map(|stop| StopTimes {
+            asked: stop.at,
+            hurried: stop.hurried,
+        })
+    }
+
+    /// Number of signals that asked an incarnation to stop.
+    pub(crate) fn signals_to(&self, incarnation: u32) -> u32 {
+        self.find_stop(incarnation).map_or(0, |stop| stop.signals)
+    }
+
+    /// When the stop of an incarnation was hurried by SIGINT, if it was.
+    pub(crate) fn hurried_at(&self, incarnation: u32) -> Option<Instant> {
+        self.find_stop(incarnation)?.hurried
+    }
+
+    /// Time from the first signal to an incarnation until its process had exited, or until now.
+    pub(crate) fn stop_lasted(&self, incarnation: u32) -> Option<Duration> {
+        let stop = self.find_stop(incarnation)?;
+        let end = stop.ended.unwrap_or_else(Instant::now);
+        Some(end.saturating_duration_since(stop.at))
+    }
+
+    fn find_stop(&self, incarnation: u32) -> Option<&Stop> {
+        let mut stops = self.stops.iter().rev();
+        stops.find(|stop| stop.incarnation == incarnation)
+    }
+
+    fn note_stop(&mut self, signal: Signal) {
+        let at = Instant::now();
+        if self.stopping.is_some() {
+            if let Some(last) = self.stops.last_mut() {
+                last.signals += 1;
+                if signal == Signal::INT {
+                    last.hurried.get_or_insert(at);
+                }
+            }
+            return;
+        }
+        self.stopping = Some(at);
+        self.stops.push(Stop {
+            incarnation: self.incarnation,
+            at,
+            sent: None,
+            waited: Duration::ZERO,
+            signals: 1,
+            hurried: None,
+            ended: None,
+        });
+    }
+
+    /// Whether its process was killed, paused or exited unasked between two instants.
+    pub(crate) fn was_disturbed(&self, from: Instant, until: Instant) -> bool {
+        let mut all = self.outages.iter();
+        all.any(|o| !o.planned && o.overlaps(from, until))
+    }
+
+    /// Notes an answer with status 200 of an incarnation.
+    pub(crate) fn note_served(&mut self, incarnation: u32) {
+        if incarnation == self.incarnation && self.served.is_none() {
+            self.served = Some(Instant::now());
+        }
+    }
+
+    /// Whether the current process had served requests before it was asked to stop.
+    pub(crate) fn served_before_stop(&self) -> bool {
+        let stop = self.stopping;
+        stop.is_some_and(|stop| self.served.is_some_and(|served| served < stop))
+    }
+
+    /// Whether an incarnation is closing or gone, so that requests may cross its close.
+    pub(crate) fn is_closing(&self, incarnation: u32) -> bool {
+        self.incarnation != incarnation || !self.is_running() || self.stop_of(incarnation).is_some()
+    }
+
+    /// Changes the log level in the settings file; the process reads it at the next SIGHUP.
+    pub(crate) fn set_log_level(&self, level: &str) -> std::io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        let fresh = format!("level = {level}");
+        let changed = |line: &str| {
+            let is_level = line.starts_with("level = ");
+            let line = if is_level { &fresh } else { line };
+            format!("{line}\n")
+        };
+        // A process may read the file at any moment.
+        let draft = self.settings.with_extension("new");
+        fs::write(&draft, text.lines().map(changed).collect::<String>())?;
+        fs::rename(draft, &self.settings)
+    }
+
     /// Whether an outage overlaps the time between two instants.
     pub(crate) fn had_outage(&self, from: Instant, until: Instant) -> bool {
         self.outages.iter().any(|o| o.overlaps(from, until))
@@ -237,7 +421,11 @@
 
     pub(crate) fn begin_cut_off(&mut self) {
         let from = Instant::now();
-        self.cut_offs.push(Outage { from, until: None });
+        self.cut_offs.push(Outage {
+            from,
+            planned: false,
+            until: None,
+        });
     }
 
     /// Ends the cut-off that began first. Of several that overlap, only the times of the first begin
@@ -276,10 +464,11 @@
     }
 
     /// Begins an outage, unless one lasts already.
-    fn begin_outage(&mut self) {
+    fn begin_outage(&mut self, planned: bool) {
         if self.outages.last().is_none_or(|d| d.until.is_some()) {
             self.outages.push(Outage {
                 from: Instant::now(),
+                planned,
                 until: None,
             });
         }
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,7 +4,10 @@
 //! that can inject network faults. Each daemon has a proxy of its own for the store.
 
 use {
-    crate::accounts::{self, Accounts},
+    crate::{
+        accounts::{self, Accounts},
+        standin_threads::StandinThreads,
+    },
     rattanturn_standins::{
         operator::{ConfigBuilder, deregister_target, register_target_at},
         platform::{self, Platform},
@@ -13,7 +16,9 @@
     },
     serde_json::json,
     std::{
+        future::pending,
         net::{IpAddr, Ipv4Addr, SocketAddr},
+        rc::Rc,
         sync::Arc,
         time::Duration,
     },
@@ -28,6 +33,19 @@
 /// Services of the route `/one/`; configuration number `i` gives it the one at index `i`.
 pub(crate) const SINGLE_SERVICES: [&str; 5] =
     ["single-0", "single-1", "single-2", "single-3", "single-4"];
+/// Services of the routes `/long/`, `/letter/` (whose requests must not run twice) and `/wide/` (a
+/// scatter-gather) of runs with stops. Their requests may run for seconds.
+pub(crate) const LONG_SERVICE: &str = "long";
+pub(crate) const LETTER_SERVICE: &str = "letter";
+pub(crate) const WIDE_SERVICES: [&str; 3] = ["wide-0", "wide-1", "wide-2"];
+/// Daemons for which each of these services has one more target in each data centre: long requests
+/// hold their slots, and each daemon has callers of its own.
+const DAEMONS_PER_TARGET: usize = 5;
+/// Connections that a target accepts for each daemon of a run with more daemons than usual.
+const CONNECTIONS_PER_DAEMON: u32 = 6;
+/// Time limit and latency goal of the routes of runs with stops.
+pub(crate) const LONG_LIMIT: Duration = Duration::from_secs(8);
+pub(crate) const LONG_GOAL: Duration = Duration::from_secs(2);
 /// Latency goal of the scatter-gather route.
 const LATENCY_GOAL_MS: u64 = 250;
 /// Time that a target needs for one request.
@@ -48,40 +66,54 @@
 
 /// The stand-ins of a run.
 pub(crate) struct Environment {
-    platform: Platform,
+    threads: Rc<StandinThreads>,
+    /// Where the store serves.
+    store_addr: SocketAddr,
     pub(crate) store: Arc<platform::State>,
     /// By service, then by data centre.
     pub(crate) targets: Vec<Target>,
     /// Names of the services of the shards.
     pub(crate) shards: Vec<String>,
     config: ConfigBuilder,
+    /// Whether there are the routes and targets of runs with stops.
+    has_long: bool,
 }
 
 impl Environment {
-    /// Starts the store and all targets, and announces the targets.
-    pub(crate) async fn spawn() -> eyre::Result<Self> {
-        let platform = Platform::spawn()?;
+    /// Starts the store and all targets, `in_centre` of each service in each data centre, and
+    /// announces the targets.
+    pub(crate) async fn spawn(in_centre: usize) -> eyre::Result<Self> {
+        let threads = Rc::new(StandinThreads::start());
+        let (store_addr, store) = threads.run(spawn_store).await?;
         let shards: Vec<String> = (0..SHARD_COUNT).map(|i| format!("shard-{i}")).collect();
         let mut targets = Vec::new();
         let names = shards.iter().map(String::as_str);
         for service in names.chain([ONCE_SERVICE]).chain(SINGLE_SERVICES) {
-            for centre in CENTRES {
+            for i in 0..CENTRES.len() * in_centre {
+                let (centre, round) = (CENTRES[i % CENTRES.len()], i / CENTRES.len());
+                let suffix = if round == 0 {
+                    String::new()
+                } else {
+                    format!("-{round}")
+                };
                 let config = TargetConfig {
-                    id: format!("{service}-{centre}"),
+                    id: format!("{service}-{centre}{suffix}"),
                     service: service.into(),
                     centre: centre.into(),
                     service_time: SERVICE_TIME,
                     version: "v1".into(),
                 };
-                targets.push(Self::spawn_target(config).await?);
+                targets.push(spawn_target(&threads, config).await?);
             }
         }
         let mut environment = Self {
-            store: platform.state(),
-            platform,
+            threads,
+            store_addr,
+            store,
             targets,
             shards,
             config: ConfigBuilder::default(),
+            has_long: false,
         };
         for i in 0..environment.targets.len() {
             environment.announce(i, "ready");
@@ -89,16 +121,34 @@
         Ok(environment)
     }
 
-    /// Starts a target, which is not announced yet.
-    pub(crate) async fn spawn_target(config: TargetConfig) -> eyre::Result<Target> {
-        let state = shard::spawn(config).await?;
-        let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
-        Ok(Target {
-            state,
-            proxy,
-            retired: false,
-            sequence: 0,
-        })
+    /// Adds the targets and routes of runs with stops, behind the others.
+    pub(crate) async fn add_long_targets(&mut self, daemons: u8) -> eyre::Result<()> {
+        self.has_long = true;
+        let in_centre = 1 + usize::from(daemons).div_ceil(DAEMONS_PER_TARGET);
+        if usize::from(daemons) > DAEMONS_PER_TARGET {
+            let count = CONNECTIONS_PER_DAEMON * u32::from(daemons);
+            self.config = std::mem::take(&mut self.config).max_connections(count);
+        }
+        for service in [LONG_SERVICE, LETTER_SERVICE].iter().chain(&WIDE_SERVICES) {
+            for i in 0..CENTRES.len() * in_centre {
+                let config = TargetConfig {
+                    id: format!("{service}-{i}"),
+                    service: (*service).into(),
+                    centre: CENTRES[i % CENTRES.len()].into(),
+                    service_time: SERVICE_TIME,
+                    version: "v1".into(),
+                };
+                self.targets
+                    .push(spawn_target(&self.threads, config).await?);
+                self.announce(self.targets.len() - 1, "ready");
+            }
+        }
+        Ok(())
+    }
+
+    /// The threads on which further stand-ins are started.
+    pub(crate) fn threads(&self) -> Rc<StandinThreads> {
+        self.threads.clone()
     }
 
     /// Indices of the targets of a service.
@@ -118,7 +168,17 @@
 
     /// Starts a proxy in front of the store, for one daemon.
     pub(crate) async fn spawn_store_proxy(&self) -> eyre::Result<Proxy> {
-        Ok(Proxy::bind(ANY_PORT, self.platform.addr()).await?)
+        self.spawn_proxy(ANY_PORT, self.store_addr).await
+    }
+
+    /// Starts a proxy for `server` that listens at `at`.
+    pub(crate) async fn spawn_proxy(
+        &self,
+        at: SocketAddr,
+        server: SocketAddr,
+    ) -> eyre::Result<Proxy> {
+        let bind = async move || Ok(Proxy::bind(at, server).await?);
+        self.threads.run(bind).await
     }
 
     /// Lets the targets record their calls from now on, if asked for.
@@ -149,9 +209,29 @@
             .gather_route("/all/", &self.shards, LATENCY_GOAL_MS)
             .single_route("/one/", SINGLE_SERVICES[number], true)
             .single_route("/once/", ONCE_SERVICE, false);
+        if self.has_long {
+            self.add_long_routes();
+        }
         self.config.write(&self.store);
     }
 
+    /// Adds the routes of runs with stops, which need no key.
+    fn add_long_routes(&mut self) {
+        let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        let (limit, goal) = (millis(LONG_LIMIT), millis(LONG_GOAL));
+        let wide = WIDE_SERVICES.map(str::to_owned);
+        self.config = std::mem::take(&mut self.config)
+            .single_route("/long/", LONG_SERVICE, true)
+            .limits(limit, goal)
+            .public()
+            .single_route("/letter/", LETTER_SERVICE, false)
+            .limits(limit, goal)
+            .public()
+            .gather_route("/wide/", &wide, goal)
+            .limits(limit, goal)
+            .public();
+    }
+
     /// Writes a target's entry in the store, with its state (`ready` or `draining`) and the address
     /// of its proxy.
     pub(crate) fn announce(&mut self, target: usize, state: &str) {
@@ -191,3 +271,32 @@
             .sum()
     }
 }
+
+/// Starts the store, which serves as long as its thread runs; returns its address and state.
+async fn spawn_store() -> eyre::Result<(SocketAddr, Arc<platform::State>)> {
+    let store = Platform::spawn()?;
+    let handle = (store.addr(), store.state());
+    actix_rt::spawn(async move {
+        pending::<()>().await;
+        drop(store);
+    });
+    Ok(handle)
+}
+
+/// Starts a target, which is not announced yet.
+pub(crate) async fn spawn_target(
+    threads: &StandinThreads,
+    config: TargetConfig,
+) -> eyre::Result<Target> {
+    let start = async move || {
+        let state = shard::spawn(config).await?;
+        let proxy = Proxy::bind(ANY_PORT, state.addr()).await?;
+        Ok(Target {
+            state,
+            proxy,
+            retired: false,
+            sequence: 0,
+        })
+    };
+    threads.run(start).await
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,8 +7,9 @@
 //! packets. A seed that failed may therefore pass the next time, and the cause of a failure has to
 //! be traced from the logs that its run kept.
 //!
-//! Callers may have keys and accounts quotas, and new versions may be rolled out; both are drawn
-//! beside the faults, so that a seed's faults do not depend on them. The daemon's feature
+//! Callers may have keys and accounts quotas, new versions may be rolled out, and daemons may be
+//! stopped in overlapping series; all are drawn beside the faults, so that a seed's faults do not
+//! depend on them. The daemon's feature
 //! `planted-faults` and the variable `RATTANTURN_PLANTED` give it a fault that the checks must find.
 //!
 //! Faults of disks and clocks are not injected: daemons use no disk, and their only clocks are
@@ -20,9 +21,18 @@
 mod connection;
 mod daemons;
 mod environment;
+mod final_answers;
+mod injection;
 mod plan;
+mod processor;
+mod recovery;
 mod rollouts;
 mod runner;
+mod signals;
+mod standin_threads;
+mod stop_callers;
+mod stop_checks;
+mod stops;
 
 use std::{
     path::{Path, PathBuf},
@@ -51,8 +61,13 @@
     pub program: PathBuf,
     /// Number of daemons, at most 200; each has a loopback address of its own.
     pub daemons: u8,
+    /// Number of targets of each service in each data centre, at most 20.
+    pub targets: usize,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Largest number of callers that stay at their daemons in runs with stops, up to seven for each
+    /// daemon. Each daemon has one at least.
+    pub stop_callers: usize,
     /// Time in which faults begin. A run takes longer: faults last up to 4 s, a daemon that is
     /// asked to stop takes up to its drain limit, and the daemons start before and recover after
     /// the faults.
@@ -61,6 +76,8 @@
     pub accounts: bool,
     /// Whether new versions are rolled out, one beside the faults and one after them.
     pub rollouts: bool,
+    /// Whether daemons are stopped in overlapping series, with requests that take seconds.
+    pub stops: bool,
     /// Folder in which a run makes its own folder for settings and logs. That one is removed at the
     /// end unless the run found a violation.
     pub folder: PathBuf,
@@ -74,10 +91,13 @@
         Self {
             program: program.into(),
             daemons: 5,
+            targets: 1,
             callers: 12,
+            stop_callers: 70,
             fault_window: Duration::from_secs(15),
             accounts: false,
             rollouts: false,
+            stops: false,
             folder: std::env::temp_dir(),
         }
     }
@@ -97,6 +117,9 @@
     pub faults: usize,
     /// A description of each violation; empty if the run passed.
     pub violations: Vec<String>,
+    /// Longest time for which the soak itself did not run. With a long one the machine lacked
+    /// processor time, which a violation's time may be due to; `run.txt` lists the long ones.
+    pub longest_pause: Duration,
     /// The run's folder with settings, logs and `run.txt`, which lists the faults and the
     /// violations. It has been removed if there were no violations.
     pub folder: PathBuf,
@@ -106,7 +129,8 @@
 ///
 /// # Errors
 ///
-/// The stand-ins or a daemon could not be started, or a file of the run could not be written.
+/// The stand-ins or a daemon could not be started, a file of the run could not be written, or the
+/// run sends SIGINT and this process ignores it.
 pub fn run(seed: u64, options: &Options) -> eyre::Result<Report> {
     actix_rt::System::new().block_on(runner::run(seed, options))
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -25,12 +25,18 @@
             optional --count count: u64
             /// Number of daemons, at most 200; 5 if not given.
             optional --daemons count: u8
+            /// Number of targets of each service in each data centre, at most 20; 1 if not given.
+            optional --targets count: usize
             /// Number of concurrent callers; 12 if not given.
             optional --callers count: usize
+            /// Most callers that stay at their daemons in runs with stops; 70 if not given.
+            optional --stop-callers count: usize
             /// Give callers keys and accounts quotas.
             optional --accounts
             /// Roll out new versions, good and bad ones.
             optional --rollouts
+            /// Stop daemons in overlapping series, beside the faults or, in some seeds, without any.
+            optional --stops
             /// Seconds in which faults begin; 15 if not given.
             optional --seconds time: u64
         }
@@ -57,12 +63,15 @@
     };
     let mut options = Options::new(&program);
     options.daemons = flags.daemons.unwrap_or(options.daemons);
+    options.targets = flags.targets.unwrap_or(options.targets);
     options.callers = flags.callers.unwrap_or(options.callers);
+    options.stop_callers = flags.stop_callers.unwrap_or(options.stop_callers);
     options.fault_window = flags
         .seconds
         .map_or(options.fault_window, Duration::from_secs);
     options.accounts = flags.accounts;
     options.rollouts = flags.rollouts;
+    options.stops = flags.stops;
     let first = flags.first.unwrap_or(1);
     let mut passed = true;
     for seed in first..first + flags.count.unwrap_or(1) {
@@ -73,10 +82,11 @@
             .map(|(o, n)| format!("{o}: {n}"))
             .collect();
         println!(
-            "seed {seed}: {} faults, {} requests ({}), {} broken",
+            "seed {seed}: {} faults, {} requests ({}), longest pause {} ms, {} broken",
             report.faults,
             report.requests,
             outcomes.join(", "),
+            report.longest_pause.as_millis(),
             report.violations.len()
         );
         for violation in &report.violations {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -70,6 +70,16 @@
     EditAccounts(AccountEdit),
 }
 
+impl FaultKind {
+    /// Whether it is work of operators, which runs without other faults have too.
+    pub(crate) const fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Self::Reload(_) | Self::ChangeConfig | Self::EditAccounts(_)
+        )
+    }
+}
+
 /// A fault that is to be injected.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Fault {
--- a/crates/soak/src/rollouts.rs
+++ b/crates/soak/src/rollouts.rs
@@ -7,7 +7,7 @@
     crate::{
         checks::{Checks, RequestKind, to_f64},
         daemons::Daemon,
-        environment::{Environment, ONCE_SERVICE, SHARD_COUNT},
+        environment::{Environment, ONCE_SERVICE, SHARD_COUNT, spawn_target},
         runner::Runner,
     },
     actix_rt::time::sleep,
@@ -182,15 +182,16 @@
     /// Starts the targets of an order's version and announces them; returns their indices.
     async fn start_version(&self, plan: &Plan, count: usize) -> eyre::Result<Vec<usize>> {
         let mut new = Vec::new();
+        let threads = self.environment.borrow().threads();
         for centre in crate::environment::CENTRES.iter().take(count) {
-            let target = Environment::spawn_target(TargetConfig {
+            let config = TargetConfig {
                 id: format!("{}-{NEW_VERSION}-{centre}", plan.service),
                 service: plan.service.clone(),
                 centre: (*centre).into(),
                 service_time: crate::environment::SERVICE_TIME,
                 version: NEW_VERSION.into(),
-            })
-            .await?;
+            };
+            let target = spawn_target(&threads, config).await?;
             target.state.set_flaw(plan.flaw.clone());
             // Lets it record its calls.
             let _ = target.state.take_calls();
--- a/crates/soak/src/runner.rs
+++ b/crates/soak/src/runner.rs
@@ -1,38 +1,32 @@
 //! Runs one seed: injects its faults while callers send requests, then checks the recovery.
 //!
 //! Everything runs on one thread, so the state of a run is in cells, and no borrow of them may be
-//! held across an `await`. Faults overlap. If two that change the same setting of a stand-in or a
-//! proxy overlap, the one that ends first undoes both.
+//! held across an `await`.
 
 use {
     crate::{
-        CATCH_UP_TIME, Options, RECOVERY_TIME, Report,
+        CATCH_UP_TIME, Options, Report,
         accounts::{self, AccountBook, AccountEdit, account_of_caller},
-        checks::{Checks, MAX_PROPAGATION, RequestKind},
-        connection::{Connection, Outcome},
-        daemons::{DRAIN_LIMIT, Daemon, DaemonSetup},
+        checks::{Checks, MAX_PROPAGATION},
+        daemons::{Daemon, DaemonSetup},
         environment::{CENTRES, Environment},
-        plan::{self, Fault, FaultKind},
-        rollouts,
+        plan::{self, Fault},
+        processor::WaitSamples,
+        rollouts, signals, stops,
     },
     actix_rt::{task::JoinHandle, time::sleep},
+    eyre::ensure,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    rattanturn_platform::http::READY_PATH,
-    rattanturn_standins::{
-        operator::set_evacuated,
-        platform::Mode,
-        proxy::{LinkMode, Proxy},
-        shard,
-    },
-    rustix::process::Signal,
+    rattanturn_standins::proxy::Proxy,
+    rustix::process::{Resource, getpid, getrlimit},
     std::{
         cell::{Cell, RefCell},
+        collections::BTreeMap,
         fmt::Write,
         fs,
-        net::SocketAddr,
+        path::PathBuf,
         rc::Rc,
-        slice::SliceIndex,
         time::{Duration, Instant},
     },
 };
@@ -40,18 +34,26 @@
 /// Time beyond a route's limit within which a caller still accepts an answer. It covers the
 /// response transit time and delays on a busy machine.
 pub(crate) const ANSWER_SLACK: Duration = Duration::from_secs(1);
-/// Factor by which a slow target's service time is multiplied.
-const SLOW: f64 = 30.0;
+/// Most daemons of a run. Each takes about 20 MB of memory, and a few hundred processes are the most
+/// that a machine shared with others should run.
+const MAX_DAEMONS: u8 = 200;
+/// Most targets of a service in a data centre. They share the threads of the stand-ins.
+const MAX_TARGETS: usize = 20;
 /// Stream of the seed's generator from which edits of accounts are drawn.
 const ACCOUNT_STREAM: u64 = 1;
 /// Stream of the seed's generator from which orders are drawn.
 const ORDER_STREAM: u64 = 2;
-/// Consecutive rounds of good answers from all daemons that count as recovery.
-const GOOD_ROUNDS: usize = 5;
-/// Time beyond its drain limit within which the process of a stopping daemon must exit.
-const STOP_SLACK: Duration = Duration::from_secs(2);
+/// Stream of the seed's generator from which stops are drawn, and their callers.
+const STOP_STREAM: u64 = 3;
 /// Time in which callers check that the last configuration is in force.
 const LAST_CHECK_TIME: Duration = Duration::from_secs(1);
+/// Interval at which the monitor looks at the processes.
+const MONITOR_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without running from which on a pause of the soak is worth a line in `run.txt`: the checks
+/// measure times of this order.
+const NOTABLE_PAUSE: Duration = Duration::from_millis(200);
+/// Descriptors that a run leaves unused: new connections between two samples take some.
+const DESCRIPTOR_RESERVE: u64 = 1_000;
 /// Interval between two samples of the numbers of requests and calls.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -60,9 +62,9 @@
     pub(crate) environment: RefCell<Environment>,
     pub(crate) daemons: RefCell<Vec<Daemon>>,
     /// The proxies through which the daemons reach the store, by index of the daemon.
-    store_proxies: Vec<Proxy>,
+    pub(crate) store_proxies: Vec<Proxy>,
     /// The proxies through which daemons reach each other by RPC, by index of the daemon called.
-    peer_proxies: Vec<Proxy>,
+    pub(crate) peer_proxies: Vec<Proxy>,
     pub(crate) checks: RefCell<Checks>,
     pub(crate) has_orders: bool,
     /// The only daemon that callers use now, if there is one.
@@ -78,16 +80,28 @@
     /// One line for each fault, written to `run.txt` if the run finds a violation.
     fault_log: RefCell<String>,
     started: Instant,
+    /// Longest time for which the soak itself did not run when it should have.
+    longest_pause: Cell<Duration>,
+    /// Most files and connections that the soak itself had open.
+    most_descriptors: Cell<u64>,
 }
 
 /// Runs one seed; see [`crate::run`].
 pub(crate) async fn run(seed: u64, options: &Options) -> eyre::Result<Report> {
+    ensure!(
+        (1..=MAX_TARGETS).contains(&options.targets),
+        "expected 1 to {MAX_TARGETS} targets of each service in each data centre"
+    );
+    ensure!(
+        (1..=MAX_DAEMONS).contains(&options.daemons),
+        "expected 1 to {MAX_DAEMONS} daemons"
+    );
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let folder = options
         .folder
         .join(format!("soak-{}-{seed}", std::process::id()));
     fs::create_dir_all(&folder)?;
-    let environment = Environment::spawn().await?;
+    let mut environment = Environment::spawn(options.targets).await?;
     let bytes = std::process::id().to_le_bytes();
     let setup = DaemonSetup {
         program: &options.program,
@@ -106,22 +120,17 @@
         let centre = CENTRES[usize::from(number) % CENTRES.len()];
         let daemon = Daemon::create(&setup, number, centre, proxy.addr)?;
         let (server, at) = daemon.peer_link();
-        peer_proxies.push(Proxy::bind(at, server).await?);
+        peer_proxies.push(environment.spawn_proxy(at, server).await?);
         daemons.push(daemon);
         store_proxies.push(proxy);
     }
-    let targets = environment.targets.len();
-    let mut faults = plan::draw_faults(&mut rng, options.fault_window, daemons.len(), targets);
-    if options.accounts {
-        let mut own = ChaCha8Rng::seed_from_u64(seed);
-        own.set_stream(ACCOUNT_STREAM);
-        plan::add_account_edits(&mut faults, &mut own, options.fault_window);
+    let plans = draw_plans(seed, &mut rng, options, environment.targets.len());
+    if plans.stops.as_ref().is_some_and(|p| p.interrupts) {
+        signals::ensure_interruptible()?;
+    }
+    if options.stops {
+        environment.add_long_targets(options.daemons).await?;
     }
-    let plans = options.rollouts.then(|| {
-        let mut own = ChaCha8Rng::seed_from_u64(seed);
-        own.set_stream(ORDER_STREAM);
-        rollouts::draw_plans(&mut own, usize::from(options.daemons))
-    });
     let accounts = options.accounts.then(AccountBook::new);
     let run = Rc::new(Runner {
         environment: RefCell::new(environment),
@@ -137,6 +146,8 @@
         finished: Cell::new(false),
         fault_log: RefCell::default(),
         started: Instant::now(),
+        longest_pause: Cell::default(),
+        most_descriptors: Cell::default(),
     });
     let records = options.accounts || options.rollouts;
     run.checks.borrow_mut().records_calls = records;
@@ -144,9 +155,15 @@
     run.publish_config();
     run.start_all()?;
     run.await_recovery().await;
-    let callers = run.start_callers(options, &mut rng);
+    let mut callers = run.start_callers(options, &mut rng);
+    if let Some(plan) = &plans.stops {
+        run.checks.borrow_mut().stops.calm = plan.calm;
+        let rng = ChaCha8Rng::seed_from_u64(plan.caller_seed);
+        callers.extend(run.start_stop_callers(options.stop_callers, rng));
+    }
     let monitor = actix_rt::spawn(run.clone().monitor());
-    run.inject_all(&faults, plans).await?;
+    let faults = plans.faults.len();
+    run.inject_all(plans).await?;
     run.finished.set(true);
     for caller in callers {
         caller.await?;
@@ -154,30 +171,79 @@
     monitor.await?;
     sleep(ANSWER_SLACK).await;
     run.check_targets();
+    run.check_descriptors();
     run.daemons.borrow_mut().iter_mut().for_each(Daemon::kill);
-    let checks = run.checks.take();
-    let report = Report {
-        seed,
-        requests: checks.total_requests(),
-        outcomes: checks.outcomes.into_iter().collect(),
-        faults: faults.len(),
-        violations: checks.violations,
-        folder: folder.clone(),
+    run.report(seed, faults, folder)
+}
+
+/// What is done in a run.
+struct Plans {
+    faults: Vec<Fault>,
+    /// The orders beside the faults and after them.
+    orders: Option<[rollouts::Plan; 2]>,
+    stops: Option<stops::StopPlan>,
+}
+
+/// Draws what is done in a run. All but the faults come from generators of their own.
+fn draw_plans(seed: u64, rng: &mut ChaCha8Rng, options: &Options, targets: usize) -> Plans {
+    let daemons = usize::from(options.daemons);
+    let own = |stream| {
+        let mut own = ChaCha8Rng::seed_from_u64(seed);
+        own.set_stream(stream);
+        own
     };
-    if report.violations.is_empty() {
-        fs::remove_dir_all(&folder)?;
-    } else {
-        let text = format!(
-            "{}\n{}",
-            run.fault_log.borrow(),
-            report.violations.join("\n")
-        );
-        fs::write(folder.join("run.txt"), text)?;
+    let window = options.fault_window;
+    let mut faults = plan::draw_faults(rng, window, daemons, targets);
+    if options.accounts {
+        plan::add_account_edits(&mut faults, &mut own(ACCOUNT_STREAM), window);
+    }
+    let orders = options
+        .rollouts
+        .then(|| rollouts::draw_plans(&mut own(ORDER_STREAM), daemons));
+    let stops = options
+        .stops
+        .then(|| stops::draw_plan(&mut own(STOP_STREAM), window, daemons));
+    if stops.as_ref().is_some_and(|plan| plan.calm) {
+        faults.retain(|f| f.kind.is_planned());
+    }
+    Plans {
+        faults,
+        orders,
+        stops,
     }
-    Ok(report)
+}
+
+/// Number of files and connections that this process has open; 0 where the kernel does not say.
+fn open_descriptors() -> u64 {
+    fs::read_dir("/proc/self/fd").map_or(0, |all| all.count() as u64)
 }
 
 impl Runner {
+    /// The result of the run, whose folder stays if there are violations.
+    fn report(&self, seed: u64, faults: usize, folder: PathBuf) -> eyre::Result<Report> {
+        let checks = self.checks.take();
+        let report = Report {
+            seed,
+            requests: checks.total_requests(),
+            outcomes: checks.outcomes.into_iter().collect(),
+            faults,
+            violations: checks.violations,
+            longest_pause: self.longest_pause.get(),
+            folder,
+        };
+        if report.violations.is_empty() {
+            fs::remove_dir_all(&report.folder)?;
+        } else {
+            let text = format!(
+                "{}\n{}",
+                self.fault_log.borrow(),
+                report.violations.join("\n")
+            );
+            fs::write(report.folder.join("run.txt"), text)?;
+        }
+        Ok(report)
+    }
+
     /// Starts the callers, and with accounts one more for each daemon.
     fn start_callers(
         self: &Rc<Self>,
@@ -217,8 +283,23 @@
         checks.check_targets(&env, &self.daemons.borrow());
     }
 
+    /// Reports that the stand-ins may have refused connections for want of descriptors: what daemons
+    /// did then says nothing about them.
+    fn check_descriptors(&self) {
+        let (most, limit) = (
+            self.most_descriptors.get(),
+            getrlimit(Resource::Nofile).current,
+        );
+        if let Some(limit) = limit.filter(|limit| most + DESCRIPTOR_RESERVE > *limit) {
+            self.checks.borrow_mut().add_violation(format!(
+                "the soak itself had {most} of at most {limit} descriptors open; run fewer daemons or \
+                 targets, or raise the limit with `ulimit -n`"
+            ));
+        }
+    }
+
     /// Starts the daemons that are not running.
-    fn start_all(&self) -> eyre::Result<()> {
+    pub(crate) fn start_all(&self) -> eyre::Result<()> {
         let mut all = self.daemons.borrow_mut();
         all.iter_mut()
             .filter(|d| !d.is_running())
@@ -234,17 +315,16 @@
         );
     }
 
-    /// Injects all faults, checks the recovery, and gives orders meanwhile and afterwards.
-    async fn inject_all(
-        self: &Rc<Self>,
-        faults: &[Fault],
-        plans: Option<[rollouts::Plan; 2]>,
-    ) -> eyre::Result<()> {
-        let [first, last] = plans.map_or([None, None], |plans| plans.map(Some));
+    /// Injects all faults and carries out all stops, checks the recovery, and gives orders meanwhile
+    /// and afterwards.
+    async fn inject_all(self: &Rc<Self>, plans: Plans) -> eyre::Result<()> {
+        let [first, last] = plans.orders.map_or([None, None], |orders| orders.map(Some));
         let first = first.map(|plan| actix_rt::spawn(self.clone().carry_out(plan)));
-        self.clone().inject_faults(faults).await;
-        if let Some(first) = first {
-            first.await?;
+        let stops = plans.stops;
+        let stops = stops.map(|plan| actix_rt::spawn(self.clone().carry_out_stops(plan)));
+        self.clone().inject_faults(&plans.faults).await;
+        for planned in [first, stops].into_iter().flatten() {
+            planned.await?;
         }
         self.await_recovery().await;
         let last = last.map(|plan| actix_rt::spawn(self.clone().carry_out(plan)));
@@ -255,106 +335,14 @@
         Ok(())
     }
 
-    /// Injects all faults at their times and returns when the last one is undone.
-    async fn inject_faults(self: Rc<Self>, faults: &[Fault]) {
-        let begun = Instant::now();
-        let mut running = Vec::new();
-        for fault in faults {
-            sleep(fault.start.saturating_sub(begun.elapsed())).await;
-            running.push(actix_rt::spawn(self.clone().inject(*fault)));
-        }
-        for fault in running {
-            // The join fails only if the task panicked or the runtime stopped.
-            let _ = fault.await;
-        }
-    }
-
-    /// Injects one fault and undoes it after its duration.
-    async fn inject(self: Rc<Self>, fault: Fault) {
-        self.log_fault(&format!("{:?} for {:?}", fault.kind, fault.duration));
-        match fault.kind {
-            FaultKind::Pause(i) => self.pause(i, fault.duration).await,
-            FaultKind::Kill(i) => self.kill(&[i], fault.duration).await,
-            FaultKind::KillAll => {
-                let all: Vec<usize> = (0..self.daemons.borrow().len()).collect();
-                self.kill(&all, fault.duration).await;
-            }
-            FaultKind::Stop(i) => self.stop(i).await,
-            FaultKind::Reload(i) => self.daemons.borrow_mut()[i].signal(Signal::HUP),
-            FaultKind::CompactStore => self.environment.borrow().store.compact(),
-            FaultKind::ChangeConfig => self.change_config(),
-            FaultKind::EditAccounts(edit) => self.edit_accounts(edit),
-            FaultKind::Store(mode) => {
-                self.begin_store_fault(..);
-                self.environment.borrow().store.set_mode(mode);
-                sleep(fault.duration).await;
-                self.environment.borrow().store.set_mode(Mode::Up);
-                self.end_store_fault(..);
-            }
-            FaultKind::StoreLink(i, link) => {
-                self.begin_store_fault(i..=i);
-                self.store_proxies[i].set_mode(link);
-                sleep(fault.duration).await;
-                self.store_proxies[i].set_mode(LinkMode::Normal);
-                self.end_store_fault(i..=i);
-            }
-            FaultKind::PeerLink(i, link) => {
-                // It does not cut the daemon off from the store.
-                self.begin_store_fault(0..0);
-                self.peer_proxies[i].set_mode(link);
-                sleep(fault.duration).await;
-                self.peer_proxies[i].set_mode(LinkMode::Normal);
-                self.end_store_fault(0..0);
-            }
-            FaultKind::Silence => {
-                self.begin_store_fault(..);
-                let proxies = self.store_proxies.iter().chain(&self.peer_proxies);
-                proxies.for_each(Proxy::silence_open);
-                self.environment.borrow().silence_targets();
-                self.end_store_fault(..);
-            }
-            kind => self.inject_for(kind, fault.duration).await,
-        }
-    }
-
-    /// Injects a fault of a target or a data centre for a time.
-    async fn inject_for(&self, kind: FaultKind, duration: Duration) {
-        self.set_fault(kind, true);
-        sleep(duration).await;
-        self.set_fault(kind, false);
-    }
-
-    /// Turns a fault of a target or a data centre on or off.
-    fn set_fault(&self, kind: FaultKind, on: bool) {
-        let mut env = self.environment.borrow_mut();
-        match kind {
-            FaultKind::Target(i, fault) => {
-                let fault = if on { fault } else { shard::Fault::None };
-                env.targets[i].state.set_fault(fault);
-            }
-            FaultKind::SlowTarget(i) => env.targets[i].state.set_slow(if on { SLOW } else { 1.0 }),
-            FaultKind::SlowService(i) => env.slow_service(i, if on { SLOW } else { 1.0 }),
-            FaultKind::TargetLink(i, link) => {
-                env.targets[i]
-                    .proxy
-                    .set_mode(if on { link } else { LinkMode::Normal });
-            }
-            FaultKind::RemoveTarget(i) if on => env.remove_target(i),
-            FaultKind::DrainTarget(i) if on => env.announce(i, "draining"),
-            FaultKind::RemoveTarget(i) | FaultKind::DrainTarget(i) => env.announce(i, "ready"),
-            FaultKind::Evacuate(i) => set_evacuated(&env.store, CENTRES[i], on),
-            _ => {}
-        }
-    }
-
     /// Writes the next configuration into the store.
-    fn change_config(&self) {
+    pub(crate) fn change_config(&self) {
         self.change_count.set(self.change_count.get() + 1);
         self.publish_config();
     }
 
     /// Writes the newest configuration, with the accounts as they are now.
-    fn publish_config(&self) {
+    pub(crate) fn publish_config(&self) {
         let number = self.change_count.get();
         let accounts = self.accounts.as_ref().map(|b| b.borrow().current.clone());
         let mut env = self.environment.borrow_mut();
@@ -362,7 +350,7 @@
         self.checks.borrow_mut().config.accept(number, accounts);
     }
 
-    fn edit_accounts(&self, edit: AccountEdit) {
+    pub(crate) fn edit_accounts(&self, edit: AccountEdit) {
         if let Some(book) = &self.accounts {
             book.borrow_mut().apply(edit);
             self.publish_config();
@@ -384,177 +372,65 @@
         }
     }
 
-    /// Begins a fault of the store or of a link that configurations take, which cuts these daemons
-    /// off from the store.
-    fn begin_store_fault(&self, daemons: impl SliceIndex<[Daemon], Output = [Daemon]>) {
-        self.checks.borrow_mut().config.begin_fault(Instant::now());
-        let mut all = self.daemons.borrow_mut();
-        all[daemons].iter_mut().for_each(Daemon::begin_cut_off);
-    }
-
-    /// Ends such a fault.
-    fn end_store_fault(&self, daemons: impl SliceIndex<[Daemon], Output = [Daemon]>) {
-        self.checks.borrow_mut().config.end_fault(Instant::now());
-        let mut all = self.daemons.borrow_mut();
-        all[daemons].iter_mut().for_each(Daemon::end_cut_off);
-    }
-
-    /// Stops a daemon's process with SIGSTOP for a time, unless it is paused or stopping already.
-    async fn pause(&self, i: usize, duration: Duration) {
-        if !self.daemons.borrow()[i].is_serving() {
-            return;
-        }
-        let incarnation = self.daemons.borrow()[i].incarnation;
-        self.daemons.borrow_mut()[i].signal(Signal::STOP);
-        sleep(duration).await;
-        if self.daemons.borrow()[i].incarnation == incarnation {
-            self.daemons.borrow_mut()[i].signal(Signal::CONT);
-        }
-    }
-
-    /// Kills daemons and starts those again that no other fault has started meanwhile.
-    async fn kill(&self, indices: &[usize], duration: Duration) {
-        for i in indices {
-            self.daemons.borrow_mut()[*i].kill();
-        }
-        sleep(duration).await;
-        let mut daemons = self.daemons.borrow_mut();
-        for i in indices {
-            if !daemons[*i].is_running()
-                && let Err(error) = daemons[*i].start()
-            {
-                self.checks.borrow_mut().add_violation(error.to_string());
-            }
-        }
-    }
-
-    /// Asks a daemon to stop with SIGTERM and starts it again once its process has exited.
-    async fn stop(&self, i: usize) {
-        if !self.daemons.borrow()[i].is_serving() {
-            return;
-        }
-        let (incarnation, begun) = (self.daemons.borrow()[i].incarnation, Instant::now());
-        self.daemons.borrow_mut()[i].signal(Signal::TERM);
-        loop {
-            sleep(Duration::from_millis(50)).await;
-            let mut daemons = self.daemons.borrow_mut();
-            let daemon = &mut daemons[i];
-            if daemon.incarnation != incarnation {
-                return;
-            }
-            if !daemon.is_running() {
-                if let Err(error) = daemon.start() {
-                    self.checks.borrow_mut().add_violation(error.to_string());
-                }
-                return;
-            }
-            if begun.elapsed() > DRAIN_LIMIT + STOP_SLACK
-                && !daemon.had_outage(begun, Instant::now())
-            {
-                let text = format!(
-                    "{}: expected to exit within its drain limit after SIGTERM, still runs",
-                    daemon.name
-                );
-                self.checks.borrow_mut().add_violation(text);
-                daemon.kill();
-            }
-        }
-    }
-
     /// Reports daemons that exit unasked and samples the number of calls until the run is finished.
     async fn monitor(self: Rc<Self>) {
         let mut sampled = Instant::now();
+        let mut waits = BTreeMap::new();
         while !self.finished.get() {
-            sleep(Duration::from_millis(20)).await;
+            let begun = Instant::now();
+            sleep(MONITOR_INTERVAL).await;
+            self.note_pause(begun.elapsed().saturating_sub(MONITOR_INTERVAL));
             if sampled.elapsed() > SAMPLE_INTERVAL {
                 sampled = Instant::now();
+                self.most_descriptors
+                    .set(self.most_descriptors.get().max(open_descriptors()));
                 self.checks.borrow_mut().sample(&self.environment.borrow());
+                self.note_waits(&mut waits);
             }
             for daemon in self.daemons.borrow_mut().iter_mut() {
                 let Some(status) = daemon.take_exit_status() else {
                     continue;
                 };
-                if daemon.stopping.is_none() || !status.success() {
+                let mut checks = self.checks.borrow_mut();
+                if daemon.may_exit_with(status) {
+                    if !status.success() {
+                        checks.count_outcome("process ended before it accepted".into());
+                    }
+                } else {
                     let text = format!(
                         "{}: expected to exit only after SIGTERM and with code 0, got {status}",
                         daemon.name
                     );
-                    self.checks.borrow_mut().add_violation(text);
+                    checks.add_violation(text);
                 }
             }
         }
     }
 
-    /// Waits until each daemon completely serves every kind of request, `GOOD_ROUNDS` times in a
-    /// row. A round that fails after `RECOVERY_TIME` is a violation.
-    async fn await_recovery(&self) {
-        if let Err(error) = self.start_all() {
-            self.checks.borrow_mut().add_violation(error.to_string());
-        }
-        let end = Instant::now() + RECOVERY_TIME;
-        let mut good = 0;
-        while good < GOOD_ROUNDS {
-            match self.check_round().await {
-                None => good += 1,
-                Some(error) if Instant::now() > end => {
-                    let text = format!("not recovered in time: {error}");
-                    self.checks.borrow_mut().add_violation(text);
-                    return;
-                }
-                Some(_) => {
-                    good = 0;
-                    sleep(Duration::from_millis(100)).await;
-                }
+    /// Notes which processes had a thread that waited for a processor for long since the last sample;
+    /// the stand-ins are threads of the soak itself.
+    fn note_waits(&self, samples: &mut BTreeMap<String, WaitSamples>) {
+        let daemons = self.daemons.borrow();
+        let running = daemons.iter().filter_map(|d| Some((&*d.name, d.pid()?)));
+        let mut late = Vec::new();
+        for (name, pid) in running.chain([("the soak", getpid())]) {
+            let process = format!("{name} (process {})", pid.as_raw_nonzero());
+            let waited = samples.entry(process.clone()).or_default().sample(pid);
+            if waited > NOTABLE_PAUSE {
+                late.push(format!("{process} {} ms", waited.as_millis()));
             }
         }
+        if !late.is_empty() {
+            let late = late.join(", ");
+            self.log_fault(&format!("threads waited for a processor: {late}"));
+        }
     }
 
-    /// Sends one request of each kind to each daemon; returns the first failure.
-    async fn check_round(&self) -> Option<String> {
-        let addresses: Vec<(String, SocketAddr, SocketAddr)> = {
-            let daemons = self.daemons.borrow();
-            let all = daemons.iter();
-            all.map(|d| (d.name.clone(), d.front(), d.ready()))
-                .collect()
-        };
-        for (name, front, ready) in addresses {
-            let mut connection = Connection::default();
-            let limit = Duration::from_secs(3);
-            match connection.send(ready, READY_PATH, "ready", "", limit).await {
-                Outcome::Answered(answer) if answer.status == 200 => {}
-                other => return Some(format!("{name}: expected a ready daemon, got {other:?}")),
-            }
-            for kind in RequestKind::ALL {
-                let number = self.next_id.get();
-                self.next_id.set(number + 1);
-                let id = format!("r{number}");
-                let mut connection = Connection::default();
-                self.checks.borrow_mut().count_request(kind);
-                if let Some(book) = &self.accounts {
-                    let key = book.borrow().oldest_key(accounts::PROBE);
-                    self.checks.borrow_mut().note_key(&id, &key);
-                    connection.key = Some(key);
-                }
-                let outcome = connection.send(front, &kind.path(0), &id, "", limit).await;
-                match outcome {
-                    Outcome::Answered(a) if a.status == 200 && is_complete(kind, &a) => {}
-                    Outcome::Answered(a) => {
-                        let missing = a.source().missing;
-                        return Some(format!(
-                            "{name} {kind:?}: expected 200 with all parts, \
-                             got {}, missing {missing:?}",
-                            a.status
-                        ));
-                    }
-                    other => return Some(format!("{name} {kind:?}: expected 200, got {other:?}")),
-                }
-            }
+    /// Notes that the soak did not run for some time: it and probably the daemons lacked processor time.
+    fn note_pause(&self, time: Duration) {
+        if time > NOTABLE_PAUSE {
+            self.log_fault(&format!("the soak itself did not run for {time:?}"));
         }
-        None
+        self.longest_pause.set(self.longest_pause.get().max(time));
     }
 }
-
-/// Whether no part of an answer is missing.
-fn is_complete(kind: RequestKind, answer: &crate::connection::Answer) -> bool {
-    kind != RequestKind::Gather || answer.source().missing == Some(0)
-}
