Call the old targets again when an ordered version is not done

Cause: a daemon keeps the versions that a service uses without an order as long as one of them has targets. The ordered version could be among them: after a status "done", or because its targets were seen before the old ones and before the order. If the order was then running or reverted, the old targets were not called as long as the new ones were present. A reverted version left such a daemon without any target, and a running one got all of its requests instead of its share.

Fix: core::rollout::established decides. While an order is not done, its version does not count among those that the service uses without it, whatever was known before. So the old ones are used as soon as they have targets.

--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -21,7 +21,9 @@
 pub use {
     counters::Counts,
     evidence::{Call, Evidence, Outcome, RouteCounts, is_overdue},
-    share::{CONTACT_LIMIT, ShareCredit, Use, allowed, applied_share, carriers, choose},
+    share::{
+        CONTACT_LIMIT, ShareCredit, Use, allowed, applied_share, carriers, choose, established,
+    },
     steps::{CANARY_FRACTION, Limits, STALE_AFTER, Situation, next, observe_final},
     verdict::{Verdict, verdict},
 };
--- a/crates/core/src/rollout/share.rs
+++ b/crates/core/src/rollout/share.rs
@@ -7,7 +7,7 @@
 use {
     super::{Rollout, State},
     crate::{NodeId, rendezvous},
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Time without contact, with the store and with all daemons that read it, after which a daemon
@@ -132,6 +132,37 @@
     state != Some(State::Done) && !rollout.is_barred(version)
 }
 
+/// Versions that a service uses without its order, out of the `present` ones of its targets: the `known`
+/// ones until none of them has targets, then all.
+///
+/// While an order is not done, its version is not what the service uses without it, whatever was known
+/// before: its targets may have been seen before the old ones, or an earlier status may have been done.
+///
+/// ```
+/// use {rattanturn_core::rollout::*, std::collections::BTreeSet};
+/// let [v1, v2] = ["v1", "v2"].map(|v| BTreeSet::from([v.to_owned()]));
+/// assert_eq!(established(&v1, &["v1", "v2"].into(), None), v1);
+/// assert_eq!(established(&v1, &["v2"].into(), None), v2);
+/// ```
+#[must_use]
+pub fn established(
+    known: &BTreeSet<String>,
+    present: &BTreeSet<&str>,
+    rollout: Option<&Rollout>,
+) -> BTreeSet<String> {
+    let version = rollout.map(|r| r.order.version.as_str());
+    if let Some(State::Done) = rollout.and_then(Rollout::current_state) {
+        return version.map(str::to_owned).into_iter().collect();
+    }
+    let others = present.iter().filter(|v| Some(**v) != version);
+    let others: BTreeSet<String> = others.map(|v| (*v).to_owned()).collect();
+    if known.is_disjoint(&others) {
+        others
+    } else {
+        known.clone()
+    }
+}
+
 /// The targets, out of the usable ones of the new version, that carry a share of the requests: as
 /// many as carry it at the load of one of `old` targets, but at least one. All daemons that know the
 /// same targets choose the same ones.
--- a/crates/core/tests/rollout/decisions.rs
+++ b/crates/core/tests/rollout/decisions.rs
@@ -7,10 +7,10 @@
         NodeId,
         rollout::{
             CANARY_FRACTION, Call, Evidence, Outcome, Rollout, STALE_AFTER, ShareCredit, Situation,
-            State, Status, Verdict, allowed, applied_share, carriers, next, verdict,
+            State, Status, Verdict, allowed, applied_share, carriers, established, next, verdict,
         },
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Share of the first step.
@@ -247,6 +247,28 @@
     assert!(!allowed(Some(&rollout), "v3"), "left without success");
 }
 
+/// Guards against old targets that are never called because the ordered version was known before them.
+#[test]
+fn an_ordered_version_is_established_only_when_it_is_done() {
+    let [v1, v2] = ["v1", "v2"].map(|v| BTreeSet::from([v.to_owned()]));
+    let both = BTreeSet::from(["v1", "v2"]);
+    let open = [
+        None,
+        Some((running(0.08), 0)),
+        Some((State::Reverted, 9_000)),
+    ];
+    for state in open {
+        let order = rollout(state);
+        assert_eq!(established(&v2, &both, Some(&order)), v1, "{state:?}");
+        assert_eq!(established(&v1, &both, Some(&order)), v1, "{state:?}");
+        let alone = established(&v2, &["v2"].into(), Some(&order));
+        assert_eq!(established(&alone, &both, Some(&order)), v1, "{state:?}");
+    }
+    let done = rollout(Some((State::Done, 10_000)));
+    assert_eq!(established(&v1, &both, Some(&done)), v2);
+    assert_eq!(established(&v2, &both, None), v2, "the order was removed");
+}
+
 /// Guards against requests for old targets after `done`, and for new ones without contact.
 #[test]
 fn versions_are_allowed_by_state() {
--- a/crates/daemon/src/tier/known_rollouts.rs
+++ b/crates/daemon/src/tier/known_rollouts.rs
@@ -13,7 +13,7 @@
         Time,
         discovery::TargetSet,
         rendezvous,
-        rollout::{Rollout, State, allowed, observe_final},
+        rollout::{Rollout, State, allowed, established, observe_final},
     },
     rattanturn_platform::{Object, entries::decode_rollout},
     std::{
@@ -212,18 +212,9 @@
             return;
         }
         for (service, versions) in present {
-            let order = self.orders.get(service).map(|o| &o.current);
-            let new = order.map(|r| (&r.order.version, r.current_state()));
-            if let Some((version, Some(State::Done))) = new {
-                self.established
-                    .insert(service.into(), BTreeSet::from([version.clone()]));
-                continue;
-            }
+            let order = self.orders.get(service).map(|o| &*o.current);
             let known = self.established.entry(service.into()).or_default();
-            if !known.iter().any(|v| versions.contains(v.as_str())) {
-                let old = versions.iter().map(|v| (*v).to_owned());
-                *known = old.filter(|v| new.is_none_or(|(n, _)| n != v)).collect();
-            }
+            *known = established(known, &versions, order);
         }
     }
 
--- a/crates/demo/tests/tier/rollouts.rs
+++ b/crates/demo/tests/tier/rollouts.rs
@@ -5,7 +5,7 @@
     actix_rt::{System, time::sleep},
     rattanturn_demo::tier_cluster::{Answer, Options, PLAIN, TierCluster, request},
     rattanturn_standins::{
-        operator::order_rollout,
+        operator::{deregister_target, order_rollout, register_target},
         platform::Mode,
         shard::{Flaw, State},
     },
@@ -138,6 +138,49 @@
     });
 }
 
+/// Guards against refused requests although old servers are ready, at daemons that knew the version as done.
+#[test]
+fn old_servers_serve_again_after_a_done_version_is_reverted() {
+    with_rollouts(2, SETTINGS, async |cluster| {
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        write_order(cluster, "done", 1.0);
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "d").await, REQUESTS);
+        let before = arrivals(&new);
+        assert!(before >= REQUESTS as u64);
+        write_order(cluster, "reverted", 0.0);
+        sleep(APPLY_TIME).await;
+        assert_eq!(load(cluster, "r").await, REQUESTS);
+        assert_eq!(arrivals(&new), before);
+    });
+}
+
+/// Guards against a version that gets all requests because its servers were there before the old ones.
+#[test]
+fn the_new_version_gets_at_most_its_share_although_the_old_servers_came_later() {
+    with_rollouts(2, SETTINGS, async |cluster| {
+        let old = plain_servers(cluster);
+        for server in &old {
+            deregister_target(&cluster.store, server);
+        }
+        let new = cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        sleep(REGISTER_TIME).await;
+        write_order(cluster, "running", 0.2);
+        for server in &old {
+            register_target(&cluster.store, server, "ready", 2);
+        }
+        sleep(REGISTER_TIME).await;
+        assert_eq!(load(cluster, "n").await, REQUESTS);
+        // Daemons may have changed the share meanwhile.
+        let statuses = cluster.store.statuses("rollouts", PLAIN);
+        let shares = statuses.iter().filter_map(|s| s["share"].as_f64());
+        let most = shares.fold(0.0, f64::max) * 100.0;
+        let count = arrivals(&new);
+        let is_within = (1.0..=most).contains(&f64::from(u32::try_from(count).unwrap()));
+        assert!(is_within, "{count} of {REQUESTS} requests, {most}% allowed");
+    });
+}
+
 /// Guards against calls to old servers, which stop as soon as an order is done, and against a status
 /// that daemons lose when the store comes back from an older copy.
 #[test]
