Let calls that were taken back before they were sent use up no attempt

Callers got 503 "no target could take the request" while targets still served. A request waits for a connection to one target, which says in an answer that it leaves, or goes out of use; the request moves to another one, which leaves a moment later. Each of the two counted as an attempt, although nothing was written to either, so that a route with two attempts gave up with most of its time left. A route with one attempt gave up as soon as the first target left.

Such a call now ends with a reason of its own, "withdrawn", and does not count towards the limit. This holds once for each target, so that a query ends although its targets go out of use again and again. The limit bounds how many targets may run a request, and these have got nothing of it.

--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -14,6 +14,7 @@
 //! missing. The answer is final as soon as no attempt is open and no retry is scheduled; it does
 //! not wait for the deadline.
 
+mod limits;
 mod plan;
 pub mod trace;
 
@@ -53,6 +54,8 @@
     body: Option<Vec<u8>>,
     /// Attempts so far; they take the service's targets in order and start over after the last.
     attempts: usize,
+    /// Attempts that do not count towards [`Plan::max_attempts`].
+    uncounted: usize,
     /// Attempts that have not ended.
     open: usize,
     /// Set by the first hedge, also if the budget refused it: a service is hedged at most once.
@@ -157,7 +160,12 @@
         match reply {
             Reply::Done { snapshot, body } => self.accept_part(service, snapshot, body, &mut out),
             Reply::WrongSnapshot => self.states[service].reason = Some(MissingReason::Snapshot),
-            Reply::NotRun(reason) => self.states[service].reason = Some(reason),
+            Reply::NotRun(reason) => {
+                self.states[service].reason = Some(reason);
+                if reason == MissingReason::Withdrawn {
+                    self.uncount_attempt(service);
+                }
+            }
             Reply::Failed | Reply::Ended => {
                 self.states[service].reason = Some(MissingReason::Failed);
             }
@@ -427,7 +435,7 @@
             self.restart(now, newest, budgets, out);
             return;
         }
-        let below_limit = state.attempts < self.plan.max_attempts;
+        let below_limit = self.may_call(service);
         let has_untried = state.attempts < self.plan.services[service].len();
         if has_untried && below_limit {
             self.retry(now, service, budgets, out);
@@ -491,11 +499,14 @@
     }
 
     fn retry(&mut self, now: Time, service: usize, budgets: &mut Budgets, out: &mut Vec<Action>) {
-        use MissingReason::{Deadline, Limited, NoHolder, Unreachable};
+        use MissingReason::{Deadline, Limited, NoHolder, Unreachable, Withdrawn};
         // The failed attempt cost no target any work, so its retry adds no load to targets and
         // needs no budget.
         let reason = self.states[service].reason;
-        let exempt = matches!(reason, Some(NoHolder | Unreachable | Limited | Deadline));
+        let exempt = matches!(
+            reason,
+            Some(NoHolder | Unreachable | Withdrawn | Limited | Deadline)
+        );
         if exempt || budgets.pair(self.budget(service)).try_withdraw_retry() {
             self.counts.retries += 1;
             self.call_next_target(now, service, out);
@@ -522,16 +533,6 @@
         }
     }
 
-    fn may_hedge(&self, service: usize) -> bool {
-        let state = &self.states[service];
-        !state.hedged && state.open == 1 && state.attempts < self.plan.max_attempts
-    }
-
-    /// Number of the budget that a service draws on, 0 if the plan lists none.
-    fn budget(&self, service: usize) -> usize {
-        self.plan.budgets.get(service).copied().unwrap_or(0)
-    }
-
     /// Whether the answer has enough parts and the time to wait for the others is over.
     fn cutoff_reached(&self, now: Time) -> bool {
         let cutoff = self.plan.cutoff;
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -22,6 +22,8 @@
     Limited,
     /// Its targets could not be reached or are shutting down.
     Unreachable,
+    /// Its target went out of use before the call was sent.
+    Withdrawn,
     /// No daemon that holds its targets could be found.
     NoHolder,
     /// Its targets do not serve the snapshot that the query asked for.
@@ -48,6 +50,7 @@
             Self::Busy => "busy",
             Self::Limited => "limited",
             Self::Unreachable => "unreachable",
+            Self::Withdrawn => "withdrawn",
             Self::NoHolder => "no-holder",
             Self::Snapshot => "snapshot",
             Self::Failed => "failed",
@@ -104,7 +107,8 @@
     pub hedging: bool,
     /// Whether a call that may have run is retried.
     pub idempotent: bool,
-    /// Limit on the calls for one service on one snapshot: the first, its retries and its hedge.
+    /// Limit on the calls for one service on one snapshot: the first, its retries and its hedge. A call
+    /// that ended as [`MissingReason::Withdrawn`] does not count, as far as there is one for each target.
     pub max_attempts: usize,
     /// From this number of targets on that ended while they had calls of the query, services whose
     /// target ended are not called again until another one has answered: the query itself may have
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -36,11 +36,12 @@
 };
 
 /// Reasons that `not-run` can have, written as by [`MissingReason::as_str`].
-const REASONS: [MissingReason; 11] = [
+const REASONS: [MissingReason; 12] = [
     MissingReason::Deadline,
     MissingReason::Busy,
     MissingReason::Limited,
     MissingReason::Unreachable,
+    MissingReason::Withdrawn,
     MissingReason::NoHolder,
     MissingReason::Snapshot,
     MissingReason::Failed,
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -212,6 +212,75 @@
     assert_eq!(calls(&actions), 1);
 }
 
+/// Guards against a request that is refused because its targets went out of use while it waited.
+#[test]
+fn calls_that_were_withdrawn_before_they_were_sent_use_up_no_attempt() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_single_attempt(&mut budgets);
+    let withdrawn = Reply::NotRun(MissingReason::Withdrawn);
+    let now = Time::from_millis(5);
+    let actions = gather.reply(now, AttemptId(0), withdrawn.clone(), 7, &mut budgets);
+    assert_eq!(calls(&actions), 1);
+    assert_eq!(
+        gather.reply(now, AttemptId(1), withdrawn, 7, &mut budgets),
+        []
+    );
+    let actions = gather.tick(gather.next_tick(), &mut budgets);
+    assert_eq!(
+        calls(&actions),
+        1,
+        "the first target may serve as a last resort"
+    );
+    let busy = Reply::NotRun(MissingReason::Busy);
+    let actions = gather.reply(now, AttemptId(2), busy, 7, &mut budgets);
+    assert_eq!(actions, [Action::Finish]);
+}
+
+/// Guards against a request that is sent to one target after the other without end.
+#[test]
+fn query_whose_calls_are_always_withdrawn_ends() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_single_attempt(&mut budgets);
+    let mut made = 1;
+    let mut now = Time::from_millis(5);
+    for attempt in 0..10 {
+        let reply = Reply::NotRun(MissingReason::Withdrawn);
+        let mut actions = gather.reply(now, AttemptId(attempt), reply, 7, &mut budgets);
+        if actions.is_empty() {
+            now = gather.next_tick();
+            actions = gather.tick(now, &mut budgets);
+        }
+        made += calls(&actions);
+        if actions.contains(&Action::Finish) {
+            break;
+        }
+    }
+    assert_eq!(
+        made, 3,
+        "one for each of two targets, and the one that counts"
+    );
+    assert!(now < Time::from_millis(100), "it waited for its deadline");
+}
+
+/// Starts a query over one service of two targets that may call one of them.
+fn start_single_attempt(budgets: &mut Budgets) -> Gather {
+    let plan = Plan {
+        services: vec![vec![0, 1]],
+        hedge_delays: vec![Duration::ZERO],
+        deadline: Time::from_millis(500),
+        snapshot: 7,
+        hedging: false,
+        idempotent: false,
+        max_attempts: 1,
+        max_ended: max_ended(1),
+        cutoff: None,
+        budgets: Vec::new(),
+    };
+    let (gather, actions) = Gather::start(Time::from_millis(1), plan, budgets);
+    assert_eq!(calls(&actions), 1);
+    gather
+}
+
 /// Starts a query over `services` services of two targets each, with a retry for each of them.
 fn start_query(services: usize, budgets: &mut Budgets) -> Gather {
     let plan = Plan {
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -203,9 +203,9 @@
         let upstream = self.traffic.upstream(index);
         let withheld = |u: &Upstream| view.uses_rollouts && self.traffic.is_withheld(now, u);
         let refusal = match &upstream {
-            None => Some(MissingReason::Unreachable),
+            None => Some(MissingReason::Withdrawn),
             Some(u) if withheld(u) || self.traffic.is_withdrawn(now, u, index) => {
-                Some(MissingReason::Unreachable)
+                Some(MissingReason::Withdrawn)
             }
             // A caller that may have left waits for no connection.
             Some(u) if self.input_ended() && !u.has_free_connection() => Some(MissingReason::Busy),
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -466,7 +466,8 @@
 
     /// Whether a peer may run a request that failed here because targets cannot be reached.
     fn may_relay(&self, done: &FanOutResult) -> bool {
-        let unreachable = done.missing.contains(&MissingReason::Unreachable);
+        let reasons = [MissingReason::Unreachable, MissingReason::Withdrawn];
+        let unreachable = done.missing.iter().any(|why| reasons.contains(why));
         unreachable && (self.route.idempotent || !done.ran)
     }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -338,7 +338,7 @@
             }
             tokio::select! {
                 biased;
-                () = self.waits_ended.notified() => return Err(MissingReason::Unreachable),
+                () = self.waits_ended.notified() => return Err(MissingReason::Withdrawn),
                 () = call.progress.revocation() => return Err(MissingReason::Deadline),
                 permit = &mut permit => return Ok(permit),
                 () = clock::sleep_until(self.send_by(call)) => {}
@@ -436,7 +436,7 @@
         let has_left =
             leaving != self.leaving_at.get() || (leaving.is_some() && !self.is_last_resort(now));
         if has_left || !self.usable.get() {
-            return Outcome::NotRun(MissingReason::Unreachable);
+            return Outcome::NotRun(MissingReason::Withdrawn);
         }
         if remaining < MIN_CALL_TIME {
             return Outcome::NotRun(MissingReason::Deadline);
--- a/crates/demo/tests/tier/targets.rs
+++ b/crates/demo/tests/tier/targets.rs
@@ -1,9 +1,9 @@
 //! Servers that leave, lapse or return cold while callers load the daemons.
 
 use {
-    super::{DRAIN_TIME, front_addr, plain_servers, with_cluster},
+    super::{CONFIG_APPLY_TIME, DRAIN_TIME, front_addr, plain_servers, with_cluster},
     actix_rt::time::sleep,
-    rattanturn_demo::tier_cluster::{TierCluster, get, request},
+    rattanturn_demo::tier_cluster::{TierCluster, get, request, request_within},
     rattanturn_standins::{
         operator::{deregister_target, register_target, set_evacuated},
         platform::Mode,
@@ -32,6 +32,11 @@
 /// Time for which a server is cold.
 const COLD_TIME: Duration = Duration::from_secs(3);
 
+/// Requests at two servers that run one at a time, the factors by which these are slower than usual, so
+/// that one says later than the other that it leaves, and the time limit of the requests.
+const WAITING: usize = 6;
+const LONG_CALLS: [f64; 2] = [20.0, 30.0];
+const WAIT_LIMIT_MS: u64 = 10_000;
 /// How much slower one server is than the other, so that daemons prefer the other.
 const SLOWER: f64 = 4.0;
 
@@ -199,6 +204,31 @@
     });
 }
 
+/// Guards against refusals of requests that wait for a connection while one server after the other says
+/// that it leaves.
+#[test]
+fn requests_that_wait_are_served_while_all_servers_of_a_service_leave() {
+    with_cluster(1, async |cluster| {
+        cluster.config = std::mem::take(&mut cluster.config)
+            .limits(WAIT_LIMIT_MS, WAIT_LIMIT_MS)
+            .max_connections(1);
+        cluster.config.write(&cluster.store);
+        sleep(CONFIG_APPLY_TIME).await;
+        for (server, slow) in plain_servers(cluster).iter().zip(LONG_CALLS) {
+            server.set_slow(slow);
+            server.set_leaving(true);
+        }
+        let at = front_addr(cluster, 0);
+        let open = (0..WAITING).map(|n| async move {
+            let (limit, id) = (Duration::from_millis(WAIT_LIMIT_MS), format!("w{n}"));
+            let answer = request_within(limit, at, "/once/x", &id, "body").await;
+            answer.map_or(0, |a| a.status)
+        });
+        let statuses = futures::future::join_all(open).await;
+        assert_eq!(statuses, [200; WAITING]);
+    });
+}
+
 /// Writes the entries of some servers, the first ones earlier than the last.
 async fn renew(cluster: &TierCluster, servers: &[Arc<State>], within: Duration) {
     let count = u32::try_from(servers.len()).unwrap();
