Fail if a daemon's answer to the query command was cut

`rattanturn query` printed a part of an answer as the whole one and ended with exit code 0, if the daemon's connection was closed inside of the body.

The cause is the HTTP client, which takes a body for whole when the connection ends, whatever length the answer's head states. The client of targets checks the length for that reason; the commands of the tool did not. Those that read JSON were not affected, because a part of an object is no JSON.

Daemons state the length of each answer, so a body of another length is reported as no usable answer now.

--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{CommandResult, Error, ErrorKind, flags},
-    awc::Client,
+    awc::{Client, ClientResponse},
     rattanturn_core::gather::trace,
     serde_json::Value,
     std::{
@@ -34,8 +34,7 @@
         .send_body(flags.body.clone())
         .await
         .map_err(|e| no_answer(&url, &e.to_string()))?;
-    let body = response.body().limit(MAX_BODY_BYTES).await;
-    let body = body.map_err(|e| no_answer(&url, &e.to_string()))?;
+    let body = read_body(&url, &mut response).await?;
     println!("{}", String::from_utf8_lossy(&body));
     if response.status().is_success() {
         return Ok(());
@@ -193,11 +192,25 @@
         .send()
         .await
         .map_err(|e| no_answer(&url, &e.to_string()))?;
-    let body = response.body().limit(MAX_BODY_BYTES).await;
-    let body = body.map_err(|e| no_answer(&url, &e.to_string()))?;
+    let body = read_body(&url, &mut response).await?;
     serde_json::from_slice(&body).map_err(|e| no_answer(&url, &e.to_string()))
 }
 
+/// Reads the body of an answer.
+///
+/// The client library takes a body for whole when the connection ends, whatever length was stated.
+/// Daemons state the length of each answer, so that one that was cut can be told.
+async fn read_body(url: &str, response: &mut ClientResponse) -> Result<Vec<u8>, Error> {
+    let body = response.body().limit(MAX_BODY_BYTES).await;
+    let body = body.map_err(|e| no_answer(url, &e.to_string()))?;
+    let stated = response.headers().get("content-length");
+    let stated = stated.and_then(|v| v.to_str().ok()?.trim().parse().ok());
+    if stated != Some(body.len()) {
+        return Err(no_answer(url, "the body does not have the stated length"));
+    }
+    Ok(body.to_vec())
+}
+
 fn client() -> Client {
     Client::builder().timeout(HTTP_TIMEOUT).finish()
 }
