Count any number of waiting calls that a target reports

Where the configuration names accounts, one answer of a target with `X-Server-Load: 0,4294967295,1` was lost: callers got 502 although the target had run the request and answered 200. That was a build with overflow checks. Without them, by reading,  waiting calls count as none, so that a full service is not limited.

The cause is that the number of waiting calls is doubled in 32 bits. A panic there ends the request that got the answer.

The product saturates now: the report counts as that of a full service.

--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -291,7 +291,7 @@
         known.at = now;
         let factor = match report {
             Report::Busy => Some(BUSY_FACTOR),
-            Report::Load { waiting, slots } if waiting * 2 >= slots.max(1) => {
+            Report::Load { waiting, slots } if waiting.saturating_mul(2) >= slots.max(1) => {
                 let (waiting, slots) = (f64::from(waiting), f64::from(slots.max(1)));
                 Some(slots / (slots + waiting))
             }
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -599,6 +599,20 @@
     }
 }
 
+/// Guards against an answer that is lost, or a full service that counts as free, by a number out of range.
+#[test]
+fn a_report_of_more_waiting_calls_than_can_be_doubled_counts_as_full() {
+    for waiting in [1 << 31, u32::MAX] {
+        let now = Time::from_millis(10_000);
+        let mut queue = FairQueue::default();
+        for _ in 0..10 {
+            queue.submit(now, request("a", 0, now));
+        }
+        finish(&mut queue, now, GOAL, waiting);
+        assert!(limit(&queue).is_some(), "{waiting}");
+    }
+}
+
 /// Guards against a limit that stays too low: requests are started again within a second of answers
 /// in time, whether or not targets report that their queues are empty.
 #[test]
