Follow new weights of a split route at once

After a version of the configuration that stated the weights of a split route on another scale, the requests went to one of its services alone for as long as the old credits lasted.

The cause is that the credits of the weighted round robin were in units of the weights, and outlive a change of the configuration. After seven requests at weights of 900 and 100, weights of 1 and 1 sent 200 of 200 requests to the first service (the test, before).

Credits are in requests now: a request adds the service's share of all weights, and a selection takes 1. What is left from before a change is then about one request, whatever the scale was.

--- a/crates/core/src/weighted.rs
+++ b/crates/core/src/weighted.rs
@@ -15,8 +15,9 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct WeightedRoundRobin {
-    /// Credit of each service: grows by its weight with each request, and falls by the sum of all
-    /// weights when the service is selected.
+    /// Credit of each service, in requests: grows by its share with each request, and falls by 1 when
+    /// the service is selected. So credits from before a change of the weights are soon used up,
+    /// whatever the scale of the weights was.
     credits: Vec<f64>,
 }
 
@@ -26,20 +27,19 @@
     /// Credits belong to positions in `shares`, so the list should keep its order between calls.
     pub fn next<'a>(&mut self, shares: &'a [WeightedService]) -> Option<&'a str> {
         self.credits.resize(shares.len(), 0.0);
-        let mut total = 0.0;
+        let total: f64 = shares.iter().map(|share| share.weight.max(0.0)).sum();
         let mut best: Option<usize> = None;
         for (i, share) in shares.iter().enumerate() {
             if share.weight <= 0.0 {
                 continue;
             }
-            total += share.weight;
-            self.credits[i] += share.weight;
+            self.credits[i] += share.weight / total;
             if best.is_none_or(|b| self.credits[i] > self.credits[b]) {
                 best = Some(i);
             }
         }
         let best = best?;
-        self.credits[best] -= total;
+        self.credits[best] -= 1.0;
         Some(&shares[best].service)
     }
 }
