Pass no refusal on that only a peer's configuration asks for

A daemon that has lost its targets has a peer run its requests. If the peer did not know a request's route yet, or had lower limits, the caller got 404, 413, 431 or 400, although the daemon that it had asked knew the route. Callers retry after 503, and after none of these.

The cause is that each refusal of a peer but 408, 421, 429 and 503 counted as the request's answer.

A peer's own refusal of this kind is sent before any call, so it counts as "not run" now: the next peer is asked, and the caller gets 503 if none takes the request. A target's own answer with such a status, which is signed, is passed on as before. Refusals for the key, 401 and 403, still hold, because the peer may know that the key was revoked (`peer_refuses_a_passed_on_request_whose_key_it_does_not_know`). The test gets 503 four times.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -26,7 +26,7 @@
 /// What a peer's answer says about the request that was passed on to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerVerdict {
-    /// It ran, or the peer tried to run it.
+    /// It ran, or the peer tried to run it, or refused it for its key: the answer is the caller's.
     Ran,
     /// The peer has not run it and never will, but another one may.
     NotRun,
@@ -38,17 +38,23 @@
     /// The verdict of an answer with this status. `signed` tells whether it is a target's own answer,
     /// which has run whatever its status is.
     ///
+    /// A peer refuses what its configuration does not allow, such as a route that it does not know yet.
+    /// This daemon's configuration allows the request, and its caller may try again elsewhere. A refusal
+    /// for the key holds: the peer may know that the key was revoked.
+    ///
     /// ```
     /// use rattanturn_core::relay::PeerVerdict;
     /// assert_eq!(PeerVerdict::of(503, false), PeerVerdict::NotRun);
     /// assert_eq!(PeerVerdict::of(503, true), PeerVerdict::Ran);
+    /// assert_eq!(PeerVerdict::of(404, false), PeerVerdict::NotRun);
+    /// assert_eq!(PeerVerdict::of(401, false), PeerVerdict::Ran);
     /// assert_eq!(PeerVerdict::of(504, false), PeerVerdict::Ran);
     /// ```
     #[must_use]
     pub fn of(status: u16, signed: bool) -> Self {
         match status {
             _ if signed => Self::Ran,
-            408 | 421 | 503 => Self::NotRun,
+            400 | 404 | 408 | 413 | 421 | 431 | 503 => Self::NotRun,
             429 => Self::OverLimit,
             _ => Self::Ran,
         }
--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -288,3 +288,20 @@
     }
     assert_eq!(seen, [Some(502); 3]);
 }
+
+/// Guards against final refusals of requests that only the configuration of a peer does not allow.
+#[test]
+fn a_refusal_of_a_peer_with_another_configuration_is_not_passed_on() {
+    let mut seen = Vec::new();
+    for status in [400, 404, 413, 431] {
+        with_cluster(1, async |cluster| {
+            let mut passed_on = PassedOn::before_it_runs(cluster).await;
+            let refusal = format!(
+                "HTTP/1.1 {status} Refused\r\nx-request-id: relayed\r\ncontent-length: 0\r\n\r\n"
+            );
+            passed_on.peer.write_all(refusal.as_bytes()).await.unwrap();
+            seen.push(passed_on.status().await);
+        });
+    }
+    assert_eq!(seen, [Some(503); 4]);
+}
