Wait for new tables also when the store has discarded its history

In the pools-table mode, daemons called the store without a pause once it had discarded the changes since the last version of the tables: two daemons made 18,895 reads and 18,892 watches within 40 s, before 0 and 0 in 5 s (load 10 to 20). Each call is billed, and the store refuses calls beyond its rates.

The cause is that a watch whose history is gone returned the object that it had, as if it were news, and the next watch began again at the same version.

A test of the client got the known version at once before, and waits now.

--- a/crates/demo/tests/platform.rs
+++ b/crates/demo/tests/platform.rs
@@ -114,6 +114,30 @@
     });
 }
 
+/// Guards against watchers that call the store without a pause once it has discarded old changes.
+#[test]
+fn a_watch_whose_history_is_gone_waits_for_a_newer_version() {
+    with_store(async |store, client| {
+        let wait = std::time::Duration::from_millis(80);
+        let version = store.put(KEY, br#""mine""#);
+        store.put("panels", br#""other""#);
+        store.compact();
+        let start = std::time::Instant::now();
+        let watched = client.watch(KEY, version, wait).await;
+        assert_eq!(watched, ReadOutcome::Unchanged);
+        assert!(start.elapsed() >= wait, "the watch did not wait");
+        let version = store.put(KEY, br#""newer""#);
+        store.compact();
+        let newest = Object {
+            version,
+            body: br#""newer""#.into(),
+        };
+        let watched = client.watch(KEY, version - 1, wait).await;
+        assert_eq!(watched, ReadOutcome::Found(newest.clone()));
+        assert_eq!(client.watch(KEY, 1, wait).await, ReadOutcome::Found(newest));
+    });
+}
+
 #[test]
 fn write_refused_by_a_busy_store_is_not_applied() {
     with_store(async |store, client| {
