--- a/crates/demo/tests/tier/odd_entries.rs
+++ b/crates/demo/tests/tier/odd_entries.rs
@@ -213,3 +213,18 @@
         arrivals(cluster, "/new/x", "new", &server).await;
     });
 }
+
+/// Guards against a list that fails as a whole, and daemons that are never ready.
+#[test]
+fn starting_daemons_follow_the_store_beside_a_page_of_long_names() {
+    with_cluster(1, async |cluster| {
+        for number in 0..600 {
+            let name = format!("0{number:04}{}", "n".repeat(1_100));
+            cluster.store.write_bytes("servers", &name, b"{}");
+        }
+        cluster.daemons.drain(..).for_each(Tier::kill);
+        cluster.start_daemons(2).unwrap();
+        cluster.wait_ready().await.unwrap();
+        assert_followed(cluster).await;
+    });
+}
