Read what has arrived before an unused connection is closed

What callers saw: in a planned stop, a request on a connection that had no request before ended with the connection, unread, up to 300 ms after it was written. 200 ms are allowed.

Cause: at the closing of the listeners, a connection without a request is read for another 20 ms and then closed for sending. The runtime reads a socket only if it has been told by the system that there is something to read, and it asks the system at the begin of a turn. If the thread is held up between that and the end of the 20 ms, by other tasks of the turn or for want of a processor, what has arrived meanwhile is not seen, and the connection is closed as unused. The same holds for the idle timeout, and for a pipelined request behind an answer in a stop, for which `try_read_buf` looked at the same stale knowledge.

The fix asks the system itself with a read right before the connection is closed, so that only a request that arrives between that read and the close crosses it, however long the thread was held up before.

--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -229,7 +229,7 @@
         let stops = traffic.view().phase != Phase::Serving;
         if stops && !input_ended {
             // What cannot be read now is found out when the connection is read next.
-            let _ = self.stream.try_read_buf(&mut self.buffer);
+            let _ = self.read_arrived();
         }
         !self.codec.keep_alive() || ((stops || input_ended) && self.buffer.is_empty())
     }
@@ -283,14 +283,23 @@
             read = timeout(idle_time, self.read_more()) => read,
             () = closing => timeout(LAST_READ_TIME, self.read_more()).await,
         };
-        match read {
-            Err(_) => Err(ReadError::Idle),
-            Ok(Ok(0)) => Err(ReadError::Ended),
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(error)) => Err(error.into()),
+        match read.unwrap_or_else(|_| self.read_arrived()) {
+            Ok(0) => Err(ReadError::Ended),
+            Ok(_) => Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(ReadError::Idle),
+            Err(error) => Err(error.into()),
         }
     }
 
+    /// Reads what has arrived by now, without waiting. The runtime may have asked the system long ago what
+    /// has arrived, if the thread was held up since, so this asks the system itself.
+    fn read_arrived(&mut self) -> io::Result<usize> {
+        let mut bytes = [0; READ_BUFFER_BYTES];
+        let read = rustix::io::read(&self.stream, &mut bytes)?;
+        self.buffer.extend_from_slice(&bytes[..read]);
+        Ok(read)
+    }
+
     async fn read_head(&mut self, limits: CallerLimits) -> Result<Request, ReadError> {
         loop {
             let before = self.buffer.len();
