End a stop at its exit time although a thread does not run

What callers saw: nothing beyond what was cut at the end of the stop anyway.

Cause: the end of the process waits for control, which says that the stop is over, and then joins the traffic thread, on the main thread. Nothing bounds either wait, so that one thread that does not run holds up the end, also if nothing is open any more. The exit time of the schedule only bounded the writing of the log, which comes after both.

Both waits end at the exit time now, and the join is made on a thread of its own, so that the main thread keeps time. A thread that does not run by then cannot give any answer before the supervisor kills the process.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -157,17 +157,23 @@
     /// latest. Returns a text that says how many requests and units were left.
     ///
     /// The stop begins with the call, before the future is polled. If control has ended, it goes on
-    /// without control.
+    /// without control. A thread that does not run when the time is up is left behind.
     pub fn stop(self) -> impl Future<Output = String> {
         let asked = control::stop_schedule(clock::now(), self.drain_limit);
         let reply = control::ask_stop(&self.events);
         async move {
-            let left = if let Ok(left) = reply.await {
-                left
-            } else {
+            let done = async {
+                if let Ok(left) = reply.await {
+                    return left;
+                }
                 let threads = self.traffic.len();
                 control::stop_without_control(&self.gauges, threads, asked, &self.hurried).await
             };
+            let left = stop::until_exit(asked, done).await.unwrap_or_else(|| {
+                let open = self.gauges.open_requests();
+                tracing::error!(open, "the time of the stop is up, and control does not run");
+                format!("{open} requests were left")
+            });
             self.end();
             left
         }
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -33,7 +33,12 @@
 mod view;
 
 use {
-    crate::{StopHandle, clock, control::Event, supervise},
+    crate::{
+        StopHandle, clock,
+        control::Event,
+        stop::{ended, until_exit},
+        supervise,
+    },
     actix_rt::Arbiter,
     eyre::Context,
     quarantine::SharedQuarantine,
@@ -210,21 +215,29 @@
     /// the drain limit at the latest. Returns a text that says how many requests were left open.
     ///
     /// The stop begins with the call, before the future is polled. If control has ended, it goes on
-    /// without control.
+    /// without control. A thread that does not run when the time is up is left behind.
     pub fn stop(self) -> impl Future<Output = String> {
         let schedule = StopSchedule::new(clock::now(), self.drain_limit);
         let reply = crate::control::ask_stop(&self.events);
         async move {
-            let left = if let Ok(left) = reply.await {
-                left
-            } else {
+            let done = async {
+                if let Ok(left) = reply.await {
+                    return left;
+                }
                 let (shared, gauges) = (&self.shared, &self.gauges);
                 control::stop_without_control(shared, gauges, schedule, &self.hurried).await
             };
+            let left = until_exit(schedule, done).await.unwrap_or_else(|| {
+                let open = self.gauges.open_requests();
+                tracing::error!(open, "stopping: the time is up, and control does not run");
+                format!("{open} requests left open")
+            });
             self.control.stop();
             self.traffic.stop();
             // The requests that are still open are logged when their tasks are dropped.
-            let _ = self.traffic.join();
+            if until_exit(schedule, ended(self.traffic)).await.is_none() {
+                tracing::error!("stopping: the time is up, and the traffic thread does not run");
+            }
             left
         }
     }
