Read what has arrived before a closing listener ends a connection

What callers saw: a request of the own interface, or of an operator, on a connection that had no request open when the listener closes, ended with the connection, unread, however long before it was written.

At the closing, the input of an unused connection ends if the runtime knows of nothing to read. It asks the system for that at the begin of a turn, so what arrives while other tasks of the turn hold up the thread is not seen.

The fix asks the system itself with a read right before the input ends.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -10,7 +10,7 @@
         any::Any,
         cell::{Cell, RefCell},
         future::{Future, pending},
-        io,
+        io::{self, ErrorKind},
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
@@ -135,6 +135,14 @@
         &self.connection
     }
 
+    /// Reads what has arrived by now, without waiting. The runtime may have asked the system long ago what
+    /// has arrived, if the thread was held up since, so this asks the system itself.
+    fn read_arrived(&self, buffer: &mut ReadBuf<'_>) -> io::Result<()> {
+        let read = rustix::io::read(&self.stream, buffer.initialize_unfilled())?;
+        buffer.advance(read);
+        Ok(())
+    }
+
     /// Whether the listener closes; the task is woken when it does.
     fn is_closing(&mut self, cx: &mut Context<'_>) -> bool {
         let closing = self.closing.as_mut();
@@ -159,16 +167,21 @@
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
         let before = buffer.filled().len();
-        if let Poll::Ready(read) = Pin::new(&mut this.stream).poll_read(cx, buffer) {
-            if read.is_ok() {
-                this.connection.note_input(buffer.filled().len() - before);
+        let read = match Pin::new(&mut this.stream).poll_read(cx, buffer) {
+            Poll::Ready(read) => read,
+            Poll::Pending if this.is_closing(cx) && this.connection.is_idle() => {
+                let read = this.read_arrived(buffer);
+                if matches!(&read, Err(error) if error.kind() == ErrorKind::WouldBlock) {
+                    return Poll::Ready(Ok(()));
+                }
+                read
             }
-            return Poll::Ready(read);
-        }
-        if this.is_closing(cx) && this.connection.is_idle() {
-            return Poll::Ready(Ok(()));
+            Poll::Pending => return Poll::Pending,
+        };
+        if read.is_ok() {
+            this.connection.note_input(buffer.filled().len() - before);
         }
-        Poll::Pending
+        Poll::Ready(read)
     }
 }
 
