End a stop only once each connection was read for the last time

What callers saw: a connection with pipelined requests ended in a stop between two of them, without an answer to those behind and without an answer that announced the close.

Cause: a connection counts its request as open until the answer is written, and counts the next one when it goes on to read it. Between the two it counts nothing, although the next request has been read into its buffer. Control reads the count at any moment once the listener is closed, and ends the stop when it finds 0. The same gap was open for connections without a request: the listener counted as closed 40 ms after it was, and each connection was to be read for the last time 20 ms after it had noticed the closing, which may be later than that if the thread is held up.

That a connection without a request is met by the gap is from reading.

Each connection holds a sender of a channel now until no request can follow on it, and the listener counts as closed when all of these are gone.

--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -33,11 +33,13 @@
     rattanturn_http::accept_waiting,
     rattanturn_platform::http::{echo_request_id, request_id},
     std::{
-        any::Any, io, net::TcpListener, panic::AssertUnwindSafe, pin::pin, rc::Rc, time::Duration,
+        any::Any, convert::Infallible, io, net::TcpListener, panic::AssertUnwindSafe, pin::pin,
+        rc::Rc, time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        sync::mpsc,
         time::timeout,
     },
     tokio_util::codec::{Decoder, Encoder},
@@ -64,20 +66,29 @@
 pub(crate) async fn serve(listener: TcpListener, traffic: Rc<Traffic>) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    let (reading, mut all_read) = mpsc::channel(1);
     restarted("callers' connections", || {
-        accept_until_closing(&listener, &traffic)
+        accept_until_closing(&listener, &traffic, &reading)
     })
     .await;
-    let closed = accept_waiting(listener, |stream| spawn_connection(stream, &traffic));
-    if let Err(error) = closed {
+    let spawn = |stream| spawn_connection(stream, &traffic, reading.clone());
+    if let Err(error) = accept_waiting(listener, spawn) {
         tracing::warn!(%error, "connections that waited to be accepted are reset");
     }
-    // Connections that had no request are read for a last time; those that get one count it first.
-    actix_rt::time::sleep(LAST_READ_TIME * 2).await;
+    drop(reading);
+    // Receiving fails once each connection was read for a last time and has dropped its sender.
+    let _ = all_read.recv().await;
     Ok(())
 }
 
-async fn accept_until_closing(listener: &tokio::net::TcpListener, traffic: &Rc<Traffic>) {
+/// Held by a connection while it may still get a request. Nothing is ever sent.
+type Reading = mpsc::Sender<Infallible>;
+
+async fn accept_until_closing(
+    listener: &tokio::net::TcpListener,
+    traffic: &Rc<Traffic>,
+    reading: &Reading,
+) {
     let mut closing = pin!(stop_time(traffic.stop_schedule(), StopSchedule::close_at));
     loop {
         let accepted = tokio::select! {
@@ -85,7 +96,7 @@
             () = &mut closing => return,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(stream, traffic),
+            Ok((stream, _)) => spawn_connection(stream, traffic, reading.clone()),
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a caller's connection; retrying");
                 actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -94,12 +105,12 @@
     }
 }
 
-fn spawn_connection(stream: TcpStream, traffic: &Rc<Traffic>) {
+fn spawn_connection(stream: TcpStream, traffic: &Rc<Traffic>, reading: Reading) {
     let traffic = traffic.clone();
     actix_rt::spawn(async move {
         let mut connection = Connection::new(stream);
         // An error means that the caller's connection broke, so no answer can be sent.
-        let _ = connection.run(&traffic).await;
+        let _ = connection.run(&traffic, reading).await;
     });
 }
 
@@ -136,12 +147,16 @@
         }
     }
 
-    async fn run(&mut self, traffic: &Rc<Traffic>) -> io::Result<()> {
+    /// Serves requests until the connection ends. `reading` is held until no request can follow.
+    async fn run(&mut self, traffic: &Rc<Traffic>, reading: Reading) -> io::Result<()> {
         loop {
             let idle_time = caller_limits(traffic).idle_time;
             match self.wait_for_request(traffic, idle_time).await {
                 Ok(()) => {}
-                Err(ReadError::Idle) => return self.linger().await,
+                Err(ReadError::Idle) => {
+                    drop(reading);
+                    return self.linger().await;
+                }
                 Err(_) => return Ok(()),
             }
             let _open = traffic.open_request();
