Learn that there are no roll-outs although a peer reads them late

What callers saw: nothing so far. A daemon that does not read the store calls no target of a service with two versions, where there is no order; it passes the requests on to its peers or answers 503.

Cause: a daemon that reads the store announces the targets as soon as it has read them. A peer that fetches them before the roll-outs were read is told nothing of these, and takes the state for complete. If there are no orders, the digest and the revision stay as they are when they have been read, so that the peer never asks again, and the reply that is kept for later peers stays without them. As long as a daemon does not know whether there are orders, it does not call a service whose targets have several versions.

Fix: whether the roll-outs are known is a part of the shared state, so that reading them raises the revision and drops the kept reply. While they are unknown the digest is 0, as for a daemon that knows nothing, so that the state of a peer that knows them counts as another one. Once they are known the digest is the same as before, also for older builds.

--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -51,8 +51,8 @@
     evacuated: BTreeSet<String>,
     /// Digest of the registered daemons.
     daemons: u64,
-    /// Digest of the roll-outs; 0 if there are none.
-    rollouts: u64,
+    /// Digest of the roll-outs; 0 if there are none, `None` until it is known whether there are.
+    rollouts: Option<u64>,
 }
 
 /// Everything that was read from the store, by this daemon or by a peer.
@@ -91,7 +91,7 @@
     pub(crate) failures: HashMap<&'static str, u64>,
     /// The state at `revision`.
     shared: SharedState,
-    /// Digest of the state at `revision`; 0 if nothing is known.
+    /// Digest of the state at `revision`; 0 if nothing is known, or not yet whether there are roll-outs.
     digest: u64,
     /// Entries that cannot be used, as far as they were logged.
     pub(crate) unusable: UnusableLog,
@@ -103,10 +103,12 @@
 impl ClusterState {
     /// Knows nothing yet; `uses_rollouts` says whether the settings ask for roll-outs.
     pub(crate) fn new(uses_rollouts: bool) -> Self {
-        Self {
+        let mut state = Self {
             uses_rollouts,
             ..Self::default()
-        }
+        };
+        state.shared = state.shared_state();
+        state
     }
 
     /// Decodes a target's entry; `None` if it names no target to use, which is noted.
@@ -496,10 +498,17 @@
             targets: self.targets.changes(),
             evacuated: self.evacuated.clone(),
             daemons: self.daemons_digest,
-            rollouts: self.rollouts.digest(),
+            rollouts: self.known_rollouts(),
         }
     }
 
+    /// Digest of the roll-outs. If the settings ask for them, `None` until they and the targets were read:
+    /// roll-outs alone are no state for peers that know nothing.
+    fn known_rollouts(&self) -> Option<u64> {
+        let is_read = self.rollouts.last_read() > Time::ZERO && self.targets_read > Time::ZERO;
+        (is_read || !self.uses_rollouts).then(|| self.rollouts.digest())
+    }
+
     fn set_shared(&mut self, state: SharedState) {
         let parts = (
             self.targets.digests().total(),
@@ -508,8 +517,10 @@
         );
         // Without roll-outs, the digest is that of older builds.
         self.digest = match state.rollouts {
-            0 => rendezvous::key(&format!("{parts:?}")),
-            rollouts => rendezvous::key(&format!("{parts:?} {rollouts}")),
+            // A peer that has read the roll-outs must not count as having the same state.
+            None => 0,
+            Some(0) => rendezvous::key(&format!("{parts:?}")),
+            Some(rollouts) => rendezvous::key(&format!("{parts:?} {rollouts}")),
         };
         self.shared = state;
         self.last_reply = None;
--- a/crates/demo/tests/tier/rollouts.rs
+++ b/crates/demo/tests/tier/rollouts.rs
@@ -3,10 +3,11 @@
 use {
     super::{front_addr, plain_servers, print_logs},
     actix_rt::{System, time::sleep},
+    awc::Client,
     rattanturn_demo::tier_cluster::{Answer, Options, PLAIN, TierCluster, request},
     rattanturn_standins::{
-        operator::{deregister_target, order_rollout, register_target},
-        platform::Mode,
+        operator::{HOST, deregister_target, order_rollout, register_target},
+        platform::{Mode, Platform},
         shard::{Flaw, State},
     },
     serde_json::json,
@@ -181,6 +182,34 @@
     });
 }
 
+/// Guards against a daemon that never learns that there are no orders, as its peers read them late.
+#[test]
+fn two_versions_without_an_order_are_used_by_a_daemon_that_does_not_read_the_store() {
+    with_rollouts(0, SETTINGS, async |cluster| {
+        cluster.start_version(PLAIN, "v2", None).await.unwrap();
+        let hanging = Platform::spawn_hanging(cluster.store.clone()).unwrap();
+        cluster.store.hang(Some("rollouts"));
+        // The large daemons read the store.
+        for cores in [4.0, 4.0, 1.0] {
+            cluster.start_with_store(hanging.addr(), cores).unwrap();
+        }
+        cluster.wait_ready().await.unwrap();
+        cluster.store.hang(None);
+        sleep(APPLY_TIME).await;
+        for daemon in 0..3 {
+            let url = format!("http://{}/one/x", front_addr(cluster, daemon));
+            // A request that was passed on is not passed on again.
+            let request = Client::default()
+                .get(url)
+                .insert_header(("host", HOST))
+                .insert_header(("x-request-id", format!("n{daemon}")))
+                .insert_header(("x-rattanturn-relayed", "1"));
+            let answer = request.send().await.unwrap();
+            assert_eq!(answer.status(), 200, "daemon {daemon}");
+        }
+    });
+}
+
 /// Guards against calls to old servers, which stop as soon as an order is done, and against a status
 /// that daemons lose when the store comes back from an older copy.
 #[test]
