Count a target's silence as part of the wait for a connection to it

Callers got 504 after the whole time limit while requests that came later were served. When all connections to all targets are in use, a new call waits at one of them, chosen by the latencies of answers. A target that has stopped answering has no new ones, so it looked as good as before, and took about half of the calls that met a full pool. They waited behind calls that got no answer, while the other target had a connection again after the time of one call.

Targets without a free connection are now ordered by the expected wait. The time since a target's last answer is a lower bound for the time that its calls hold their connections.

Evidence: the new test has two servers, one of which stops answering, and sends bursts that are larger than the pool of the other.

--- a/crates/core/src/call_times.rs
+++ b/crates/core/src/call_times.rs
@@ -133,6 +133,23 @@
         recent.map_or(Duration::ZERO, Duration::from_secs_f64)
     }
 
+    /// Expected wait of a call behind `waiting` others for one of `connections` that are all in use, if the
+    /// target last answered `silent` ago. While it answers nothing, its calls hold their connections at
+    /// least for that long.
+    ///
+    /// ```
+    /// use {rattanturn_core::call_times::CallTimes, std::time::Duration};
+    /// let ms = Duration::from_millis;
+    /// let mut times = CallTimes::default();
+    /// times.record_answer("r", ms(20));
+    /// assert_eq!(times.expected_wait(ms(5), 1, 2), ms(20));
+    /// assert_eq!(times.expected_wait(ms(500), 1, 2), ms(500));
+    /// ```
+    #[must_use]
+    pub fn expected_wait(&self, silent: Duration, waiting: u32, connections: u32) -> Duration {
+        expected_wait(self.recent().max(silent), waiting, connections)
+    }
+
     /// Time that a call of the route usually takes, rather too low than too high; `None` if none was
     /// answered yet.
     ///
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -254,7 +254,7 @@
         let selector = self.selector.borrow();
         let mut order = selector.order_distinct(now, usable, self.tie_break.get());
         // Targets without a free connection come last: a call there waits for another one to end.
-        order.sort_by_key(|i| (!upstreams[i].has_free_connection(), upstreams[i].room(now)));
+        order.sort_by_key(|i| (upstreams[i].queue_time(now), upstreams[i].room(now)));
         order
     }
 
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -298,6 +298,17 @@
         expected_wait(self.times.borrow().recent(), waiting, connections)
     }
 
+    /// Like [`Self::expected_wait`], but longer while the target does not answer.
+    pub(crate) fn queue_time(&self, now: Time) -> Duration {
+        if self.has_free_connection() {
+            return Duration::ZERO;
+        }
+        let silent = now.since(self.waiting_since.get());
+        let (waiting, connections) = (self.permits.waiting(), self.permits.limit());
+        let times = self.times.borrow();
+        times.expected_wait(silent, waiting, connections)
+    }
+
     /// Whether the stop of this daemon leaves a call too little time, which may have waited for its turn
     /// or its connection. It is not sent then, so that it has certainly not run.
     fn is_too_late(&self, call: &Call, now: Time) -> bool {
--- a/crates/demo/tests/tier/waiting_calls.rs
+++ b/crates/demo/tests/tier/waiting_calls.rs
@@ -26,6 +26,14 @@
 const SLOWDOWN: f64 = 20.0;
 /// Time limit and latency goal of the route.
 const LIMIT_MS: u64 = 1_000;
+/// Requests that fill the connections to both servers, those of a burst, which are more than one server
+/// takes at a time, and the time between bursts, in which it runs them.
+const FILLING: usize = 12;
+const BURST: usize = 8;
+const BURST_INTERVAL: Duration = Duration::from_millis(150);
+const BURSTS: usize = 6;
+/// Factor by which servers that get bursts are slower than usual: 60 ms a request.
+const BURST_SLOWDOWN: f64 = 6.0;
 /// Requests sent before the daemon knows how long the target takes, or before a queue is full.
 const ONSET: usize = 40;
 /// Time in which a request that cannot be served must be refused.
@@ -151,3 +159,35 @@
         );
     });
 }
+
+/// Guards against requests that wait for a server that has stopped answering, while another one serves
+/// those that come later.
+#[test]
+fn requests_do_not_wait_for_a_silent_server_while_another_one_answers() {
+    with_cluster(1, async |cluster| {
+        cluster.config = std::mem::take(&mut cluster.config).max_connections(CONNECTIONS);
+        cluster.config.write(&cluster.store);
+        sleep(CONFIG_APPLY_TIME).await;
+        let (servers, at) = (plain_servers(cluster), front_addr(cluster, 0));
+        for server in &servers {
+            server.set_slow(BURST_SLOWDOWN);
+        }
+        send_load(at, "before", 30, SEND_INTERVAL * 3).await;
+        servers[0].pause(Duration::from_secs(5));
+        let filling = actix_rt::spawn(send_load(at, "f", FILLING, Duration::ZERO));
+        sleep(BURST_INTERVAL * 2).await;
+        let mut bursts = Vec::new();
+        for n in 0..BURSTS {
+            let name = format!("b{n}-");
+            let load = async move { send_load(at, &name, BURST, Duration::ZERO).await };
+            bursts.push(actix_rt::spawn(load));
+            sleep(BURST_INTERVAL).await;
+        }
+        let seen = futures::future::join_all(bursts).await;
+        let seen: Vec<Seen> = seen.into_iter().flat_map(Result::unwrap).collect();
+        let refused: Vec<&Seen> = seen.iter().filter(|s| s.status != 200).collect();
+        let (count, all) = (refused.len(), seen.len());
+        assert_eq!(count, 0, "of {all} not served: {refused:?}");
+        filling.await.unwrap();
+    });
+}
