Move calls that wait for a connection to a target that has a free one

Callers of routes that must not be repeated got 503 "no target could take the request" after nearly the whole time limit, while a target was idle. A call waits for a connection to the target that was chosen when it was made. If that target stops answering, the call stays behind the open ones until it has too little time left. Idempotent calls are hedged, others are not, so that these alone failed.

A call that was not written has certainly not run.

Evidence: the new test has two servers with six connections each, one of which stops answering; 24 requests arrive at once.

--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -22,7 +22,8 @@
     Limited,
     /// Its targets could not be reached or are shutting down.
     Unreachable,
-    /// Its target went out of use before the call was sent.
+    /// The call was taken back before it was sent: its target went out of use, or another one has a free
+    /// connection.
     Withdrawn,
     /// No daemon that holds its targets could be found.
     NoHolder,
--- a/crates/demo/tests/tier/waiting_calls.rs
+++ b/crates/demo/tests/tier/waiting_calls.rs
@@ -32,6 +32,8 @@
 const BURST: usize = 8;
 const BURST_INTERVAL: Duration = Duration::from_millis(150);
 const BURSTS: usize = 6;
+/// Requests of which half wait when a server stops answering.
+const FLOOD: usize = 24;
 /// Factor by which servers that get bursts are slower than usual: 60 ms a request.
 const BURST_SLOWDOWN: f64 = 6.0;
 /// Requests sent before the daemon knows how long the target takes, or before a queue is full.
@@ -191,3 +193,29 @@
         filling.await.unwrap();
     });
 }
+
+/// Guards against requests that go on waiting for a server that has stopped answering, while another one
+/// is idle.
+#[test]
+fn requests_that_wait_for_a_silent_server_move_to_an_idle_one() {
+    with_cluster(1, async |cluster| {
+        cluster.config = std::mem::take(&mut cluster.config).max_connections(CONNECTIONS);
+        cluster.config.write(&cluster.store);
+        sleep(CONFIG_APPLY_TIME).await;
+        let (servers, at) = (plain_servers(cluster), front_addr(cluster, 0));
+        for server in &servers {
+            server.set_slow(BURST_SLOWDOWN);
+        }
+        send_load(at, "before", 30, SEND_INTERVAL * 3).await;
+        servers[0].pause(Duration::from_secs(5));
+        let seen = send_load(at, "f", FLOOD, Duration::ZERO).await;
+        let waited: Vec<&Seen> = seen
+            .iter()
+            .filter(|s| s.status != 200 && run_count(&servers[..1], &s.id) == 0)
+            .collect();
+        assert!(
+            waited.is_empty(),
+            "not served, and not sent to the silent server: {waited:?}"
+        );
+    });
+}
