Wait until a connection is done with its request before reading the count

Cause: the test. A request is counted until its answer is written and its connection is done with it, which a caller that has the answer may be ahead of.

The test now reads the count until it is 0, for a second at most. A request that stays counted, which it guards against, is still found, here and by the stop at its end.

--- a/crates/demo/tests/panicking_requests.rs
+++ b/crates/demo/tests/panicking_requests.rs
@@ -7,11 +7,17 @@
     actix_rt::{System, time::sleep},
     rattanturn_demo::tier_cluster::{Options, PLAIN, TierCluster, get, request},
     rattanturn_standins::shard::Fault,
-    std::{io, time::Duration},
+    std::{
+        io,
+        time::{Duration, Instant},
+    },
 };
 
 /// Id of requests whose log line panics; the line comes once the request has ended.
 const PANICKING: &str = "request=\"panicking\"";
+/// Time after the last answer in which no request is counted as open any more. One that stays counted is
+/// so for ever.
+const COUNT_TIME: Duration = Duration::from_secs(1);
 
 /// Writer of log lines that panics at the end of some requests.
 struct PanickingWriter;
@@ -73,7 +79,13 @@
             assert_eq!(gather.await.unwrap(), Some(200));
         }
         assert_eq!(statuses, [502, 503]);
-        let state = cluster.daemons[0].state().await.unwrap();
+        let mut state = cluster.daemons[0].state().await.unwrap();
+        // A request is counted until its connection is done with it, which may be after the answer.
+        let until = Instant::now() + COUNT_TIME;
+        while state["requests"] != 0 && Instant::now() < until {
+            sleep(Duration::from_millis(10)).await;
+            state = cluster.daemons[0].state().await.unwrap();
+        }
         assert_eq!(state["requests"], 0, "{state}");
         let metrics = get(&format!("http://{}/metrics", addresses.admin))
             .await
