Take out the moves of waiting calls

A move needs to know which targets the request has tried, and whether the other one answers; that is more than this change can carry at its end. What remains is the fault that it mended: 6 of 24 requests are refused beside an idle target.

--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -22,8 +22,7 @@
     Limited,
     /// Its targets could not be reached or are shutting down.
     Unreachable,
-    /// The call was taken back before it was sent: its target went out of use, or another one has a free
-    /// connection.
+    /// Its target went out of use before the call was sent.
     Withdrawn,
     /// No daemon that holds its targets could be found.
     NoHolder,
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -25,7 +25,6 @@
         Time,
         catalog::Route,
         gather::{Action, AttemptId, Counts, Gather, MissingReason, Part, Plan, Reply, max_ended},
-        rate_share::Room,
     },
     std::{rc::Rc, time::Duration},
 };
@@ -39,8 +38,6 @@
 /// A call is hedged after this fraction of its route's latency goal at the latest, so that the
 /// second call can still answer within the goal.
 const HEDGE_GOAL_FRACTION: f64 = 0.4;
-/// Interval of checking whether a call that waits for a connection could get one at another target.
-const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Relative latency that is assumed for a target that refused a call as busy, or whose call was
 /// followed by a hedge or retry.
 const STALLED_RELATIVE_LATENCY: f64 = 6.0;
@@ -88,11 +85,6 @@
     fn is_open_at(&self, stage: CallStage) -> bool {
         self.end.is_none() && self.refusal.is_none() && self.progress.stage.get() == stage
     }
-
-    /// Whether it may still be taken back before it is sent.
-    fn waits(&self) -> bool {
-        self.is_open_at(CallStage::Waiting) && !self.progress.revoked()
-    }
 }
 
 type Calls = FuturesUnordered<LocalBoxFuture<'static, EndedCall>>;
@@ -137,12 +129,13 @@
     let (mut gather, actions) = Gather::start(now, plan, &mut traffic.budgets.borrow_mut());
     run.perform(actions);
     while !run.finished {
-        let due = run.next_tick(&gather);
         let actions = tokio::select! {
             biased;
             Some(ended) = run.calls.next() => run.handle_end(&mut gather, ended),
             stage = run.request.ending.next_stage(run.stage) => run.cut_short(&mut gather, stage),
-            () = clock::sleep_until(due) => run.tick(&mut gather),
+            () = clock::sleep_until(gather.next_tick()) => {
+                gather.tick(clock::now(), &mut traffic.budgets.borrow_mut())
+            }
         };
         run.perform(actions);
     }
@@ -279,62 +272,6 @@
         }));
     }
 
-    fn next_tick(&self, gather: &Gather) -> Time {
-        let due = gather.next_tick();
-        if self.attempts.iter().any(Attempt::waits) {
-            due.min(clock::now() + MOVE_CHECK_INTERVAL)
-        } else {
-            due
-        }
-    }
-
-    fn tick(&mut self, gather: &mut Gather) -> Vec<Action> {
-        let mut actions = self.move_waiting(gather);
-        let budgets = &mut self.traffic.budgets.borrow_mut();
-        actions.extend(gather.tick(clock::now(), budgets));
-        actions
-    }
-
-    /// Takes back the calls that wait for a connection while the next target has a free one.
-    fn move_waiting(&mut self, gather: &mut Gather) -> Vec<Action> {
-        let can_move = |attempt: &Attempt| {
-            let target = gather.next_target(attempt.service);
-            let mut others = target.into_iter().filter(|t| *t != attempt.index);
-            others.any(|t| self.takes_at_once(t))
-        };
-        let attempts = self.attempts.iter().enumerate();
-        let moved = attempts.filter(|(_, a)| a.waits() && can_move(a));
-        let moved: Vec<usize> = moved.map(|(id, _)| id).collect();
-        let moved = moved.into_iter();
-        moved
-            .flat_map(|id| self.take_back(gather, id, MissingReason::Withdrawn))
-            .collect()
-    }
-
-    /// Whether a target gives a call a connection without a wait.
-    fn takes_at_once(&self, target: usize) -> bool {
-        let (now, view) = (clock::now(), self.traffic.current_view());
-        self.traffic.upstream(target).is_some_and(|u| {
-            let withheld = view.uses_rollouts && self.traffic.is_withheld(now, &u);
-            u.is_available()
-                && !withheld
-                && u.has_free_connection()
-                && u.has_cold_room(now)
-                && u.room(now) < Room::Exhausted
-        })
-    }
-
-    /// Ends a call that waits for a connection.
-    fn take_back(&mut self, gather: &mut Gather, id: usize, why: MissingReason) -> Vec<Action> {
-        let now = clock::now();
-        let attempt = &mut self.attempts[id];
-        attempt.progress.revoke();
-        attempt.end = Some(("revoked".into(), now.since(attempt.sent)));
-        let id = AttemptId(u32::try_from(id).unwrap_or(u32::MAX));
-        let budgets = &mut self.traffic.budgets.borrow_mut();
-        gather.reply(now, id, Reply::NotRun(why), ONE_SNAPSHOT, budgets)
-    }
-
     fn input_ended(&self) -> bool {
         self.request.ending.stage() >= Stage::InputEnded
     }
@@ -361,12 +298,18 @@
 
     /// Ends the calls that still wait for a connection.
     fn revoke_waiting(&mut self, gather: &mut Gather) -> Vec<Action> {
-        let waiting = self.attempts.iter().enumerate().filter(|(_, a)| a.waits());
-        let waiting: Vec<usize> = waiting.map(|(id, _)| id).collect();
-        let waiting = waiting.into_iter();
-        waiting
-            .flat_map(|id| self.take_back(gather, id, MissingReason::Busy))
-            .collect()
+        let now = clock::now();
+        let mut actions = Vec::new();
+        for (id, attempt) in (0..).zip(&mut self.attempts) {
+            if attempt.is_open_at(CallStage::Waiting) && !attempt.progress.revoked() {
+                attempt.progress.revoke();
+                attempt.end = Some(("revoked".into(), now.since(attempt.sent)));
+                let reply = Reply::NotRun(MissingReason::Busy);
+                let budgets = &mut self.traffic.budgets.borrow_mut();
+                actions.extend(gather.reply(now, AttemptId(id), reply, ONE_SNAPSHOT, budgets));
+            }
+        }
+        actions
     }
 
     /// Cause of the next call to a service, for the metrics.
