Call a new version once although calls were taken back

In a roll-out, a request that the share gives to the new version gets one call there, and its retries go to the old version. Since calls that were taken back before they were sent use up no attempt, the order of its targets could end before the request did, and begin again with the target of the new version: after a failed call there, if no old target could be called or the old target left while the call waited. Its bad answers would then count twice. Found by reading, by one who had not seen the work.

--- a/crates/core/src/gather/limits.rs
+++ b/crates/core/src/gather/limits.rs
@@ -1,6 +1,6 @@
 //! How many calls a query may make.
 
-use super::Gather;
+use {super::Gather, std::collections::BTreeSet};
 
 impl Gather {
     pub(super) fn may_hedge(&self, service: usize) -> bool {
@@ -17,8 +17,9 @@
     /// Takes an attempt that was not sent out of the limit. This happens once for each target, so that
     /// the query ends although targets go out of use again and again.
     pub(super) fn uncount_attempt(&mut self, service: usize) {
+        let targets: BTreeSet<usize> = self.plan.services[service].iter().copied().collect();
         let state = &mut self.states[service];
-        state.uncounted = (state.uncounted + 1).min(self.plan.services[service].len());
+        state.uncounted = (state.uncounted + 1).min(targets.len());
     }
 
     /// Number of the budget that a service draws on, 0 if the plan lists none.
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -16,6 +16,7 @@
             ending::Stage,
             meters::{self, Cause},
             request::FanOut,
+            rollouts::NO_TARGET,
             traffic::Traffic,
             upstream::{Call, CallStage, Outcome, Progress, Upstream},
         },
@@ -203,6 +204,7 @@
         let upstream = self.traffic.upstream(index);
         let withheld = |u: &Upstream| view.uses_rollouts && self.traffic.is_withheld(now, u);
         let refusal = match &upstream {
+            None if index == NO_TARGET => Some(MissingReason::Unreachable),
             None => Some(MissingReason::Withdrawn),
             Some(u) if withheld(u) || self.traffic.is_withdrawn(now, u, index) => {
                 Some(MissingReason::Withdrawn)
