Take a peer's refusal of a request that it could not read for one

Callers got 502, or 504 if it was late, for requests that certainly had not run, also for such that must not be repeated. A daemon that cannot reach the targets passes a request on; the peer cannot read it (400, 408, 413 or 431, for example with a smaller limit on heads or bodies), or stops before it has read the body (503). Found in a review.

A refusal without an id counts now if it comes from a peer, is not a target's answer, and ends the connection, so that it can belong to no other request and nothing runs on that connection after it.

A second test keeps answers without an id that may have run, or leave the connection open, at 502.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -1,8 +1,8 @@
 //! HTTP/1 client connection to one target.
 //!
 //! Requests are not pipelined, so at most one is open on a connection, and an answer counts only if
-//! it carries that request's id. A target may answer before it has read the whole request, so its
-//! answer is read while the request is still being written. Targets may send an answer twice, late,
+//! it carries that request's id, see [`Expected`] for the exception. A target may answer before it has
+//! read the whole request, so its answer is read while the request is still being written. Targets may send an answer twice, late,
 //! truncated or without a length. An answer to another request is skipped, and unexpected bytes on
 //! an idle connection make it unusable. A body without a length is complete if the target closes the connection
 //! without an error. Answers are not streamed: a body is held in memory as a whole. A target may
@@ -17,7 +17,7 @@
         h1::{ClientCodec, Message, MessageType},
     },
     bytes::{Bytes, BytesMut},
-    rattanturn_core::Time,
+    rattanturn_core::{Time, relay::PeerVerdict},
     rattanturn_platform::http::{AnswerHead, answer_head},
     rustix::io::Errno,
     std::{cell::Cell, io, net::SocketAddr, time::Duration},
@@ -107,6 +107,31 @@
     pub(crate) framed: bool,
 }
 
+/// Which answers belong to a call.
+#[derive(Clone, Copy)]
+pub(crate) enum Expected<'a> {
+    /// Those with this request id.
+    Id(Option<&'a str>),
+    /// Also the refusal of a daemon that could not read the request: it has no id, and the daemon closes
+    /// the connection after it, so that it belongs to no other request.
+    FromPeer(Option<&'a str>),
+}
+
+impl Expected<'_> {
+    /// Whether an answer belongs to the call; `last` tells whether the connection ends after it.
+    fn includes(self, answer: &Answer, last: bool) -> bool {
+        let found = answer.head.request.as_deref();
+        match self {
+            Self::Id(id) => found == id,
+            Self::FromPeer(id) => {
+                let signed = answer.head.signature.is_some();
+                let refused = PeerVerdict::of(answer.status, signed) == PeerVerdict::NotRun;
+                found == id || (found.is_none() && last && refused)
+            }
+        }
+    }
+}
+
 /// A connection to one target, which the target may close at any time.
 pub(crate) struct TargetConnection {
     stream: TcpStream,
@@ -163,8 +188,7 @@
             && no_input()
     }
 
-    /// Sends a request and waits for its answer; `id` is the request id that the answer must carry,
-    /// and `open` counts what the thread's open calls read.
+    /// Sends a request and waits for its answer; `open` counts what the thread's open calls read.
     ///
     /// A future that is dropped leaves the connection unusable.
     ///
@@ -175,7 +199,7 @@
         &mut self,
         head: RequestHeadType,
         body: &Bytes,
-        id: Option<&str>,
+        expected: Expected<'_>,
         open: &OpenBytes,
     ) -> io::Result<Answer> {
         self.reusable = false;
@@ -196,7 +220,7 @@
         self.unsent = out;
         for _ in 0..=MAX_SKIPPED_ANSWERS {
             let answer = self.read_answer(to_head, &mut count).await?;
-            if answer.head.request.as_deref() == id {
+            if expected.includes(&answer, !self.reusable) {
                 return Ok(answer);
             }
             if !self.reusable {
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -9,7 +9,7 @@
     crate::{
         clock,
         tier::{
-            connection::{Answer, OpenBytes, TargetConnection},
+            connection::{Answer, Expected, OpenBytes, TargetConnection},
             ending::Ending,
             meters,
             request::Reply,
@@ -150,7 +150,8 @@
         }
         let head = RequestHeadType::Rc(call.head.clone(), Some(extra));
         request.ending.was_relayed.set(true);
-        let trip = connection.round_trip(head, &call.body, call.id.as_deref(), &self.open_bytes);
+        let expected = Expected::FromPeer(call.id.as_deref());
+        let trip = connection.round_trip(head, &call.body, expected, &self.open_bytes);
         match timeout(remaining, trip).await {
             // Daemons state the length of each answer.
             Ok(Ok(answer)) if !answer.framed => PeerOutcome::Lost,
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -11,7 +11,7 @@
     crate::{
         clock,
         tier::{
-            connection::{Answer, OpenBytes, TargetConnection, is_closed, is_local},
+            connection::{Answer, Expected, OpenBytes, TargetConnection, is_closed, is_local},
             meters,
             permits::{ConnectionPermit, ConnectionPermits},
         },
@@ -478,7 +478,7 @@
             .round_trip(
                 head,
                 &call.body,
-                call.id.as_deref(),
+                Expected::Id(call.id.as_deref()),
                 &self.shared.open_bytes,
             )
             .await
--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -305,3 +305,59 @@
     }
     assert_eq!(seen, [Some(503); 4]);
 }
+
+/// How a daemon refuses bytes that it cannot read as a request.
+async fn refusal_of(addr: SocketAddr, unreadable: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(unreadable).await.unwrap();
+    let mut refusal = Vec::new();
+    stream.read_to_end(&mut refusal).await.unwrap();
+    refusal
+}
+
+/// Guards against a request that counts as lost although a peer says that it could not read it.
+#[test]
+fn a_request_that_a_peer_cannot_read_is_not_lost() {
+    let long_head = format!(
+        "GET / HTTP/1.1\r\nhost: a\r\nx-long: {}",
+        "x".repeat(20_000)
+    );
+    let long_body = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 300000\r\n\r\n";
+    let long_body = [long_body.as_bytes(), &vec![b'x'; 300_000]].concat();
+    let mut seen = Vec::new();
+    for (status, unreadable) in [
+        ("400", b"no request\r\n\r\n".as_slice()),
+        ("413", &long_body),
+        ("431", long_head.as_bytes()),
+    ] {
+        with_cluster(1, async |cluster| {
+            let refusal = refusal_of(front_addr(cluster, 0), unreadable).await;
+            assert_eq!(str::from_utf8(&refusal[9..12]), Ok(status));
+            let mut passed_on = PassedOn::before_it_runs(cluster).await;
+            passed_on.peer.write_all(&refusal).await.unwrap();
+            seen.push(passed_on.status().await);
+        });
+    }
+    assert_eq!(seen, [Some(503); 3]);
+}
+
+/// Guards against an answer without an id that counts although it may belong to another request.
+#[test]
+fn an_answer_of_a_peer_without_an_id_is_no_refusal_if_the_connection_stays_or_it_ran() {
+    let mut seen = Vec::new();
+    for head in [
+        "400 Bad Request\r\n",
+        "400 Bad Request\r\nconnection: close\r\nx-server-seal: s.1\r\n",
+        "429 Too Many Requests\r\nconnection: close\r\n",
+        "200 OK\r\nconnection: close\r\n",
+    ] {
+        with_cluster(1, async |cluster| {
+            let mut passed_on = PassedOn::before_it_runs(cluster).await;
+            let answer = format!("HTTP/1.1 {head}content-length: 0\r\n\r\n");
+            passed_on.peer.write_all(answer.as_bytes()).await.unwrap();
+            passed_on.peer.shutdown().await.unwrap();
+            seen.push(passed_on.status().await);
+        });
+    }
+    assert_eq!(seen, [Some(502); 4]);
+}
