Say what traffic reports once its connections were read for the last time

Since a closed listener is reported only once no connection can get a further request. The pages of the view and of the stop still had the former meaning.

--- a/crates/daemon/src/tier/control/shutdown.rs
+++ b/crates/daemon/src/tier/control/shutdown.rs
@@ -5,9 +5,9 @@
 //! requests that are open. It ends once traffic has closed the listener and owes no answer, and in
 //! any case a moment before the limit; see [`rattanturn_core::shutdown`] for the times.
 //!
-//! Traffic says itself that its listener is closed, and only after it has stored the number of its
-//! open requests. However late the two threads see each other's news, the stop does not end while a
-//! request is open that was taken before.
+//! Traffic says itself that its listener is closed and that each connection was read for the last time,
+//! and only after it has stored the number of its open requests. However late the two threads see each
+//! other's news, the stop does not end while a request is open that was taken before.
 //!
 //! If the control thread has ended, by a panic or an error, the program runs the stop in its place, on
 //! the last view that control published.
--- a/crates/daemon/src/tier/view.rs
+++ b/crates/daemon/src/tier/view.rs
@@ -116,8 +116,8 @@
     /// Open requests of callers. Traffic raises it when the first byte of a request was read, and
     /// lowers it when the answer is written and the connection is done with it.
     pub(crate) open_requests: AtomicUsize,
-    /// Whether the listener for callers has ended, and what had arrived there is counted as open; set
-    /// by traffic.
+    /// Whether the listener for callers is closed and no connection can get a further request; those
+    /// that came before count as open. Set by traffic.
     pub(crate) listener_closed: AtomicBool,
     /// Targets that traffic can call; set by traffic.
     pub(crate) upstreams: AtomicUsize,
