Say in the log why the outcome of a request is not known

Callers of non-idempotent requests saw "unknown" in two tests that fail now and then, and neither the answer nor the log told which of six reasons it had. Each has a warning with the request's id and the reason now, the moves of leases and deduplication tables are logged at debug level, and the load generator counts the reasons that callers were given.

--- a/crates/daemon/src/control/leases.rs
+++ b/crates/daemon/src/control/leases.rs
@@ -134,7 +134,10 @@
             }
             unit.lease = self.held.get(&unit.id).map(|h| h.shared.clone());
         }
-        for held in self.held.values().filter(|h| !h.wanted) {
+        for (unit, held) in self.held.iter().filter(|(_, h)| !h.wanted) {
+            if !held.shared.closing() {
+                tracing::debug!(unit = unit.0, "a lease is to move");
+            }
             held.shared.close();
         }
     }
@@ -152,6 +155,7 @@
                 continue;
             };
             let request = if !held.wanted && held.may_release(now) {
+                tracing::debug!(unit = unit.0, term = ?held.shared.term().0.current, "released a lease");
                 released.push(*unit);
                 held.shared.set(Time::ZERO, 0, LeaseTerms::default());
                 held.lease.release()
@@ -260,6 +264,9 @@
             let since = held.lease.since().unwrap_or(now);
             clock::unix_ms().saturating_sub(clock::millis(now.since(since)))
         };
+        if terms != known {
+            tracing::debug!(unit = vote.unit.0, ?terms, "acquired a lease");
+        }
         held.shared.set(held.lease.until(), start_ms, terms);
     }
 }
--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -131,6 +131,12 @@
             lease.finish_handover();
             return;
         };
+        tracing::debug!(
+            unit = id.0,
+            ?term,
+            entries = table.len(),
+            "handing over a dedup table"
+        );
         let this = self.clone();
         actix_rt::spawn(async move {
             let sent = this.send_until_taken(id, term, &table);
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -164,7 +164,7 @@
                 Verdict::Ended(outcome) => return Some(outcome),
                 Verdict::Unknown => {
                     if !self.partitions.borrow().expects_table(clock::now(), unit) {
-                        return Some(Outcome::Unknown);
+                        return Some(unknown(&request.id, "it is older than the table"));
                     }
                     actix_rt::time::sleep(TABLE_POLL_INTERVAL).await;
                 }
@@ -172,7 +172,7 @@
                 Verdict::Running => {
                     let left = request.deadline.since(clock::now());
                     if tokio::time::timeout(left, request_ended).await.is_err() {
-                        return Some(Outcome::Unknown);
+                        return Some(unknown(&request.id, "an earlier attempt still runs"));
                     }
                 }
             }
@@ -221,7 +221,7 @@
             let result = self.call(target, request).await;
             match result.outcome {
                 CallOutcome::Done => return Outcome::Ran(result.body),
-                CallOutcome::Failed => return Outcome::Unknown,
+                CallOutcome::Failed => return unknown(&request.id, "its call has no answer"),
                 CallOutcome::Busy => why = "its targets are busy",
                 CallOutcome::Unreachable => why = "its targets cannot be reached",
                 CallOutcome::NoHolder => why = "no daemon holds its targets",
@@ -294,7 +294,7 @@
             return outcome;
         }
         if clock::now() + OWNER_RETRY_DELAY >= wait_until {
-            return Outcome::Unknown;
+            return unknown(&request.id, "its partition has no owner");
         }
         actix_rt::time::sleep(OWNER_RETRY_DELAY).await;
     }
@@ -326,16 +326,22 @@
         }
         Ok(Err(error)) => {
             let _ = peers.forget_disconnected(destination.addr, Err(error));
-            Some(Outcome::Unknown)
+            Some(unknown(&request.id, "the connection to its owner was lost"))
         }
         Err(_) => {
             let peers = peers.clone();
             actix_rt::spawn(async move { peers.close_if_silent(destination.addr, answer).await });
-            Some(Outcome::Unknown)
+            Some(unknown(&request.id, "its owner did not answer in time"))
         }
     }
 }
 
+/// The outcome of a request that may have run, with a log line that says why it is not known.
+fn unknown(request: &str, reason: &'static str) -> Outcome {
+    tracing::warn!(request, reason, "the outcome of a request is not known");
+    Outcome::Unknown
+}
+
 fn write_request(mut out: once_request::Builder<'_>, request: &OnceRequest) {
     out.set_id(&request.id);
     out.set_issued(request.issued);
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -55,7 +55,8 @@
     pub calls: [u64; 4],
     /// Answers that mix snapshots, echo another request or report a false coverage.
     pub wrong: u64,
-    /// Number of missing services and of refused non-idempotent requests, by reason.
+    /// Number of missing services, of requests that were refused and of non-idempotent ones without a
+    /// success, by reason.
     pub reasons: BTreeMap<String, u64>,
     /// Number of answers to idempotent requests by their `outcome`.
     pub outcomes: BTreeMap<String, u64>,
@@ -276,6 +277,8 @@
         *self.outcomes.entry(outcome).or_default() += 1;
         if body["outcome"] == "not-run" {
             self.not_run += 1;
+            let reason = body["reason"].as_str().unwrap_or("").to_owned();
+            *self.reasons.entry(reason).or_default() += 1;
             return;
         }
         match status {
@@ -318,11 +321,13 @@
             (_, Some("not-run")) => {
                 self.not_run += 1;
                 self.not_run_ids.insert(id.into());
-                let reason = body["reason"].as_str().unwrap_or("").to_owned();
-                *self.reasons.entry(reason).or_default() += 1;
             }
             _ => self.unknown += 1,
         }
+        if status != 200 {
+            let reason = body["reason"].as_str().unwrap_or("").to_owned();
+            *self.reasons.entry(reason).or_default() += 1;
+        }
     }
 }
 
