Close only the connection on which an answer is overdue

Callers saw, on the own interface: queries without all parts, "not run" and "unknown" for seconds after a single late answer between two daemons. leaving_target_gets_no_new_calls and graceful_stops_under_load_lose_no_request failed so. Cause: a call without an answer 0.5 s after its deadline closed whichever connection to that daemon was in use then. The other calls on the connection were not told: the library lets them wait for ever once no task works on it. Each reached its own limit later and closed the next connection with the calls on that one, and so on until no call happened to be open. A connection was also closed for one late call although other calls on it were answered. Change: an overdue answer closes its own connection, and only if no other answer came on it since the call was sent. The calls on a closed connection end at once, so that queries call other targets while they have time.

--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -314,23 +314,24 @@
     }
     let peers = calls.peers();
     peers.simulate_delay(destination).await;
-    let client = peers.client(destination.addr).await.ok()?;
-    let mut message = client.run_once_request();
+    let connection = peers.connect(destination.addr).await.ok()?;
+    let mut message = connection.client.run_once_request();
     write_request(message.get().init_request(), request);
-    let limit = request.deadline.since(clock::now()) + ANSWER_MARGIN;
-    let mut answer = message.send().promise;
+    let now = clock::now();
+    let limit = request.deadline.since(now) + ANSWER_MARGIN;
+    let mut answer = Box::pin(connection.answer(message.send().promise));
     match tokio::time::timeout(limit, &mut answer).await {
         Ok(Ok(response)) => {
+            let _ = connection.note_answer(Ok(()));
             let answer = response.get().and_then(|r| read_answer(r.get_result()?));
             answer.unwrap_or(Some(Outcome::Unknown))
         }
         Ok(Err(error)) => {
-            let _ = peers.forget_disconnected(destination.addr, Err(error));
+            let _ = connection.note_answer(Err(error));
             Some(unknown(&request.id, "the connection to its owner was lost"))
         }
         Err(_) => {
-            let peers = peers.clone();
-            actix_rt::spawn(async move { peers.close_if_silent(destination.addr, answer).await });
+            actix_rt::spawn(async move { connection.close_if_silent(now, answer).await });
             Some(unknown(&request.id, "its owner did not answer in time"))
         }
     }
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -19,10 +19,10 @@
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::{AsyncReadExt, future::join_all},
-    rattanturn_core::{Priority, object_history::ObjectHistory},
+    rattanturn_core::{Priority, Time, object_history::ObjectHistory},
     rattanturn_wire::peer_capnp::{self, call, peer, result, sink},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::HashMap,
         io,
         net::SocketAddr,
@@ -30,10 +30,13 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::{net::TcpStream, sync::oneshot, task::JoinHandle},
-    tokio_util::compat::TokioAsyncReadCompatExt,
+    tokio::{net::TcpStream, sync::oneshot},
+    tokio_util::{compat::TokioAsyncReadCompatExt, sync::CancellationToken},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time limit for connecting to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -271,10 +274,67 @@
     Ok((client, system))
 }
 
-/// A connection to another daemon, with the task that works on it.
-struct PeerConnection {
-    client: peer::Client,
-    system: JoinHandle<()>,
+/// A connection to another daemon.
+pub(crate) struct PeerConnection {
+    pub(crate) client: peer::Client,
+    addr: SocketAddr,
+    /// Cancelled once the connection has ended or is to be closed.
+    closed: CancellationToken,
+    /// When an answer came last.
+    heard: Cell<Time>,
+}
+
+impl PeerConnection {
+    /// Waits for the answer to a call until the connection is closed. The library lets calls on a
+    /// connection that no task works on wait for ever.
+    pub(crate) fn answer<T, F>(
+        &self,
+        answer: F,
+    ) -> impl Future<Output = capnp::Result<T>> + use<T, F>
+    where
+        F: Future<Output = capnp::Result<T>>,
+    {
+        let closed = self.closed.clone();
+        async move {
+            tokio::select! {
+                biased;
+                answer = answer => answer,
+                () = closed.cancelled() => {
+                    Err(capnp::Error::disconnected("the connection was closed".into()))
+                }
+            }
+        }
+    }
+
+    /// Takes note of the result of an RPC. If the connection was lost, the next RPC connects again.
+    pub(crate) fn note_answer(&self, answer: Result<(), capnp::Error>) -> eyre::Result<()> {
+        let is_lost = |e: &capnp::Error| e.kind == capnp::ErrorKind::Disconnected;
+        if answer.as_ref().is_err_and(is_lost) {
+            self.closed.cancel();
+        } else {
+            self.heard.set(clock::now());
+        }
+        Ok(answer?)
+    }
+
+    /// Like [`Self::close_silent`] if `answer`, whose deadline has passed, does not come soon.
+    pub(crate) async fn close_if_silent(&self, sent: Time, answer: impl Future) {
+        if tokio::time::timeout(RESULT_GRACE, answer).await.is_err() {
+            self.close_silent(sent);
+        }
+    }
+
+    /// Closes the connection if no answer came since `sent`, when a call was sent whose answer is overdue,
+    /// so that the next RPC connects again. Neither end would notice otherwise. If another answer came,
+    /// the connection works, and the call itself is late.
+    fn close_silent(&self, sent: Time) {
+        if self.heard.get() > sent {
+            tracing::info!(peer = %self.addr, "no answer in time, but others on the same connection");
+        } else if !self.closed.is_cancelled() {
+            tracing::warn!(peer = %self.addr, "no answer in time; closed the connection to the daemon");
+            self.closed.cancel();
+        }
+    }
 }
 
 /// Why calls that another daemon was to run have no results.
@@ -286,10 +346,13 @@
     Lost(eyre::Report),
 }
 
+/// Open connections by the address of the other daemon's thread.
+type Connections = Rc<RefCell<HashMap<SocketAddr, Rc<PeerConnection>>>>;
+
 /// One traffic thread's connections to the traffic threads of other daemons, one for each address.
 #[derive(Clone)]
 pub(crate) struct Peers {
-    clients: Rc<RefCell<HashMap<SocketAddr, PeerConnection>>>,
+    connections: Connections,
     sink: sink::Client,
     /// Simulated one-way delay between data centres.
     delay: Duration,
@@ -302,7 +365,7 @@
     pub(crate) fn new(deliver: DeliverResult, delay: Duration) -> Self {
         let sink = capnp_rpc::new_client(SinkServer(deliver));
         Self {
-            clients: Rc::default(),
+            connections: Rc::default(),
             sink,
             delay,
         }
@@ -318,8 +381,8 @@
     /// result by then are lost: they may or may not have run.
     pub(crate) async fn run(&self, to: Destination, calls: &[HolderCall]) -> Result<(), RunError> {
         self.simulate_delay(to).await;
-        let client = self.client(to.addr).await.map_err(RunError::NotSent)?;
-        let mut request = client.run_request();
+        let connection = self.connect(to.addr).await.map_err(RunError::NotSent)?;
+        let mut request = connection.client.run_request();
         request.get().set_sink(self.sink.clone());
         let count = u32::try_from(calls.len()).unwrap_or(u32::MAX);
         let mut list = request.get().init_calls(count);
@@ -328,81 +391,58 @@
         }
         let deadlines = calls.iter().map(|c| c.deadline);
         let deadline = deadlines.max().unwrap_or(clock::now());
-        let limit = deadline.since(clock::now()) + RESULT_GRACE;
-        let Ok(sent) = tokio::time::timeout(limit, request.send().promise).await else {
-            self.close_silent(to.addr);
+        let now = clock::now();
+        let limit = deadline.since(now) + RESULT_GRACE;
+        let answer = connection.answer(request.send().promise);
+        let Ok(answer) = tokio::time::timeout(limit, answer).await else {
+            connection.close_silent(now);
             return Err(RunError::Lost(eyre::eyre!("no answer in time")));
         };
-        let sent = self.forget_disconnected(to.addr, sent.map(|_| ()));
-        sent.map_err(RunError::Lost)
+        let answer = connection.note_answer(answer.map(|_| ()));
+        answer.map_err(RunError::Lost)
     }
 
     /// Cancels calls of `origin` at the daemon at `to`; errors are ignored.
     pub(crate) async fn cancel(&self, to: Destination, origin: u64, numbers: &[u64]) {
         self.simulate_delay(to).await;
-        let Ok(client) = self.client(to.addr).await else {
+        let Ok(connection) = self.connect(to.addr).await else {
             return;
         };
-        let mut request = client.cancel_request();
+        let mut request = connection.client.cancel_request();
         request.get().set_origin(origin);
         let count = u32::try_from(numbers.len()).unwrap_or(u32::MAX);
         let mut list = request.get().init_numbers(count);
         for (i, number) in (0..).zip(numbers) {
             list.set(i, *number);
         }
-        let sent = request.send().promise.await;
-        let _ = self.forget_disconnected(to.addr, sent.map(|_| ()));
+        let answer = connection.answer(request.send().promise).await;
+        let _ = connection.note_answer(answer.map(|_| ()));
     }
 
-    /// Client of the daemon at `addr`. Connects if there is no connection yet.
-    pub(crate) async fn client(&self, addr: SocketAddr) -> eyre::Result<peer::Client> {
-        if let Some(open) = self.clients.borrow().get(&addr) {
-            return Ok(open.client.clone());
+    /// The connection to the daemon at `addr`, which is set up if there is none yet.
+    pub(crate) async fn connect(&self, addr: SocketAddr) -> eyre::Result<Rc<PeerConnection>> {
+        let known = self.connections.borrow().get(&addr).cloned();
+        if let Some(open) = known.filter(|c| !c.closed.is_cancelled()) {
+            return Ok(open);
         }
         let (client, system) = connect(addr).await?;
-        let clients = self.clients.clone();
-        let system = actix_rt::spawn(async move {
-            let _ = system.await;
-            clients.borrow_mut().remove(&addr);
+        let connection = Rc::new(PeerConnection {
+            client,
+            addr,
+            closed: CancellationToken::new(),
+            heard: Cell::new(Time::ZERO),
         });
-        let open = PeerConnection {
-            client: client.clone(),
-            system,
-        };
-        self.clients.borrow_mut().insert(addr, open);
-        Ok(client)
-    }
-
-    /// Closes the connection to `addr` if `answer`, whose deadline has passed, does not come soon.
-    pub(crate) async fn close_if_silent(&self, addr: SocketAddr, answer: impl Future) {
-        if tokio::time::timeout(RESULT_GRACE, answer).await.is_err() {
-            self.close_silent(addr);
-        }
-    }
-
-    /// Closes the connection to `addr`, on which an answer is overdue, so that the next RPC
-    /// connects again. Neither end would notice otherwise.
-    fn close_silent(&self, addr: SocketAddr) {
-        if let Some(open) = self.clients.borrow_mut().remove(&addr) {
-            tracing::warn!(peer = %addr, "no answer in time; closed the connection to the daemon");
-            open.system.abort();
-        }
-    }
-
-    /// Passes on the result of an RPC. If the connection to `addr` was lost, drops it first, so
-    /// that the next RPC connects again.
-    pub(crate) fn forget_disconnected(
-        &self,
-        addr: SocketAddr,
-        sent: Result<(), capnp::Error>,
-    ) -> eyre::Result<()> {
-        if let Err(error) = sent {
-            if error.kind == capnp::ErrorKind::Disconnected {
-                self.clients.borrow_mut().remove(&addr);
+        let closed = connection.closed.clone();
+        actix_rt::spawn(async move {
+            tokio::select! {
+                _ = system => closed.cancel(),
+                () = closed.cancelled() => {}
             }
-            return Err(error.into());
-        }
-        Ok(())
+        });
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|_, c| !c.closed.is_cancelled());
+        connections.insert(addr, connection.clone());
+        Ok(connection)
     }
 
     /// Sleeps for the simulated delay if `to` is in another data centre.
