Hand a deduplication table over only to another owner

Callers saw, after graceful stops: "unknown" for a retry whose first attempt had run. Cause: control closes the leases of units that move before it publishes the routing that names their next owners. A traffic thread that looked in between found a closing lease whose owner was still itself, sent the table nowhere, and reported the handover as finished. The lease was released, and the table was lost with the daemon. Change: a handover begins only once the routing names another owner.

--- a/crates/daemon/src/traffic/once/handover.rs
+++ b/crates/daemon/src/traffic/once/handover.rs
@@ -65,9 +65,12 @@
     }
 
     /// Whether the table of a partition is to be handed over now. Nothing is handed over without a lease
-    /// term, and the table of the previous term is awaited if it is probably on its way here.
+    /// term, and the table of the previous term is awaited if it is probably on its way here. A lease is
+    /// closed a moment before the routing names the next owner.
     fn may_hand_over(&self, unit: &Unit, lease: &LeaseState) -> bool {
-        let due = lease.closing() && !lease.handover_started() && lease.in_use() == 0;
+        let is_here = unit.destination.is_some_and(|d| self.calls.is_local(d));
+        let is_closing = lease.closing() && !lease.handover_started();
+        let due = !is_here && is_closing && lease.in_use() == 0;
         let (terms, start_ms) = lease.term();
         if !due || terms.current.is_none() {
             return false;
--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -8,6 +8,8 @@
 //! that the call was not run; if that is not known, the request ends as unknown.
 
 mod handover;
+#[cfg(test)]
+mod tests;
 
 use {
     crate::{
