Wait for a partition's owner until the deadline of the request

Callers saw, while daemons join and stop in calm: "unknown" for requests that were not run, 0.5 s after they came, although they had 2 s. Cause: a request waited 0.5 s for its partition to have an owner. An owner that stops takes no request any more, and hands the partition over once those in progress have ended, which may take as long as their deadlines. Change: a request waits for an owner until its own deadline. "Unknown" sooner is of no use to a caller, whose retry would wait for the same move.

--- a/crates/daemon/src/traffic/once/mod.rs
+++ b/crates/daemon/src/traffic/once/mod.rs
@@ -39,8 +39,6 @@
     tokio::sync::{Notify, oneshot},
 };
 
-/// Time for which a request waits until its partition has an owner.
-const OWNER_WAIT: Duration = Duration::from_millis(500);
 /// Pause between two attempts to reach the owner.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(25);
 /// Interval of checking whether a table that is being handed over has arrived.
@@ -281,21 +279,21 @@
 
 /// Has a request run by the owner of its partition, on this thread or over RPC.
 ///
-/// While a partition moves to another daemon it has no owner for a moment. The request is retried
-/// until the new owner accepts it. Without an owner the outcome is unknown: only the table tells
-/// whether an earlier attempt has run.
+/// While a partition moves to another daemon it has no owner, until the requests in progress there have
+/// ended and its table is handed over. The request is retried until the new owner accepts it. Without
+/// an owner by its deadline the outcome is unknown: only the table tells whether an earlier attempt has
+/// run.
 pub(crate) async fn ask_owner(
     routing: &SharedRouting,
     calls: &Calls,
     local: &DedupOwner,
     request: OnceRequest,
 ) -> Outcome {
-    let wait_until = (clock::now() + OWNER_WAIT).min(request.deadline);
     loop {
         if let Some(outcome) = try_owner(routing, calls, local, &request).await {
             return outcome;
         }
-        if clock::now() + OWNER_RETRY_DELAY >= wait_until {
+        if clock::now() + OWNER_RETRY_DELAY >= request.deadline {
             return unknown(&request.id, "its partition has no owner");
         }
         actix_rt::time::sleep(OWNER_RETRY_DELAY).await;
--- a/crates/demo/tests/promises/main.rs
+++ b/crates/demo/tests/promises/main.rs
@@ -43,6 +43,12 @@
 idempotent = no
 hedging = no
 deadline = 2s
+[route long-renew]
+kind = single-record
+pool = events
+idempotent = no
+hedging = no
+deadline = 4s
 ";
 
 /// Tables with a fan-out pool of six services and a pool of one service for non-idempotent
--- a/crates/demo/tests/promises/once.rs
+++ b/crates/demo/tests/promises/once.rs
@@ -41,11 +41,16 @@
 
 /// Sends one non-idempotent request and returns its outcome, or "broken" if there is no answer.
 async fn renew(addr: SocketAddr, id: &str, issued: u64) -> String {
+    renew_by(addr, "renew", id, issued).await
+}
+
+/// Like [`renew`], by one of the routes of the same pool.
+async fn renew_by(addr: SocketAddr, route: &str, id: &str, issued: u64) -> String {
     let request = awc::Client::builder()
         .timeout(Duration::from_secs(5))
         .finish();
     let sent = request
-        .post(format!("http://{addr}/query/renew"))
+        .post(format!("http://{addr}/query/{route}"))
         .insert_header(("x-request-id", id))
         .insert_header(("x-issued", issued.to_string()))
         .send_body(id.to_owned())
@@ -216,6 +221,46 @@
     });
 }
 
+/// Guards against "unknown" for requests that come while the owner of their partition, which stops, waits
+/// for the end of another one.
+#[test]
+fn requests_wait_for_a_partition_that_moves_while_there_is_time() {
+    with_cluster(3, async |cluster| {
+        sleep(Duration::from_secs(2)).await;
+        let partition = |id: &str| rendezvous::key(id) % 16;
+        let first = "w0";
+        let mut ids = (1..).map(|n| format!("w{n}"));
+        let second = ids.find(|id| partition(id) == partition(first)).unwrap();
+        let name = format!("journal/{}", partition(first));
+        let is_held = |u: &Value| u["unit"] == *name && u["mine"] == true;
+        let states = cluster.states().await;
+        let mut units = states.iter().map(|s| s["units"].as_array().unwrap());
+        let owner = units.position(|u| u.iter().any(is_held)).unwrap();
+        let callers = cluster.frontends()[(owner + 1) % 3];
+        let set_slow = |factor| {
+            for target in &cluster.targets {
+                target.state.set_slow(factor);
+            }
+        };
+        set_slow(200.0);
+        let long =
+            actix_rt::spawn(async move { renew_by(callers, "long-renew", first, unix_ms()).await });
+        sleep(Duration::from_millis(100)).await;
+        set_slow(1.0);
+        let stopping = cluster.take_daemon(owner).unwrap();
+        let handle = stopping.stop_handle();
+        let stop = actix_rt::spawn(stopping.stop());
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(
+            renew_by(callers, "long-renew", &second, unix_ms()).await,
+            "ran"
+        );
+        assert_eq!(long.await.unwrap(), "ran");
+        handle.hurry();
+        stop.await.unwrap();
+    });
+}
+
 /// A daemon that stops gracefully must hand over its deduplication tables, so that the next owner
 /// can still answer a retry with the outcome of the first attempt.
 #[test]
