Let calls that were never written leave their attempts to a peer

Callers got 503 "no target could take the request" from a daemon that could not reach the targets, with most of their time left, although a peer could run the request. A call that waits for a connection ends when its target says that it leaves; the next one does the same at another target. The daemon subtracted both from the attempts of a peer, as they began before the last answer of any target, so that a route with two attempts left it none. Calls whose connection was refused counted in the same way while other targets answered.

Only calls that were written to a connection count now, as `maxAttempts` limits to how many targets a request is sent. Whether a request may go to a peer at all is decided as before, so one that must not run twice and may have run stays here. The count has moved to the core, with a test of the limit.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -23,6 +23,43 @@
 /// while the targets are down for everyone.
 const PEER_PAUSE: Duration = Duration::from_secs(1);
 
+/// A call that a daemon began for a request before it passes the request on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EarlierCall {
+    /// Index of the service among those of the request.
+    pub service: usize,
+    /// When the call began; it may have waited for a connection since.
+    pub started: Time,
+    /// Whether it was written to a connection, so that a target may have got it.
+    pub written: bool,
+}
+
+/// How many targets of each service a peer may send a request to, so that this daemon and the peer
+/// together keep to the route's `max_attempts`. `heard` is when any target last answered.
+///
+/// A call that began later has not reached a target, if this daemon has lost them all.
+///
+/// ```
+/// use rattanturn_core::{Time, relay::{EarlierCall, attempts_left}};
+/// let call = |ms, written| EarlierCall { service: 0, started: Time::from_millis(ms), written };
+/// let heard = Time::from_millis(10);
+/// assert_eq!(attempts_left(2, heard, [call(5, true)]), 1);
+/// assert_eq!(attempts_left(2, heard, [call(5, false), call(15, true)]), 2);
+/// ```
+#[must_use]
+pub fn attempts_left(
+    max_attempts: u32,
+    heard: Time,
+    calls: impl IntoIterator<Item = EarlierCall>,
+) -> u32 {
+    let mut used: HashMap<usize, u32> = HashMap::new();
+    for call in calls {
+        *used.entry(call.service).or_default() += u32::from(call.written && call.started <= heard);
+    }
+    let most = used.into_values().max().unwrap_or(0);
+    max_attempts.saturating_sub(most)
+}
+
 /// What a peer's answer says about the request that was passed on to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerVerdict {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -5,7 +5,7 @@
         NodeId, Time,
         addresses::Frontend,
         reach::{Reach, ReachChange},
-        relay::Relays,
+        relay::{EarlierCall, Relays, attempts_left},
         silence::Silence,
     },
     std::time::Duration,
@@ -157,3 +157,22 @@
     }
     assert!(sent <= 5 * 10, "{sent} of 10,000 requests");
 }
+
+/// Guards against refusals because of calls that no target got, and against a peer that exceeds the
+/// limit because another service was called less often.
+#[test]
+fn only_written_calls_use_up_the_attempts_of_a_peer() {
+    let call = |service, started, written| EarlierCall {
+        service,
+        started: Time::from_millis(started),
+        written,
+    };
+    let heard = Time::from_millis(10);
+    let unsent = [call(0, 1, false), call(0, 2, false), call(1, 3, false)];
+    assert_eq!(attempts_left(2, heard, unsent), 2);
+    let written = [call(0, 1, true), call(1, 1, true), call(1, 10, true)];
+    assert_eq!(attempts_left(2, heard, written), 0);
+    assert_eq!(attempts_left(3, heard, written), 1);
+    assert_eq!(attempts_left(1, heard, written), 0);
+    assert_eq!(attempts_left(2, heard, [call(0, 11, true)]), 2);
+}
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -15,7 +15,7 @@
             connection::Answer,
             ending::Stage,
             meters::{self, Cause},
-            request::FanOut,
+            request::{BegunCall, FanOut},
             rollouts::NO_TARGET,
             traffic::Traffic,
             upstream::{Call, CallStage, Outcome, Progress, Upstream},
@@ -247,7 +247,11 @@
             self.calls.push(Box::pin(async move { ended }));
             return;
         };
-        self.request.sent.borrow_mut().push((service, now));
+        self.request.begun.borrow_mut().push(BegunCall {
+            service,
+            started: now,
+            progress: progress.clone(),
+        });
         self.traffic
             .meters
             .count_call(&self.request.services[service], cause);
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -24,9 +24,9 @@
             meters::{self, RequestOutcome},
             quota::QuotaPermit,
             relay::{RELAYED, RelayResult, Relayed, relayed_attempts},
-            request::{FanOut, Incoming, RETRY_AFTER, Reply},
+            request::{BegunCall, FanOut, Incoming, RETRY_AFTER, Reply},
             traffic::Traffic,
-            upstream::Call,
+            upstream::{Call, CallStage},
             view::{Phase, View},
         },
     },
@@ -39,6 +39,7 @@
         fingerprint::Fingerprint,
         gather::{Cutoff, MissingReason},
         merge::top_records,
+        relay::{EarlierCall, attempts_left},
     },
     rattanturn_platform::http::{
         RECORD_BYTES, deadline, forward_headers, merged_headers, remove_caller, request_id,
@@ -46,7 +47,6 @@
     },
     std::{
         cell::{Cell, OnceCell, RefCell},
-        collections::BTreeMap,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -69,8 +69,8 @@
     incoming: &'a Incoming,
     /// Time by which the answer must be sent.
     deadline: Time,
-    /// Service and time of each call that was sent.
-    sent: RefCell<Vec<(usize, Time)>>,
+    /// The calls to targets so far.
+    begun: RefCell<Vec<BegunCall>>,
     /// The caller's right to the request, as checked last.
     access: Rc<Access>,
     /// Account of the caller; `None` on a public route without a valid key, and where the
@@ -122,7 +122,7 @@
         route,
         incoming,
         deadline,
-        sent: RefCell::default(),
+        begun: RefCell::default(),
         account: access.account().cloned(),
         access,
         identity: Rc::default(),
@@ -371,16 +371,16 @@
         (answer, summary)
     }
 
-    /// How many targets of each service a peer may send the request to. What this daemon sent after
-    /// the last answer of any target has not reached one, if it has lost the targets.
+    /// How many targets of each service a peer may send the request to, once no call of this daemon
+    /// can be written any more.
     fn attempts_left(&self) -> u32 {
-        let heard = self.traffic.last_heard();
-        let mut used: BTreeMap<usize, u32> = BTreeMap::new();
-        for (service, sent) in self.sent.borrow().iter() {
-            *used.entry(*service).or_default() += u32::from(*sent <= heard);
-        }
-        let used = used.into_values().max().unwrap_or(0);
-        self.route.max_attempts.saturating_sub(used)
+        let begun = self.begun.borrow();
+        let calls = begun.iter().map(|call| EarlierCall {
+            service: call.service,
+            started: call.started,
+            written: call.progress.stage.get() == CallStage::Written,
+        });
+        attempts_left(self.route.max_attempts, self.traffic.last_heard(), calls)
     }
 
     async fn run_here(&self, mode: &Mode) -> (Reply, RequestSummary) {
@@ -489,7 +489,7 @@
                 .max(1),
             trial,
             ending: &self.incoming.ending,
-            sent: &self.sent,
+            begun: &self.begun,
         }
     }
 
--- a/crates/daemon/src/tier/request.rs
+++ b/crates/daemon/src/tier/request.rs
@@ -5,12 +5,15 @@
 //! their imports circular. The price is that a type is apart from the code that makes its values.
 
 use {
-    crate::tier::{ending::Ending, upstream::Call},
+    crate::tier::{
+        ending::Ending,
+        upstream::{Call, Progress},
+    },
     actix_http::{Request, RequestHead, header::HeaderMap},
     bytes::Bytes,
     rattanturn_core::{Time, accounts::Denial, catalog::Route, gather::Cutoff},
     rattanturn_platform::http::{key_challenge, retry_after},
-    std::{cell::RefCell, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
 };
 
 /// Time after which callers are told to retry a refused request, if nothing better is known.
@@ -93,6 +96,13 @@
     pub(crate) trial: Option<usize>,
     /// What ends the request before its deadline.
     pub(crate) ending: &'a Ending,
-    /// Gets the service and the time of each call that is sent.
-    pub(crate) sent: &'a RefCell<Vec<(usize, Time)>>,
+    /// Gets each call that is begun.
+    pub(crate) begun: &'a RefCell<Vec<BegunCall>>,
+}
+
+/// A call that was begun for a request.
+pub(crate) struct BegunCall {
+    pub(crate) service: usize,
+    pub(crate) started: Time,
+    pub(crate) progress: Rc<Progress>,
 }
--- a/crates/demo/tests/tier/stranded.rs
+++ b/crates/demo/tests/tier/stranded.rs
@@ -2,9 +2,9 @@
 //! reach them.
 
 use {
-    super::{fetch, front_addr, plain_servers, run_count, with_cluster},
+    super::{CONFIG_APPLY_TIME, fetch, front_addr, plain_servers, run_count, with_cluster},
     actix_rt::time::sleep,
-    rattanturn_demo::tier_cluster::{TierCluster, request},
+    rattanturn_demo::tier_cluster::{TierCluster, request, request_within},
     rattanturn_standins::{proxy::LinkMode, shard::Fault},
     std::{
         net::SocketAddr,
@@ -23,6 +23,12 @@
 /// Time after which a request that nobody can serve counts as held back.
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
 
+/// Requests at two servers that run one at a time, the factors by which these are slower than usual, so
+/// that one says later than the other that it leaves, and the time limit of the requests.
+const WAITING: usize = 6;
+const LONG_CALLS: [f64; 2] = [30.0, 60.0];
+const WAIT_LIMIT_MS: u64 = 10_000;
+
 /// What the cut does to connections that are open. New ones are refused.
 #[derive(Clone, Copy)]
 pub(super) enum Cut {
@@ -261,3 +267,37 @@
         assert_eq!(near.take_most_open(), 6, "requests ran at once");
     });
 }
+
+/// A daemon can open no more connections to the servers, and both say in an answer that they leave.
+/// Guards against refusals because of calls that were never written to a connection.
+#[test]
+fn requests_whose_calls_were_not_sent_run_at_a_peer() {
+    with_cluster(1, async |cluster| {
+        cluster.config = std::mem::take(&mut cluster.config)
+            .limits(WAIT_LIMIT_MS, WAIT_LIMIT_MS)
+            .max_connections(1);
+        cluster.config.write(&cluster.store);
+        cluster.start_behind_gateway(1).await.unwrap();
+        cluster.wait_ready().await.unwrap();
+        sleep(CONFIG_APPLY_TIME).await;
+        let servers = plain_servers(cluster);
+        for (server, slow) in servers.iter().zip(LONG_CALLS) {
+            server.set_slow(slow);
+            server.set_leaving(true);
+        }
+        let at = front_addr(cluster, 1);
+        let open = (0..WAITING).map(|n| async move {
+            let (limit, id) = (Duration::from_millis(WAIT_LIMIT_MS), format!("w{n}"));
+            let answer = request_within(limit, at, "/once/x", &id, "body").await;
+            answer.map_or(0, |a| a.status)
+        });
+        let open = actix_rt::spawn(futures::future::join_all(open));
+        while servers.iter().any(|s| s.arrivals() == 0) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        cut_off(cluster, Cut::NewOnly);
+        assert_eq!(open.await.unwrap(), [200; WAITING]);
+        let runs = (0..WAITING).map(|n| run_count(&servers, &format!("w{n}")));
+        assert_eq!(runs.collect::<Vec<u32>>(), [1; WAITING]);
+    });
+}
