Ask the system whether a kept connection was closed before it is reused

What callers saw: 502 for an idempotent request that no target had got, or a retry from the budget, because it was written to a kept connection that the target had closed before. If the target's process had ended, the request also counted as one that may end targets. By reading, a request that was passed on to a peer got 502 without the next peer being asked.

Cause: `try_read` tells what the runtime has been told by the system at the begin of its turn. If the thread was held up since, a close in between is not seen, and a request of the same turn reuses the connection.

The fix asks the system itself, with a read of one byte that does not wait; a connection on which anything came is not used any more in any case. What remains is a close that crosses the request.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -174,11 +174,14 @@
     ///
     /// This needs that the last request was written as a whole, that its answer was complete and
     /// allowed it, that nothing came since, not even the target's close, and that the target's idle
-    /// timeout is not near.
+    /// timeout is not near. The runtime may have asked the system long ago what has arrived, if the thread
+    /// was held up since, so this asks the system itself.
     pub(crate) fn is_reusable(&self, now: Time) -> bool {
         let no_input = || {
-            let read = self.stream.try_read(&mut [0]);
-            matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+            matches!(
+                rustix::io::read(&self.stream, &mut [0_u8]),
+                Err(Errno::WOULDBLOCK)
+            )
         };
         self.reusable
             && self.unsent.is_empty()
