Keep idle connections while requests that must not run twice get new ones

What callers saw: nothing yet. Each request that must not run twice closed all idle connections to its target, so that the requests after it waited for new connections, and each close by this daemon takes a local port for 60 s.

Cause: such a request gets a new connection. The idle ones were taken from the pool one after the other until one could be reused, which none could, and were closed. That kept the number of connections within the target's limit, for which one closed connection is enough.

The fix closes the oldest idle connection, in whose place the new one is opened, and further ones only while the pool's limit has no room for them. A limit that was lowered holds with the next such request, as before, for which there is a test. The rule is in the core's permits.

Requests that must not run twice still open and close a connection each, so that a rate of some 470 a second to one address still uses up the local ports, as far as can be read.

--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -101,6 +101,24 @@
         self.in_use < self.limit
     }
 
+    /// Number of `idle` connections that stay open when a call that has a permit opens a new one: the new
+    /// one takes the place of another, and the limit must have room for all of them.
+    ///
+    /// ```
+    /// use rattanturn_core::permits::Permits;
+    /// let mut permits = Permits::new(8);
+    /// assert!(permits.take().is_ok());
+    /// assert_eq!(permits.kept_idle(6), 5);
+    /// assert!(permits.set_limit(3).is_empty());
+    /// assert_eq!(permits.kept_idle(6), 2);
+    /// ```
+    #[must_use]
+    pub fn kept_idle(&self, idle: usize) -> usize {
+        let room = self.limit.saturating_sub(self.in_use);
+        let room = usize::try_from(room).unwrap_or(usize::MAX);
+        idle.saturating_sub(1).min(room)
+    }
+
     fn grant(&mut self) -> Vec<Ticket> {
         let mut granted = Vec::new();
         while self.has_free()
--- a/crates/core/tests/permits.rs
+++ b/crates/core/tests/permits.rs
@@ -26,3 +26,18 @@
     assert_eq!(permits.set_limit(3), waiting[1..]);
     assert_eq!((permits.in_use(), permits.waiting()), (3, 0));
 }
+
+/// Guards against new connections that drive out idle ones for which there is room, or exceed the limit.
+#[test]
+fn a_new_connection_takes_the_place_of_one_idle_connection() {
+    let mut permits = Permits::new(4);
+    permits.take().unwrap();
+    assert_eq!(
+        [0, 1, 3, 4].map(|idle| permits.kept_idle(idle)),
+        [0, 0, 2, 3]
+    );
+    permits.take().unwrap();
+    assert_eq!(permits.kept_idle(4), 2);
+    assert_eq!(permits.set_limit(1), []);
+    assert_eq!(permits.kept_idle(4), 0);
+}
--- a/crates/daemon/src/tier/permits.rs
+++ b/crates/daemon/src/tier/permits.rs
@@ -94,6 +94,11 @@
         self.permits.borrow().has_free()
     }
 
+    /// Number of `idle` connections that stay open when a call that has a permit opens a new one.
+    pub(crate) fn kept_idle(&self, idle: usize) -> usize {
+        self.permits.borrow().kept_idle(idle)
+    }
+
     fn release(&self) {
         let granted = self.permits.borrow_mut().release();
         self.wake(granted);
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -552,14 +552,13 @@
         Outcome::Answered(answer)
     }
 
-    /// Takes a reusable idle connection or opens one; idle ones that it passes over are closed. `None`
-    /// if none can be opened, for which the target is down unless the cause is here.
+    /// Takes a reusable idle connection or opens one. `None` if none can be opened, for which the target is
+    /// down unless the cause is here.
     async fn take_connection(&self, non_idempotent: bool) -> Option<TargetConnection> {
-        let now = clock::now();
-        while let Some(connection) = self.idle.borrow_mut().pop() {
-            if !non_idempotent && connection.is_reusable(now) {
-                return Some(connection);
-            }
+        if non_idempotent {
+            self.make_room();
+        } else if let Some(connection) = self.take_idle() {
+            return Some(connection);
         }
         let addr = self.addr();
         let connected = TargetConnection::connect(addr).await;
@@ -568,6 +567,25 @@
         }
         connected.ok()
     }
+
+    /// Takes the idle connection that was kept last; closes those before it that cannot be reused.
+    fn take_idle(&self) -> Option<TargetConnection> {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_reusable(now) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Closes the oldest idle connections that have to go before a new one is opened.
+    fn make_room(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let closed = idle.len() - self.permits.kept_idle(idle.len());
+        idle.drain(..closed);
+    }
 }
 
 /// Why a call that has waited too long is not sent. A key that was revoked meanwhile comes first, so that
