Load the time of reading the targets before the view

What callers saw: nothing. For a moment, a target that is cold could get more requests than it takes then.

Cause: a target whose data centre comes back counts as cold until the targets were read at a later time. Traffic loaded the view first and the time of reading after it, so that control could publish a view and the time of its reading in between: an old view met the newer time, and its targets counted as warm.

The time is loaded first now, and ordered with control's store of it, which comes after the view of that reading, so that it is never newer than the view. An older time only lets a target count as cold until the next look.

By reading, without a test: the window is between two loads.

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -535,7 +535,8 @@
         self.remove_stale_entries(now);
         self.cluster.targets.tick(now);
         let read = self.cluster.targets_read.micros();
-        self.gauges.read_micros.store(read, Ordering::Relaxed);
+        // What was read at this time has been published as a view before.
+        self.gauges.read_micros.store(read, Ordering::Release);
         let config_read = self.cluster.config_read.micros();
         self.gauges
             .config_micros
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -210,8 +210,9 @@
 
     /// The current view. A new one is first applied to the upstreams.
     pub(crate) fn view(self: &Rc<Self>) -> Arc<View> {
+        // The time comes first, so that it is never newer than the view.
+        let read = self.gauges.read_micros.load(Ordering::Acquire);
         let newest = self.shared.load();
-        let read = self.gauges.read_micros.load(Ordering::Relaxed);
         self.calls.targets_read.set(Time::from_micros(read));
         if !Arc::ptr_eq(&newest, &self.view.borrow()) {
             let newest = newest.clone();
