Bound control's wait for room in the send buffer of datagrams

While the send buffer of the socket for datagrams is full, the control loop does nothing else: it takes no news, and notices no stop.

Cause: control awaits each datagram inside its loop, for as long as the buffer has no room. That can be seconds, for example while datagrams to hosts that have lost their power wait for the answer to an address look-up.

A datagram that finds no room within 1 ms counts as lost now, as all errors in sending did already: what datagrams carry is repeated. They are not dropped at once, because the runtime learns of new room only in its next turn, so that a short lack of room would cost all datagrams that remain of a turn, always those to the same daemons. The attempt to send comes before the time-out, so that a thread that is held up loses none. The same holds for the own interface.

By reading, without a test: datagrams on loopback leave the send buffer at once.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -20,6 +20,7 @@
             objects::{FetchSlot, ObjectVersion, VOTERS_KEY, WATCHERS},
             shutdown::Phase,
         },
+        datagram::send_datagram,
         routing::{self, Inputs, Interner, LeaseState, SharedRouting},
         supervise::restarted,
         traffic::{Gauges, rpc::SharedObjects},
@@ -506,7 +507,6 @@
     async fn send(&mut self, socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
         let bytes = encode(datagram);
         self.usage.record_sent(bytes.len());
-        // Errors are ignored like lost datagrams: membership and leases repeat their messages.
-        let _ = socket.send_to(&bytes, to).await;
+        send_datagram(socket, &bytes, to).await;
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod clock;
 mod control;
+mod datagram;
 mod planted;
 mod routing;
 mod stop;
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -26,6 +26,7 @@
     crate::{
         admin, clock,
         control::{self, Event},
+        datagram::send_datagram,
         stop::sleep_until,
         tier::{
             directory,
@@ -580,7 +581,7 @@
     let bytes = encode(&Datagram::Gossip(message));
     for to in audience {
         meters::count_datagram("sent", kind, bytes.len());
-        send_encoded(socket, &bytes, *to).await;
+        send_datagram(socket, &bytes, *to).await;
     }
 }
 
@@ -589,11 +590,6 @@
         let kind = item.message.kind;
         let bytes = encode(&Datagram::Gossip(item.message));
         meters::count_datagram("sent", kind, bytes.len());
-        send_encoded(socket, &bytes, item.to).await;
+        send_datagram(socket, &bytes, item.to).await;
     }
 }
-
-/// Sends a datagram. What it carries is repeated, so an error needs no handling.
-async fn send_encoded(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
-    let _ = socket.send_to(bytes, to).await;
-}
--- a/crates/daemon/src/tier/control/evidence.rs
+++ b/crates/daemon/src/tier/control/evidence.rs
@@ -6,8 +6,8 @@
 //! not grow with the deployment.
 
 use {
-    super::{Control, send_encoded},
-    crate::tier::meters,
+    super::Control,
+    crate::{datagram::send_datagram, tier::meters},
     rand::seq::IteratorRandom,
     rattanturn_core::{
         NodeId, Time, dissemination, membership::State, quarantine::Evidence, rendezvous,
@@ -108,7 +108,7 @@
             let bytes = encode(&Datagram::Evidence(self.me, part.to_vec()));
             for to in audience {
                 meters::count_evidence_datagram(bytes.len());
-                send_encoded(socket, &bytes, *to).await;
+                send_datagram(socket, &bytes, *to).await;
             }
         }
     }
--- a/crates/daemon/src/tier/control/quotas.rs
+++ b/crates/daemon/src/tier/control/quotas.rs
@@ -4,9 +4,10 @@
 //! datagrams need no other handling. All accounts with the same owner share a datagram.
 
 use {
-    super::{Control, DEAD_MEMBER_GRACE, send_encoded},
+    super::{Control, DEAD_MEMBER_GRACE},
     crate::{
         clock,
+        datagram::send_datagram,
         planted::{WHOLE_LIMIT, is_planted},
         tier::{meters, view::View},
     },
@@ -169,7 +170,7 @@
             rest = later;
             let encoded = encode(&wrap(part));
             meters::count_token_datagram(encoded.len());
-            send_encoded(socket, &encoded, addr).await;
+            send_datagram(socket, &encoded, addr).await;
         }
     }
 
--- a/crates/daemon/src/tier/control/rollouts.rs
+++ b/crates/daemon/src/tier/control/rollouts.rs
@@ -5,9 +5,10 @@
 //! write without an answer is settled by the next read.
 
 use {
-    super::{Control, send_encoded},
+    super::Control,
     crate::{
         clock,
+        datagram::send_datagram,
         tier::{known_rollouts::KnownOrder, rollouts::since_ms, sources::StoreEvent},
     },
     rattanturn_core::{
@@ -94,7 +95,7 @@
             for part in evidence.split(MAX_ROLLOUT_BYTES) {
                 let bytes = encode(&Datagram::Rollouts(self.me, vec![part]));
                 for to in &deciders {
-                    send_encoded(socket, &bytes, *to).await;
+                    send_datagram(socket, &bytes, *to).await;
                 }
             }
         }
