Try all targets of a query although calls were not sent

Callers of a pool whose targets are alternatives got 504 within milliseconds of a time limit of 5 s, although a target served: a query makes six calls, and those whose target had no holder, was down, or could not be connected to counted among them. With six such targets ahead of it, the serving one was never tried. This holds after tables with targets that do not run yet, as unknown targets come first, and again whenever the estimates of failed ones have decayed.

Calls that cost no target any work now end as "unsent", and after them a query goes on to targets that it has not tried. Once all were tried, the limit counts all calls as before, so the query neither makes a second round nor waits longer. Calls that may have run count as before in every case. The tier's calls are not affected.

Evidence: in the new test, 30 targets that do not run are added to one that serves. The test of any order of events includes the new end.

--- a/crates/core/src/gather/limits.rs
+++ b/crates/core/src/gather/limits.rs
@@ -14,6 +14,14 @@
         state.attempts - state.uncounted < self.plan.max_attempts
     }
 
+    /// Whether a service has a target that was not tried yet and may be called.
+    pub(super) fn may_try(&self, service: usize) -> bool {
+        let state = &self.states[service];
+        let below_limit = state.attempts - state.unsent < self.plan.max_attempts;
+        let has_untried = state.attempts < self.plan.services[service].len();
+        has_untried && (below_limit || self.may_call(service))
+    }
+
     /// Takes an attempt that was not sent out of the limit. This happens once for each target, so that
     /// the query ends although targets go out of use again and again.
     pub(super) fn uncount_attempt(&mut self, service: usize) {
--- a/crates/core/src/gather/mod.rs
+++ b/crates/core/src/gather/mod.rs
@@ -56,6 +56,8 @@
     attempts: usize,
     /// Attempts that do not count towards [`Plan::max_attempts`].
     uncounted: usize,
+    /// Attempts that ended as [`Reply::Unsent`].
+    unsent: usize,
     /// Attempts that have not ended.
     open: usize,
     /// Set by the first hedge, also if the budget refused it: a service is hedged at most once.
@@ -166,6 +168,10 @@
                     self.uncount_attempt(service);
                 }
             }
+            Reply::Unsent(reason) => {
+                self.states[service].reason = Some(reason);
+                self.states[service].unsent += 1;
+            }
             Reply::Failed | Reply::Ended => {
                 self.states[service].reason = Some(MissingReason::Failed);
             }
@@ -436,8 +442,7 @@
             return;
         }
         let below_limit = self.may_call(service);
-        let has_untried = state.attempts < self.plan.services[service].len();
-        if has_untried && below_limit {
+        if self.may_try(service) {
             self.retry(now, service, budgets, out);
         } else if !wrong_snapshot && now + RETRY_PAUSE < self.plan.deadline && below_limit {
             self.states[service].retry_at = Some(now + RETRY_PAUSE);
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -82,6 +82,9 @@
     WrongSnapshot,
     /// The call certainly did not run, so that a retry is always safe.
     NotRun(MissingReason),
+    /// Like `NotRun`, and its target got no work by it: the call was not sent, or the target answered that
+    /// it leaves. Such a call does not keep the query from targets that it has not tried.
+    Unsent(MissingReason),
     /// The call may have run, but it failed or its answer was lost; it is retried only if the plan
     /// is idempotent.
     Failed,
@@ -109,6 +112,8 @@
     pub idempotent: bool,
     /// Limit on the calls for one service on one snapshot: the first, its retries and its hedge. A call
     /// that ended as [`MissingReason::Withdrawn`] does not count, as far as there is one for each target.
+    /// Targets that were not tried yet are called while fewer calls than this were other than
+    /// [`Reply::Unsent`].
     pub max_attempts: usize,
     /// From this number of targets on that ended while they had calls of the query, services whose
     /// target ended are not called again until another one has answered: the query itself may have
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -8,6 +8,7 @@
 //! plan deadline=500000 snapshot=7 hedging=yes late=8000 services=0,1;2,3
 //! 1500 done attempt=0 snapshot=7 body=a newest=7
 //! 2100 not-run attempt=1 reason=busy newest=7
+//! 2300 unsent attempt=1 reason=unreachable newest=7
 //! 2500 wrong-snapshot attempt=1 newest=8
 //! 3000 failed attempt=1 newest=7
 //! 9000 tick
@@ -35,7 +36,7 @@
     std::{collections::HashMap, fmt::Write, time::Duration},
 };
 
-/// Reasons that `not-run` can have, written as by [`MissingReason::as_str`].
+/// Reasons that `not-run` and `unsent` can have, written as by [`MissingReason::as_str`].
 const REASONS: [MissingReason; 12] = [
     MissingReason::Deadline,
     MissingReason::Busy,
@@ -105,6 +106,7 @@
             Reply::Done { snapshot, .. } => format!("done snapshot={snapshot}"),
             Reply::WrongSnapshot => "wrong-snapshot".into(),
             Reply::NotRun(reason) => format!("not-run reason={reason}"),
+            Reply::Unsent(reason) => format!("unsent reason={reason}"),
             Reply::Failed => "failed".into(),
             Reply::Ended => "ended".into(),
         };
@@ -377,13 +379,14 @@
         "wrong-snapshot" => Ok(Reply::WrongSnapshot),
         "failed" => Ok(Reply::Failed),
         "ended" => Ok(Reply::Ended),
-        "not-run" => {
-            let word = line.pairs.get("reason").ok_or("`reason=` is missing")?;
-            let reason = REASONS.into_iter().find(|r| r.as_str() == *word);
-            reason
-                .map(Reply::NotRun)
-                .ok_or_else(|| format!("`reason={word}` is not a known reason"))
-        }
+        "not-run" => parse_reason(line).map(Reply::NotRun),
+        "unsent" => parse_reason(line).map(Reply::Unsent),
         other => Err(format!("`{other}` is not a known event")),
     }
 }
+
+fn parse_reason(line: &Line<'_>) -> Result<MissingReason, String> {
+    let word = line.pairs.get("reason").ok_or("`reason=` is missing")?;
+    let reason = REASONS.into_iter().find(|r| r.as_str() == *word);
+    reason.ok_or_else(|| format!("`reason={word}` is not a known reason"))
+}
--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -42,7 +42,7 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        5 => (0..24_u32, 0..6_usize, 7..9_u64)
+        5 => (0..24_u32, 0..7_usize, 7..9_u64)
             .prop_map(|(attempt, kind, snapshot)| Event::Reply { attempt, kind, snapshot }),
         1 => (1..30_000_u64).prop_map(|us| Event::Wait { us }),
     ]
@@ -57,6 +57,7 @@
         2 => Reply::WrongSnapshot,
         3 => Reply::NotRun(MissingReason::Busy),
         4 => Reply::Ended,
+        5 => Reply::Unsent(MissingReason::NoHolder),
         _ => Reply::Failed,
     }
 }
@@ -299,6 +300,47 @@
     assert_eq!(targets, [1, 1, 1]);
 }
 
+/// Guards against a query that ends before it has tried the only target that serves, against one that
+/// more targets run than the limit allows, and against one that goes on once all targets were tried.
+#[test]
+fn calls_that_were_not_sent_lead_to_untried_targets_alone() {
+    let ended_after = |failures: u32| {
+        let mut budgets = Budgets::default();
+        budgets.pair(0).retry.set_tokens(8.0);
+        let mut gather = start_over_eight(&mut budgets);
+        (0..20).find(|attempt| {
+            let reply = if *attempt < failures {
+                Reply::Failed
+            } else {
+                Reply::Unsent(MissingReason::NoHolder)
+            };
+            let now = Time::from_millis(5);
+            let actions = gather.reply(now, AttemptId(*attempt), reply, 7, &mut budgets);
+            actions == [Action::Finish]
+        })
+    };
+    assert_eq!([0, 1, 2].map(ended_after), [Some(7), Some(7), Some(1)]);
+}
+
+/// Starts a query over one service of eight targets that may call two of them.
+fn start_over_eight(budgets: &mut Budgets) -> Gather {
+    let plan = Plan {
+        services: vec![(0..8).collect()],
+        hedge_delays: vec![Duration::ZERO],
+        deadline: Time::from_millis(500),
+        snapshot: 7,
+        hedging: false,
+        idempotent: true,
+        max_attempts: 2,
+        max_ended: max_ended(1),
+        cutoff: None,
+        budgets: Vec::new(),
+    };
+    let (gather, actions) = Gather::start(Time::from_millis(1), plan, budgets);
+    assert_eq!(calls(&actions), 1);
+    gather
+}
+
 /// Starts a query over one service of two targets that may call one of them.
 fn start_single_attempt(budgets: &mut Budgets) -> Gather {
     let plan = Plan {
--- a/crates/daemon/src/traffic/query.rs
+++ b/crates/daemon/src/traffic/query.rs
@@ -424,8 +424,8 @@
         },
         Outcome::WrongSnapshot => Reply::WrongSnapshot,
         Outcome::Busy => Reply::NotRun(MissingReason::Busy),
-        Outcome::Unreachable => Reply::NotRun(MissingReason::Unreachable),
-        Outcome::NoHolder => Reply::NotRun(MissingReason::NoHolder),
+        Outcome::Unreachable => Reply::Unsent(MissingReason::Unreachable),
+        Outcome::NoHolder => Reply::Unsent(MissingReason::NoHolder),
         Outcome::Failed => Reply::Failed,
     }
 }
--- a/crates/daemon/tests/own_interface.rs
+++ b/crates/daemon/tests/own_interface.rs
@@ -4,7 +4,7 @@
     actix_rt::{Arbiter, System},
     rattanturn_platform::objects::TABLES_KEY,
     rattanturn_standins::{
-        platform::Platform,
+        platform::{self, Platform},
         target::{State, Target, TargetConfig},
     },
     rattanturn_tables::TablesObject,
@@ -38,6 +38,11 @@
 /// Factor that makes calls outlast every test.
 const ENDLESS: f64 = 1e5;
 
+/// Targets that do not run yet, far more than the calls of a query, and the time in which a daemon has
+/// read the tables with them and acquired their leases.
+const ABSENT: u8 = 30;
+const TABLES_TIME: Duration = Duration::from_secs(6);
+
 /// Settings of a daemon with one traffic thread.
 const ONE_THREAD: &str = "rpc-port = 0\n";
 /// Traffic threads of a daemon with several.
@@ -159,7 +164,9 @@
     stopped: Daemon,
     other: Option<Daemon>,
     platform: SocketAddr,
+    store: Arc<platform::State>,
     target: Arc<State>,
+    target_addr: SocketAddr,
     standins: Arbiter,
 }
 
@@ -180,20 +187,15 @@
     fn spawn_lone(name: &str, settings: &str) -> Self {
         let standins = Arbiter::new();
         let (platform, target, state) = spawn_standins(&standins);
-        let pools = format!(
-            "[data-centre a]\nregion = r\nstate = in\n\
-             [pool events]\nslots = 16\nconnections = 40\n\
-             [service events/e]\ntargets = a@{target}\n"
-        );
-        let tables = TablesObject::new(ROUTES, &pools, None).unwrap();
-        let body = serde_json::to_vec(&tables).unwrap();
-        platform.1.put(TABLES_KEY, &body);
+        write_tables(&platform.1, &[target]);
         let stopped = Daemon::spawn(&format!("{name}-1"), platform.0, settings);
         Self {
             stopped,
             other: None,
             platform: platform.0,
+            store: platform.1,
             target: state,
+            target_addr: target,
             standins,
         }
     }
@@ -234,7 +236,21 @@
     }
 }
 
-type PlatformHandle = (SocketAddr, Arc<rattanturn_standins::platform::State>);
+type PlatformHandle = (SocketAddr, Arc<platform::State>);
+
+/// Writes tables with these targets to the store.
+fn write_tables(store: &platform::State, targets: &[SocketAddr]) {
+    let targets: Vec<String> = targets.iter().map(|t| format!("a@{t}")).collect();
+    let pools = format!(
+        "[data-centre a]\nregion = r\nstate = in\n\
+         [pool events]\nslots = 16\nconnections = 40\n\
+         [service events/e]\ntargets = {}\n",
+        targets.join(", ")
+    );
+    let tables = TablesObject::new(ROUTES, &pools, None).unwrap();
+    let body = serde_json::to_vec(&tables).unwrap();
+    store.put(TABLES_KEY, &body);
+}
 
 fn spawn_standins(arbiter: &Arbiter) -> (PlatformHandle, SocketAddr, Arc<State>) {
     let (send, receive) = mpsc::channel();
@@ -543,3 +559,26 @@
         assert_eq!(site.target.counters().ran, ran);
     });
 }
+
+/// Guards against refusals because of calls that were not sent, while another target serves.
+#[test]
+fn queries_are_served_while_most_targets_of_their_pool_are_absent() {
+    System::new().block_on(async {
+        let site = Site::spawn_lone("absent", ONE_THREAD);
+        site.wait_ready();
+        // Nothing listens on the discard port.
+        let absent = (1..=ABSENT).map(|n| SocketAddr::from(([127, 0, 9, n], 9)));
+        let targets: Vec<SocketAddr> = absent.chain([site.target_addr]).collect();
+        write_tables(&site.store, &targets);
+        let start = Instant::now();
+        let mut refused = Vec::new();
+        while start.elapsed() < TABLES_TIME {
+            let asked = start.elapsed();
+            match ask(site.addr(), &search()) {
+                200 => {}
+                status => refused.push((status, asked)),
+            }
+        }
+        assert_eq!(refused, []);
+    });
+}
