Start and exit although nothing reads stderr

What operators saw: by reading, in review. A daemon whose stderr is a full pipe that is open and not read never starts if its settings have a warning, and never exits if it fails.

Cause: errors were written to stderr with a write that blocks.

Change: another thread writes them, for a second at most. The error after the end of the log is written beside the rest of the log and within the same limit.

Evidence: two tests of the process with a full pipe as stderr.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod datagram;
 mod planted;
 mod routing;
+pub mod stderr;
 mod stop;
 mod supervise;
 mod tier;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,8 @@
 //! `rattanturnd`: runs one daemon as a process, from a settings file until a signal stops it.
 //!
-//! The process writes its log to stdout and errors at start to stderr. Neither can end it: the log drops
-//! lines that nothing reads, and what cannot be written to stderr is given up.
+//! The process writes its log to stdout and errors at start to stderr. Neither can end
+//! it or hold it up, closed or open without a reader: the log drops lines that nothing reads, and
+//! what cannot be written to stderr within a second is given up.
 //!
 //! SIGTERM comes from a supervisor, which may repeat it and kills the process once the drain limit has
 //! passed: during a stop it changes nothing, whichever signal began the stop. SIGINT comes from
@@ -15,17 +16,18 @@
 use {
     eyre::{Context, bail, eyre},
     rattanturn_core::{Time, shutdown::StopSchedule},
-    rattanturn_daemon::{Daemon, StopHandle, Tier},
+    rattanturn_daemon::{
+        Daemon, StopHandle, Tier,
+        stderr::{self, DetachedWork},
+    },
     rattanturn_tables::{Findings, LogFormat, Settings},
     std::{
-        fmt,
         future::pending,
-        io::{self, IsTerminal, Write},
+        io::{self, IsTerminal},
         mem,
         path::{Path, PathBuf},
         pin::pin,
         process::ExitCode,
-        sync::mpsc,
         time::{Duration, Instant},
     },
     tokio::{
@@ -66,7 +68,7 @@
         match Signals::install() {
             Ok(signals) => start(signals).await,
             Err(error) => {
-                report(format_args!(
+                stderr::report(&format!(
                     "rattanturnd: cannot install signal handlers: {error}"
                 ));
                 ExitCode::FAILURE
@@ -83,19 +85,19 @@
         read = read_settings_aside(flags.settings.clone()) => read.wrap_err(UNREAD).flatten(),
         signal = signals.stop() => {
             let name = signal.as_str();
-            report(format_args!("rattanturnd: {name} while the settings were read"));
+            stderr::report(&format!("rattanturnd: {name} while the settings were read"));
             return ExitCode::SUCCESS;
         }
     };
     let (settings, warnings) = match read {
         Ok(read) => read,
         Err(error) => {
-            report(format_args!("{error:#}"));
+            stderr::report(&format!("{error:#}"));
             return ExitCode::from(2);
         }
     };
     if !warnings.list.is_empty() {
-        report(format_args!("{warnings}"));
+        stderr::report(&format!("{warnings}"));
     }
     if flags.check {
         println!("the settings are valid");
@@ -113,20 +115,7 @@
         exit_by: None,
     };
     let ran = process.run(&mut signals).await;
-    process.finish_log();
-    match ran {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            report(format_args!("rattanturnd: {error:#}"));
-            ExitCode::FAILURE
-        }
-    }
-}
-
-/// Writes a line to stderr, for what is not in the log.
-fn report(line: fmt::Arguments<'_>) {
-    // An error means that nothing reads stderr, which is no reason to panic.
-    let _ = writeln!(io::stderr(), "{line}");
+    process.finish(ran)
 }
 
 /// Signals that the process handles.
@@ -254,7 +243,7 @@
 const LOG_BUFFER_LINES: usize = 4_096;
 /// Interval of the check for dropped log lines.
 const DROP_CHECK_INTERVAL: Duration = Duration::from_secs(5);
-/// Longest time for which the process writes its log after the daemon has ended.
+/// Longest time for which the process writes its log and its error after the daemon has ended.
 const MAX_FLUSH_TIME: Duration = Duration::from_secs(1);
 
 /// A log that never blocks the daemon: if nothing reads its output, lines are dropped.
@@ -331,23 +320,21 @@
         self.exit_by = Some(Instant::now() + schedule.exit_by().since(Time::ZERO));
     }
 
-    /// Writes the rest of the log as far as the time allows it.
-    fn finish_log(self) {
-        let left = self.exit_by.map_or(MAX_FLUSH_TIME, |at| {
-            at.saturating_duration_since(Instant::now())
-        });
+    /// Writes the rest of the log and the error as far as the time allows it; returns the exit code.
+    fn finish(self, ran: eyre::Result<()>) -> ExitCode {
+        let latest = Instant::now() + MAX_FLUSH_TIME;
+        let until = self.exit_by.map_or(latest, |at| at.min(latest));
         let writer = self.log.writer;
-        let (done, wait) = mpsc::channel();
-        let flush = move || {
-            drop(writer);
-            // Sending fails only if the time is up.
-            let _ = done.send(());
+        let log = DetachedWork::spawn(move || drop(writer));
+        let code = match ran {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                stderr::write_line(&format!("rattanturnd: {error:#}")).wait_until(until);
+                ExitCode::FAILURE
+            }
         };
-        // Without a thread, the lines are lost.
-        if std::thread::Builder::new().spawn(flush).is_ok() {
-            // An error means that the time is up.
-            let _ = wait.recv_timeout(left.min(MAX_FLUSH_TIME));
-        }
+        log.wait_until(until);
+        code
     }
 
     /// Handles SIGHUP and reports dropped log lines until a signal asks the daemon to stop. Fails if
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -2,8 +2,8 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
+    io::{self, BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::mpsc,
@@ -56,11 +56,25 @@
         Self::spawn_from(settings)
     }
 
+    /// Starts a daemon whose stderr is the given pipe.
+    fn spawn_writing(name: &str, text: &str, stderr: io::PipeWriter) -> Self {
+        let settings = settings_path(name);
+        fs::write(&settings, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rattanturnd"));
+        command.arg(&settings);
+        Self::spawn_command(command, settings, stderr.into())
+    }
+
     fn spawn_from(settings: PathBuf) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
-            .arg(&settings)
+        let mut command = Command::new(env!("CARGO_BIN_EXE_rattanturnd"));
+        command.arg(&settings);
+        Self::spawn_command(command, settings, Stdio::piped())
+    }
+
+    fn spawn_command(mut command: Command, settings: PathBuf, stderr: Stdio) -> Self {
+        let mut child = command
             .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
+            .stderr(stderr)
             .spawn()
             .unwrap();
         let output = BufReader::new(child.stdout.take().unwrap());
@@ -346,3 +360,45 @@
         .unwrap();
     assert_eq!(reader.join().unwrap(), count);
 }
+
+/// A pipe that is full; nothing reads its first end.
+fn full_pipe() -> (io::PipeReader, io::PipeWriter) {
+    let (reader, mut writer) = io::pipe().unwrap();
+    let size = rustix::pipe::fcntl_getpipe_size(&writer).unwrap();
+    writer.write_all(&vec![b'x'; size]).unwrap();
+    (reader, writer)
+}
+
+/// Waits until a time for the exit code of a process; `None` if it still runs then.
+fn exit_code(child: &mut Child, until: Instant) -> Option<i32> {
+    loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            return status.code();
+        }
+        if Instant::now() > until {
+            return None;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against a process that never exits because nothing reads its stderr.
+#[test]
+fn an_error_at_start_with_a_full_stderr_does_not_hold_up_the_exit() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let front = format!("front = {}", taken.local_addr().unwrap());
+    let settings = SETTINGS.replace("front = 127.0.0.1:0", &front);
+    let (_unread, stderr) = full_pipe();
+    let mut daemon = Daemon::spawn_writing("taken", &settings, stderr);
+    let until = Instant::now() + LINE_TIMEOUT;
+    assert_eq!(exit_code(&mut daemon.child, until), Some(1));
+}
+
+/// Guards against a daemon that never starts because nothing reads its stderr.
+#[test]
+fn a_warning_at_start_with_a_full_stderr_does_not_hold_up_the_start() {
+    let (_unread, stderr) = full_pipe();
+    let settings = format!("{SETTINGS}[odd]\nkey = 1\n");
+    let daemon = Daemon::spawn_writing("odd", &settings, stderr);
+    daemon.wait_for_line("\"serving\"");
+}
