Log panics instead of writing them to stderr

Once a stderr that is open and not read is full, the next panic of a request, which is caught and answered otherwise, stops the daemon's traffic: no request gets an answer, while the daemon is still ready.

Change: the program sets a panic hook before it starts a thread. It writes message, location, thread and, if RUST_BACKTRACE asks for it, the backtrace as a line of the log, which never blocks. Before the log has started, the line goes to stderr, for a second at most.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! `rattanturnd`: runs one daemon as a process, from a settings file until a signal stops it.
 //!
-//! The process writes its log to stdout and errors at start to stderr. Neither can end
+//! The process writes its log, with its panics, to stdout and errors at start to stderr. Neither can end
 //! it or hold it up, closed or open without a reader: the log drops lines that nothing reads, and
 //! what cannot be written to stderr within a second is given up.
 //!
@@ -63,6 +63,7 @@
 }
 
 fn main() -> ExitCode {
+    stderr::log_panics();
     // Handlers need the runtime. Until they are installed, a signal kills the process.
     actix_rt::System::new().block_on(async {
         match Signals::install() {
--- a/crates/daemon/src/stderr.rs
+++ b/crates/daemon/src/stderr.rs
@@ -1,16 +1,26 @@
 //! Errors of the process that do not wait for a reader of its stderr.
 //!
-//! A pipe as stderr that is open and not read blocks whoever writes to it once it is full.
+//! A pipe as stderr that is open and not read blocks whoever writes to it once it is full. The default
+//! panic hook writes there, also for a panic that is caught, and would stop a traffic thread for good.
 
-use std::{
-    io::{self, Write},
-    sync::mpsc::{self, Receiver},
-    thread,
-    time::{Duration, Instant},
+use {
+    std::{
+        backtrace::{Backtrace, BacktraceStatus},
+        io::{self, Write},
+        panic::{self, PanicHookInfo},
+        sync::mpsc::{self, Receiver},
+        thread,
+        time::{Duration, Instant},
+    },
+    tracing::dispatcher,
 };
 
 /// Longest time that [`report`] takes.
 const MAX_WRITE_TIME: Duration = Duration::from_secs(1);
+/// Longest message and backtrace of a panic in the log, in bytes: the log keeps thousands of lines in
+/// memory if nothing reads it.
+const MAX_MESSAGE: usize = 4 << 10;
+const MAX_BACKTRACE: usize = 16 << 10;
 
 /// Work that may block for ever, done by a thread of its own.
 ///
@@ -69,3 +79,46 @@
 pub fn report(line: &str) {
     write_line(line).wait_until(Instant::now() + MAX_WRITE_TIME);
 }
+
+/// Sets a panic hook that writes panics to the log, which does not block, instead of stderr. Before
+/// the log has started, they are [`report`]ed.
+///
+/// As with the default hook, `RUST_BACKTRACE` adds backtraces.
+///
+/// ```
+/// rattanturn_daemon::stderr::log_panics();
+/// assert!(std::panic::catch_unwind(|| panic!("caught")).is_err());
+/// ```
+pub fn log_panics() {
+    panic::set_hook(Box::new(report_panic));
+}
+
+fn report_panic(panic: &PanicHookInfo<'_>) {
+    let thread = thread::current();
+    let thread = thread.name().unwrap_or("unnamed");
+    let message = panic.payload_as_str().unwrap_or("a value that is no text");
+    let message = shorten(message, MAX_MESSAGE);
+    let location = panic.location().map(ToString::to_string);
+    let location = location.as_deref().unwrap_or("unknown");
+    let backtrace = Backtrace::capture();
+    let backtrace =
+        (backtrace.status() == BacktraceStatus::Captured).then(|| backtrace.to_string());
+    let backtrace = backtrace.as_deref().map(|b| shorten(b, MAX_BACKTRACE));
+    if dispatcher::has_been_set() {
+        tracing::error!(
+            thread,
+            location,
+            panic = message,
+            backtrace,
+            "a thread panicked"
+        );
+        return;
+    }
+    let backtrace = backtrace.unwrap_or("");
+    let line = format!("thread '{thread}' panicked at {location}: {message}\n{backtrace}");
+    report(line.trim_end());
+}
+
+fn shorten(text: &str, max: usize) -> &str {
+    &text[..text.floor_char_boundary(max)]
+}
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -4,6 +4,7 @@
     fs,
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    ops::RangeInclusive,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::mpsc,
@@ -31,6 +32,9 @@
 /// It is far below the limit in [`unhurried`], and generous for a busy machine.
 const HURRY_TIME: Duration = Duration::from_secs(10);
 
+/// Limits of open descriptors at which the start panics, before or after the log has started, or fails.
+const TOO_FEW_DESCRIPTORS: RangeInclusive<u32> = 6..=18;
+
 /// Settings with a limit of which a stop that is not hurried uses two thirds: 40 s.
 fn unhurried(settings: &str) -> String {
     settings.replace("drain-limit = 3s", "drain-limit = 60s")
@@ -402,3 +406,37 @@
     let daemon = Daemon::spawn_writing("odd", &settings, stderr);
     daemon.wait_for_line("\"serving\"");
 }
+
+/// Guards against a panic that blocks its thread, and is not in the log, because nothing reads stderr.
+#[test]
+fn panics_with_a_full_stderr_are_logged_and_end_the_process() {
+    let start = |limit| {
+        let (unread, stderr) = full_pipe();
+        let path = settings_path(&format!("few-{limit}"));
+        fs::write(&path, SETTINGS).unwrap();
+        let mut command = Command::new("sh");
+        let limited = format!("ulimit -n {limit}; exec \"$0\" \"$1\"");
+        command.args(["-c", &limited, env!("CARGO_BIN_EXE_rattanturnd")]);
+        command.arg(&path);
+        (Daemon::spawn_command(command, path, stderr.into()), unread)
+    };
+    let mut daemons: Vec<_> = TOO_FEW_DESCRIPTORS.map(start).collect();
+    let until = Instant::now() + LINE_TIMEOUT;
+    let codes: Vec<_> = daemons
+        .iter_mut()
+        .map(|d| exit_code(&mut d.0.child, until))
+        .collect();
+    assert!(codes.iter().all(Option::is_some), "still run: {codes:?}");
+    let lines = daemons.iter().flat_map(|d| d.0.lines.iter());
+    let panics: Vec<_> = lines.filter(|l| l.contains("a thread panicked")).collect();
+    assert!(!panics.is_empty(), "no panic is logged: {codes:?}");
+    for line in panics {
+        let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+        let fields = &line["fields"];
+        assert_eq!(line["level"], "ERROR");
+        assert_eq!(fields["thread"], "main");
+        let at = |key: &str| fields[key].as_str().unwrap().to_owned();
+        assert!(at("panic").contains("Too many open files"), "{line}");
+        assert!(at("location").contains(".rs:"), "{line}");
+    }
+}
