Start with an invalid log level although nothing reads stderr

A daemon whose log level has an invalid part never starts if its stderr is full and not read, and ends with a panic if nothing has it open for reading.

Cause: the log's filter says so itself, with a write to stderr that blocks and panics at an error.

Change: invalid parts are left out and reported as the other errors at start are.

Evidence: a test of the process.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -36,7 +36,8 @@
     },
     tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
     tracing_subscriber::{
-        EnvFilter, Registry, layer::SubscriberExt, reload, util::SubscriberInitExt,
+        EnvFilter, Registry, filter::Directive, layer::SubscriberExt, reload,
+        util::SubscriberInitExt,
     },
 };
 
@@ -256,6 +257,18 @@
     writer: WorkerGuard,
 }
 
+/// The filter of a log level. Invalid parts are reported and left out, which `EnvFilter::new` does as
+/// well, but with a write to stderr that blocks if nothing reads it.
+fn log_filter(level: &str) -> EnvFilter {
+    let is_valid = |part: &&str| part.is_empty() || part.parse::<Directive>().is_ok();
+    let (valid, invalid): (Vec<_>, Vec<_>) = level.split(',').partition(is_valid);
+    if !invalid.is_empty() {
+        let invalid = invalid.join(",");
+        stderr::report(&format!("log level: ignoring the invalid part {invalid:?}"));
+    }
+    EnvFilter::new(valid.join(","))
+}
+
 /// Installs the process's log, which writes to stdout.
 fn start_log(settings: &Settings) -> Log {
     let (writer, guard) = NonBlockingBuilder::default()
@@ -263,7 +276,7 @@
         .buffered_lines_limit(LOG_BUFFER_LINES)
         .finish(std::io::stdout());
     let dropped = writer.error_counter();
-    let (filter, handle) = reload::Layer::new(EnvFilter::new(&settings.log_level));
+    let (filter, handle) = reload::Layer::new(log_filter(&settings.log_level));
     let lines = tracing_subscriber::fmt::layer()
         .with_ansi(std::io::stdout().is_terminal())
         .with_writer(writer);
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -440,3 +440,17 @@
         assert!(at("location").contains(".rs:"), "{line}");
     }
 }
+
+/// Guards against a daemon that never starts, or ends, because nothing reads that its log level is invalid.
+#[test]
+fn an_invalid_log_level_without_a_reader_of_stderr_does_not_hold_up_the_start() {
+    let settings = SETTINGS.replace("level = info", "level = info,d0=loud");
+    let (unread, stderr) = full_pipe();
+    let full = Daemon::spawn_writing("level-full", &settings, stderr);
+    full.wait_for_line("\"serving\"");
+    drop(unread);
+    let (reader, stderr) = io::pipe().unwrap();
+    drop(reader);
+    let closed = Daemon::spawn_writing("level-closed", &settings, stderr);
+    closed.wait_for_line("\"serving\"");
+}
