Probe seeds that were restarted, also while others are known

Callers of accounts below their limits got 429 for a second, some seconds after all daemons were serving again.

Cause: the seeds are probed only while no other member is known. If all seeds restart at the same time as some other daemons, these find each other, and those that stayed know each other and the old runs of the seeds as dead, of which one probe in ten goes to one. Until then there are two groups, each with its own owners of the accounts, and the smaller one lends from the margin. When they meet, accounts get other owners, which hold their tokens back for a second.

No thread of a daemon had waited for a processor for 0.2 s meanwhile.

Change: in each probe interval a daemon also probes one of the seeds whose address no present member has. It answers with its list.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -121,7 +121,8 @@
 impl Membership {
     /// Starts with only this daemon as a member.
     ///
-    /// The gossip addresses in `seeds` are probed while no other member is known. `seed` is for the
+    /// The gossip addresses in `seeds` are probed while no other member is known, and later while no
+    /// present member has them. `seed` is for the
     /// random choices; the same seed and events give the same messages.
     #[must_use]
     pub fn new(me: NodeId, endpoints: Endpoints, seeds: Vec<SocketAddr>, seed: u64) -> Self {
@@ -299,6 +300,7 @@
             self.suspect_unanswered(now);
             self.expire_members(now);
             self.start_probe(now, &mut out);
+            self.probe_missing_seed(&mut out);
             self.next_probe = now + PROBE_INTERVAL;
         }
         out
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -60,6 +60,22 @@
         }
     }
 
+    /// Probes a seed whose address no present member has. It may have started anew and know only others
+    /// that did, while this daemon's group does not probe it.
+    pub(super) fn probe_missing_seed(&mut self, out: &mut Vec<Envelope>) {
+        let present =
+            |seed: &SocketAddr| self.present().any(|m| m.record.endpoints.gossip == *seed);
+        let missing: Vec<SocketAddr> = self.seeds.iter().copied().filter(|s| !present(s)).collect();
+        if self.others().next().is_none() || missing.is_empty() {
+            return;
+        }
+        let seed = missing[self.rng.random_range(0..missing.len())];
+        self.last_number += 1;
+        // Without pending gossip, which would count as sent although the seed may be gone.
+        let message = self.message(MessageKind::Probe(self.last_number));
+        out.push(Envelope { to: seed, message });
+    }
+
     /// Probes the next member, or all seeds while no other member is known.
     pub(super) fn start_probe(&mut self, now: Time, out: &mut Vec<Envelope>) {
         let Some(target) = self.next_probe_target() else {
