Let a proxy listen where connections were closed before

Cause: since a stand-in's port is reserved without address reuse, so that no other socket has it. At a port that the caller names, connections in TIME-WAIT count as such sockets. The proxies between the soak's daemons have the same addresses in each run of a process; where one had closed a connection first within the last minute, the next run could not start.

A named port is now reserved with reuse from the start. A free port is chosen as before.

--- a/crates/standins/src/port.rs
+++ b/crates/standins/src/port.rs
@@ -21,10 +21,16 @@
 
 impl ReservedPort {
     /// Reserves the port of `at`, or a free one if it is 0.
+    ///
+    /// # Errors
+    ///
+    /// There are no file descriptors left, or another socket listens on the port.
     pub(crate) fn bind(at: SocketAddr) -> io::Result<Self> {
         let socket = new_socket(at)?;
+        // Otherwise connections in TIME-WAIT, which last for a minute, would keep the port from use.
+        socket.set_reuseaddr(at.port() != 0)?;
         socket.bind(at)?;
-        // Set only now, so that no other socket has the port.
+        // A free port is chosen before, so that no other socket has it.
         socket.set_reuseaddr(true)?;
         Ok(Self {
             addr: socket.local_addr()?,
