Count answers in memory until they are written to their callers

What callers saw: nothing as long as memory lasted; then their requests would end with the process, as another operator reported. A daemon of a VM with 128 MB used 641 MB beside 300 callers that asked for answers of 7 MB and read nothing for 7 s.

Cause: the bytes of an answer were counted while it was read, and by nobody while it waited for its caller, for the other parts of a query or at a peer. The bound was a constant for one size of VM, and each open call might pass it by 64 KiB.

Change: an answer counts for its target and the target's service until it is written. A body of stated length gets its room before it is read and may wait for it; a call whose answer is expected to have none is refused before it is sent, so that its request has not run. Refusals are counted and logged.

--- /dev/null
+++ b/crates/core/src/byte_budget.rs
@@ -0,0 +1,127 @@
+//! Divides the memory for answers among those that fill it.
+//!
+//! Each target is a user of the budget, and the targets of a service form a group. A group may hold as many bytes as are free, which is the dynamic
+//! threshold of shared-memory switches, and a user [`USER_FACTOR`] times what its group may still take.
+//! So nobody needs a fixed part, a faulty target leaves room for the others of its service, and a
+//! service of which all targets are faulty leaves room for other services. The price is that a part of
+//! the budget stays free.
+
+use slotmap::{SlotMap, new_key_type};
+
+/// How many times what its group may still take a single user may hold. One user alone gets two
+/// fifths of the budget.
+const USER_FACTOR: usize = 2;
+new_key_type! {
+    /// Identifies a group of users.
+    pub struct GroupId;
+    /// Identifies a user of a budget.
+    pub struct UserId;
+}
+
+/// A number of bytes, and who holds how many of them.
+///
+/// ```
+/// use rattanturn_core::byte_budget::ByteBudget;
+/// let mut budget = ByteBudget::new(1_000);
+/// let (faulty, sound) = (budget.add_group(), budget.add_group());
+/// let (greedy, other) = (budget.add_user(faulty), budget.add_user(sound));
+/// assert!(budget.try_take(greedy, 400));
+/// assert!(!budget.try_take(greedy, 1));
+/// assert!(budget.try_take(other, 200));
+/// budget.release(greedy, 400);
+/// assert_eq!(budget.held(), 200);
+/// ```
+#[derive(Clone, Debug)]
+pub struct ByteBudget {
+    limit: usize,
+    held: usize,
+    /// Bytes that each group holds.
+    groups: SlotMap<GroupId, usize>,
+    users: SlotMap<UserId, User>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct User {
+    group: GroupId,
+    held: usize,
+}
+
+impl ByteBudget {
+    /// Makes a budget of `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            held: 0,
+            groups: SlotMap::with_key(),
+            users: SlotMap::with_key(),
+        }
+    }
+
+    /// Adds a group without users.
+    pub fn add_group(&mut self) -> GroupId {
+        self.groups.insert(0)
+    }
+
+    /// Removes a group whose users have been removed.
+    pub fn remove_group(&mut self, group: GroupId) {
+        self.groups.remove(group);
+    }
+
+    /// Adds a user that holds nothing.
+    pub fn add_user(&mut self, group: GroupId) -> UserId {
+        self.users.insert(User { group, held: 0 })
+    }
+
+    /// Removes a user; what it holds is free again.
+    pub fn remove_user(&mut self, user: UserId) {
+        self.release(user, usize::MAX);
+        self.users.remove(user);
+    }
+
+    /// Takes bytes for a user; false if that would exceed its share or its group's, which takes
+    /// nothing.
+    pub fn try_take(&mut self, user: UserId, bytes: usize) -> bool {
+        let Some(user) = self.users.get_mut(user) else {
+            return false;
+        };
+        let Some(group) = self.groups.get_mut(user.group) else {
+            return false;
+        };
+        let [own, shared, all] = [user.held, *group, self.held].map(|n| n.saturating_add(bytes));
+        let free = self.limit.saturating_sub(all);
+        let Some(group_room) = free.checked_sub(shared) else {
+            return false;
+        };
+        if own > USER_FACTOR.saturating_mul(group_room) {
+            return false;
+        }
+        (user.held, *group, self.held) = (own, shared, all);
+        true
+    }
+
+    /// Gives bytes of a user back.
+    pub fn release(&mut self, user: UserId, bytes: usize) {
+        let Some(user) = self.users.get_mut(user) else {
+            return;
+        };
+        let released = bytes.min(user.held);
+        user.held -= released;
+        self.held -= released;
+        if let Some(group) = self.groups.get_mut(user.group) {
+            *group -= released;
+        }
+    }
+
+    /// Number of bytes that all users hold.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Number of bytes that a user holds.
+    #[must_use]
+    pub fn held_by(&self, user: UserId) -> usize {
+        self.users.get(user).map_or(0, |u| u.held)
+    }
+}
--- a/crates/core/src/gather/plan.rs
+++ b/crates/core/src/gather/plan.rs
@@ -39,6 +39,8 @@
     /// The request's caller was refused before the call was sent, for example because its key was
     /// revoked.
     Unauthorized,
+    /// The daemon has no memory left for the answers of its targets.
+    Memory,
 }
 
 impl MissingReason {
@@ -58,6 +60,7 @@
             Self::Quarantined => "quarantined",
             Self::Overload => "overload",
             Self::Unauthorized => "unauthorized",
+            Self::Memory => "memory",
         }
     }
 }
--- a/crates/core/src/gather/trace.rs
+++ b/crates/core/src/gather/trace.rs
@@ -37,7 +37,7 @@
 };
 
 /// Reasons that `not-run` and `unsent` can have, written as by [`MissingReason::as_str`].
-const REASONS: [MissingReason; 12] = [
+const REASONS: [MissingReason; 13] = [
     MissingReason::Deadline,
     MissingReason::Busy,
     MissingReason::Limited,
@@ -50,6 +50,7 @@
     MissingReason::Quarantined,
     MissingReason::Overload,
     MissingReason::Unauthorized,
+    MissingReason::Memory,
 ];
 
 /// Records the events of one query as a trace.
--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -7,20 +7,25 @@
 //! an idle connection make it unusable. A body without a length is complete if the target closes the connection
 //! without an error. Answers are not streamed: a body is held in memory as a whole. A target may
 //! also send bytes without end, in any part of an answer, so everything that is read for a call
-//! counts towards [`MAX_CALL_BYTES`] and [`MAX_OPEN_BYTES`].
+//! counts towards [`MAX_CALL_BYTES`] and the budget of [`crate::tier::memory`]. A body whose length
+//! is stated gets its room before it is read, so that none is given up when it is nearly whole.
 
 use {
-    crate::clock,
+    crate::{
+        clock,
+        tier::memory::{Hold, Refused},
+    },
     actix_http::{
         Method, RequestHeadType, ResponseHead, Version,
         body::BodySize,
         h1::{ClientCodec, Message, MessageType},
+        header::{HeaderName, HeaderValue},
     },
     bytes::{Bytes, BytesMut},
     rattanturn_core::{Time, relay::PeerVerdict},
     rattanturn_platform::http::{AnswerHead, answer_head},
     rustix::io::Errno,
-    std::{cell::Cell, io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -37,11 +42,6 @@
 /// Bytes of heads and of chunks' framing that are read for one call: parsing them costs far more
 /// time than a body, on VMs with a tenth of a core.
 const MAX_FRAMING_BYTES: usize = 256 << 10;
-/// Bytes that one thread reads for all its open calls together; the smallest VMs have 128 MB.
-const MAX_OPEN_BYTES: usize = 32 << 20;
-/// Bytes that a call may read beyond that: most answers are shorter, so that they are not lost
-/// because of a few endless ones.
-const SMALL_ANSWER_BYTES: usize = 64 << 10;
 /// Number of answers to other requests that are skipped before the connection is given up.
 const MAX_SKIPPED_ANSWERS: u32 = 3;
 /// A connection is not reused within this time before the target's idle timeout, because a request
@@ -52,32 +52,52 @@
 /// Bytes that a read buffer has room for before each read.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
-/// Bytes that the open calls of a thread have read so far.
-#[derive(Debug, Default)]
-pub(crate) struct OpenBytes(Cell<usize>);
+/// Memory for the answer to a call.
+pub(crate) struct Room {
+    pub(crate) hold: Hold,
+    /// How long an answer may wait for more of it.
+    pub(crate) until: Time,
+}
 
-/// Counts the bytes that are read for one call, until the call ends.
-struct ByteCount<'a> {
-    open: &'a OpenBytes,
+/// Counts the bytes that are read for one call.
+struct ByteCount {
+    room: Room,
     read: usize,
     /// Those of them that were read for heads, or brought no part of a body.
     framing: usize,
 }
 
-impl ByteCount<'_> {
+impl ByteCount {
     /// Counts `bytes` more; fails if a limit is exceeded.
     fn add(&mut self, bytes: usize) -> io::Result<()> {
         self.read += bytes;
-        self.open.0.set(self.open.0.get() + bytes);
         if self.read > MAX_CALL_BYTES {
             return Err(invalid_data("the answer is too large"));
         }
-        if self.open.0.get() > MAX_OPEN_BYTES && self.read > SMALL_ANSWER_BYTES {
-            return Err(invalid_data("the open answers together are too large"));
+        if !self.room.hold.grow(self.read) {
+            return Err(self.without_room());
         }
         Ok(())
     }
 
+    /// Waits for room for `bytes` that are still to be read; fails if they exceed a limit.
+    async fn reserve(&mut self, bytes: usize) -> io::Result<()> {
+        let all = self.read.saturating_add(bytes);
+        if all > MAX_CALL_BYTES {
+            return Err(invalid_data("the answer is too large"));
+        }
+        let Room { hold, until } = &mut self.room;
+        if hold.grow(all) || hold.wait_for_room(all, self.read, *until).await {
+            return Ok(());
+        }
+        Err(self.without_room())
+    }
+
+    fn without_room(&self) -> io::Error {
+        self.room.hold.record_refusal(Refused::Answer);
+        invalid_data("no memory is left for the answer")
+    }
+
     /// Counts bytes of the answer's framing; fails if there are too many.
     fn add_framing(&mut self, bytes: usize) -> io::Result<()> {
         self.framing += bytes;
@@ -88,12 +108,6 @@
     }
 }
 
-impl Drop for ByteCount<'_> {
-    fn drop(&mut self) {
-        self.open.0.set(self.open.0.get() - self.read);
-    }
-}
-
 /// A target's complete answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Answer {
@@ -105,6 +119,16 @@
     /// Whether the answer itself says where its body ends. If not, a body that was closed inside
     /// looks like a whole one; only a reset shows.
     pub(crate) framed: bool,
+    /// Memory of the answer, which counts until the last copy is dropped.
+    pub(crate) hold: Option<Rc<Hold>>,
+}
+
+impl Answer {
+    /// Bytes of its headers and body.
+    pub(crate) fn bytes(&self) -> usize {
+        let header = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+        self.headers.iter().map(header).sum::<usize>() + self.body.len()
+    }
 }
 
 /// Which answers belong to a call.
@@ -191,7 +215,7 @@
             && no_input()
     }
 
-    /// Sends a request and waits for its answer; `open` counts what the thread's open calls read.
+    /// Sends a request and waits for its answer, which is read into `room`.
     ///
     /// A future that is dropped leaves the connection unusable.
     ///
@@ -203,11 +227,11 @@
         head: RequestHeadType,
         body: &Bytes,
         expected: Expected<'_>,
-        open: &OpenBytes,
+        room: Room,
     ) -> io::Result<Answer> {
         self.reusable = false;
         let mut count = ByteCount {
-            open,
+            room,
             read: 0,
             framing: 0,
         };
@@ -222,8 +246,12 @@
         out.extend_from_slice(body);
         self.unsent = out;
         for _ in 0..=MAX_SKIPPED_ANSWERS {
-            let answer = self.read_answer(to_head, &mut count).await?;
+            let mut answer = self.read_answer(to_head, &mut count).await?;
             if expected.includes(&answer, !self.reusable) {
+                let mut hold = count.room.hold;
+                // What was read besides the answer is not kept.
+                hold.shrink(answer.bytes());
+                answer.hold = Some(Rc::new(hold));
                 return Ok(answer);
             }
             if !self.reusable {
@@ -235,11 +263,7 @@
     }
 
     /// Reads an answer; `to_head` tells whether the request's method is HEAD.
-    async fn read_answer(
-        &mut self,
-        to_head: bool,
-        count: &mut ByteCount<'_>,
-    ) -> io::Result<Answer> {
+    async fn read_answer(&mut self, to_head: bool, count: &mut ByteCount) -> io::Result<Answer> {
         let head = loop {
             let head = self.read_head(count).await?;
             // Informational (1xx) answers are followed by the final one.
@@ -260,6 +284,7 @@
             headers: head.headers,
             body,
             framed,
+            hold: None,
         };
         let keep_alive = self.codec.as_ref().is_some_and(ClientCodec::keep_alive);
         self.reusable = keep_alive && !last;
@@ -276,7 +301,7 @@
         Ok(answer)
     }
 
-    async fn read_head(&mut self, count: &mut ByteCount<'_>) -> io::Result<ResponseHead> {
+    async fn read_head(&mut self, count: &mut ByteCount) -> io::Result<ResponseHead> {
         loop {
             if !self.buffer.is_empty() {
                 let codec = self.codec.as_mut().ok_or_else(unusable)?;
@@ -302,7 +327,7 @@
     async fn read_body(
         &mut self,
         head: &ResponseHead,
-        count: &mut ByteCount<'_>,
+        count: &mut ByteCount,
     ) -> io::Result<(Bytes, bool)> {
         if !is_framed(head) {
             return Ok((self.read_to_end(count).await?, true));
@@ -310,9 +335,13 @@
         if !self.expects_body()? {
             return Ok((Bytes::new(), false));
         }
+        let stated = stated_length(head).unwrap_or(0);
+        count
+            .reserve(stated.saturating_sub(self.buffer.len()))
+            .await?;
         let codec = self.codec.take().ok_or_else(unusable)?;
         let mut payload = codec.into_payload_codec();
-        let mut body = BytesMut::new();
+        let mut body = BytesMut::with_capacity(stated);
         // Bytes read since the last part of the body.
         let mut unused = 0;
         loop {
@@ -336,14 +365,14 @@
     }
 
     /// Reads a body without a length, which ends with the connection.
-    async fn read_to_end(&mut self, count: &mut ByteCount<'_>) -> io::Result<Bytes> {
+    async fn read_to_end(&mut self, count: &mut ByteCount) -> io::Result<Bytes> {
         while self.read_more(count).await? > 0 {}
         Ok(self.buffer.split().freeze())
     }
 
     /// Reads more of an answer, and writes what is left of the request meanwhile. Returns 0 if the
     /// target has closed the connection.
-    async fn read_more(&mut self, count: &mut ByteCount<'_>) -> io::Result<usize> {
+    async fn read_more(&mut self, count: &mut ByteCount) -> io::Result<usize> {
         self.buffer.reserve(READ_BUFFER_BYTES);
         let (mut reader, mut writer) = self.stream.split();
         let read = loop {
@@ -379,6 +408,12 @@
     has_header("content-length") || has_header("transfer-encoding")
 }
 
+/// Length of the body that an answer's head states.
+fn stated_length(head: &ResponseHead) -> Option<usize> {
+    let value = head.headers.get("content-length")?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 fn invalid_data(why: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -420,7 +420,9 @@
         self.stream.read_buf(&mut self.buffer).await
     }
 
+    /// Writes an answer. Its memory counts until the caller's system has taken it.
     async fn write(&mut self, answer: Reply, close: bool) -> io::Result<()> {
+        let _hold = answer.hold;
         let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut response = Response::new(status);
         *response.headers_mut() = answer.headers;
--- a/crates/daemon/src/tier/meters.rs
+++ b/crates/daemon/src/tier/meters.rs
@@ -172,6 +172,18 @@
     counter!("rattanturn_refused_total", "reason" => reason).increment(1);
 }
 
+/// Counts what was refused for lack of memory.
+pub(crate) fn count_memory_refusal(what: &'static str) {
+    counter!("rattanturn_memory_refusals_total", "what" => what).increment(1);
+}
+
+/// Sets the number of bytes of answers and requests that are held in memory.
+// Exact up to 2^53 bytes.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn set_held_bytes(bytes: usize) {
+    gauge!("rattanturn_held_bytes").set(bytes as f64);
+}
+
 /// Counts a call to a target that had stated a rate limit.
 pub(crate) fn count_limited_call(cause: Cause) {
     counter!("rattanturn_limited_target_calls_total", "cause" => cause.as_str()).increment(1);
--- a/crates/daemon/src/tier/mod.rs
+++ b/crates/daemon/src/tier/mod.rs
@@ -16,6 +16,7 @@
 mod front;
 mod knowledge;
 mod known_rollouts;
+mod memory;
 mod meters;
 mod peer_sync;
 mod peers;
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -576,6 +576,7 @@
         status: answer.status,
         headers,
         body: answer.body,
+        hold: answer.hold,
     }
 }
 
@@ -590,5 +591,6 @@
         status: 200,
         headers: merged_headers(&signatures, gather.services.len() - parts.len()),
         body: Bytes::from(top_records(&bodies, RECORD_BYTES, gather.top_k)),
+        hold: None,
     }
 }
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -9,8 +9,9 @@
     crate::{
         clock,
         tier::{
-            connection::{Answer, Expected, OpenBytes, TargetConnection},
+            connection::{Answer, Expected, Room, TargetConnection},
             ending::Ending,
+            memory::{Memory, MemoryUser},
             meters,
             request::Reply,
             upstream::Call,
@@ -28,7 +29,7 @@
         rendezvous,
     },
     rattanturn_platform::http::{relay_headers, request_id, return_headers},
-    std::{cell::RefCell, collections::HashMap, net::SocketAddr},
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
     tokio::time::timeout,
 };
 
@@ -73,14 +74,22 @@
 }
 
 /// Connections to peers, and what is known of the peers.
-#[derive(Default)]
 pub(crate) struct RelayClient {
     relays: RefCell<Relays>,
     idle: RefCell<HashMap<SocketAddr, Vec<TargetConnection>>>,
-    open_bytes: OpenBytes,
+    /// Counts the answers of all peers while they are in memory.
+    answers: Rc<MemoryUser>,
 }
 
 impl RelayClient {
+    pub(crate) fn new(memory: &Rc<Memory>) -> Self {
+        Self {
+            relays: RefCell::default(),
+            idle: RefCell::default(),
+            answers: memory.add_user("peers", "peers"),
+        }
+    }
+
     /// Has a peer run a request.
     pub(crate) async fn run(&self, request: Relayed<'_>) -> RelayResult {
         let id = request.call.id.as_deref().unwrap_or("");
@@ -151,7 +160,11 @@
         let head = RequestHeadType::Rc(call.head.clone(), Some(extra));
         request.ending.was_relayed.set(true);
         let expected = Expected::FromPeer(call.id.as_deref());
-        let trip = connection.round_trip(head, &call.body, expected, &self.open_bytes);
+        let room = Room {
+            hold: self.answers.hold(),
+            until: call.deadline,
+        };
+        let trip = connection.round_trip(head, &call.body, expected, room);
         match timeout(remaining, trip).await {
             // Daemons state the length of each answer.
             Ok(Ok(answer)) if !answer.framed => PeerOutcome::Lost,
@@ -196,6 +209,7 @@
     let mut reply = Reply::text(answer.status, "");
     return_headers(&answer.headers, &mut reply.headers);
     reply.body = answer.body;
+    reply.hold = answer.hold;
     reply
 }
 
--- a/crates/daemon/src/tier/request.rs
+++ b/crates/daemon/src/tier/request.rs
@@ -7,6 +7,7 @@
 use {
     crate::tier::{
         ending::Ending,
+        memory::Hold,
         upstream::{Call, Progress},
     },
     actix_http::{Request, RequestHead, header::HeaderMap},
@@ -41,6 +42,8 @@
     pub(crate) status: u16,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory of a target's or peer's answer, until it is written.
+    pub(crate) hold: Option<Rc<Hold>>,
 }
 
 impl Reply {
@@ -50,6 +53,7 @@
             status,
             headers: HeaderMap::new(),
             body: Bytes::from_static(text.as_bytes()),
+            hold: None,
         }
     }
 
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -13,6 +13,7 @@
         tier::{
             accounts::KeyChecks,
             admission::AdmissionQueue,
+            memory::Memory,
             meters::{self, Meters},
             quarantine::{RecentAnswers, SharedQuarantine, Trials},
             quota::SharedQuotas,
@@ -150,6 +151,7 @@
             hedge: Budget::new(ratio * HEDGE_RATIO_FRACTION, 1.0),
             retry: Budget::new(ratio * RETRY_RATIO_FRACTION, 1.0),
         };
+        let memory = Memory::new(tier.memory_bytes);
         let key_checks = KeyChecks::new(shared.clone(), gauges.clone(), tier);
         let traffic = Rc::new(Self {
             // The empty view differs from any that is published, so the first one is applied like
@@ -174,10 +176,10 @@
             heartbeat: tier.heartbeat,
             gateway: tier.target_gateway,
             centre,
-            calls: Rc::default(),
+            relay: RelayClient::new(&memory),
+            calls: Rc::new(SharedCalls::new(memory)),
             silence: RefCell::default(),
             lost: Notify::new(),
-            relay: RelayClient::default(),
             quarantine: states.quarantine,
             admission: AdmissionQueue::new(states.quotas.clone()),
             quotas: states.quotas,
@@ -392,6 +394,7 @@
         gauges.withdrawn_targets.store(leaving, Ordering::Relaxed);
         meters::set_withdrawn_targets(leaving);
         self.admission.publish_gauges();
+        meters::set_held_bytes(self.calls.memory.held());
         let limited = upstreams.values().filter(|u| u.is_limited());
         meters::set_limited_targets(limited.count());
     }
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -11,7 +11,8 @@
     crate::{
         clock,
         tier::{
-            connection::{Answer, Expected, OpenBytes, TargetConnection, is_closed, is_local},
+            connection::{Answer, Expected, Room, TargetConnection, is_closed, is_local},
+            memory::{Hold, Memory, MemoryUser, Refused},
             meters,
             permits::{ConnectionPermit, ConnectionPermits},
         },
@@ -58,8 +59,11 @@
 /// of that.
 const LAST_RESORT_TIME: Duration = Duration::from_secs(2);
 
+/// Part by which the expected size of a target's answers falls with each smaller one.
+const SIZE_DECAY: usize = 8;
+
 /// What the upstreams of a thread share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SharedCalls {
     /// When any target last answered.
     pub(crate) heard: Cell<Time>,
@@ -68,7 +72,18 @@
     pub(crate) answers_due: Cell<Option<Time>>,
     /// When the targets were last read from the store or confirmed by a peer.
     pub(crate) targets_read: Cell<Time>,
-    open_bytes: OpenBytes,
+    pub(crate) memory: Rc<Memory>,
+}
+
+impl SharedCalls {
+    pub(crate) fn new(memory: Rc<Memory>) -> Self {
+        Self {
+            heard: Cell::default(),
+            answers_due: Cell::default(),
+            targets_read: Cell::default(),
+            memory,
+        }
+    }
 }
 
 /// A target and this thread's connection pool for it.
@@ -109,6 +124,10 @@
     rate_share: RefCell<RateShare>,
     /// Calls since the limit was first stated.
     limited_calls: Cell<u64>,
+    /// Counts the target's answers while they are in memory.
+    answers: Rc<MemoryUser>,
+    /// Size that the next answer is expected to have: the largest of the recent ones.
+    answer_bytes: Cell<usize>,
 }
 
 /// Counts a waiting call until this is dropped, also because the call was cancelled.
@@ -133,10 +152,13 @@
         gateway: Option<IpAddr>,
         shared: Rc<SharedCalls>,
     ) -> Self {
+        let answers = shared.memory.add_user(&target.service, &target.id);
         Self {
             target: RefCell::new(target),
             gateway,
             shared,
+            answers,
+            answer_bytes: Cell::default(),
             waiting_since: Cell::default(),
             tried: Cell::default(),
             cold_quota: Cell::new(None),
@@ -432,6 +454,9 @@
         if self.is_too_late(call, permitted) {
             return Outcome::NotRun(MissingReason::Deadline);
         }
+        let Some(hold) = self.reserve_answer() else {
+            return Outcome::NotRun(MissingReason::Memory);
+        };
         call.progress.stage.set(CallStage::Connecting);
         call.progress.permitted.set(Some(permitted));
         self.tried.set(true);
@@ -479,32 +504,14 @@
                 head,
                 &call.body,
                 Expected::Id(call.id.as_deref()),
-                &self.shared.open_bytes,
+                Room {
+                    hold,
+                    until: call.deadline,
+                },
             )
             .await
         {
-            Ok(answer) => {
-                self.update_health(TargetHealth::succeeded);
-                let now = clock::now();
-                self.shared.heard.set(now);
-                self.waiting_since.set(now);
-                if !answer.head.misdirected {
-                    self.set_rate_limit(answer.head.rate_limit);
-                    self.set_cold(now, answer.head.cold_left);
-                    if answer.head.leaving {
-                        self.note_leaving();
-                    }
-                }
-                if connection.is_reusable(clock::now()) {
-                    self.keep(connection);
-                }
-                let outcome = self.classify(answer);
-                self.record_time(call, &outcome, now.since(permitted));
-                if matches!(outcome, Outcome::NotRun(_)) {
-                    call.calls_sent.set(call.calls_sent.get() - 1);
-                }
-                outcome
-            }
+            Ok(answer) => self.accept_answer(call, connection, answer, permitted),
             Err(error) if is_closed(&error) && self.has_ended().await => {
                 Outcome::TargetEnded(error.to_string())
             }
@@ -512,6 +519,54 @@
         }
     }
 
+    /// Learns from a whole answer, and keeps its connection if possible.
+    fn accept_answer(
+        &self,
+        call: &Call,
+        connection: TargetConnection,
+        answer: Answer,
+        permitted: Time,
+    ) -> Outcome {
+        self.update_health(TargetHealth::succeeded);
+        let now = clock::now();
+        self.note_size(answer.bytes());
+        self.shared.heard.set(now);
+        self.waiting_since.set(now);
+        if !answer.head.misdirected {
+            self.set_rate_limit(answer.head.rate_limit);
+            self.set_cold(now, answer.head.cold_left);
+            if answer.head.leaving {
+                self.note_leaving();
+            }
+        }
+        if connection.is_reusable(clock::now()) {
+            self.keep(connection);
+        }
+        let outcome = self.classify(answer);
+        self.record_time(call, &outcome, now.since(permitted));
+        if matches!(outcome, Outcome::NotRun(_)) {
+            call.calls_sent.set(call.calls_sent.get() - 1);
+        }
+        outcome
+    }
+
+    /// Takes memory for the answer to a call; `None` if there is none, so that the call is not to be
+    /// sent. An answer that turns out larger than expected takes more while it is read.
+    fn reserve_answer(&self) -> Option<Hold> {
+        let mut hold = self.answers.hold();
+        if hold.grow(self.answer_bytes.get()) {
+            return Some(hold);
+        }
+        hold.record_refusal(Refused::Call);
+        None
+    }
+
+    /// Takes the size of an answer into account for the next one.
+    fn note_size(&self, bytes: usize) {
+        let known = self.answer_bytes.get();
+        self.answer_bytes.set(bytes.max(known - known / SIZE_DECAY));
+    }
+
     /// Records for how long an answered call held its connection.
     fn record_time(&self, call: &Call, outcome: &Outcome, held: Duration) {
         let mut times = self.times.borrow_mut();
--- /dev/null
+++ b/crates/daemon/tests/memory.rs
@@ -0,0 +1,333 @@
+//! Memory of a daemon's process beside callers and servers that keep it waiting, or send without end.
+//!
+//! The stand-ins and the callers run in the test's process, so that the daemon's peak is its own.
+
+use {
+    actix_rt::{System, time::sleep},
+    futures::future::join_all,
+    rattanturn_standins::{
+        operator::{ConfigBuilder, HOST, register_target},
+        platform::Platform,
+        shard::{self, Endless, Fault, State, TargetConfig},
+    },
+    rustix::process::{Resource, Rlimit, getrlimit, setrlimit},
+    std::{
+        fs,
+        io::{BufRead, BufReader},
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+/// Memory of the daemon's VM, in MB: that of the smallest of the deployments.
+const MEMORY_MB: u64 = 128;
+/// Copies of the records that make an answer of 7 MB.
+const LARGE: usize = 36_500;
+/// Time limit of requests for large answers.
+const LARGE_LIMIT_MS: u64 = 5_000;
+/// Records of a server take this many bytes.
+const RECORDS_BYTES: usize = 192;
+/// Descriptors that the callers and the daemon need.
+const DESCRIPTORS: u64 = 8_192;
+/// Longest wait for the daemon's first log lines, and for any answer.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Services: one whose servers are faulty or send large answers, and one that is sound.
+const SERVICES: [&str; 2] = ["large", "sound"];
+
+/// The daemon's process and the servers.
+struct Tier {
+    child: Child,
+    front: SocketAddr,
+    settings: PathBuf,
+    /// Two servers of each service.
+    servers: Vec<Arc<State>>,
+    _store: Platform,
+}
+
+impl Tier {
+    async fn spawn(name: &str) -> Self {
+        raise_descriptors();
+        let store = Platform::spawn().unwrap();
+        let mut servers = Vec::new();
+        for service in SERVICES {
+            for n in 0..2 {
+                let config = TargetConfig {
+                    id: format!("{service}-{n}"),
+                    service: service.into(),
+                    centre: "a".into(),
+                    service_time: Duration::from_millis(10),
+                    version: "v1".into(),
+                };
+                let server = shard::spawn(config).await.unwrap();
+                register_target(&store.state(), &server, "ready", 1);
+                servers.push(server);
+            }
+        }
+        ConfigBuilder::default()
+            .single_route("/large/", "large", true)
+            .limits(LARGE_LIMIT_MS, LARGE_LIMIT_MS / 2)
+            .single_route("/once/", "large", false)
+            .limits(LARGE_LIMIT_MS, LARGE_LIMIT_MS / 2)
+            .single_route("/sound/", "sound", true)
+            .write(&store.state());
+        let settings = settings_path(name);
+        fs::write(&settings, settings_text(store.addr())).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        // The log is read in a thread of its own, as the store runs on this one.
+        let address = actix_rt::task::spawn_blocking(move || {
+            let address = address(&mut output);
+            std::thread::spawn(move || output.lines().count());
+            address
+        });
+        let front = address.await.unwrap();
+        let tier = Self {
+            child,
+            front,
+            settings,
+            servers,
+            _store: store,
+        };
+        let began = Instant::now();
+        while tier.ask("/sound/x").await != Some((200, RECORDS_BYTES)) {
+            assert!(began.elapsed() < PATIENCE, "not ready");
+            sleep(Duration::from_millis(50)).await;
+        }
+        tier
+    }
+
+    /// Most memory that the daemon has used so far, in MB.
+    fn peak_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).expect("the daemon ended");
+        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        let kib: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kib * 1_024 / 1_000_000
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.front).await.unwrap()
+    }
+
+    /// Sends a request; the answer is left unread.
+    async fn send(&self, path: &str, id: &str) -> TcpStream {
+        let mut stream = self.connect().await;
+        stream.write_all(&head(path, id, "")).await.unwrap();
+        stream
+    }
+
+    /// Status and length of the answer to a request.
+    async fn ask(&self, path: &str) -> Option<(u16, usize)> {
+        let mut stream = self.send(path, "asked").await;
+        read_answer(&mut stream).await
+    }
+
+    /// Asks the sound service again and again for a time, and fails if it does not answer.
+    async fn check_sound(&self, time: Duration) {
+        let began = Instant::now();
+        while began.elapsed() < time {
+            let answer = self.ask("/sound/x").await;
+            assert_eq!(answer, Some((200, RECORDS_BYTES)), "of the sound service");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn assert_within_memory(&self) {
+        let peak = self.peak_mb();
+        println!("peak {peak} MB");
+        assert!(peak < MEMORY_MB, "{peak} MB used of {MEMORY_MB}");
+    }
+}
+
+impl Drop for Tier {
+    fn drop(&mut self) {
+        // The process may have ended already, so errors are ignored.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Lets this process, and with it the daemon, open as many files as callers need.
+fn raise_descriptors() {
+    let limit = getrlimit(Resource::Nofile);
+    let current = limit.maximum.map_or(DESCRIPTORS, |m| m.min(DESCRIPTORS));
+    let raised = Rlimit {
+        current: Some(current),
+        ..limit
+    };
+    setrlimit(Resource::Nofile, raised).unwrap();
+}
+
+fn settings_path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()))
+}
+
+fn settings_text(store: SocketAddr) -> String {
+    format!(
+        "[daemon]\nname = d0\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\nrpc-port = 0\n\
+         gossip-port = 0\ndrain-limit = 3s\n\
+         [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
+         memory-mb = {MEMORY_MB}\n[platform]\naddress = {store}\n[log]\nformat = json\n"
+    )
+}
+
+/// Address for callers, which the daemon logs when it serves.
+fn address(output: &mut impl BufRead) -> SocketAddr {
+    loop {
+        let mut line = String::new();
+        assert!(output.read_line(&mut line).unwrap() > 0, "the daemon ended");
+        let field = |name: &str| {
+            let (_, rest) = line.split_once(&format!("\"{name}\":\""))?;
+            rest.split('"').next()?.parse().ok()
+        };
+        if let Some(front) = field("callers") {
+            return front;
+        }
+    }
+}
+
+fn head(path: &str, id: &str, extra: &str) -> Vec<u8> {
+    let method = if extra.is_empty() { "GET" } else { "POST" };
+    format!("{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n{extra}\r\n").into()
+}
+
+/// Status and length of the next answer on a connection; `None` if it is not whole.
+async fn read_answer(stream: &mut TcpStream) -> Option<(u16, usize)> {
+    let mut read = Vec::new();
+    let whole = async {
+        loop {
+            if stream.read_buf(&mut read).await.ok()? == 0 {
+                return None;
+            }
+            let Some(end) = read.windows(4).position(|w| w == b"\r\n\r\n") else {
+                continue;
+            };
+            let text = String::from_utf8_lossy(&read[..end]).to_lowercase();
+            let status = text.get(9..12)?.parse().ok()?;
+            let (_, length) = text.split_once("content-length: ")?;
+            let length: usize = length.lines().next()?.trim().parse().ok()?;
+            while read.len() < end + 4 + length {
+                if stream.read_buf(&mut read).await.ok()? == 0 {
+                    return None;
+                }
+            }
+            return Some((status, length));
+        }
+    };
+    timeout(PATIENCE, whole).await.ok()?
+}
+
+/// Lets callers ask for large answers, reads none of them for a time, and returns what comes then.
+async fn read_late(tier: &Tier, callers: usize, silent: Duration) -> Vec<Option<(u16, usize)>> {
+    let path = format!("/large/copies-{LARGE}");
+    let mut streams = Vec::new();
+    for n in 0..callers {
+        streams.push(tier.send(&path, &format!("late-{n}")).await);
+    }
+    tier.check_sound(silent).await;
+    join_all(streams.iter_mut().map(read_answer)).await
+}
+
+/// Guards against memory that grows with each whole answer whose caller does not read it.
+#[test]
+fn large_answers_of_callers_that_do_not_read_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("unread-answers").await;
+        let answers = read_late(&tier, 300, Duration::from_secs(7)).await;
+        tier.assert_within_memory();
+        let whole = Some((200, LARGE * RECORDS_BYTES));
+        let served = answers.iter().filter(|a| **a == whole).count();
+        let refused = |a: &&Option<(u16, usize)>| matches!(a, Some((502..=504, _)));
+        let refused = answers.iter().filter(refused).count();
+        println!("{served} served, {refused} refused of {}", answers.len());
+        assert!(served > 0);
+        assert_eq!(served + refused, answers.len(), "the others have no answer");
+        // All memory is free again.
+        assert_eq!(tier.ask(&format!("/large/copies-{LARGE}")).await, whole);
+    });
+}
+
+/// Guards against requests that run although there is no memory for their answers.
+#[test]
+fn requests_without_memory_for_their_answers_are_refused_before_they_run() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("refused-calls").await;
+        let path = format!("/once/copies-{LARGE}");
+        // The sizes of the servers' answers are known from now on.
+        for _ in 0..4 {
+            assert_eq!(
+                tier.ask(&path).await,
+                Some((200, LARGE * RECORDS_BYTES)),
+                "alone"
+            );
+        }
+        let mut streams = Vec::new();
+        for n in 0..100 {
+            streams.push(tier.send(&path, &format!("once-{n}")).await);
+        }
+        let answers = join_all(streams.iter_mut().map(read_answer)).await;
+        let mut refused = 0;
+        for (n, answer) in answers.iter().enumerate() {
+            let runs: u32 = tier
+                .servers
+                .iter()
+                .map(|s| s.runs(&format!("once-{n}")))
+                .sum();
+            match answer.expect("an answer").0 {
+                200 => assert_eq!(runs, 1),
+                503 => {
+                    assert_eq!(runs, 0, "once-{n}");
+                    refused += 1;
+                }
+                status => panic!("once-{n}: {status}"),
+            }
+        }
+        println!("{refused} refused");
+        tier.assert_within_memory();
+    });
+}
+
+/// Guards against memory that grows with the number of endless answers that are read at once.
+#[test]
+fn endless_answers_to_many_callers_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("endless-answers").await;
+        let kinds = [
+            Endless::Head,
+            Endless::Informational,
+            Endless::OtherAnswers,
+            Endless::Body,
+            Endless::Chunks,
+            Endless::ChunkExtension,
+        ];
+        for kind in kinds {
+            for server in &tier.servers[..2] {
+                server.set_fault(Fault::Endless(kind));
+            }
+            let mut streams = Vec::new();
+            for n in 0..100 {
+                streams.push(tier.send("/large/x", &format!("{kind:?}-{n}")).await);
+            }
+            tier.check_sound(Duration::from_secs(1)).await;
+            for stream in &mut streams {
+                let answer = read_answer(stream).await.expect("an answer");
+                assert!(matches!(answer.0, 502..=504), "{kind:?}: {answer:?}");
+            }
+            println!("{kind:?}: peak {} MB", tier.peak_mb());
+        }
+        tier.assert_within_memory();
+    });
+}
--- a/crates/tables/src/settings.rs
+++ b/crates/tables/src/settings.rs
@@ -93,6 +93,11 @@
 /// Extra calls allowed regardless of the number of requests, if the settings give no slack.
 const DEFAULT_RETRY_SLACK: f64 = 10.0;
 
+/// Memory of a VM, if the settings give none: that of the platform's small deployments.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Bytes of a megabyte.
+const MB: f64 = 1e6;
+
 /// Time within which daemons apply a configuration or an evacuation, if the settings give none.
 const DEFAULT_CHANGE_LIMIT: Duration = Duration::from_secs(3);
 /// Interval at which targets write their entries, if the settings give none: that of the platform's
@@ -119,6 +124,8 @@
     pub directory: SocketAddr,
     /// Processor capacity of this VM, in cores. Callers are directed to the larger VMs.
     pub cores: f64,
+    /// Memory of this VM, in bytes. It decides how much of answers and requests is held at once.
+    pub memory_bytes: u64,
     /// Extra calls (retries and hedges) allowed per request to a service, for example 0.1 for one
     /// in ten requests.
     pub retry_ratio: f64,
@@ -310,6 +317,7 @@
         ready: address("ready"),
         directory: address("directory"),
         cores: tier.parse("cores", 1.0, "a number"),
+        memory_bytes: read_memory(tier),
         retry_ratio: tier.parse("repeat-ratio", DEFAULT_RETRY_RATIO, "a number"),
         retry_slack: tier.parse("repeat-slack", DEFAULT_RETRY_SLACK, "a number"),
         config_limit: tier.duration("config-limit", DEFAULT_CHANGE_LIMIT),
@@ -331,6 +339,22 @@
     settings
 }
 
+/// Reads the VM's memory, which deployments may state as a fraction.
+// A positive number of bytes beyond the type's limits becomes the largest one.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn read_memory(tier: &Section<'_>) -> u64 {
+    let stated = tier.parse("memory-mb", DEFAULT_MEMORY_MB, "a number");
+    if stated > 0.0 && stated.is_finite() {
+        return (stated * MB) as u64;
+    }
+    tier.problem(
+        "memory-mb",
+        &format!("`{stated}` is no size"),
+        "write a positive number of megabytes",
+    );
+    0
+}
+
 fn read_rollouts(tier: &Section<'_>) -> Option<RolloutSettings> {
     let slack = tier.parse("exposure-slack", DEFAULT_EXPOSURE_SLACK, "a number");
     let rollback_limit = tier.duration("rollback-limit", DEFAULT_ROLLBACK_LIMIT);
--- a/crates/tables/tests/findings.rs
+++ b/crates/tables/tests/findings.rs
@@ -128,6 +128,26 @@
     }
 }
 
+/// Guards against a daemon that starts without memory for answers, or not because its memory is a fraction.
+#[test]
+fn memory_is_a_positive_number() {
+    let settings = |memory: &str| {
+        let text = format!(
+            "[daemon]\nname = a1\ndata-centre = a\n[platform]\naddress = 127.0.0.1:7000\n[tier]\n\
+             front = 127.0.0.1:1\nready = 127.0.0.1:2\ndirectory = 127.0.0.1:3\n{memory}\n"
+        );
+        Settings::parse("daemon.ini", &text).map(|(s, _)| s.tier.unwrap().memory_bytes)
+    };
+    let bytes = ["", "memory-mb = 260", "memory-mb = 127.5"].map(|m| settings(m).unwrap());
+    assert_eq!(bytes, [256_000_000, 260_000_000, 127_500_000]);
+    for wrong in ["0", "-1", "NaN", "inf", "128MB"] {
+        assert!(
+            settings(&format!("memory-mb = {wrong}")).is_err(),
+            "{wrong}"
+        );
+    }
+}
+
 /// A parser that stops at the first line that is not INI syntax would hide the findings about all
 /// other lines.
 #[test]
@@ -164,7 +184,7 @@
 }
 
 /// Every key of a daemon's settings.
-const KEYS: [&str; 38] = [
+const KEYS: [&str; 39] = [
     "name",
     "data-centre",
     "ip",
@@ -186,6 +206,7 @@
     "ready",
     "directory",
     "cores",
+    "memory-mb",
     "repeat-ratio",
     "repeat-slack",
     "config-limit",
