Bound the memory of requests that callers are sending

What callers saw: nothing as long as memory lasted; then their requests would end with the process. A daemon of a VM with 128 MB used 443 MB beside 1,500 callers that sent 250 KB of a larger body and then nothing.

Cause: the configuration bounds each request, and nothing bounded their sum; bytes that were read ahead while a request runs were not counted either.

Change: what is read of requests counts in the budget for answers, for all callers as one group; the first 4 KiB of each are free. If there is no room, the request that has been silent for the longest time, a second at least, gets 503; if none has, the one that needs the room does. Neither was read as a whole, so neither has run. Reading ahead stops while there is no room.

--- a/crates/core/src/byte_budget.rs
+++ b/crates/core/src/byte_budget.rs
@@ -1,21 +1,32 @@
-//! Divides the memory for answers among those that fill it.
+//! Divides the memory for answers and request bodies among those that fill it.
 //!
-//! Each target is a user of the budget, and the targets of a service form a group. A group may hold as many bytes as are free, which is the dynamic
+//! Each target is a user of the budget, and the targets of a service form a group; callers that send
+//! requests are a group of their own. A group may hold as many bytes as are free, which is the dynamic
 //! threshold of shared-memory switches, and a user [`USER_FACTOR`] times what its group may still take.
 //! So nobody needs a fixed part, a faulty target leaves room for the others of its service, and a
 //! service of which all targets are faulty leaves room for other services. The price is that a part of
 //! the budget stays free.
 
-use slotmap::{SlotMap, new_key_type};
+use {
+    crate::Time,
+    slotmap::{SlotMap, new_key_type},
+    std::time::Duration,
+};
 
 /// How many times what its group may still take a single user may hold. One user alone gets two
 /// fifths of the budget.
 const USER_FACTOR: usize = 2;
+/// A request of which nothing came for this long may be given up for others. A lost packet is sent
+/// again within this time.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Identifies a group of users.
     pub struct GroupId;
     /// Identifies a user of a budget.
     pub struct UserId;
+    /// Identifies a request that is being read.
+    pub struct UploadId;
 }
 
 /// A number of bytes, and who holds how many of them.
@@ -125,3 +136,50 @@
         self.users.get(user).map_or(0, |u| u.held)
     }
 }
+
+/// Large requests that are being read, to find one that keeps memory without sending.
+///
+/// ```
+/// use {rattanturn_core::{Time, byte_budget::Uploads}, std::time::Duration};
+/// let mut uploads = Uploads::default();
+/// let (silent, active) = (uploads.begin(Time::ZERO), uploads.begin(Time::ZERO));
+/// let now = Time::ZERO + Duration::from_secs(3);
+/// uploads.record_progress(active, now);
+/// assert_eq!(uploads.take_stalled(now), Some(silent));
+/// assert_eq!(uploads.take_stalled(now), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Uploads {
+    /// When each of them last sent something.
+    open: SlotMap<UploadId, Time>,
+}
+
+impl Uploads {
+    /// Adds a request that has become large.
+    pub fn begin(&mut self, now: Time) -> UploadId {
+        self.open.insert(now)
+    }
+
+    /// Records that more of a request came.
+    pub fn record_progress(&mut self, id: UploadId, now: Time) {
+        if let Some(progress) = self.open.get_mut(id) {
+            *progress = now;
+        }
+    }
+
+    /// Removes a request that was read as a whole, or given up.
+    pub fn end(&mut self, id: UploadId) {
+        self.open.remove(id);
+    }
+
+    /// Removes and returns the request that has been silent for the longest time; `None` if all of
+    /// them have sent something a short time ago.
+    pub fn take_stalled(&mut self, now: Time) -> Option<UploadId> {
+        let (id, progress) = self.open.iter().min_by_key(|(_, progress)| **progress)?;
+        if now.since(*progress) < STALL_TIME {
+            return None;
+        }
+        self.open.remove(id);
+        Some(id)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,7 +36,7 @@
 //! - [`hedge`]: when a call counts as slow, and whether the budget allows an extra call.
 //! - [`fingerprint`]: what identifies a request that comes again.
 //! - [`snapshot`]: which index version a query asks all shards for.
-//! - [`byte_budget`]: whose answers have room in memory.
+//! - [`byte_budget`]: whose answers and request bodies have room in memory.
 //! - [`merge`]: merges the records of the shards into the top records of the answer.
 //! - [`moving_average`]: averages of which the first value is not a large part for long.
 //! - [`queue`]: the queue of calls to one target, which keeps its concurrency limit.
--- a/crates/core/tests/byte_budget.rs
+++ b/crates/core/tests/byte_budget.rs
@@ -1,8 +1,12 @@
-//! Properties of the budget for answers.
+//! Properties of the budget for answers and request bodies.
 
 use {
     proptest::prelude::*,
-    rattanturn_core::byte_budget::{ByteBudget, UserId},
+    rattanturn_core::{
+        Time,
+        byte_budget::{ByteBudget, Uploads, UserId},
+    },
+    std::time::Duration,
 };
 
 const LIMIT: usize = 30_000;
@@ -62,6 +66,20 @@
     assert!(!budget.try_take(user, 1));
 }
 
+/// Guards against giving up a request that is still being sent.
+#[test]
+fn only_the_longest_stalled_upload_is_given_up() {
+    let at = |ms| Time::ZERO + Duration::from_millis(ms);
+    let mut uploads = Uploads::default();
+    let (first, second) = (uploads.begin(at(0)), uploads.begin(at(300)));
+    assert_eq!(uploads.take_stalled(at(900)), None);
+    uploads.record_progress(first, at(600));
+    assert_eq!(uploads.take_stalled(at(1_500)), Some(second));
+    assert_eq!(uploads.take_stalled(at(1_500)), None);
+    uploads.end(first);
+    assert_eq!(uploads.take_stalled(at(9_000)), None);
+}
+
 proptest! {
     /// Guards against counts that drift, and against users that hold more than the budget together.
     #[test]
--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -5,6 +5,9 @@
 //! caller's input may mean that the caller left or that it sends nothing more: the request goes on for
 //! a while, see [`crate::tier::ending`]. A panic in a request ends only that request.
 //!
+//! What is read of requests counts in the budget of [`crate::tier::memory`]. A caller that stops
+//! sending in the middle of a large request is given up if others need its memory.
+//!
 //! During a graceful stop, connections are closed after their next answer while the daemon is
 //! leaving. When it closes, what the callers have sent by then is still read and answered, and idle
 //! connections end. They are closed for sending first, so that callers see a clean end.
@@ -16,6 +19,7 @@
         supervise::{panic_text, restarted},
         tier::{
             ending::{Ending, HALF_CLOSED_TIME, Stage},
+            memory::{Hold, NoRoom, Refused, UNCOUNTED_BYTES, Upload},
             meters, query, relay,
             request::{Incoming, RETRY_AFTER, Reply},
             traffic::Traffic,
@@ -49,12 +53,14 @@
 /// answered, so that a caller that leaves is not noticed.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Bytes that a read buffer has room for before each read.
-const READ_BUFFER_BYTES: usize = 4 << 10;
+const READ_BUFFER_BYTES: usize = UNCOUNTED_BYTES;
 /// Longest time that a connection is still read after its last answer.
 const LINGER_TIME: Duration = Duration::from_millis(300);
 /// Time for which a connection without a request is still read when the daemon closes. Bytes that
 /// have arrived by then are read at once; the time is for the thread to be told of them.
 const LAST_READ_TIME: Duration = Duration::from_millis(20);
+/// Answer to a request that there is no memory for.
+const NO_ROOM_TEXT: &str = "too many large requests are open\n";
 /// Delay after a failed accept, for which the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -108,7 +114,7 @@
 fn spawn_connection(stream: TcpStream, traffic: &Rc<Traffic>, reading: Reading) {
     let traffic = traffic.clone();
     actix_rt::spawn(async move {
-        let mut connection = Connection::new(stream);
+        let mut connection = Connection::new(stream, traffic.uploads.hold());
         // An error means that the caller's connection broke, so no answer can be sent.
         let _ = connection.run(&traffic, reading).await;
     });
@@ -134,16 +140,19 @@
     stream: TcpStream,
     buffer: BytesMut,
     codec: Codec,
+    /// Memory of what was read while a request runs.
+    read_ahead: Hold,
 }
 
 impl Connection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, read_ahead: Hold) -> Self {
         // A failure only makes answers slower.
         let _ = stream.set_nodelay(true);
         Self {
             stream,
             buffer: BytesMut::new(),
             codec: Codec::default(),
+            read_ahead,
         }
     }
 
@@ -166,6 +175,7 @@
                 Ok(incoming) => incoming,
                 Err(ReadError::Refused(answer)) => {
                     log_read_error(&answer);
+                    self.buffer = BytesMut::new();
                     self.write(answer, true).await?;
                     return self.linger().await;
                 }
@@ -220,7 +230,7 @@
                     return Ok(served.unwrap_or_else(|panic| panicked(incoming, &*panic)));
                 }
                 () = &mut stopped, if ending.stage() < Stage::Stopped => Stage::Stopped,
-                end = input_end(&mut self.stream, &mut self.buffer), if left_at.is_none() => {
+                end = input_end(&mut self.stream, &mut self.buffer, &mut self.read_ahead), if left_at.is_none() => {
                     if let Err(error) = end {
                         ending.enter(Stage::Reset);
                         return Err(error);
@@ -258,7 +268,7 @@
     ) -> Result<Incoming, ReadError> {
         tokio::select! {
             biased;
-            read = self.read_request(limits) => read,
+            read = self.read_request(traffic, limits) => read,
             () = stop_time(traffic.stop_schedule(), StopSchedule::answer_by) => {
                 let text = "this daemon stops; the request was not read\n";
                 Err(ReadError::Refused(Reply::not_run(text, Duration::ZERO)))
@@ -266,23 +276,48 @@
         }
     }
 
-    async fn read_request(&mut self, limits: CallerLimits) -> Result<Incoming, ReadError> {
+    async fn read_request(
+        &mut self,
+        traffic: &Rc<Traffic>,
+        limits: CallerLimits,
+    ) -> Result<Incoming, ReadError> {
         let arrived = clock::now();
-        let head = timeout(limits.header_time, self.read_head(limits)).await;
-        let request = head.unwrap_or_else(|_| refuse(408, "the request's head took too long\n"))?;
-        let body = timeout(limits.idle_time, self.read_body(&request, limits)).await;
-        let body = body.unwrap_or_else(|_| refuse(408, "the request's body took too long\n"))?;
+        let upload = Upload::begin(&traffic.uploads);
+        // What was read ahead counts for the request from now on.
+        self.read_ahead.shrink(0);
+        let (request, body) = tokio::select! {
+            biased;
+            () = upload.evicted() => {
+                upload.record_refusal(Refused::StalledRequest);
+                return refuse_for_memory();
+            }
+            read = self.read_parts(limits, &upload) => read?,
+        };
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
         }
         Ok(Incoming {
             request,
-            body,
-            arrived,
             ending: Ending::default(),
+            arrived,
+            _hold: upload.finish(body.len()),
+            body,
         })
     }
 
+    /// Reads the head and the body of a request.
+    async fn read_parts(
+        &mut self,
+        limits: CallerLimits,
+        upload: &Upload,
+    ) -> Result<(Request, Bytes), ReadError> {
+        let head = timeout(limits.header_time, self.read_head(limits, upload)).await;
+        let request = head.unwrap_or_else(|_| refuse(408, "the request's head took too long\n"))?;
+        let body = timeout(limits.idle_time, self.read_body(&request, limits, upload)).await;
+        let body = body.unwrap_or_else(|_| refuse(408, "the request's body took too long\n"))?;
+        Ok((request, body))
+    }
+
     /// Waits for the first byte of a request, until the idle timeout or the daemon closes.
     async fn wait_for_request(
         &mut self,
@@ -315,9 +350,14 @@
         Ok(read)
     }
 
-    async fn read_head(&mut self, limits: CallerLimits) -> Result<Request, ReadError> {
+    async fn read_head(
+        &mut self,
+        limits: CallerLimits,
+        upload: &Upload,
+    ) -> Result<Request, ReadError> {
         loop {
             let before = self.buffer.len();
+            count(upload, before).await?;
             match self.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Item(mut request))) => {
                     planted::note_peer(&mut request, &self.stream);
@@ -346,6 +386,7 @@
         &mut self,
         request: &Request,
         limits: CallerLimits,
+        upload: &Upload,
     ) -> Result<Bytes, ReadError> {
         match self.codec.message_type() {
             MessageType::None => return Ok(Bytes::new()),
@@ -354,7 +395,7 @@
             // connection after the answer.
             MessageType::Stream => {
                 self.codec = Codec::default();
-                return self.read_sized_body(request, limits).await;
+                return self.read_sized_body(request, limits, upload).await;
             }
             MessageType::Payload => {}
         }
@@ -376,6 +417,7 @@
             if body.len() > limits.body_bytes {
                 return refuse(413, "the request's body is too large\n");
             }
+            count(upload, self.buffer.len() + body.len()).await?;
         }
     }
 
@@ -384,6 +426,7 @@
         &mut self,
         request: &Request,
         limits: CallerLimits,
+        upload: &Upload,
     ) -> Result<Bytes, ReadError> {
         let Some(stated) = request.head().headers.get("content-length") else {
             return Ok(Bytes::new());
@@ -401,6 +444,7 @@
             if self.read_more().await? == 0 {
                 return Err(ReadError::Ended);
             }
+            count(upload, self.buffer.len()).await?;
         }
         Ok(self.buffer.split_to(length).freeze())
     }
@@ -536,6 +580,7 @@
     let reason = match answer.status {
         408 => "too-slow",
         413 | 431 => "too-large",
+        503 if answer.body == NO_ROOM_TEXT => "no-memory",
         503 => "closing",
         _ => "unreadable",
     };
@@ -544,6 +589,23 @@
     tracing::info!(reason, why = why.trim_end(), "request refused");
 }
 
+/// Counts what has been read of a request.
+async fn count(upload: &Upload, bytes: usize) -> Result<(), ReadError> {
+    let Err(NoRoom) = upload.grow(bytes).await else {
+        return Ok(());
+    };
+    upload.record_refusal(Refused::Request);
+    refuse_for_memory()
+}
+
+/// Refuses a request that could not be read as a whole, so that it has not run.
+fn refuse_for_memory<T>() -> Result<T, ReadError> {
+    Err(ReadError::Refused(Reply::not_run(
+        NO_ROOM_TEXT,
+        RETRY_AFTER,
+    )))
+}
+
 fn refuse<T>(status: u16, text: &'static str) -> Result<T, ReadError> {
     Err(ReadError::Refused(Reply::text(status, text)))
 }
@@ -583,14 +645,19 @@
     }
 }
 
-/// Completes when the caller's input ends; bytes that come before are kept for its next request.
+/// Completes when the caller's input ends; bytes that come before are kept for its next request, as far
+/// as there is room for them.
 ///
 /// # Errors
 ///
 /// The connection broke.
-async fn input_end(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<()> {
+async fn input_end(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    hold: &mut Hold,
+) -> io::Result<()> {
     loop {
-        if buffer.len() > MAX_READ_AHEAD_BYTES {
+        if buffer.len() > MAX_READ_AHEAD_BYTES || !hold.grow(buffer.len()) {
             return std::future::pending().await;
         }
         buffer.reserve(1);
--- a/crates/daemon/src/tier/memory.rs
+++ b/crates/daemon/src/tier/memory.rs
@@ -1,9 +1,9 @@
-//! The memory of a traffic thread that holds answers.
+//! The memory of a traffic thread that holds answers and callers' requests.
 //!
 //! Bytes count from the moment they are read until the answer was written to its caller, so also
 //! while an answer waits for the other parts of a query or for a caller that reads slowly. Who may
 //! hold how much is decided by [`rattanturn_core::byte_budget`]: an answer counts for its target and
-//! the target's service, or for all peers if a peer sent it.
+//! the target's service, or for all peers if a peer sent it, and requests count for all callers together.
 //!
 //! The first [`UNCOUNTED_BYTES`] of an answer or a request are free, so that small ones are served
 //! whatever the others hold. The price is that these bytes are bounded only by the number of
@@ -13,7 +13,7 @@
     crate::{clock, tier::meters},
     rattanturn_core::{
         Time,
-        byte_budget::{ByteBudget, GroupId, UserId},
+        byte_budget::{ByteBudget, GroupId, UploadId, Uploads, UserId},
     },
     std::{
         cell::{Cell, RefCell},
@@ -22,7 +22,7 @@
         rc::{Rc, Weak},
         time::Duration,
     },
-    tokio::sync::Notify,
+    tokio::{sync::Notify, task::yield_now},
 };
 
 /// Part of the VM's memory that answers and requests may hold. Buffers that grow take up to twice
@@ -40,6 +40,10 @@
     Call,
     /// An answer was not read any further.
     Answer,
+    /// A caller's request was not read any further.
+    Request,
+    /// A caller's request was given up for others, because it had stalled.
+    StalledRequest,
 }
 
 impl Refused {
@@ -48,6 +52,8 @@
         match self {
             Self::Call => "call",
             Self::Answer => "answer",
+            Self::Request => "request",
+            Self::StalledRequest => "stalled-request",
         }
     }
 }
@@ -57,6 +63,9 @@
 pub(crate) struct Memory {
     budget: RefCell<ByteBudget>,
     groups: RefCell<HashMap<String, Weak<MemoryGroup>>>,
+    uploads: RefCell<Uploads>,
+    /// Tells a request that is being read that it was given up.
+    evictions: RefCell<HashMap<UploadId, Rc<Notify>>>,
     /// Wakes the answers that wait for room.
     released: Notify,
     /// When a refusal was logged last, and the number of those since.
@@ -102,6 +111,8 @@
         Rc::new(Self {
             budget: RefCell::new(ByteBudget::new(limit)),
             groups: RefCell::default(),
+            uploads: RefCell::default(),
+            evictions: RefCell::default(),
             released: Notify::new(),
             logged: Cell::default(),
             unlogged: Cell::default(),
@@ -137,6 +148,14 @@
     pub(crate) fn held(&self) -> usize {
         self.budget.borrow().held()
     }
+
+    /// Gives the request up that has been silent for the longest time; false if none has stalled. Its
+    /// memory is free once its task has run.
+    fn evict_stalled(&self) -> bool {
+        let stalled = self.uploads.borrow_mut().take_stalled(clock::now());
+        let evicted = stalled.and_then(|id| self.evictions.borrow_mut().remove(&id));
+        evicted.inspect(|notify| notify.notify_one()).is_some()
+    }
 }
 
 impl MemoryUser {
@@ -258,3 +277,90 @@
         }
     }
 }
+
+/// A caller's request while it is being read. Once it has stalled, it may be given up for others.
+pub(crate) struct Upload {
+    hold: RefCell<Hold>,
+    /// Set once any of its bytes count.
+    id: Cell<Option<UploadId>>,
+    evicted: Rc<Notify>,
+}
+
+/// There is no room for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoRoom;
+
+impl Upload {
+    /// Begins a request of `callers`.
+    pub(crate) fn begin(callers: &Rc<MemoryUser>) -> Self {
+        Self {
+            hold: RefCell::new(callers.hold()),
+            id: Cell::default(),
+            evicted: Rc::default(),
+        }
+    }
+
+    /// Counts `bytes` that have been read altogether. Requests that have stalled make room.
+    ///
+    /// # Errors
+    ///
+    /// There is no room, and no request has stalled.
+    pub(crate) async fn grow(&self, bytes: usize) -> Result<(), NoRoom> {
+        if bytes <= UNCOUNTED_BYTES {
+            return Ok(());
+        }
+        self.record_progress();
+        while !self.hold.borrow_mut().grow(bytes) {
+            if !self.memory().evict_stalled() {
+                return Err(NoRoom);
+            }
+            // The task of the stalled request runs meanwhile.
+            yield_now().await;
+        }
+        Ok(())
+    }
+
+    fn record_progress(&self) {
+        let memory = self.memory();
+        let (mut uploads, now) = (memory.uploads.borrow_mut(), clock::now());
+        if let Some(id) = self.id.get() {
+            return uploads.record_progress(id, now);
+        }
+        let id = uploads.begin(now);
+        self.id.set(Some(id));
+        let mut evictions = memory.evictions.borrow_mut();
+        evictions.insert(id, self.evicted.clone());
+    }
+
+    /// Completes when the request is to be given up for others.
+    pub(crate) async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    /// Ends the reading. The bytes of the request count until the hold is dropped.
+    pub(crate) fn finish(self, bytes: usize) -> Hold {
+        let empty = self.hold.borrow().user.hold();
+        let mut hold = self.hold.replace(empty);
+        hold.shrink(bytes);
+        hold
+    }
+
+    /// Counts and logs that the request was refused.
+    pub(crate) fn record_refusal(&self, what: Refused) {
+        self.hold.borrow().record_refusal(what);
+    }
+
+    fn memory(&self) -> Rc<Memory> {
+        self.hold.borrow().user.memory().clone()
+    }
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.get() {
+            let memory = self.memory();
+            memory.uploads.borrow_mut().end(id);
+            memory.evictions.borrow_mut().remove(&id);
+        }
+    }
+}
--- a/crates/daemon/src/tier/request.rs
+++ b/crates/daemon/src/tier/request.rs
@@ -28,6 +28,8 @@
     pub(crate) arrived: Time,
     /// What ends the request before its deadline.
     pub(crate) ending: Ending,
+    /// Memory of the body.
+    pub(crate) _hold: Hold,
 }
 
 impl Incoming {
--- a/crates/daemon/src/tier/traffic.rs
+++ b/crates/daemon/src/tier/traffic.rs
@@ -13,7 +13,7 @@
         tier::{
             accounts::KeyChecks,
             admission::AdmissionQueue,
-            memory::Memory,
+            memory::{Memory, MemoryUser},
             meters::{self, Meters},
             quarantine::{RecentAnswers, SharedQuarantine, Trials},
             quota::SharedQuotas,
@@ -114,6 +114,8 @@
     /// Wakes the open requests when this daemon reaches no target any more.
     lost: Notify,
     pub(crate) relay: RelayClient,
+    /// Counts callers' requests while they are in memory.
+    pub(crate) uploads: Rc<MemoryUser>,
     pub(crate) quarantine: Arc<SharedQuarantine>,
     pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) admission: AdmissionQueue,
@@ -177,6 +179,7 @@
             gateway: tier.target_gateway,
             centre,
             relay: RelayClient::new(&memory),
+            uploads: memory.add_user("callers", "callers"),
             calls: Rc::new(SharedCalls::new(memory)),
             silence: RefCell::default(),
             lost: Notify::new(),
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -300,6 +300,43 @@
     });
 }
 
+/// Guards against memory that grows with each caller that stops in the middle of a large request.
+#[test]
+fn large_requests_that_stall_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("stalled-requests").await;
+        let (part, length) = (vec![b'x'; 250_000], 260_000);
+        let mut streams = Vec::new();
+        for n in 0..1_500 {
+            let mut stream = tier.connect().await;
+            let head = head("/large/x", &format!("stalled-{n}"), &length_of(length));
+            // The daemon may refuse it before it was sent as a whole.
+            let sent = async {
+                stream.write_all(&head).await?;
+                stream.write_all(&part).await
+            };
+            let _ = timeout(Duration::from_secs(1), sent).await;
+            streams.push(stream);
+        }
+        tier.check_sound(Duration::from_secs(3)).await;
+        tier.assert_within_memory();
+        // A caller that sends all of its request finds room among those that have stalled.
+        let mut stream = tier.connect().await;
+        let head = head("/sound/x", "sent", &length_of(length));
+        stream.write_all(&head).await.unwrap();
+        stream.write_all(&vec![b'x'; length]).await.unwrap();
+        assert_eq!(
+            read_answer(&mut stream).await,
+            Some((200, RECORDS_BYTES)),
+            "a request that is sent as a whole"
+        );
+    });
+}
+
+fn length_of(bytes: usize) -> String {
+    format!("content-length: {bytes}\r\n")
+}
+
 /// Guards against memory that grows with the number of endless answers that are read at once.
 #[test]
 fn endless_answers_to_many_callers_stay_within_the_memory() {
