Close connections of callers that never read their answer

What callers saw: nothing. An answer stayed in memory for as long as its caller kept the connection open without reading, so that a few such callers of large answers take the share of a service for good.

Cause: writing an answer had no time limit, unlike reading a request.

Evidence: connection_of_a_caller_that_never_reads_is_closed failed before: the whole answer could still be read after 17 s, with an idle time of 15 s.

Change: if nothing of an answer can be written for the configuration's idle time, the connection is closed, and logged and counted as `unread`. Any progress begins the time anew, so slow callers are served. The test passes.

--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -6,7 +6,7 @@
 //! a while, see [`crate::tier::ending`]. A panic in a request ends only that request.
 //!
 //! What is read of requests counts in the budget of [`crate::tier::memory`]. A caller that stops
-//! sending in the middle of a large request is given up if others need its memory.
+//! sending in the middle of a large request, or that stops reading its answer, is given up.
 //!
 //! During a graceful stop, connections are closed after their next answer while the daemon is
 //! leaving. When it closes, what the callers have sent by then is still read and answered, and idle
@@ -176,12 +176,12 @@
                 Err(ReadError::Refused(answer)) => {
                     log_read_error(&answer);
                     self.buffer = BytesMut::new();
-                    self.write(answer, true).await?;
+                    self.write(answer, true, limits.idle_time).await?;
                     return self.linger().await;
                 }
                 Err(_) => return Ok(()),
             };
-            let close = self.answer(traffic, &incoming).await?;
+            let close = self.answer(traffic, &incoming, limits).await?;
             if close {
                 return self.linger().await;
             }
@@ -189,7 +189,12 @@
     }
 
     /// Serves a request and writes its answer; returns whether the connection is to be closed.
-    async fn answer(&mut self, traffic: &Rc<Traffic>, incoming: &Incoming) -> io::Result<bool> {
+    async fn answer(
+        &mut self,
+        traffic: &Rc<Traffic>,
+        incoming: &Incoming,
+        limits: CallerLimits,
+    ) -> io::Result<bool> {
         let open = Unanswered::new(traffic, incoming);
         let echo = relay::id_to_echo(incoming.head());
         let mut answer = match self.serve(traffic, incoming).await {
@@ -203,9 +208,10 @@
             echo_request_id(&id, &mut answer.headers);
         }
         let close = self.closes(traffic, incoming);
-        let written = self.write(answer, close).await;
-        open.end(match written {
+        let written = self.write(answer, close, limits.idle_time).await;
+        open.end(match &written {
             Ok(()) => RequestEnd::Answered,
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => RequestEnd::Unread,
             Err(_) => RequestEnd::WriteFailed,
         });
         written.map(|()| close)
@@ -465,7 +471,11 @@
     }
 
     /// Writes an answer. Its memory counts until the caller's system has taken it.
-    async fn write(&mut self, answer: Reply, close: bool) -> io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the caller has read nothing for `idle_time`.
+    async fn write(&mut self, answer: Reply, close: bool, idle_time: Duration) -> io::Result<()> {
         let _hold = answer.hold;
         let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut response = Response::new(status);
@@ -483,7 +493,13 @@
                 .encode(Message::Chunk(Some(answer.body)), &mut out)?;
         }
         self.codec.encode(Message::Chunk(None), &mut out)?;
-        self.stream.write_all(&out).await
+        while !out.is_empty() {
+            let written = timeout(idle_time, self.stream.write_buf(&mut out)).await;
+            if written.map_err(io::Error::from)?? == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+        }
+        Ok(())
     }
 
     /// Closes a connection in such a way that the caller can still read the last answer.
@@ -512,6 +528,8 @@
     Reset,
     /// The connection broke while the answer was written.
     WriteFailed,
+    /// The caller stopped reading its answer.
+    Unread,
     /// The connection's task was dropped, because the process ends.
     Dropped,
 }
@@ -523,6 +541,7 @@
             Self::Answered => "answered",
             Self::Reset => "reset",
             Self::WriteFailed => "write-failed",
+            Self::Unread => "unread",
             Self::Dropped => "dropped",
         }
     }
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -337,6 +337,18 @@
     format!("content-length: {bytes}\r\n")
 }
 
+/// Guards against an answer that is kept without end for a caller that never reads it.
+#[test]
+fn connection_of_a_caller_that_never_reads_is_closed() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("never-read").await;
+        let mut stream = tier.send(&format!("/large/copies-{LARGE}"), "never").await;
+        // The stand-in's configuration closes connections that are idle for 15 s.
+        tier.check_sound(Duration::from_secs(17)).await;
+        assert_eq!(read_answer(&mut stream).await, None, "a whole answer");
+    });
+}
+
 /// Guards against memory that grows with the number of endless answers that are read at once.
 #[test]
 fn endless_answers_to_many_callers_stay_within_the_memory() {
