Bound messages of peers by what daemons send each other

What callers saw: nothing as long as memory lasted; then their requests would end with the process. A daemon of a VM with 128 MB used 256 MB beside four connections to its port for peers that sent the first 59 MB of a message of 60 MB.

Cause: the RPC library reads messages of up to 64 MB by default, and nothing set another limit.

Evidence: long_messages_of_peers_stay_within_the_memory failed before (256 MB of 128).

Change: the tier's server reads requests of up to 64 KiB (the digests of all buckets take 1 KiB), and fetches read objects of up to 4 MiB, which is more than the largest deployments have. A longer message ends its connection once its head was read. Messages with calls and results of the project's own interface, which may hold many bodies, keep the library's limit. The line `serving` of the tier names the address for peers, by which the test finds it.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -318,6 +318,7 @@
         let at = daemon.addresses();
         tracing::info!(
             callers = %at.front, directory = %at.directory, operators = %at.admin,
+            peers = %at.rpc,
             config_limit = ?tier.config_limit, evacuation_limit = ?tier.evacuation_limit,
             "serving"
         );
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -190,6 +190,9 @@
     }
 }
 
+/// Largest request of a peer, in bytes. It names an object, or the digests of all buckets of targets.
+const MAX_REQUEST_BYTES: usize = 64 << 10;
+
 /// What this daemon has, for a request to a peer.
 pub(crate) struct KnownTargets {
     pub(crate) revision: u64,
@@ -288,7 +291,7 @@
             targets: targets.clone(),
         };
         let client: peer::Client = capnp_rpc::new_client(server);
-        let network = rpc::vat_network(stream, Side::Server);
+        let network = rpc::vat_network(stream, Side::Server, MAX_REQUEST_BYTES);
         let system = RpcSystem::new(Box::new(network), Some(client.client));
         actix_rt::spawn(async move {
             // An error needs no handling here: the peer connects again for its next fetch.
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -48,6 +48,14 @@
 /// the event loop, unless the connection is congested.
 const ANSWER_SEND_TIME: Duration = Duration::from_millis(50);
 
+/// Unit of a message's length.
+const WORD_BYTES: usize = 8;
+/// Largest object that is fetched from another daemon, in bytes. All targets of the largest deployments
+/// take 2.5 MB.
+const MAX_OBJECT_BYTES: usize = 4 << 20;
+/// Largest message with calls or their results, in bytes: some dozens of bodies of 1 MiB.
+const MAX_CALLS_BYTES: usize = 64 << 20;
+
 /// Shared objects with their recent versions, which other daemons can fetch.
 pub(crate) type SharedObjects = Arc<Mutex<ObjectHistory>>;
 
@@ -67,7 +75,7 @@
         };
         let client: peer::Client = capnp_rpc::new_client(server.clone());
         let system = RpcSystem::new(
-            Box::new(vat_network(stream, Side::Server)),
+            Box::new(vat_network(stream, Side::Server, MAX_CALLS_BYTES)),
             Some(client.client),
         );
         actix_rt::spawn(async move {
@@ -76,19 +84,18 @@
     }
 }
 
-/// Transport for two-party RPC over a TCP stream.
+/// Transport for two-party RPC over a TCP stream. A connection ends with the first message of more than
+/// `max_bytes`, of which only the head is read.
 pub(crate) fn vat_network(
     stream: TcpStream,
     side: Side,
+    max_bytes: usize,
 ) -> VatNetwork<futures::io::ReadHalf<tokio_util::compat::Compat<TcpStream>>> {
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.compat().split();
-    VatNetwork::new(
-        reader,
-        writer,
-        side,
-        capnp::message::ReaderOptions::default(),
-    )
+    let mut options = capnp::message::ReaderOptions::default();
+    options.traversal_limit_in_words(Some(max_bytes / WORD_BYTES));
+    VatNetwork::new(reader, writer, side, options)
 }
 
 /// What a traffic thread does for other daemons.
@@ -257,7 +264,7 @@
     addr: SocketAddr,
     call: impl AsyncFnOnce(&peer::Client) -> eyre::Result<T>,
 ) -> eyre::Result<T> {
-    let (client, system) = connect(addr).await?;
+    let (client, system) = connect(addr, MAX_OBJECT_BYTES).await?;
     tokio::select! {
         result = call(&client) => result,
         _ = system => eyre::bail!("the connection was lost"),
@@ -265,10 +272,13 @@
 }
 
 /// Connects to the daemon at `addr`. The client works only while the system is polled.
-async fn connect(addr: SocketAddr) -> eyre::Result<(peer::Client, RpcSystem<Side>)> {
+async fn connect(
+    addr: SocketAddr,
+    max_bytes: usize,
+) -> eyre::Result<(peer::Client, RpcSystem<Side>)> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     let stream = stream.await.map_err(io::Error::from)??;
-    let network = vat_network(stream, Side::Client);
+    let network = vat_network(stream, Side::Client, max_bytes);
     let mut system = RpcSystem::new(Box::new(network), None);
     let client = system.bootstrap(Side::Server);
     Ok((client, system))
@@ -425,7 +435,7 @@
         if let Some(open) = known.filter(|c| !c.closed.is_cancelled()) {
             return Ok(open);
         }
-        let (client, system) = connect(addr).await?;
+        let (client, system) = connect(addr, MAX_CALLS_BYTES).await?;
         let connection = Rc::new(PeerConnection {
             client,
             addr,
--- a/crates/daemon/src/traffic/rpc/tests.rs
+++ b/crates/daemon/src/traffic/rpc/tests.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CallResult, ObjectRef, Peers, vat_network},
+    super::{CallResult, MAX_CALLS_BYTES, ObjectRef, Peers, vat_network},
     crate::{
         clock,
         routing::Destination,
@@ -45,7 +45,7 @@
 
 fn serve(stream: TcpStream) {
     let client: peer::Client = capnp_rpc::new_client(Daemon);
-    let network = Box::new(vat_network(stream, Side::Server));
+    let network = Box::new(vat_network(stream, Side::Server, MAX_CALLS_BYTES));
     let system = RpcSystem::new(network, Some(client.client));
     actix_rt::spawn(async move {
         let _ = system.await;
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -46,6 +46,8 @@
 struct Tier {
     child: Child,
     front: SocketAddr,
+    /// Where other daemons connect.
+    peers: SocketAddr,
     settings: PathBuf,
     /// Two servers of each service.
     servers: Vec<Arc<State>>,
@@ -87,15 +89,16 @@
             .unwrap();
         let mut output = BufReader::new(child.stdout.take().unwrap());
         // The log is read in a thread of its own, as the store runs on this one.
-        let address = actix_rt::task::spawn_blocking(move || {
-            let address = address(&mut output);
+        let addresses = actix_rt::task::spawn_blocking(move || {
+            let addresses = addresses(&mut output);
             std::thread::spawn(move || output.lines().count());
-            address
+            addresses
         });
-        let front = address.await.unwrap();
+        let [front, peers] = addresses.await.unwrap();
         let tier = Self {
             child,
             front,
+            peers,
             settings,
             servers,
             _store: store,
@@ -184,8 +187,8 @@
     )
 }
 
-/// Address for callers, which the daemon logs when it serves.
-fn address(output: &mut impl BufRead) -> SocketAddr {
+/// Addresses for callers and peers, which the daemon logs when it serves.
+fn addresses(output: &mut impl BufRead) -> [SocketAddr; 2] {
     loop {
         let mut line = String::new();
         assert!(output.read_line(&mut line).unwrap() > 0, "the daemon ended");
@@ -193,8 +196,8 @@
             let (_, rest) = line.split_once(&format!("\"{name}\":\""))?;
             rest.split('"').next()?.parse().ok()
         };
-        if let Some(front) = field("callers") {
-            return front;
+        if let (Some(front), Some(peers)) = (field("callers"), field("peers")) {
+            return [front, peers];
         }
     }
 }
@@ -380,3 +383,29 @@
         tier.assert_within_memory();
     });
 }
+
+/// Guards against memory that grows with each message of a peer that is long or has no end.
+#[test]
+fn long_messages_of_peers_stay_within_the_memory() {
+    /// Words of a message of 60 MB, which the library reads by default.
+    const WORDS: u32 = 7_500_000;
+    System::new().block_on(async {
+        let tier = Tier::spawn("long-messages").await;
+        let mut streams = Vec::new();
+        for _ in 0..4 {
+            let mut stream = TcpStream::connect(tier.peers).await.unwrap();
+            // The head of a message: it has one segment of this length.
+            let head = [0_u32.to_le_bytes(), WORDS.to_le_bytes()].concat();
+            let part = vec![0; 59_000_000];
+            let sent = async {
+                stream.write_all(&head).await?;
+                stream.write_all(&part).await
+            };
+            // Fails once the daemon has closed the connection.
+            let _ = timeout(Duration::from_secs(2), sent).await;
+            streams.push(stream);
+        }
+        tier.check_sound(Duration::from_millis(500)).await;
+        tier.assert_within_memory();
+    });
+}
