Let 4,096 callers wait to be accepted

What callers saw: some of 200 and more that connect at once could not within a second.

Cause: the standard library's listeners have a queue of 128 connections. The system drops the attempts beyond that, and the caller's system repeats them a second later.

Evidence: many_callers_can_connect_while_the_daemon_does_not_run failed with a queue of 128: 129 callers connected, the next one timed out.

Change: the daemon's listeners ask for 4,096, about as many as daemons have descriptors. The test passes: 600 callers connect while the process is stopped. Whether a busy accepting thread has a part as well was not measured.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,7 +30,9 @@
     eyre::{Context, ensure},
     rattanturn_core::{NodeId, membership::Endpoints, rendezvous},
     rattanturn_tables::Settings,
+    socket2::{Domain, Socket, Type},
     std::{
+        io,
         net::{SocketAddr, TcpListener, UdpSocket},
         sync::Arc,
         time::Duration,
@@ -40,6 +42,10 @@
 
 pub use tier::{Tier, TierAddresses};
 
+/// Connections that may wait to be accepted. The system drops the attempt to connect beyond that, and
+/// the caller's system repeats it only a second later. Daemons have some 4,000 descriptors.
+const ACCEPT_QUEUE: i32 = 4_096;
+
 /// A running daemon; [`Self::stop`] and [`Self::kill`] end it.
 pub struct Daemon {
     addresses: Addresses,
@@ -249,7 +255,18 @@
 
 /// Binds a TCP listener; `what` names it in the error.
 fn listen(what: &str, addr: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(addr).wrap_err_with(|| format!("listener for {what}: cannot bind TCP {addr}"))
+    let listener = bind(addr);
+    listener.wrap_err_with(|| format!("listener for {what}: cannot bind TCP {addr}"))
+}
+
+/// Binds a TCP listener with a queue of [`ACCEPT_QUEUE`] connections.
+fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    // The port may have connections in TIME-WAIT of an earlier run.
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(ACCEPT_QUEUE)?;
+    Ok(socket.into())
 }
 
 /// Binds one RPC listener for each traffic thread, on consecutive ports. Other daemons know only
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -35,6 +35,10 @@
 /// Limits of open descriptors at which the start panics, before or after the log has started, or fails.
 const TOO_FEW_DESCRIPTORS: RangeInclusive<u32> = 6..=18;
 
+/// Callers that connect at once, and the time in which they must succeed.
+const CALLERS_AT_ONCE: usize = 600;
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
 /// Settings with a limit of which a stop that is not hurried uses two thirds: 40 s.
 fn unhurried(settings: &str) -> String {
     settings.replace("drain-limit = 3s", "drain-limit = 60s")
@@ -150,6 +154,24 @@
     assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
 }
 
+/// Guards against callers that cannot connect for a second because many come while the daemon is busy.
+#[test]
+fn many_callers_can_connect_while_the_daemon_does_not_run() {
+    let daemon = Daemon::spawn("connects");
+    let line = daemon.wait_for_line("\"serving\"");
+    let (_, front) = line.split_once("\"callers\":\"").unwrap();
+    let front: SocketAddr = front.split('"').next().unwrap().parse().unwrap();
+    daemon.send_signal("-STOP");
+    let mut callers = Vec::new();
+    while callers.len() < CALLERS_AT_ONCE {
+        match TcpStream::connect_timeout(&front, CONNECT_TIME) {
+            Ok(caller) => callers.push(caller),
+            Err(error) => panic!("{} callers connected, then: {error}", callers.len()),
+        }
+    }
+    daemon.send_signal("-CONT");
+}
+
 /// Supervisors repeat SIGTERM. Guards against a repeated one that ends the process and cuts what is
 /// open.
 #[test]
