Send calls although their answers exceed the memory while nothing is held

What callers saw: 503 for each further request of a route, once its answers had been larger than the largest part that one target can get, also for small answers. VMs of 72 MB and more are not concerned, as answers end at 8 MiB.

Cause: the mean of a route's sizes changes only with further answers, and a call was not sent while there was no room for the mean.

Evidence: a_route_is_served_again_after_answers_beyond_the_memory failed before.

Change: a call is sent if there is room for its answer or nothing is held, and an answer for which there can never be room is given up at once, instead of at the deadline.

--- a/crates/core/src/byte_budget.rs
+++ b/crates/core/src/byte_budget.rs
@@ -121,6 +121,13 @@
         group_room.is_some_and(|room| own <= USER_FACTOR.saturating_mul(room))
     }
 
+    /// Most that one user can hold, while nobody else holds anything.
+    #[must_use]
+    pub fn largest_share(&self) -> usize {
+        // `own <= USER_FACTOR * (limit - 2 * own)`
+        self.limit / (2 * USER_FACTOR + 1) * USER_FACTOR
+    }
+
     /// Gives bytes of a user back.
     pub fn release(&mut self, user: UserId, bytes: usize) {
         let Some(user) = self.users.get_mut(user) else {
--- a/crates/core/tests/byte_budget.rs
+++ b/crates/core/tests/byte_budget.rs
@@ -51,6 +51,7 @@
     let group = budget.add_group();
     let user = budget.add_user(group);
     assert_eq!(fill(&mut budget, user), LIMIT * 2 / 5);
+    assert_eq!(budget.largest_share(), LIMIT * 2 / 5);
 }
 
 /// Guards against memory that stays counted for a target that was removed.
--- a/crates/daemon/src/tier/memory.rs
+++ b/crates/daemon/src/tier/memory.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Largest answer that there can ever be room for.
+    pub(crate) fn largest_answer(&self) -> usize {
+        self.memory().budget.borrow().largest_share() + UNCOUNTED_BYTES
+    }
+
     /// Whether there is room for an answer of `bytes` now.
     pub(crate) fn has_room(&self, bytes: usize) -> bool {
         let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
@@ -248,11 +253,15 @@
         bytes.saturating_sub(UNCOUNTED_BYTES) <= self.counted || self.resize(bytes)
     }
 
-    /// Waits until there is room for `bytes` altogether; false if there is none by `until`.
+    /// Waits until there is room for `bytes` altogether; false if there is none by `until`, and at once
+    /// if there can never be.
     ///
     /// What is held beyond `kept` bytes is released meanwhile, so that holds which wait do not block
     /// each other.
     pub(crate) async fn wait_for_room(&mut self, bytes: usize, kept: usize, until: Time) -> bool {
+        if bytes > self.user.largest_answer() {
+            return false;
+        }
         self.shrink(kept);
         let memory = self.user.memory().clone();
         let mut waited = pin!(clock::sleep_until(until));
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -567,6 +567,9 @@
         // The mean of sizes that are bounded.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let expected = (mean * SIZE_MARGIN) as usize;
+        // A call is sent while nothing is held, however large its answer may be, as the mean would not
+        // change otherwise.
+        let expected = expected.min(self.answers.largest_answer());
         let has_room = if call.non_idempotent {
             hold.grow(expected)
         } else {
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -56,6 +56,10 @@
 
 impl Tier {
     async fn spawn(name: &str) -> Self {
+        Self::spawn_with(name, MEMORY_MB).await
+    }
+
+    async fn spawn_with(name: &str, memory_mb: u64) -> Self {
         raise_descriptors();
         let store = Platform::spawn().unwrap();
         let mut servers = Vec::new();
@@ -81,7 +85,7 @@
             .single_route("/sound/", "sound", true)
             .write(&store.state());
         let settings = settings_path(name);
-        fs::write(&settings, settings_text(store.addr())).unwrap();
+        fs::write(&settings, settings_text(store.addr(), memory_mb)).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
             .arg(&settings)
             .stdout(Stdio::piped())
@@ -178,12 +182,12 @@
     std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()))
 }
 
-fn settings_text(store: SocketAddr) -> String {
+fn settings_text(store: SocketAddr, memory_mb: u64) -> String {
     format!(
         "[daemon]\nname = d0\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\nrpc-port = 0\n\
          gossip-port = 0\ndrain-limit = 3s\n\
          [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
-         memory-mb = {MEMORY_MB}\n[platform]\naddress = {store}\n[log]\nformat = json\n"
+         memory-mb = {memory_mb}\n[platform]\naddress = {store}\n[log]\nformat = json\n"
     )
 }
 
@@ -299,6 +303,24 @@
     });
 }
 
+/// Guards against a route that is refused for good after answers that are too large for the memory.
+#[test]
+fn a_route_is_served_again_after_answers_beyond_the_memory() {
+    System::new().block_on(async {
+        // Two fifths of a third of it are 5.3 MB.
+        let tier = Tier::spawn_with("too-large", 40).await;
+        for route in ["/once", "/large"] {
+            for copies in [25_000, LARGE, LARGE] {
+                let answer = tier.ask(&format!("{route}/copies-{copies}")).await;
+                let status = answer.expect("an answer").0;
+                assert_eq!(status, if copies == LARGE { 502 } else { 200 });
+            }
+            let answer = tier.ask(&format!("{route}/x")).await;
+            assert_eq!(answer, Some((200, RECORDS_BYTES)), "{route}");
+        }
+    });
+}
+
 /// Guards against small answers that are refused because others of their route were large.
 #[test]
 fn small_answers_are_served_beside_large_ones_of_their_route() {
