--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -77,7 +77,10 @@
                 servers.push(server);
             }
         }
+        let services = SERVICES.map(str::to_owned);
         ConfigBuilder::default()
+            .gather_route("/all/", &services, LARGE_LIMIT_MS / 2)
+            .limits(LARGE_LIMIT_MS, LARGE_LIMIT_MS / 2)
             .single_route("/large/", "large", true)
             .limits(LARGE_LIMIT_MS, LARGE_LIMIT_MS / 2)
             .single_route("/once/", "large", false)
@@ -321,6 +324,28 @@
     });
 }
 
+/// Guards against memory that grows with each part that waits for the other parts of its query.
+#[test]
+fn parts_that_wait_for_others_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("waiting-parts").await;
+        for server in &tier.servers[2..] {
+            server.pause(Duration::from_secs(3));
+        }
+        // Each part has 2 MB.
+        let path = format!("/all/copies-{}", 2_000_000 / RECORDS_BYTES);
+        let mut streams = Vec::new();
+        for n in 0..200 {
+            streams.push(tier.send(&path, &format!("part-{n}")).await);
+        }
+        let answers = join_all(streams.iter_mut().map(read_answer)).await;
+        let served = answers.iter().filter(|a| matches!(a, Some((200, _))));
+        println!("{} served of {}", served.count(), answers.len());
+        assert!(answers.iter().all(Option::is_some), "without an answer");
+        tier.assert_within_memory();
+    });
+}
+
 /// Guards against small answers that are refused because others of their route were large.
 #[test]
 fn small_answers_are_served_beside_large_ones_of_their_route() {
