Bound the heads of lookups and readiness checks

What callers would see: their requests end with the process. 1,500 clients each at the directory and at the readiness listener that send 120 KB of one header let a daemon of a VM with 128 MB use 369 MB (debug build).

Cause: the HTTP library keeps up to 128 KiB of a head for each of 4,096 connections, and both listeners used that bound. A lookup takes some hundred bytes.

Evidence: long_heads_of_lookups_stay_within_the_memory failed with "369 MB used of 128" without the limit.

Why this works: the stream below the library hands it at most 4 KiB of a head, and then asks it once to look for the head's end. If no handler starts, the client gets 431, and what else it sends is read and dropped, so that it can read the answer. Requests that come together on one connection do not count as one head. Listeners whose requests have bodies keep the library's bound.

The log line "serving" names the address for readiness checks, which the test needs.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -318,7 +318,7 @@
         let at = daemon.addresses();
         tracing::info!(
             callers = %at.front, directory = %at.directory, operators = %at.admin,
-            peers = %at.rpc,
+            peers = %at.rpc, ready = %at.ready,
             config_limit = ?tier.config_limit, evacuation_limit = ?tier.evacuation_limit,
             "serving"
         );
--- a/crates/daemon/src/tier/directory.rs
+++ b/crates/daemon/src/tier/directory.rs
@@ -13,9 +13,17 @@
 /// shorter time callers stop using a stopping daemon sooner.
 const ANSWER_TTL: Duration = Duration::from_secs(2);
 
+/// Largest head of a request. A lookup takes some hundred bytes, and as many heads as there are
+/// connections are in memory at once.
+const MAX_HEAD_BYTES: usize = 4 << 10;
+
 /// Serves readiness checks and address lookups on one listener.
 pub(crate) fn serve(listener: TcpListener, shared: SharedView) -> io::Result<Server> {
-    spawn(listener, Limits::default(), move |request| {
+    let limits = Limits {
+        max_head: Some(MAX_HEAD_BYTES),
+        ..Limits::default()
+    };
+    spawn(listener, limits, move |request| {
         let answer = answer(&request, &shared);
         async move { answer }
     })
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -48,6 +48,10 @@
     front: SocketAddr,
     /// Where other daemons connect.
     peers: SocketAddr,
+    /// Where callers look addresses up.
+    directory: SocketAddr,
+    /// Where the platform asks whether the daemon is ready.
+    ready: SocketAddr,
     settings: PathBuf,
     /// Two servers of each service.
     servers: Vec<Arc<State>>,
@@ -101,11 +105,13 @@
             std::thread::spawn(move || output.lines().count());
             addresses
         });
-        let [front, peers] = addresses.await.unwrap();
+        let [front, peers, directory, ready] = addresses.await.unwrap();
         let tier = Self {
             child,
             front,
             peers,
+            directory,
+            ready,
             settings,
             servers,
             _store: store,
@@ -206,8 +212,8 @@
     )
 }
 
-/// Addresses for callers and peers, which the daemon logs when it serves.
-fn addresses(output: &mut impl BufRead) -> [SocketAddr; 2] {
+/// Addresses for callers, peers, lookups and readiness checks, which the daemon logs when it serves.
+fn addresses(output: &mut impl BufRead) -> [SocketAddr; 4] {
     loop {
         let mut line = String::new();
         assert!(output.read_line(&mut line).unwrap() > 0, "the daemon ended");
@@ -215,8 +221,9 @@
             let (_, rest) = line.split_once(&format!("\"{name}\":\""))?;
             rest.split('"').next()?.parse().ok()
         };
-        if let (Some(front), Some(peers)) = (field("callers"), field("peers")) {
-            return [front, peers];
+        let names = ["callers", "peers", "directory", "ready"];
+        if let [Some(front), Some(peers), Some(directory), Some(ready)] = names.map(field) {
+            return [front, peers, directory, ready];
         }
     }
 }
@@ -485,3 +492,27 @@
         tier.assert_within_memory();
     });
 }
+
+/// Guards against memory that grows with each head of a lookup that is long or has no end.
+#[test]
+fn long_heads_of_lookups_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("long-heads").await;
+        let mut endless = b"GET / HTTP/1.1\r\nx-long: ".to_vec();
+        endless.resize(120_000, b'x');
+        let mut streams = Vec::new();
+        for addr in [tier.directory, tier.ready] {
+            for _ in 0..1_500 {
+                let mut stream = TcpStream::connect(addr).await.unwrap();
+                // Fails once the daemon has closed the connection.
+                let _ = timeout(Duration::from_millis(200), stream.write_all(&endless)).await;
+                streams.push(stream);
+            }
+        }
+        let mut lookup = TcpStream::connect(tier.directory).await.unwrap();
+        lookup.write_all(&head("/", "lookup", "")).await.unwrap();
+        let answer = read_answer(&mut lookup).await;
+        assert!(matches!(answer, Some((404, _))), "{answer:?}");
+        tier.assert_within_memory();
+    });
+}
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,7 +1,8 @@
 //! One client's connection, as its requests and its listener see it.
 //!
 //! The HTTP library tells a handler neither when its answer was written nor that the client has sent
-//! all that it will send. [`ClientStream`] stands between the library and the socket and notes both.
+//! all that it will send, and it has a fixed bound for the head of a request. [`ClientStream`] stands
+//! between the library and the socket, notes both, and refuses heads beyond the listener's own bound.
 
 use {
     actix_http::Request,
@@ -22,6 +23,12 @@
     },
 };
 
+/// The answer to a request whose head is too large.
+const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
+/// Bytes that are read at once from a connection whose input is discarded.
+const DISCARD_BYTES: usize = 4 << 10;
+
 /// A client's connection.
 #[derive(Default)]
 pub struct Connection {
@@ -32,6 +39,8 @@
     running: Cell<usize>,
     /// Whether bytes were read since the last answer was written.
     has_input: Cell<bool>,
+    /// Number of bytes read since the last handler started or ended.
+    head: Cell<usize>,
     /// Whether a handler has ended since the last flush.
     answered: Cell<bool>,
     /// Kept until all answers so far are written.
@@ -46,6 +55,7 @@
         let connection = connection(request);
         if let Some(connection) = &connection {
             connection.running.set(connection.running.get() + 1);
+            connection.head.set(0);
         }
         Self(connection)
     }
@@ -56,6 +66,7 @@
         if let Some(connection) = &self.0 {
             connection.running.set(connection.running.get() - 1);
             connection.answered.set(true);
+            connection.head.set(0);
         }
     }
 }
@@ -88,6 +99,7 @@
     fn note_input(&self, bytes: usize) {
         if bytes > 0 {
             self.has_input.set(true);
+            self.head.set(self.head.get() + bytes);
         } else {
             self.input_ended.set(Some(Instant::now()));
             self.ended.notify_waiters();
@@ -104,6 +116,12 @@
         answered
     }
 
+    /// Number of bytes that may be read of the current head; `None` while a handler runs.
+    fn head_room(&self, max_head: usize) -> Option<usize> {
+        let between = self.running.get() == 0;
+        between.then(|| max_head.saturating_sub(self.head.get()))
+    }
+
     fn is_idle(&self) -> bool {
         self.running.get() == 0 && !self.has_input.get()
     }
@@ -114,10 +132,19 @@
     stream: TcpStream,
     connection: Rc<Connection>,
     closing: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    max_head: Option<usize>,
+    /// Whether the head has no room, and the library was asked to look for its end.
+    is_head_full: bool,
+    /// Whether the head was refused. All further input is discarded.
+    is_refused: bool,
 }
 
 impl ClientStream {
-    pub(crate) fn new(stream: TcpStream, mut closed: watch::Receiver<bool>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        max_head: Option<usize>,
+        mut closed: watch::Receiver<bool>,
+    ) -> Self {
         let closing = async move {
             if closed.wait_for(|closed| *closed).await.is_err() {
                 // The listener was dropped; its connections go on.
@@ -128,6 +155,9 @@
             stream,
             connection: Rc::default(),
             closing: Some(Box::pin(closing)),
+            max_head,
+            is_head_full: false,
+            is_refused: false,
         }
     }
 
@@ -135,6 +165,52 @@
         &self.connection
     }
 
+    /// Reads from the socket, but no more than there is room for in the current head.
+    fn poll_input(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let room = self.max_head.and_then(|max| self.connection.head_room(max));
+        match room {
+            _ if self.is_refused => self.poll_discard(cx),
+            None => Pin::new(&mut self.stream).poll_read(cx, buffer),
+            Some(0) if self.is_head_full => {
+                self.is_refused = true;
+                // Fails if the client is gone, or has not read what it got before.
+                let _ = self.stream.try_write(HEAD_TOO_LARGE);
+                self.poll_discard(cx)
+            }
+            Some(0) => {
+                self.is_head_full = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Some(room) => {
+                self.is_head_full = false;
+                let room = room.min(buffer.remaining());
+                let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+                ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+                let read = part.filled().len();
+                buffer.advance(read);
+                Poll::Ready(Ok(()))
+            }
+        }
+    }
+
+    /// Discards input until it ends. Closing at once would reset the connection, and the client could not
+    /// read the answer.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; DISCARD_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer))?;
+            if buffer.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+
     /// Reads what has arrived by now, without waiting. The runtime may have asked the system long ago what
     /// has arrived, if the thread was held up since, so this asks the system itself.
     fn read_arrived(&self, buffer: &mut ReadBuf<'_>) -> io::Result<()> {
@@ -167,7 +243,7 @@
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
         let before = buffer.filled().len();
-        let read = match Pin::new(&mut this.stream).poll_read(cx, buffer) {
+        let read = match this.poll_input(cx, buffer) {
             Poll::Ready(read) => read,
             Poll::Pending if this.is_closing(cx) && this.connection.is_idle() => {
                 let read = this.read_arrived(buffer);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -48,6 +48,10 @@
 pub struct Limits {
     /// Largest number of open connections; further ones are closed without an answer.
     pub max_connections: usize,
+    /// Largest request line and headers together, in bytes; a longer head is refused with status 431.
+    /// `None` leaves the bound to the library, which is 128 KiB. Bytes of a body that a handler left
+    /// unread count as well, so it is for listeners whose requests have no body.
+    pub max_head: Option<usize>,
     /// Time that a client has to send the request line and headers.
     pub header_timeout: Duration,
     /// Time after which an idle connection is closed.
@@ -61,6 +65,7 @@
     fn default() -> Self {
         Self {
             max_connections: 4_096,
+            max_head: None,
             header_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(75),
             setup_delay: Duration::ZERO,
@@ -206,7 +211,7 @@
         let _ = stream.set_nodelay(true);
         let service = service.clone();
         let client = stream.peer_addr().ok();
-        let stream = ClientStream::new(stream, closing.clone());
+        let stream = ClientStream::new(stream, limits.max_head, closing.clone());
         actix_rt::spawn(async move {
             if !limits.setup_delay.is_zero() {
                 actix_rt::time::sleep(limits.setup_delay).await;
--- a/crates/http/tests/answers.rs
+++ b/crates/http/tests/answers.rs
@@ -199,3 +199,52 @@
     let endless = (0..10_000).map(|_| aborted()).collect();
     assert_eq!(accept_all(endless), (vec![], false));
 }
+
+/// A listener with a limit for heads, and what a client gets that sends `input` in parts.
+async fn send_heads(max_head: usize, parts: &[Vec<u8>]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let limits = Limits {
+        max_head: Some(max_head),
+        ..Limits::default()
+    };
+    let server =
+        rattanturn_http::spawn(listener, limits, |_| async { response(200, &[], "") }).unwrap();
+    let mut stream = TcpStream::connect(server.addr()).await.unwrap();
+    for part in parts {
+        stream.write_all(part).await.unwrap();
+        sleep(Duration::from_millis(10)).await;
+    }
+    stream.shutdown().await.unwrap();
+    let mut answers = String::new();
+    let read = timeout(ANSWER_TIME, stream.read_to_string(&mut answers)).await;
+    read.unwrap().unwrap();
+    answers
+}
+
+/// A request whose head has this many bytes.
+fn request_of(bytes: usize) -> Vec<u8> {
+    let mut head = b"GET / HTTP/1.1\r\nhost: h\r\nx-long: ".to_vec();
+    head.resize(bytes - 4, b'x');
+    [head, b"\r\n\r\n".to_vec()].concat()
+}
+
+/// Guards against heads beyond the limit that are kept, and against others that are refused.
+#[test]
+fn only_heads_beyond_the_limit_are_refused() {
+    const MAX_HEAD: usize = 4_096;
+    System::new().block_on(async {
+        let ok = |answers: &str| answers.matches("HTTP/1.1 200").count();
+        let largest = request_of(MAX_HEAD);
+        let answers = send_heads(MAX_HEAD, std::slice::from_ref(&largest)).await;
+        assert_eq!(ok(&answers), 1, "at the limit: {answers}");
+        // Several on one connection, together and one after the other.
+        let pipelined = request_of(600).repeat(40);
+        let answers = send_heads(MAX_HEAD, &[pipelined, largest.clone(), largest]).await;
+        assert_eq!(ok(&answers), 42, "below the limit: {answers}");
+        let answers = send_heads(MAX_HEAD, &[request_of(600), request_of(MAX_HEAD + 1)]).await;
+        assert_eq!(ok(&answers), 1, "before the long one: {answers}");
+        assert_eq!(answers.matches("HTTP/1.1 431").count(), 1, "{answers}");
+        let answers = send_heads(MAX_HEAD, &[request_of(1_000_000)]).await;
+        assert_eq!(status(&answers), 431, "a very long one: {answers}");
+    });
+}
