Close the oldest connections of lookups beyond a part of the memory

What callers would see: with 3,900 clients each at the directory and at the readiness listener that never end their heads, a daemon of a VM with 128 MB used 110 MB, without any request of a caller. At 4,096 connections new lookups were turned away, so silent clients could lock the others out.

Cause: the number of connections did not depend on the VM's memory, and a full listener refused new connections rather than old ones.

Evidence: 110 MB in long_heads_of_lookups_stay_within_the_memory without the budget, which is within the bound, but leaves no room for the third of the memory that answers and requests may hold. silent_connections_make_room_for_others has no bound to check without it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod call_times;
 pub mod catalog;
 pub mod cold;
+pub mod connection_budget;
 pub mod dedup;
 pub mod discovery;
 pub mod dissemination;
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -171,8 +171,9 @@
     let _admin = admin::spawn(start.admin, start.events.clone())?;
     let metrics = start.metrics.map(|m| admin::spawn(m, start.events.clone()));
     let _metrics = metrics.transpose()?;
-    let _ready = directory::serve(start.ready, start.shared.clone())?;
-    let _directory = directory::serve(start.directory, start.shared.clone())?;
+    let memory = start.tier.memory_bytes;
+    let _ready = directory::serve(start.ready, memory, start.shared.clone())?;
+    let _directory = directory::serve(start.directory, memory, start.shared.clone())?;
     let (sender, mut store_events) = mpsc::unbounded_channel();
     let (targets, mut targets_events) = mpsc::unbounded_channel();
     let port = start.settings.peer_port;
--- a/crates/daemon/src/tier/directory.rs
+++ b/crates/daemon/src/tier/directory.rs
@@ -17,9 +17,10 @@
 /// connections are in memory at once.
 const MAX_HEAD_BYTES: usize = 4 << 10;
 
-/// Serves readiness checks and address lookups on one listener.
-pub(crate) fn serve(listener: TcpListener, shared: SharedView) -> io::Result<Server> {
+/// Serves readiness checks and address lookups on one listener of a VM with `memory` bytes.
+pub(crate) fn serve(listener: TcpListener, memory: u64, shared: SharedView) -> io::Result<Server> {
     let limits = Limits {
+        vm_memory: Some(memory),
         max_head: Some(MAX_HEAD_BYTES),
         ..Limits::default()
     };
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -36,7 +36,7 @@
 /// Records of a server take this many bytes.
 const RECORDS_BYTES: usize = 192;
 /// Descriptors that the callers and the daemon need.
-const DESCRIPTORS: u64 = 8_192;
+const DESCRIPTORS: u64 = 10_240;
 /// Longest wait for the daemon's first log lines, and for any answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Services: one whose servers are faulty or send large answers, and one that is sound.
@@ -502,7 +502,7 @@
         endless.resize(120_000, b'x');
         let mut streams = Vec::new();
         for addr in [tier.directory, tier.ready] {
-            for _ in 0..1_500 {
+            for _ in 0..3_900 {
                 let mut stream = TcpStream::connect(addr).await.unwrap();
                 // Fails once the daemon has closed the connection.
                 let _ = timeout(Duration::from_millis(200), stream.write_all(&endless)).await;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 //! be `Send`; a process that wants more threads spawns one listener on each.
 
 mod connection;
+mod connection_limit;
 
 use {
     crate::connection::{ClientStream, Running},
@@ -33,7 +34,10 @@
     tokio::sync::{Notify, watch},
 };
 
-pub use connection::{Connection, connection};
+pub use {
+    connection::{Connection, connection},
+    connection_limit::{ConnectionLimit, LimitedConnection},
+};
 
 /// Time for which a closing listener's connections are still read. Bytes that have arrived by then
 /// are read at once; the time is for the thread to be told of them.
@@ -48,6 +52,9 @@
 pub struct Limits {
     /// Largest number of open connections; further ones are closed without an answer.
     pub max_connections: usize,
+    /// Memory of the VM in bytes. The oldest connections are closed when they need more than a listener's
+    /// part of it; `None` closes none.
+    pub vm_memory: Option<u64>,
     /// Largest request line and headers together, in bytes; a longer head is refused with status 431.
     /// `None` leaves the bound to the library, which is 128 KiB. Bytes of a body that a handler left
     /// unread count as well, so it is for listeners whose requests have no body.
@@ -65,6 +72,7 @@
     fn default() -> Self {
         Self {
             max_connections: 4_096,
+            vm_memory: None,
             max_head: None,
             header_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(75),
@@ -202,12 +210,14 @@
         return;
     };
     let service = Rc::new(service);
+    let limit = limits.vm_memory.map(ConnectionLimit::new);
     let serve = |stream: TcpStream| {
         if counts.open.load(Ordering::Relaxed) >= limits.max_connections {
             counts.refused.fetch_add(1, Ordering::Relaxed);
             return;
         }
         let open = OpenConnection::new(&counts);
+        let limited = limit.as_ref().map(ConnectionLimit::open);
         let _ = stream.set_nodelay(true);
         let service = service.clone();
         let client = stream.peer_addr().ok();
@@ -216,7 +226,11 @@
             if !limits.setup_delay.is_zero() {
                 actix_rt::time::sleep(limits.setup_delay).await;
             }
-            let _ = service.call((stream, client)).await;
+            let served = service.call((stream, client));
+            match limited {
+                Some(limited) => limited.run(served).await,
+                None => drop(served.await),
+            }
             drop(open);
         });
     };
--- a/crates/http/tests/answers.rs
+++ b/crates/http/tests/answers.rs
@@ -248,3 +248,29 @@
         assert_eq!(status(&answers), 431, "a very long one: {answers}");
     });
 }
+
+/// Guards against silent connections that lock other clients out, or are kept without a bound.
+#[test]
+fn silent_connections_make_room_for_others() {
+    System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let limits = Limits {
+            vm_memory: Some(0),
+            ..Limits::default()
+        };
+        let server = rattanturn_http::spawn(listener, limits, handle).unwrap();
+        let mut silent = Vec::new();
+        for _ in 0..500 {
+            silent.push(TcpStream::connect(server.addr()).await.unwrap());
+        }
+        assert_eq!(ask(server.addr(), "/", false).await, 200);
+        let open = server.counts().open.load(Ordering::Relaxed);
+        assert!(open <= 64, "{open} are open");
+        // The newest ones stay.
+        let mut newest = silent.pop().unwrap();
+        newest.write_all(request("/").as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        newest.read_to_string(&mut answer).await.unwrap();
+        assert_eq!(status(&answer), 200);
+    });
+}
