Bound the memory of requests that peers are sending

What callers would see: their requests end with the process. 3,900 connections to the port for peers with 64 KB of a request each, and as many with 8 KB, let a daemon of a VM with 128 MB use 344 MB (debug build).

Cause: a request could have 64 KiB, and the number of connections with a part of one was not bounded. The largest request, for targets, has the digests of 128 buckets, which take 1 KiB.

Evidence: requests_of_many_peers_stay_within_the_memory failed with "344 MB used of 128" with the old bound and without the budget.

Why this works: a request has at most 8 KiB, which fits what the budget of connections counts for each of them, and the oldest connections are closed beyond the listener's part of the memory.

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -226,7 +226,7 @@
     };
     let quarantine = control.quarantine.clone();
     let quotas = control.quotas.clone();
-    actix_rt::spawn(peers::serve(start.rpc, objects, targets));
+    actix_rt::spawn(peers::serve(start.rpc, memory, objects, targets));
     let mut buffer = vec![0; control::MAX_DATAGRAM_BYTES];
     let mut next = clock::now();
     loop {
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -17,6 +17,7 @@
         discovery::{ExpiryNotice, RemovedTarget, Target},
         rendezvous,
     },
+    rattanturn_http::ConnectionLimit,
     rattanturn_platform::Object,
     rattanturn_wire::{
         items::{Items, Values},
@@ -190,8 +191,9 @@
     }
 }
 
-/// Largest request of a peer, in bytes. It names an object, or the digests of all buckets of targets.
-const MAX_REQUEST_BYTES: usize = 64 << 10;
+/// Largest request of a peer, in bytes. It names an object, or the digests of all buckets of targets, which
+/// take 1 KiB.
+const MAX_REQUEST_BYTES: usize = 8 << 10;
 
 /// What this daemon has, for a request to a peer.
 pub(crate) struct KnownTargets {
@@ -262,22 +264,25 @@
     })
 }
 
-/// Serves `objects` to peers on `listener` until the thread ends.
+/// Serves `objects` to peers on `listener` of a VM with `memory` bytes until the thread ends.
 pub(crate) async fn serve(
     listener: std::net::TcpListener,
+    memory: u64,
     objects: SharedObjects,
     targets: UnboundedSender<TargetsEvent>,
 ) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    let limit = ConnectionLimit::new(memory);
     restarted("peers' connections", || {
-        accept(&listener, &objects, &targets)
+        accept(&listener, &limit, &objects, &targets)
     })
     .await
 }
 
 async fn accept(
     listener: &tokio::net::TcpListener,
+    limit: &ConnectionLimit,
     objects: &SharedObjects,
     targets: &UnboundedSender<TargetsEvent>,
 ) -> ! {
@@ -286,6 +291,7 @@
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let connection = limit.open();
         let server = Server {
             objects: objects.clone(),
             targets: targets.clone(),
@@ -295,7 +301,7 @@
         let system = RpcSystem::new(Box::new(network), Some(client.client));
         actix_rt::spawn(async move {
             // An error needs no handling here: the peer connects again for its next fetch.
-            let _ = system.await;
+            connection.run(system).await;
         });
     }
 }
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -516,3 +516,26 @@
         tier.assert_within_memory();
     });
 }
+
+/// Guards against memory that grows with the number of peers that stop in the middle of a request.
+#[test]
+fn requests_of_many_peers_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("many-peers").await;
+        let mut streams = Vec::new();
+        for bytes in [64_000, 8_000] {
+            // A message with one segment, of which the last word is missing.
+            let words = u32::try_from(bytes / 8).unwrap();
+            let head = [0_u32.to_le_bytes(), words.to_le_bytes()].concat();
+            let part = [head, vec![0; bytes - 8]].concat();
+            for _ in 0..3_900 {
+                let mut stream = TcpStream::connect(tier.peers).await.unwrap();
+                // Fails once the daemon has closed the connection.
+                let _ = timeout(Duration::from_millis(200), stream.write_all(&part)).await;
+                streams.push(stream);
+            }
+        }
+        tier.check_sound(Duration::from_millis(500)).await;
+        tier.assert_within_memory();
+    });
+}
