Bound the memory of answers that peers do not read

What callers would see: their requests end with the process. 40 peers that ask 40 times each for the targets, 600 KB, and read nothing let a daemon of a VM with 128 MB use 671 MB (debug build).

Cause: the RPC library queues every answer of a connection until it is written, and nothing counted them. It is the same fault as that of answers whose callers do not read, at the port for peers.

Evidence: answers_that_peers_do_not_read_stay_within_the_memory failed with "671 MB used of 128" while answers did not count.

Why this works: an answer and 1 KiB for its call count for their connection until it ends, in the same part of the memory as the connections, and the oldest ones are closed beyond it.

--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -17,14 +17,14 @@
         discovery::{ExpiryNotice, RemovedTarget, Target},
         rendezvous,
     },
-    rattanturn_http::ConnectionLimit,
+    rattanturn_http::{ConnectionLimit, LimitedConnection},
     rattanturn_platform::Object,
     rattanturn_wire::{
         items::{Items, Values},
         peer_capnp::peer,
     },
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::sync::{mpsc::UnboundedSender, oneshot},
 };
 
@@ -133,9 +133,15 @@
 struct Server {
     objects: SharedObjects,
     targets: UnboundedSender<TargetsEvent>,
+    connection: Rc<LimitedConnection>,
 }
 
 impl Server {
+    /// Counts the reply to a call, which the peer may never read, and what the library keeps of the call.
+    fn count_reply(&self, bytes: usize) {
+        self.connection.add(CALL_BYTES + bytes);
+    }
+
     /// Asks control for the targets that a peer lacks.
     async fn request_targets(
         &self,
@@ -164,9 +170,12 @@
     ) -> Result<(), capnp::Error> {
         let request = params.get()?;
         if request.get_key()?.to_str()? != TARGETS_KEY {
-            return rpc::serve_object(&self.objects, &params, results);
+            let bytes = rpc::serve_object(&self.objects, &params, results)?;
+            self.count_reply(bytes);
+            return Ok(());
         }
         let reply = self.request_targets(Vec::new(), 0).await?;
+        self.count_reply(reply.body.len());
         if reply.revision > request.get_known() {
             let mut out = results.get();
             out.set_version(reply.revision);
@@ -184,6 +193,7 @@
         let request = params.get()?;
         let digests = request.get_digests()?.iter().collect();
         let reply = self.request_targets(digests, request.get_daemons()).await?;
+        self.count_reply(reply.body.len());
         let mut out = results.get();
         out.set_revision(reply.revision);
         out.set_body(&reply.body);
@@ -194,6 +204,8 @@
 /// Largest request of a peer, in bytes. It names an object, or the digests of all buckets of targets, which
 /// take 1 KiB.
 const MAX_REQUEST_BYTES: usize = 8 << 10;
+/// Memory of a call without its reply, in bytes.
+const CALL_BYTES: usize = 1 << 10;
 
 /// What this daemon has, for a request to a peer.
 pub(crate) struct KnownTargets {
@@ -291,10 +303,11 @@
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = limit.open();
+        let connection = Rc::new(limit.open());
         let server = Server {
             objects: objects.clone(),
             targets: targets.clone(),
+            connection: connection.clone(),
         };
         let client: peer::Client = capnp_rpc::new_client(server);
         let network = rpc::vat_network(stream, Side::Server, MAX_REQUEST_BYTES);
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -178,27 +178,28 @@
         params: peer::ObjectParams,
         results: peer::ObjectResults,
     ) -> Result<(), capnp::Error> {
-        serve_object(&self.objects, &params, results)
+        serve_object(&self.objects, &params, results).map(|_| ())
     }
 }
 
-/// Answers a request for a shared object; the answer is empty if there is no newer version than
-/// the one that the requester knows.
+/// Answers a request for a shared object, and returns the length of the answer; it is empty if there is
+/// no newer version than the one that the requester knows.
 pub(crate) fn serve_object(
     objects: &SharedObjects,
     params: &peer::ObjectParams,
     mut results: peer::ObjectResults,
-) -> Result<(), capnp::Error> {
+) -> Result<usize, capnp::Error> {
     let params = params.get()?;
     let objects = objects.lock().unwrap_or_else(PoisonError::into_inner);
-    if let Some(newer) = objects.update_since(params.get_key()?.to_str()?, params.get_known()) {
-        let mut out = results.get();
-        out.set_version(newer.version);
-        out.set_body(&newer.data);
-        out.set_base(newer.base);
-        out.set_digest(newer.digest);
-    }
-    Ok(())
+    let Some(newer) = objects.update_since(params.get_key()?.to_str()?, params.get_known()) else {
+        return Ok(0);
+    };
+    let mut out = results.get();
+    out.set_version(newer.version);
+    out.set_body(&newer.data);
+    out.set_base(newer.base);
+    out.set_digest(newer.digest);
+    Ok(newer.data.len())
 }
 
 /// Collects the results that become known in one turn of the event loop and sends them in one
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -4,12 +4,15 @@
 
 use {
     actix_rt::{System, time::sleep},
-    futures::future::join_all,
+    capnp::message::ReaderOptions,
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::{AsyncReadExt as _, future::join_all},
     rattanturn_standins::{
         operator::{ConfigBuilder, HOST, register_target},
         platform::Platform,
         shard::{self, Endless, Fault, State, TargetConfig},
     },
+    rattanturn_wire::peer_capnp::peer,
     rustix::process::{Resource, Rlimit, getrlimit, setrlimit},
     std::{
         fs,
@@ -25,6 +28,7 @@
         net::TcpStream,
         time::timeout,
     },
+    tokio_util::compat::TokioAsyncReadCompatExt,
 };
 
 /// Memory of the daemon's VM, in MB: that of the smallest of the deployments.
@@ -55,7 +59,7 @@
     settings: PathBuf,
     /// Two servers of each service.
     servers: Vec<Arc<State>>,
-    _store: Platform,
+    store: Platform,
 }
 
 impl Tier {
@@ -114,7 +118,7 @@
             ready,
             settings,
             servers,
-            _store: store,
+            store,
         };
         let began = Instant::now();
         while tier.ask("/sound/x").await != Some((200, RECORDS_BYTES)) {
@@ -539,3 +543,39 @@
         tier.assert_within_memory();
     });
 }
+
+/// Guards against memory that grows with each answer that a peer does not read.
+#[test]
+fn answers_that_peers_do_not_read_stay_within_the_memory() {
+    /// Number of peers.
+    const PEERS: usize = 40;
+    /// Requests of each.
+    const REQUESTS: usize = 1_000;
+    System::new().block_on(async {
+        let tier = Tier::spawn("unread-by-peers").await;
+        // All of them take some 600 KB in an answer.
+        for n in 0..3_000 {
+            let name = format!("further-{n}");
+            let mut entry = tier.servers[0].entry("ready", 1);
+            entry["service"] = "further".into();
+            tier.store.state().write("servers", &name, entry);
+        }
+        sleep(Duration::from_secs(3)).await;
+        let mut peers = Vec::new();
+        for _ in 0..PEERS {
+            let stream = TcpStream::connect(tier.peers).await.unwrap();
+            let (reader, writer) = stream.compat().split();
+            let network = VatNetwork::new(reader, writer, Side::Client, ReaderOptions::new());
+            let mut system = RpcSystem::new(Box::new(network), None);
+            let client: peer::Client = system.bootstrap(Side::Server);
+            let answers: Vec<_> = (0..REQUESTS)
+                .map(|_| client.targets_request().send().promise)
+                .collect();
+            // The requests are sent in this time; nothing is read afterwards.
+            let _ = timeout(Duration::from_millis(20), &mut system).await;
+            peers.push((system, answers));
+        }
+        tier.check_sound(Duration::from_secs(3)).await;
+        tier.assert_within_memory();
+    });
+}
