Ask a peer for other routes after it did not answer one

What callers saw: at a daemon that reaches no target, requests of a sound service got 503, while requests of another one whose answers found no room went to the same peer.

Cause: a peer that refused one request, or had not answered it by its deadline, was asked for nothing for a second. The pause is to bound what is sent in vain while targets are down, which says nothing about the targets of other routes or the room for their answers.

Why this works: such a peer is paused for the route. One that cannot be reached, or whose connection broke, is paused for all routes as before. What is sent in vain to six peers stays within the same bound for each route (core/tests/relay.rs).

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -19,8 +19,9 @@
 
 /// Number of peers that are asked to run one request, one after the other while none has.
 pub const MAX_PEERS: usize = 2;
-/// A peer that did not run a request is not asked again for this time. It bounds what is sent in vain
-/// while the targets are down for everyone.
+/// A peer that did not answer a request is not asked to run one of the same route for this time, and one
+/// that could not be reached none at all. It bounds what is sent in vain while the targets are down for
+/// everyone.
 const PEER_PAUSE: Duration = Duration::from_secs(1);
 
 /// A call that a daemon began for a request before it passes the request on.
@@ -114,21 +115,28 @@
 /// let all = [frontend(1), frontend(2), frontend(3)];
 /// let mut relays = Relays::default();
 /// let now = Time::from_millis(1_000);
-/// assert_eq!(relays.choose(now, &all, NodeId(1), "a", 0).len(), 2);
-/// relays.failed(now, NodeId(2));
-/// assert_eq!(relays.choose(now, &all, NodeId(1), "a", 0)[0].id, NodeId(3));
+/// let first = |relays: &Relays, route: &str| {
+///     relays.choose(now, &all, NodeId(1), "a", (route, 0)).first().map(|f| f.id)
+/// };
+/// relays.refused(now, NodeId(2), "search");
+/// assert_eq!(first(&relays, "search"), Some(NodeId(3)));
+/// relays.failed(now, NodeId(3));
+/// assert_eq!(first(&relays, "search"), None);
+/// assert_eq!(first(&relays, "orders"), Some(NodeId(2)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Relays {
     /// Until when each peer that failed is not asked.
     paused: HashMap<NodeId, Time>,
+    /// Until when each peer is not asked to run requests of a route.
+    refusing: HashMap<(NodeId, String), Time>,
     /// Whether the last request that was sent to peers was run by one.
     useful: bool,
 }
 
 impl Relays {
-    /// Peers to send a request to, in this order: those in data centre `centre` first, then in turn
-    /// those of the other data centres. `tie_break` should differ from request to request.
+    /// Peers to send a request of a route to, in this order: those in data centre `centre` first, then in
+    /// turn those of the other data centres. `tie_break` should differ from request to request.
     #[must_use]
     pub fn choose<'a>(
         &self,
@@ -136,10 +144,10 @@
         frontends: &'a [Frontend],
         me: NodeId,
         centre: &str,
-        tie_break: u64,
+        (route, tie_break): (&str, u64),
     ) -> Vec<&'a Frontend> {
         let mut peers = addresses::advertised(frontends);
-        peers.retain(|f| f.id != me && self.paused.get(&f.id).is_none_or(|until| now >= *until));
+        peers.retain(|f| f.id != me && !self.is_paused(now, f.id, route));
         peers.sort_by_key(|f| rendezvous::score(f.id, tie_break));
         let (near, far): (Vec<&Frontend>, Vec<&Frontend>) =
             peers.into_iter().partition(|f| f.centre == centre);
@@ -152,12 +160,26 @@
         self.useful = true;
     }
 
-    /// Records that a peer did not run a request.
+    fn is_paused(&self, now: Time, peer: NodeId, route: &str) -> bool {
+        let route = self.refusing.get(&(peer, route.to_owned()));
+        let pauses = self.paused.get(&peer).into_iter().chain(route);
+        pauses.into_iter().any(|until| now < *until)
+    }
+
+    /// Records that a peer could not be reached, or that the connection to it broke.
     pub fn failed(&mut self, now: Time, peer: NodeId) {
         self.paused.retain(|_, until| now < *until);
         self.paused.insert(peer, now + PEER_PAUSE);
     }
 
+    /// Records that a peer gave no answer to a request of a route, or did not run it. It may run those of
+    /// others, whose targets may be well or whose answers may have room.
+    pub fn refused(&mut self, now: Time, peer: NodeId, route: &str) {
+        self.refusing.retain(|_, until| now < *until);
+        self.refusing
+            .insert((peer, route.to_owned()), now + PEER_PAUSE);
+    }
+
     /// Records that no peer ran a request.
     pub fn exhausted(&mut self) {
         self.useful = false;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -125,7 +125,7 @@
     let mut relays = Relays::default();
     let now = Time::from_millis(5_000);
     let ids = |relays: &Relays, now| -> Vec<u64> {
-        let chosen = relays.choose(now, &all, NodeId(0), "a", 7);
+        let chosen = relays.choose(now, &all, NodeId(0), "a", ("route", 7));
         chosen.iter().map(|f| f.id.0).collect()
     };
     assert_eq!(ids(&relays, now)[0], 1);
@@ -139,23 +139,46 @@
 /// The targets are down for everyone: what is sent to peers in vain stays bounded, whatever the load.
 #[test]
 fn requests_sent_in_vain_are_bounded() {
-    let all = frontends(&["a", "a", "b", "b", "c", "c"]);
-    let mut relays = Relays::default();
-    let mut sent = 0;
-    for ms in 0..10_000 {
-        let now = Time::from_millis(100_000 + ms);
-        let peers: Vec<NodeId> = relays
-            .choose(now, &all, NodeId(0), "a", ms)
-            .iter()
-            .map(|f| f.id)
-            .collect();
-        for peer in peers {
-            sent += 1;
-            relays.failed(now, peer);
+    for reached in [false, true] {
+        let all = frontends(&["a", "a", "b", "b", "c", "c"]);
+        let mut relays = Relays::default();
+        let mut sent = 0;
+        for ms in 0..10_000 {
+            let now = Time::from_millis(100_000 + ms);
+            let peers: Vec<NodeId> = relays
+                .choose(now, &all, NodeId(0), "a", ("route", ms))
+                .iter()
+                .map(|f| f.id)
+                .collect();
+            for peer in peers {
+                sent += 1;
+                if reached {
+                    relays.refused(now, peer, "route");
+                } else {
+                    relays.failed(now, peer);
+                }
+            }
+            relays.exhausted();
         }
-        relays.exhausted();
+        assert!(sent <= 5 * 10, "{sent} of 10,000 requests");
     }
-    assert!(sent <= 5 * 10, "{sent} of 10,000 requests");
+}
+
+/// Guards against a route that is refused because a peer had no room for answers of another one.
+#[test]
+fn a_peer_that_refuses_one_route_is_asked_for_others() {
+    let all = frontends(&["a", "a"]);
+    let (mut relays, now) = (Relays::default(), Time::from_millis(100_000));
+    let asked = |relays: &Relays, route, now| {
+        let peers = relays.choose(now, &all, NodeId(0), "a", (route, 0));
+        peers.len()
+    };
+    relays.refused(now, NodeId(1), "large");
+    assert_eq!(asked(&relays, "large", now), 0);
+    assert_eq!(asked(&relays, "small", now), 1);
+    assert_eq!(asked(&relays, "large", now + Duration::from_secs(1)), 1);
+    relays.failed(now, NodeId(1));
+    assert_eq!(asked(&relays, "small", now), 0, "it cannot be reached");
 }
 
 /// Guards against refusals because of calls that no target got, and against a peer that exceeds the
--- a/crates/daemon/src/tier/relay.rs
+++ b/crates/daemon/src/tier/relay.rs
@@ -29,7 +29,7 @@
         rendezvous,
     },
     rattanturn_platform::http::{relay_headers, request_id, return_headers},
-    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
+    std::{cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc},
     tokio::time::timeout,
 };
 
@@ -67,10 +67,14 @@
     Ran(Answer),
     /// It has certainly not run it.
     NotRun,
+    /// It was not reached.
+    NotReached,
     /// It has not run it, because the caller's account is over its limit.
     OverLimit(Answer),
-    /// It may have run it, but no answer came.
+    /// It may have run it, but the connection broke.
     Lost,
+    /// It may have run it, but its answer was late, could not be read or had no room.
+    NoAnswer,
 }
 
 /// Connections to peers, and what is known of the peers.
@@ -93,11 +97,12 @@
     /// Has a peer run a request.
     pub(crate) async fn run(&self, request: Relayed<'_>) -> RelayResult {
         let id = request.call.id.as_deref().unwrap_or("");
-        let tie_break = rendezvous::key(id);
+        let route = &*request.call.route;
+        let order = (route, rendezvous::key(id));
         let peers: Vec<Frontend> = {
             let (relays, view) = (self.relays.borrow(), request.view);
             let now = clock::now();
-            let peers = relays.choose(now, &view.frontends, view.me, request.centre, tie_break);
+            let peers = relays.choose(now, &view.frontends, view.me, request.centre, order);
             peers.into_iter().cloned().collect()
         };
         for peer in &peers {
@@ -118,21 +123,33 @@
                         RelayResult::Answered(pass_back(answer))
                     };
                 }
-                PeerOutcome::NotRun => meters::count_relay("not-run"),
                 // The peer may have sent it to as many targets as are allowed, so nobody else may.
-                PeerOutcome::Lost => {
+                outcome @ (PeerOutcome::Lost | PeerOutcome::NoAnswer) => {
                     meters::count_relay("lost");
-                    self.relays.borrow_mut().failed(clock::now(), peer.id);
+                    self.pause(peer, route, matches!(outcome, PeerOutcome::Lost));
                     return RelayResult::Lost;
                 }
+                outcome @ (PeerOutcome::NotRun | PeerOutcome::NotReached) => {
+                    meters::count_relay("not-run");
+                    self.pause(peer, route, matches!(outcome, PeerOutcome::NotReached));
+                }
             }
             tracing::debug!(request = id, peer = %peer.addr, "a peer did not run a request");
-            self.relays.borrow_mut().failed(clock::now(), peer.id);
         }
         self.relays.borrow_mut().exhausted();
         RelayResult::NotRun
     }
 
+    /// Asks a peer to run no request for a while, or none of a route.
+    fn pause(&self, peer: &Frontend, route: &str, all_routes: bool) {
+        let (mut relays, now) = (self.relays.borrow_mut(), clock::now());
+        if all_routes {
+            relays.failed(now, peer.id);
+        } else {
+            relays.refused(now, peer.id, route);
+        }
+    }
+
     /// Whether callers should be directed to other daemons; `lost` tells whether this daemon has
     /// lost most targets.
     pub(crate) fn is_withdrawn(&self, lost: bool) -> bool {
@@ -144,7 +161,7 @@
         let remaining = call.deadline.since(clock::now());
         let connecting = self.connect(peer.addr, call.non_idempotent);
         let Ok(Some(mut connection)) = timeout(remaining, connecting).await else {
-            return PeerOutcome::NotRun;
+            return PeerOutcome::NotReached;
         };
         let remaining = call.deadline.since(clock::now());
         let mut extra = relay_headers(remaining);
@@ -178,7 +195,9 @@
                     PeerVerdict::OverLimit => PeerOutcome::OverLimit(answer),
                 }
             }
-            Ok(Err(_)) | Err(_) => PeerOutcome::Lost,
+            Ok(Err(error)) if error.kind() == ErrorKind::InvalidData => PeerOutcome::NoAnswer,
+            Ok(Err(_)) => PeerOutcome::Lost,
+            Err(_) => PeerOutcome::NoAnswer,
         }
     }
 
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -17,7 +17,7 @@
     std::{
         fs,
         io::{BufRead, BufReader},
-        net::SocketAddr,
+        net::{SocketAddr, UdpSocket},
         path::PathBuf,
         process::{Child, Command, Stdio},
         sync::Arc,
@@ -46,8 +46,8 @@
 /// Services: one whose servers are faulty or send large answers, and one that is sound.
 const SERVICES: [&str; 2] = ["large", "sound"];
 
-/// The daemon's process and the servers.
-struct Tier {
+/// A daemon's process.
+struct Daemon {
     child: Child,
     front: SocketAddr,
     /// Where other daemons connect.
@@ -57,6 +57,63 @@
     /// Where the platform asks whether the daemon is ready.
     ready: SocketAddr,
     settings: PathBuf,
+}
+
+impl Daemon {
+    async fn spawn(name: &str, settings_text: String) -> Self {
+        let settings = std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()));
+        fs::write(&settings, settings_text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        // The log is read in a thread of its own, as the store runs on this one.
+        let addresses = actix_rt::task::spawn_blocking(move || {
+            let addresses = addresses(&mut output);
+            std::thread::spawn(move || output.lines().count());
+            addresses
+        });
+        let [front, peers, directory, ready] = addresses.await.unwrap();
+        Self {
+            child,
+            front,
+            peers,
+            directory,
+            ready,
+            settings,
+        }
+    }
+
+    /// Most memory that the daemon has used so far, in MB.
+    fn peak_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).expect("the daemon ended");
+        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        let kib: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kib * 1_024 / 1_000_000
+    }
+
+    fn assert_within_memory(&self) {
+        let peak = self.peak_mb();
+        println!("peak {peak} MB");
+        assert!(peak < MEMORY_MB, "{peak} MB used of {MEMORY_MB}");
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The process may have ended already, so errors are ignored.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// A daemon, the servers and the store.
+struct Tier {
+    daemon: Daemon,
     /// Two servers of each service.
     servers: Vec<Arc<State>>,
     store: Platform,
@@ -68,6 +125,14 @@
     }
 
     async fn spawn_with(name: &str, memory_mb: u64) -> Self {
+        let memory = format!("memory-mb = {memory_mb}");
+        let tier = Self::start(name, "name = d0\ngossip-port = 0", &memory).await;
+        tier.wait_ready().await;
+        tier
+    }
+
+    /// Starts a daemon whose settings have these lines.
+    async fn start(name: &str, gossip: &str, tier: &str) -> Self {
         raise_descriptors();
         let store = Platform::spawn().unwrap();
         let mut servers = Vec::new();
@@ -95,50 +160,24 @@
             .limits(LARGE_LIMIT_MS, LARGE_LIMIT_MS / 2)
             .single_route("/sound/", "sound", true)
             .write(&store.state());
-        let settings = settings_path(name);
-        fs::write(&settings, settings_text(store.addr(), memory_mb)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_rattanturnd"))
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut output = BufReader::new(child.stdout.take().unwrap());
-        // The log is read in a thread of its own, as the store runs on this one.
-        let addresses = actix_rt::task::spawn_blocking(move || {
-            let addresses = addresses(&mut output);
-            std::thread::spawn(move || output.lines().count());
-            addresses
-        });
-        let [front, peers, directory, ready] = addresses.await.unwrap();
-        let tier = Self {
-            child,
-            front,
-            peers,
-            directory,
-            ready,
-            settings,
+        let text = settings_text(gossip, tier, store.addr());
+        Self {
+            daemon: Daemon::spawn(name, text).await,
             servers,
             store,
-        };
+        }
+    }
+
+    async fn wait_ready(&self) {
         let began = Instant::now();
-        while tier.ask("/sound/x").await != Some((200, RECORDS_BYTES)) {
+        while self.ask("/sound/x").await != Some((200, RECORDS_BYTES)) {
             assert!(began.elapsed() < ANSWER_TIMEOUT, "not ready");
             sleep(Duration::from_millis(50)).await;
         }
-        tier
-    }
-
-    /// Most memory that the daemon has used so far, in MB.
-    fn peak_mb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let text = fs::read_to_string(path).expect("the daemon ended");
-        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
-        let kib: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
-        kib * 1_024 / 1_000_000
     }
 
     async fn connect(&self) -> TcpStream {
-        TcpStream::connect(self.front).await.unwrap()
+        TcpStream::connect(self.daemon.front).await.unwrap()
     }
 
     /// Sends a request; the answer is left unread.
@@ -175,21 +214,6 @@
             sleep(Duration::from_millis(20)).await;
         }
     }
-
-    fn assert_within_memory(&self) {
-        let peak = self.peak_mb();
-        println!("peak {peak} MB");
-        assert!(peak < MEMORY_MB, "{peak} MB used of {MEMORY_MB}");
-    }
-}
-
-impl Drop for Tier {
-    fn drop(&mut self) {
-        // The process may have ended already, so errors are ignored.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.settings);
-    }
 }
 
 /// Lets this process, and with it the daemon, open as many files as callers need.
@@ -203,16 +227,13 @@
     setrlimit(Resource::Nofile, raised).unwrap();
 }
 
-fn settings_path(name: &str) -> PathBuf {
-    std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()))
-}
-
-fn settings_text(store: SocketAddr, memory_mb: u64) -> String {
+/// Settings of a daemon with a store; `gossip` and `tier` are lines of these sections.
+fn settings_text(gossip: &str, tier: &str, store: SocketAddr) -> String {
     format!(
-        "[daemon]\nname = d0\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\nrpc-port = 0\n\
-         gossip-port = 0\ndrain-limit = 3s\n\
-         [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
-         memory-mb = {memory_mb}\n[platform]\naddress = {store}\n[log]\nformat = json\n"
+        "[daemon]\ndata-centre = a\nip = 127.0.0.1\nadmin-port = 0\nrpc-port = 0\n\
+         drain-limit = 3s\n{gossip}\n\
+         [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n{tier}\n\
+         [platform]\naddress = {store}\n[log]\nformat = json\n"
     )
 }
 
@@ -280,7 +301,7 @@
     System::new().block_on(async {
         let tier = Tier::spawn("unread-answers").await;
         let answers = read_late(&tier, 300, Duration::from_secs(7)).await;
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
         let whole = Some((200, LARGE * RECORDS_BYTES));
         let served = answers.iter().filter(|a| **a == whole).count();
         let refused = |a: &&Option<(u16, usize)>| matches!(a, Some((502..=504, _)));
@@ -325,7 +346,7 @@
         }
         println!("{refused} refused");
         assert!(refused > 0, "there was memory for all");
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
     });
 }
 
@@ -366,7 +387,7 @@
         let served = answers.iter().filter(|a| matches!(a, Some((200, _))));
         println!("{} served of {}", served.count(), answers.len());
         assert!(answers.iter().all(Option::is_some), "without an answer");
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
     });
 }
 
@@ -409,7 +430,7 @@
             streams.push(stream);
         }
         tier.check_sound(Duration::from_secs(3)).await;
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
         // A caller that sends all of its request finds room among those that have stalled.
         let mut stream = tier.connect().await;
         let head = head("/sound/x", "sent", &length_of(length));
@@ -465,9 +486,9 @@
                 let answer = read_answer(stream).await.expect("an answer");
                 assert!(matches!(answer.0, 502..=504), "{kind:?}: {answer:?}");
             }
-            println!("{kind:?}: peak {} MB", tier.peak_mb());
+            println!("{kind:?}: peak {} MB", tier.daemon.peak_mb());
         }
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
     });
 }
 
@@ -480,7 +501,7 @@
         let tier = Tier::spawn("long-messages").await;
         let mut streams = Vec::new();
         for _ in 0..4 {
-            let mut stream = TcpStream::connect(tier.peers).await.unwrap();
+            let mut stream = TcpStream::connect(tier.daemon.peers).await.unwrap();
             // The head of a message: it has one segment of this length.
             let head = [0_u32.to_le_bytes(), WORDS.to_le_bytes()].concat();
             let part = vec![0; 59_000_000];
@@ -493,7 +514,7 @@
             streams.push(stream);
         }
         tier.check_sound(Duration::from_millis(500)).await;
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
     });
 }
 
@@ -505,7 +526,7 @@
         let mut endless = b"GET / HTTP/1.1\r\nx-long: ".to_vec();
         endless.resize(120_000, b'x');
         let mut streams = Vec::new();
-        for addr in [tier.directory, tier.ready] {
+        for addr in [tier.daemon.directory, tier.daemon.ready] {
             for _ in 0..3_900 {
                 let mut stream = TcpStream::connect(addr).await.unwrap();
                 // Fails once the daemon has closed the connection.
@@ -513,11 +534,11 @@
                 streams.push(stream);
             }
         }
-        let mut lookup = TcpStream::connect(tier.directory).await.unwrap();
+        let mut lookup = TcpStream::connect(tier.daemon.directory).await.unwrap();
         lookup.write_all(&head("/", "lookup", "")).await.unwrap();
         let answer = read_answer(&mut lookup).await;
         assert!(matches!(answer, Some((404, _))), "{answer:?}");
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
     });
 }
 
@@ -533,14 +554,14 @@
             let head = [0_u32.to_le_bytes(), words.to_le_bytes()].concat();
             let part = [head, vec![0; bytes - 8]].concat();
             for _ in 0..3_900 {
-                let mut stream = TcpStream::connect(tier.peers).await.unwrap();
+                let mut stream = TcpStream::connect(tier.daemon.peers).await.unwrap();
                 // Fails once the daemon has closed the connection.
                 let _ = timeout(Duration::from_millis(200), stream.write_all(&part)).await;
                 streams.push(stream);
             }
         }
         tier.check_sound(Duration::from_millis(500)).await;
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
     });
 }
 
@@ -563,7 +584,7 @@
         sleep(Duration::from_secs(3)).await;
         let mut peers = Vec::new();
         for _ in 0..PEERS {
-            let stream = TcpStream::connect(tier.peers).await.unwrap();
+            let stream = TcpStream::connect(tier.daemon.peers).await.unwrap();
             let (reader, writer) = stream.compat().split();
             let network = VatNetwork::new(reader, writer, Side::Client, ReaderOptions::new());
             let mut system = RpcSystem::new(Box::new(network), None);
@@ -576,6 +597,37 @@
             peers.push((system, answers));
         }
         tier.check_sound(Duration::from_secs(3)).await;
-        tier.assert_within_memory();
+        tier.daemon.assert_within_memory();
+    });
+}
+
+/// Guards against answers that count only at one of the two daemons that pass them on.
+#[test]
+fn unread_answers_that_a_peer_passes_on_stay_within_the_memory_of_both() {
+    System::new().block_on(async {
+        let [own, peer] = free_udp_ports();
+        let gossip = |name: &str, port, peer| {
+            format!("name = {name}\ngossip-port = {port}\npeers = 127.0.0.1:{peer}")
+        };
+        let memory = format!("memory-mb = {MEMORY_MB}");
+        // Nothing listens at this gateway, so the daemon reaches no server itself.
+        let cut_off = format!("{memory}\ntarget-gateway = 127.0.0.2");
+        let tier = Tier::start("relays", &gossip("d0", own, peer), &cut_off).await;
+        let other = settings_text(&gossip("d1", peer, own), &memory, tier.store.addr());
+        let other = Daemon::spawn("runs-for-peer", other).await;
+        tier.wait_ready().await;
+        let answers = read_late(&tier, 300, Duration::from_secs(7)).await;
+        tier.daemon.assert_within_memory();
+        other.assert_within_memory();
+        assert!(answers.iter().all(Option::is_some), "without an answer");
+        // All memory is free again.
+        let answer = tier.ask_until_room(&format!("/large/copies-{LARGE}")).await;
+        assert_eq!(answer, (200, LARGE * RECORDS_BYTES));
     });
 }
+
+/// Ports that no one uses at the time.
+fn free_udp_ports() -> [u16; 2] {
+    let sockets = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+    sockets.map(|s| s.local_addr().unwrap().port())
+}
