Show that a store that sends without end does not use up the memory

The report is of a faulty server; the store is one that every daemon reads. Its answers were bounded in the store's own tests, and nothing looked at the memory of a daemon beside it.

The test's store sends a head, header lines, a body or chunks until the connection is closed. No code changed, so this is proof and no fix.

--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -15,17 +15,19 @@
     rattanturn_wire::peer_capnp::peer,
     rustix::process::{Resource, Rlimit, getrlimit, setrlimit},
     std::{
+        cell::Cell,
         fs,
         io::{BufRead, BufReader},
         net::{SocketAddr, UdpSocket},
         path::PathBuf,
         process::{Child, Command, Stdio},
+        rc::Rc,
         sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpListener, TcpStream},
         time::timeout,
     },
     tokio_util::compat::TokioAsyncReadCompatExt,
@@ -631,3 +633,62 @@
     let sockets = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
     sockets.map(|s| s.local_addr().unwrap().port())
 }
+
+/// Guards against memory that grows with what a faulty store sends without end.
+#[test]
+fn endless_answers_of_the_store_stay_within_the_memory() {
+    System::new().block_on(async {
+        let page = r#"{"items":[{"meta":{"name":"x","revision":1},"spec":{}}],"more":true,"#;
+        let kinds = [
+            ("head", "HTTP/1.1 200 OK\r\nx-long: ".to_owned()),
+            ("lines", "HTTP/1.1 200 OK\r\n".to_owned()),
+            ("body", format!("HTTP/1.1 200 OK\r\n\r\n{page}")),
+            (
+                "chunks",
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_owned(),
+            ),
+        ];
+        for (kind, begin) in kinds {
+            let part = match kind {
+                "lines" => "x-line: of a head\r\n".repeat(4_000),
+                "chunks" => format!("8000\r\n{}\r\n", "x".repeat(0x8000)),
+                _ => "x".repeat(64_000),
+            };
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let store = listener.local_addr().unwrap();
+            let sent = Rc::new(Cell::new(0));
+            let server = actix_rt::spawn(send_without_end(listener, begin, part, sent.clone()));
+            let memory = format!("memory-mb = {MEMORY_MB}");
+            let text = settings_text("name = d0\ngossip-port = 0", &memory, store);
+            let daemon = Daemon::spawn("endless-store", text).await;
+            sleep(Duration::from_secs(2)).await;
+            println!("{kind}: {} MB sent", sent.get() / 1_000_000);
+            assert!(sent.get() > 0, "{kind}: the store is not read");
+            daemon.assert_within_memory();
+            server.abort();
+        }
+    });
+}
+
+/// Answers each connection with `begin` and then `part` again and again, until it is closed; counts
+/// the bytes.
+async fn send_without_end(
+    listener: TcpListener,
+    begin: String,
+    part: String,
+    sent: Rc<Cell<usize>>,
+) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let (begin, part, sent) = (begin.clone(), part.clone(), sent.clone());
+        actix_rt::spawn(async move {
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request).await;
+            let mut next = stream.write_all(begin.as_bytes()).await;
+            while next.is_ok() {
+                sent.set(sent.get() + part.len());
+                next = stream.write_all(part.as_bytes()).await;
+            }
+        });
+    }
+}
