Give the refusal of a request a reason of its own

The reason of the log line "request refused" and of its counter was found by comparing the answer's text, so that rewording an answer would have changed what operators count. A refusal has its reason from the place that refuses. No behaviour changes.

--- a/crates/daemon/src/tier/front.rs
+++ b/crates/daemon/src/tier/front.rs
@@ -12,14 +12,21 @@
 //! leaving. When it closes, what the callers have sent by then is still read and answered, and idle
 //! connections end. They are closed for sending first, so that callers see a clean end.
 
+mod refusal;
+mod unanswered;
+
 use {
+    self::{
+        refusal::{ReadError, count, refuse, refuse_for_memory, refuse_for_stop},
+        unanswered::{RequestEnd, Unanswered},
+    },
     crate::{
         clock, planted,
         stop::{sleep_until, stop_time},
         supervise::{panic_text, restarted},
         tier::{
             ending::{Ending, HALF_CLOSED_TIME, Stage},
-            memory::{Hold, NoRoom, Refused, UNCOUNTED_BYTES, Upload},
+            memory::{Hold, Refused, UNCOUNTED_BYTES, Upload},
             meters, query, relay,
             request::{Incoming, RETRY_AFTER, Reply},
             traffic::Traffic,
@@ -33,7 +40,7 @@
     },
     bytes::{Bytes, BytesMut},
     futures::FutureExt,
-    rattanturn_core::{Time, catalog::CallerLimits, shutdown::StopSchedule},
+    rattanturn_core::{catalog::CallerLimits, shutdown::StopSchedule},
     rattanturn_http::accept_waiting,
     rattanturn_platform::http::{echo_request_id, request_id},
     std::{
@@ -59,8 +66,6 @@
 /// Time for which a connection without a request is still read when the daemon closes. Bytes that
 /// have arrived by then are read at once; the time is for the thread to be told of them.
 const LAST_READ_TIME: Duration = Duration::from_millis(20);
-/// Answer to a request that there is no memory for.
-const NO_ROOM_TEXT: &str = "too many large requests are open\n";
 /// Delay after a failed accept, for which the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -120,22 +125,6 @@
     });
 }
 
-/// Why a request could not be read.
-enum ReadError {
-    /// The connection broke or was closed by the caller.
-    Ended,
-    /// The connection is to be closed because it is idle.
-    Idle,
-    /// The request is invalid, too large or too slow; the answer says which.
-    Refused(Reply),
-}
-
-impl From<io::Error> for ReadError {
-    fn from(_: io::Error) -> Self {
-        Self::Ended
-    }
-}
-
 struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
@@ -173,10 +162,10 @@
             let limits = caller_limits(traffic);
             let incoming = match self.read_until_stop(traffic, limits).await {
                 Ok(incoming) => incoming,
-                Err(ReadError::Refused(answer)) => {
-                    log_read_error(&answer);
+                Err(ReadError::Refused(refusal)) => {
+                    refusal.record();
                     self.buffer = BytesMut::new();
-                    self.write(answer, true, limits.idle_time).await?;
+                    self.write(refusal.answer, true, limits.idle_time).await?;
                     return self.linger().await;
                 }
                 Err(_) => return Ok(()),
@@ -276,8 +265,7 @@
             biased;
             read = self.read_request(traffic, limits) => read,
             () = stop_time(traffic.stop_schedule(), StopSchedule::answer_by) => {
-                let text = "this daemon stops; the request was not read\n";
-                Err(ReadError::Refused(Reply::not_run(text, Duration::ZERO)))
+                refuse_for_stop()
             }
         }
     }
@@ -519,116 +507,6 @@
     }
 }
 
-/// How a request that was read as a whole ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RequestEnd {
-    /// The whole answer was written.
-    Answered,
-    /// The connection broke before the answer.
-    Reset,
-    /// The connection broke while the answer was written.
-    WriteFailed,
-    /// The caller stopped reading its answer.
-    Unread,
-    /// The connection's task was dropped, because the process ends.
-    Dropped,
-}
-
-impl RequestEnd {
-    /// Value of the metric label and log field `end`.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Reset => "reset",
-            Self::WriteFailed => "write-failed",
-            Self::Unread => "unread",
-            Self::Dropped => "dropped",
-        }
-    }
-}
-
-/// A request that was read and is not answered yet. It is logged and counted if it ends so.
-struct Unanswered {
-    traffic: Rc<Traffic>,
-    id: String,
-    arrived: Time,
-    ended: bool,
-}
-
-impl Unanswered {
-    fn new(traffic: &Rc<Traffic>, incoming: &Incoming) -> Self {
-        Self {
-            traffic: traffic.clone(),
-            id: request_id(incoming.head()).unwrap_or("").to_owned(),
-            arrived: incoming.arrived,
-            ended: false,
-        }
-    }
-
-    fn end(mut self, end: RequestEnd) {
-        self.record(end);
-    }
-
-    fn record(&mut self, end: RequestEnd) {
-        self.ended = true;
-        if end == RequestEnd::Answered {
-            return;
-        }
-        meters::count_unanswered(end.as_str());
-        let (now, stop) = (clock::now(), self.traffic.current_view().stop);
-        tracing::info!(
-            request = %self.id,
-            end = end.as_str(),
-            took_ms = clock::millis(now.since(self.arrived)),
-            stop_left_ms = stop.map(|s| clock::millis(s.end_by().since(now))),
-            "a request ended without an answer"
-        );
-    }
-}
-
-impl Drop for Unanswered {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.record(RequestEnd::Dropped);
-        }
-    }
-}
-
-/// Logs and counts a request that could not be read. Its id is not known.
-fn log_read_error(answer: &Reply) {
-    let reason = match answer.status {
-        408 => "too-slow",
-        413 | 431 => "too-large",
-        503 if answer.body == NO_ROOM_TEXT => "no-memory",
-        503 => "closing",
-        _ => "unreadable",
-    };
-    meters::count_refused(reason);
-    let why = String::from_utf8_lossy(&answer.body);
-    tracing::info!(reason, why = why.trim_end(), "request refused");
-}
-
-/// Counts what has been read of a request.
-async fn count(upload: &Upload, bytes: usize) -> Result<(), ReadError> {
-    let Err(NoRoom) = upload.grow(bytes).await else {
-        return Ok(());
-    };
-    upload.record_refusal(Refused::Request);
-    refuse_for_memory()
-}
-
-/// Refuses a request that could not be read as a whole, so that it has not run.
-fn refuse_for_memory<T>() -> Result<T, ReadError> {
-    Err(ReadError::Refused(Reply::not_run(
-        NO_ROOM_TEXT,
-        RETRY_AFTER,
-    )))
-}
-
-fn refuse<T>(status: u16, text: &'static str) -> Result<T, ReadError> {
-    Err(ReadError::Refused(Reply::text(status, text)))
-}
-
 /// Limits of the current configuration on what callers send.
 fn caller_limits(traffic: &Rc<Traffic>) -> CallerLimits {
     let view = traffic.view();
