--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -22,7 +22,7 @@
         path::PathBuf,
         process::{Child, Command, Stdio},
         rc::Rc,
-        sync::Arc,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
     tokio::{
@@ -42,12 +42,20 @@
 /// Records of a server take this many bytes.
 const RECORDS_BYTES: usize = 192;
 /// Descriptors that the callers and the daemon need.
-const DESCRIPTORS: u64 = 10_240;
+const DESCRIPTORS: u64 = 8_192;
 /// Longest wait for the daemon's first log lines, and for any answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Services: one whose servers are faulty or send large answers, and one that is sound.
 const SERVICES: [&str; 2] = ["large", "sound"];
 
+/// Held by tests that open thousands of connections: all tests of this process share its descriptors.
+static MANY_CONNECTIONS: Mutex<()> = Mutex::new(());
+
+fn many_connections() -> MutexGuard<'static, ()> {
+    let lock = MANY_CONNECTIONS.lock();
+    lock.unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A daemon's process.
 struct Daemon {
     child: Child,
@@ -416,6 +424,7 @@
 /// Guards against memory that grows with each caller that stops in the middle of a large request.
 #[test]
 fn large_requests_that_stall_stay_within_the_memory() {
+    let _alone = many_connections();
     System::new().block_on(async {
         let tier = Tier::spawn("stalled-requests").await;
         let (part, length) = (vec![b'x'; 250_000], 260_000);
@@ -523,13 +532,14 @@
 /// Guards against memory that grows with each head of a lookup that is long or has no end.
 #[test]
 fn long_heads_of_lookups_stay_within_the_memory() {
+    let _alone = many_connections();
     System::new().block_on(async {
         let tier = Tier::spawn("long-heads").await;
         let mut endless = b"GET / HTTP/1.1\r\nx-long: ".to_vec();
         endless.resize(120_000, b'x');
         let mut streams = Vec::new();
         for addr in [tier.daemon.directory, tier.daemon.ready] {
-            for _ in 0..3_900 {
+            for _ in 0..2_000 {
                 let mut stream = TcpStream::connect(addr).await.unwrap();
                 // Fails once the daemon has closed the connection.
                 let _ = timeout(Duration::from_millis(200), stream.write_all(&endless)).await;
@@ -547,6 +557,7 @@
 /// Guards against memory that grows with the number of peers that stop in the middle of a request.
 #[test]
 fn requests_of_many_peers_stay_within_the_memory() {
+    let _alone = many_connections();
     System::new().block_on(async {
         let tier = Tier::spawn("many-peers").await;
         let mut streams = Vec::new();
@@ -555,7 +566,7 @@
             let words = u32::try_from(bytes / 8).unwrap();
             let head = [0_u32.to_le_bytes(), words.to_le_bytes()].concat();
             let part = [head, vec![0; bytes - 8]].concat();
-            for _ in 0..3_900 {
+            for _ in 0..2_000 {
                 let mut stream = TcpStream::connect(tier.daemon.peers).await.unwrap();
                 // Fails once the daemon has closed the connection.
                 let _ = timeout(Duration::from_millis(200), stream.write_all(&part)).await;
