Decide in core how much memory a call needs for its answer

The expected size of a route's answers, its margin, and which calls take the memory in advance were decided among the daemon's connections, where only a test with a network could check them. They are core::answer_sizes now.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 //! - [`hedge`]: when a call counts as slow, and whether the budget allows an extra call.
 //! - [`fingerprint`]: what identifies a request that comes again.
 //! - [`snapshot`]: which index version a query asks all shards for.
+//! - [`answer_sizes`]: how much memory a call needs for its answer.
 //! - [`byte_budget`]: whose answers and request bodies have room in memory.
 //! - [`merge`]: merges the records of the shards into the top records of the answer.
 //! - [`moving_average`]: averages of which the first value is not a large part for long.
@@ -67,12 +68,14 @@
 //! - [`buckets`]: digests by which two daemons find out in which targets they differ.
 //! - [`versioned`]: the newest accepted version of a shared object.
 //! - [`object_history`]: recent versions of shared objects, and patches between them.
+//! - [`connection_budget`]: which connections are closed when short exchanges need too much memory.
 
 pub mod accounts;
 pub mod addresses;
 pub mod admission;
 pub mod allowance;
 mod alternate;
+pub mod answer_sizes;
 pub mod buckets;
 pub mod byte_budget;
 pub mod call_times;
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -20,6 +20,7 @@
     actix_http::RequestHeadType,
     rattanturn_core::{
         Time,
+        answer_sizes::{AnswerSizes, CallRoom},
         call_times::CallTimes,
         cold::SlidingWindowLimiter,
         discovery::Target,
@@ -31,7 +32,6 @@
     rattanturn_platform::http::{account_header, call_headers},
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
         io,
         net::{IpAddr, SocketAddr},
         pin::pin,
@@ -60,12 +60,6 @@
 /// of that.
 const LAST_RESORT_TIME: Duration = Duration::from_secs(2);
 
-/// Weight of the newest answer in the expected size of a route's answers.
-const SIZE_WEIGHT: f64 = 0.25;
-/// Factor of the expected size for which a call needs room: answers differ a little, and their framing
-/// counts as well.
-const SIZE_MARGIN: f64 = 1.125;
-
 /// What the upstreams of a thread share.
 #[derive(Debug)]
 pub(crate) struct SharedCalls {
@@ -77,8 +71,7 @@
     /// When the targets were last read from the store or confirmed by a peer.
     pub(crate) targets_read: Cell<Time>,
     pub(crate) memory: Rc<Memory>,
-    /// Mean size of the recent answers of each route that has large ones.
-    sizes: RefCell<HashMap<Rc<str>, f64>>,
+    sizes: RefCell<AnswerSizes>,
 }
 
 impl SharedCalls {
@@ -88,7 +81,7 @@
             answers_due: Cell::default(),
             targets_read: Cell::default(),
             memory,
-            sizes: RefCell::default(),
+            sizes: RefCell::new(AnswerSizes::new(UNCOUNTED_BYTES)),
         }
     }
 }
@@ -533,7 +526,9 @@
     ) -> Outcome {
         self.update_health(TargetHealth::succeeded);
         let now = clock::now();
-        self.note_size(call, answer.bytes());
+        let mut sizes = self.shared.sizes.borrow_mut();
+        sizes.record(&call.route, answer.bytes());
+        drop(sizes);
         self.shared.heard.set(now);
         self.waiting_since.set(now);
         if !answer.head.misdirected {
@@ -554,26 +549,16 @@
         outcome
     }
 
-    /// Looks for memory for an answer of the size that the call's route usually has; `None` if there is
-    /// none, so that the call is not to be sent.
-    ///
-    /// Only a call that must not run twice takes the memory already. Others would keep requests with
-    /// small answers from being sent, and can be repeated if there is no room for their answers.
+    /// Looks for memory for the answer to a call; `None` if there is none, so that the call is not to be
+    /// sent.
     fn reserve_answer(&self, call: &Call) -> Option<Hold> {
         let mut hold = self.answers.hold();
-        let Some(mean) = self.shared.sizes.borrow().get(&call.route).copied() else {
-            return Some(hold);
-        };
-        // The mean of sizes that are bounded.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let expected = (mean * SIZE_MARGIN) as usize;
-        // A call is sent while nothing is held, however large its answer may be, as the mean would not
-        // change otherwise.
-        let expected = expected.min(self.answers.largest_answer());
-        let has_room = if call.non_idempotent {
-            hold.grow(expected)
-        } else {
-            self.answers.has_room(expected)
+        let largest = self.answers.largest_answer();
+        let sizes = self.shared.sizes.borrow();
+        let has_room = match sizes.room(&call.route, !call.non_idempotent, largest) {
+            CallRoom::None => true,
+            CallRoom::Free(bytes) => self.answers.has_room(bytes),
+            CallRoom::Taken(bytes) => hold.grow(bytes),
         };
         if !has_room {
             hold.record_refusal(Refused::Call);
@@ -581,19 +566,6 @@
         has_room.then_some(hold)
     }
 
-    /// Takes the size of an answer into account for the next calls of its route.
-    // Sizes are far below 2^53 bytes.
-    #[allow(clippy::cast_precision_loss)]
-    fn note_size(&self, call: &Call, bytes: usize) {
-        let mut sizes = self.shared.sizes.borrow_mut();
-        if let Some(mean) = sizes.get_mut(&call.route) {
-            *mean += (bytes as f64 - *mean) * SIZE_WEIGHT;
-        } else if bytes > UNCOUNTED_BYTES {
-            // Most routes have no larger answers, and need no entry.
-            sizes.insert(call.route.clone(), bytes as f64);
-        }
-    }
-
     /// Records for how long an answered call held its connection.
     fn record_time(&self, call: &Call, outcome: &Outcome, held: Duration) {
         let mut times = self.times.borrow_mut();
