--- a/crates/core/src/connection_budget.rs
+++ b/crates/core/src/connection_budget.rs
@@ -9,8 +9,8 @@
 
 /// Memory of one connection without its messages, in bytes: its task, its buffers and its socket.
 const CONNECTION_BYTES: usize = 16 << 10;
-/// Part of the VM's memory for the connections of one listener.
-const MEMORY_PARTS: u64 = 16;
+/// The connections of one listener get the VM's memory divided by this.
+const MEMORY_DIVISOR: u64 = 16;
 /// Fewest connections that fit, also on a VM that is too small for them.
 const MIN_CONNECTIONS: usize = 64;
 /// Most connections, whatever the memory. They take descriptors as well, which callers need.
@@ -45,7 +45,7 @@
     /// Makes the budget of a listener on a VM with `memory` bytes.
     #[must_use]
     pub fn new(memory: u64) -> Self {
-        let part = usize::try_from(memory / MEMORY_PARTS).unwrap_or(usize::MAX);
+        let part = usize::try_from(memory / MEMORY_DIVISOR).unwrap_or(usize::MAX);
         Self {
             limit: part.max(MIN_CONNECTIONS * CONNECTION_BYTES),
             held: 0,
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -703,3 +703,21 @@
         });
     }
 }
+
+/// Guards against answers to lookups that are kept for clients that ask again and again and read nothing.
+#[test]
+fn unread_answers_to_lookups_stay_within_the_memory() {
+    System::new().block_on(async {
+        let tier = Tier::spawn("unread-lookups").await;
+        let lookups = head("/v1/resolve?zone=a", "lookup", "").repeat(200_000);
+        let clients = (0..100).map(|_| async {
+            let mut stream = TcpStream::connect(tier.daemon.directory).await.unwrap();
+            let _ = timeout(Duration::from_secs(3), stream.write_all(&lookups)).await;
+            stream
+        });
+        let streams = join_all(clients).await;
+        tier.check_sound(Duration::from_millis(500)).await;
+        drop(streams);
+        tier.daemon.assert_within_memory();
+    });
+}
