--- a/review/stage-2.rs
+++ b/review/stage-2.rs
@@ -720,9 +720,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -741,9 +739,20 @@
         .spawn()
         .map_err(|e| format!("target/release/rattanturnd: {e}"))?;
     PIDS.lock().unwrap().push(child.id());
+    note_pid(child.id()).map_err(|e| format!("pids: {e}"))?;
     Ok(child)
 }
 
+/// Writes a process's id where `run-case-2.sh` finds it if the case is interrupted.
+fn note_pid(pid: u32) -> io::Result<()> {
+    let path = std::env::temp_dir().join("pids");
+    let mut file = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)?;
+    writeln!(file, "{pid}")
+}
+
 impl Daemon {
     fn ended(&mut self) {
         let pid = self.child.id();
