Apply a configuration whatever one of its routes holds

What callers saw: a version that adds a route with `priority` 1000 is applied by no daemon.

Cause: the priority was decoded as a byte, and the configuration as a whole, so one value outside of its type kept back all changes of this version and of later ones. A daemon that starts then has no configuration.

Change: a priority is a whole number of any size, also an account's, as it is only compared. Each route, service and limit is decoded by itself: an unusable field takes the safest value and is logged with its route. A route without a usable destination or time limit keeps its prefix and refuses its requests, as a route with a shorter prefix would lead them to another service.

--- a/crates/core/src/accounts.rs
+++ b/crates/core/src/accounts.rs
@@ -24,7 +24,7 @@
     /// Name of the account, which targets get.
     pub name: String,
     /// Priority that goes before the route's; 0 is the most urgent.
-    pub priority: Option<u8>,
+    pub priority: Option<u64>,
     /// Requests a second at all daemons together; `None` for no limit.
     pub rate: Option<f64>,
     /// Requests that may come on top of the rate at once.
@@ -40,7 +40,7 @@
     /// assert_eq!(Account::default().priority_on(2), 2);
     /// ```
     #[must_use]
-    pub fn priority_on(&self, route: u8) -> u8 {
+    pub fn priority_on(&self, route: u64) -> u64 {
         self.priority.unwrap_or(route)
     }
 }
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -18,6 +18,8 @@
     Split(Vec<WeightedService>),
     /// To one target of each of several services, whose answers are merged.
     Gather(Gather),
+    /// Unknown, as the configuration names none that can be used: the requests are refused.
+    Unknown,
 }
 
 /// A service among those that the requests of a route are divided between.
@@ -74,8 +76,8 @@
     pub latency_goal: Option<Duration>,
     /// Largest number of targets of one service that a request is sent to, at least 1.
     pub max_attempts: u32,
-    /// Priority under overload; 0 is the most urgent.
-    pub priority: u8,
+    /// Rank under overload, of any size; 0 is the most urgent.
+    pub priority: u64,
     /// Whether its requests need no key where the configuration names accounts.
     pub public: bool,
     /// Where its requests go.
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -75,7 +75,7 @@
     /// Name of the account; requests without one share the empty name.
     pub account: &'a str,
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: u64,
     /// When it arrived.
     pub arrived: Time,
     /// Time within which its answer is worth most.
@@ -206,7 +206,7 @@
     /// Requests that may start although more run than the limit allows.
     credit: f64,
     mean_secs: f64,
-    levels: BTreeMap<u8, Level>,
+    levels: BTreeMap<u64, Level>,
 }
 
 /// Decides which requests of one daemon start, wait or are refused.
@@ -232,7 +232,7 @@
     pools: HashMap<String, Pool>,
     services: HashMap<String, ServiceReports>,
     /// Pool, priority and account of each waiting request.
-    places: HashMap<Ticket, (String, u8, String)>,
+    places: HashMap<Ticket, (String, u64, String)>,
     next: u64,
 }
 
@@ -446,7 +446,7 @@
     }
 
     /// Waiting requests of the account, and all that start before its next one.
-    fn ahead(&self, priority: u8, account: &str) -> (usize, usize) {
+    fn ahead(&self, priority: u64, account: &str) -> (usize, usize) {
         let more_urgent = self.levels.range(..priority).map(|(_, l)| l.waiting);
         let more_urgent: usize = more_urgent.sum();
         let Some(level) = self.levels.get(&priority) else {
@@ -509,7 +509,7 @@
     }
 
     /// Removes the request that would start last, if a new one of the account starts before it.
-    fn displace(&mut self, priority: u8, account: &str) -> Option<Ticket> {
+    fn displace(&mut self, priority: u64, account: &str) -> Option<Ticket> {
         let (last_priority, level) = self.levels.iter_mut().rfind(|(_, l)| l.waiting > 0)?;
         let (&(tag, _), name) = level.tails.last_key_value()?;
         let own = level.flows.get(account);
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -487,7 +487,7 @@
     assert!(fair.latest_refusal <= GOAL / 4, "{fair:?}");
 }
 
-fn request(account: &str, priority: u8, arrived: Time) -> Request<'_> {
+fn request(account: &str, priority: u64, arrived: Time) -> Request<'_> {
     Request {
         pool: "p",
         account,
@@ -535,7 +535,7 @@
     queue
 }
 
-fn wait(queue: &mut FairQueue, now: Time, account: &str, priority: u8) -> Ticket {
+fn wait(queue: &mut FairQueue, now: Time, account: &str, priority: u64) -> Ticket {
     // Long enough that the estimate of the wait refuses nothing.
     let goal = GOAL * 100;
     let request = Request {
--- a/crates/daemon/src/tier/admission.rs
+++ b/crates/daemon/src/tier/admission.rs
@@ -70,7 +70,7 @@
     pool: &'a str,
     /// Empty for a request without an account.
     account: &'a str,
-    priority: u8,
+    priority: u64,
     arrived: Time,
     goal: Duration,
 }
@@ -85,7 +85,7 @@
         deadline: Time,
     ) -> Self {
         let needed = match &route.destination {
-            Destination::Single(_) | Destination::Split(_) => 1,
+            Destination::Single(_) | Destination::Split(_) | Destination::Unknown => 1,
             Destination::Gather(gather) => gather.min_shards(),
         };
         let goal = route.latency_goal.unwrap_or(route.timeout / GOAL_PART);
@@ -108,6 +108,7 @@
         Destination::Single(service) => vec![service.clone()],
         Destination::Split(shares) => shares.iter().map(|s| s.service.clone()).collect(),
         Destination::Gather(gather) => gather.services.clone(),
+        Destination::Unknown => Vec::new(),
     }
 }
 
--- a/crates/daemon/src/tier/control/problems.rs
+++ b/crates/daemon/src/tier/control/problems.rs
@@ -72,5 +72,6 @@
         Destination::Single(service) => vec![service],
         Destination::Split(shares) => shares.iter().map(|s| s.service.as_str()).collect(),
         Destination::Gather(gather) => gather.services.iter().map(String::as_str).collect(),
+        Destination::Unknown => Vec::new(),
     }
 }
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -346,8 +346,8 @@
     /// Applies a configuration if its version is newer than the current one's. `from` names its
     /// source in the log.
     pub(crate) fn apply_catalog(&mut self, spec: &Value, from: &str) {
-        let catalog = match entries::decode_catalog(spec) {
-            Ok(catalog) => catalog,
+        let decoded = match entries::decode_catalog(spec) {
+            Ok(decoded) => decoded,
             Err(ConfigError::Accounts(findings)) => {
                 log_findings(&findings, spec, from);
                 return;
@@ -357,12 +357,14 @@
                 return;
             }
         };
-        let version = catalog.version();
+        let version = decoded.catalog.version();
         if version <= self.config_version() {
             return;
         }
-        tracing::info!(version, from, "applied a newer configuration");
-        self.catalog = Some(Arc::new(catalog));
+        self.note_unreadable(entries::CATALOG.0, &decoded.unusable);
+        let unusable = decoded.unusable.len();
+        tracing::info!(version, from, unusable, "applied a newer configuration");
+        self.catalog = Some(Arc::new(decoded.catalog));
         self.catalog_spec = entries::catalog_lines(spec);
     }
 
--- a/crates/daemon/src/tier/query.rs
+++ b/crates/daemon/src/tier/query.rs
@@ -111,6 +111,11 @@
         log_refused(request_id(head), "closing");
         return Reply::not_run("this daemon is closing\n", Duration::ZERO);
     }
+    if route.destination == Destination::Unknown {
+        log_refused(request_id(head), "unusable-route");
+        let text = "the configuration of this route cannot be used\n";
+        return Reply::not_run(text, RETRY_AFTER);
+    }
     let deadline =
         fan_out::deadline(route, incoming.arrived, deadline(head)) - RESPONSE_TRANSIT_TIME;
     if let Some(refusal) = refuse_late(traffic, &view, route, head, deadline) {
@@ -396,6 +401,7 @@
                 }
             }
             Destination::Gather(gather) => self.gather(gather).await,
+            Destination::Unknown => Self::unreachable(),
         }
     }
 
--- a/crates/daemon/src/tier/query/late.rs
+++ b/crates/daemon/src/tier/query/late.rs
@@ -32,7 +32,7 @@
     let now = clock::now();
     let services = admission::services(route);
     let asked = match &route.destination {
-        Destination::Single(_) | Destination::Split(_) => 1,
+        Destination::Single(_) | Destination::Split(_) | Destination::Unknown => 1,
         Destination::Gather(gather) => gather.services.len(),
     };
     // Which service of a split route takes the request is decided later.
--- a/crates/daemon/src/tier/query/trial.rs
+++ b/crates/daemon/src/tier/query/trial.rs
@@ -189,6 +189,7 @@
             Destination::Single(service) => vec![service],
             Destination::Split(shares) => shares.iter().map(|s| &s.service).collect(),
             Destination::Gather(gather) => gather.services.iter().collect(),
+            Destination::Unknown => Vec::new(),
         }
     }
 
--- a/crates/demo/tests/tier/odd_entries.rs
+++ b/crates/demo/tests/tier/odd_entries.rs
@@ -228,3 +228,47 @@
         assert_followed(cluster).await;
     });
 }
+
+/// Asserts the status of a request at each daemon.
+async fn assert_statuses(cluster: &TierCluster, path: &str, expected: u16) {
+    for daemon in 0..cluster.daemons.len() {
+        let answer = request(front_addr(cluster, daemon), path, &format!("s{daemon}"), "").await;
+        assert_eq!(
+            answer.unwrap().status,
+            expected,
+            "{path} at daemon {daemon}"
+        );
+    }
+}
+
+/// Guards against a route's priority above 255 that keeps a configuration out.
+#[test]
+fn a_configuration_with_a_priority_above_255_is_in_force() {
+    with_cluster(3, async |cluster| {
+        let config = cluster.config.clone().single_route("/new/", PLAIN, true);
+        cluster.config = config.field("priority", json!(1_000));
+        cluster.config.write(&cluster.store);
+        sleep(CONFIG_APPLY_TIME).await;
+        assert_statuses(cluster, "/new/x", 200).await;
+    });
+}
+
+/// Guards against one unusable route that keeps out all others, also at a daemon that starts then.
+#[test]
+fn an_unusable_route_is_refused_and_the_others_are_served() {
+    with_cluster(2, async |cluster| {
+        let config = cluster
+            .config
+            .clone()
+            .single_route("/one/odd/", PLAIN, true);
+        let config = config.field("service", json!(5));
+        cluster.config = config.single_route("/new/", PLAIN, true);
+        cluster.config.write(&cluster.store);
+        sleep(CONFIG_APPLY_TIME).await;
+        cluster.start_daemons(1).unwrap();
+        cluster.wait_ready().await.unwrap();
+        assert_statuses(cluster, "/new/x", 200).await;
+        assert_statuses(cluster, "/one/odd/x", 503).await;
+        assert_statuses(cluster, "/one/x", 200).await;
+    });
+}
--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -108,6 +108,15 @@
         self
     }
 
+    /// Sets a field of the route that was added last, in the platform's format.
+    #[must_use]
+    pub fn field(mut self, name: &str, value: Value) -> Self {
+        if let Some(route) = self.routes.last_mut() {
+            route[name] = value;
+        }
+        self
+    }
+
     /// Sets the number of connections that each target accepts from all daemons together.
     #[must_use]
     pub fn max_connections(mut self, count: u32) -> Self {
