Make patches of the configuration in linear time, and once for all peers

What callers saw: a version that changes most lines of a large configuration is late. The platform takes a daemon out after two such checks.

Cause: a patch by lines was made for each peer that asked, on the control thread, in time that grows with the square of the changed lines, and thrown away because the object is smaller. Peers gave up after 2 s and asked again.

Evidence: the new test of the tier failed on the code before, with readiness waits of 6.2 to 11.3 s at five of eight daemons (debug build).

Change: lines that stay are found by hashing and patience sorting, and a patch is applied in one pass. The update from a version to the newest is kept. A listed configuration that is not newer is not decoded again. A new slope shows the costs by routes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod hedge;
 pub mod lease;
 pub mod line_limit;
+pub mod line_patch;
 pub mod membership;
 pub mod merge;
 pub mod moving_average;
--- a/crates/core/src/object_history.rs
+++ b/crates/core/src/object_history.rs
@@ -4,10 +4,12 @@
 //! deployment, and an edit changes a few of their lines. So a daemon whose version is still kept
 //! here gets a line-based patch, if that is smaller than the object. The update carries the digest
 //! of the result; where the patched object does not match it, the daemon fetches the whole object.
+//!
+//! Many daemons have the same older version when a new one comes. The update for it is made once and
+//! kept until the next version, which costs as much memory as the patch.
 
 use {
-    crate::rendezvous,
-    diffy::{DiffOptions, Patch, apply_bytes},
+    crate::{line_patch, rendezvous},
     std::{
         collections::{HashMap, VecDeque},
         sync::Arc,
@@ -23,6 +25,9 @@
     number: u64,
     /// Shared with the previous version if both have the same bytes.
     body: Arc<[u8]>,
+    digest: u64,
+    /// Update that leads from this version to the newest one, once a daemon has asked for it.
+    update: Option<ObjectUpdate>,
 }
 
 /// The newest version of an object, for a daemon with an older one.
@@ -33,7 +38,7 @@
     /// Version that the patch in `data` applies to; 0 if `data` is the whole object.
     pub base: u64,
     /// A line-based patch or the whole object, see `base`.
-    pub data: Vec<u8>,
+    pub data: Arc<[u8]>,
     /// Digest of the whole object of `version`; a patched object must match it.
     pub digest: u64,
 }
@@ -58,42 +63,44 @@
     /// Adds version `number` of an object, which must be newer than those added before.
     pub fn put(&mut self, key: &str, number: u64, body: &[u8]) {
         let versions = self.objects.entry(key.into()).or_default();
+        for older in versions.iter_mut() {
+            older.update = None;
+        }
         let same = versions.front().filter(|v| *v.body == *body);
         let body = same.map_or_else(|| Arc::from(body), |v| v.body.clone());
-        versions.push_front(Version { number, body });
+        versions.push_front(Version {
+            number,
+            digest: rendezvous::digest(&body),
+            body,
+            update: None,
+        });
         versions.truncate(MAX_OLDER_VERSIONS + 1);
     }
 
     /// Returns the update for a daemon that has version `known`, or `None` if there is no newer
     /// version. 0 as `known` returns the whole object.
     #[must_use]
-    pub fn update_since(&self, key: &str, known: u64) -> Option<ObjectUpdate> {
-        let versions = self.objects.get(key)?;
+    pub fn update_since(&mut self, key: &str, known: u64) -> Option<ObjectUpdate> {
+        let versions = self.objects.get_mut(key)?;
         let newest = versions.front().filter(|v| v.number > known)?;
-        let digest = rendezvous::digest(&newest.body);
-        let version = newest.number;
-        if let Some(base) = versions.iter().find(|v| v.number == known) {
-            // The base is known to be the same, so a patch needs no lines of context.
-            let mut options = DiffOptions::new();
-            let patch = options
-                .set_context_len(0)
-                .create_patch_bytes(&base.body, &newest.body);
-            let data = patch.to_bytes();
-            if data.len() < newest.body.len() {
-                return Some(ObjectUpdate {
-                    version,
-                    base: known,
-                    data,
-                    digest,
-                });
-            }
-        }
-        Some(ObjectUpdate {
-            version,
+        let whole = ObjectUpdate {
+            version: newest.number,
             base: 0,
-            data: newest.body.to_vec(),
-            digest,
-        })
+            data: newest.body.clone(),
+            digest: newest.digest,
+        };
+        let Some(base) = versions.iter_mut().find(|v| v.number == known) else {
+            return Some(whole);
+        };
+        let update = base.update.get_or_insert_with(|| {
+            let patch = line_patch::create(&base.body, &whole.data);
+            patch.map_or(whole.clone(), |patch| ObjectUpdate {
+                base: known,
+                data: patch.into(),
+                ..whole
+            })
+        });
+        Some(update.clone())
     }
 
     /// Returns the whole object that `update` leads to.
@@ -103,12 +110,11 @@
     #[must_use]
     pub fn reconstruct(&self, key: &str, update: &ObjectUpdate) -> Option<Vec<u8>> {
         if update.base == 0 {
-            return Some(update.data.clone());
+            return Some(update.data.to_vec());
         }
         let versions = self.objects.get(key)?;
         let base = versions.iter().find(|v| v.number == update.base)?;
-        let patch = Patch::from_bytes(&update.data).ok()?;
-        let body = apply_bytes(&base.body, &patch).ok()?;
+        let body = line_patch::apply(&base.body, &update.data)?;
         (rendezvous::digest(&body) == update.digest).then_some(body)
     }
 }
--- a/crates/core/tests/object_history.rs
+++ b/crates/core/tests/object_history.rs
@@ -1,6 +1,9 @@
 //! An update leads to exactly the newest version of an object, as a patch or as the whole object.
 
-use rattanturn_core::object_history::{ObjectHistory, ObjectUpdate};
+use {
+    rattanturn_core::object_history::{ObjectHistory, ObjectUpdate},
+    std::sync::Arc,
+};
 
 const KEY: &str = "tables";
 
@@ -25,7 +28,7 @@
 
 #[test]
 fn a_daemon_whose_version_is_still_kept_gets_a_small_patch() {
-    let (ours, theirs) = (history(6), history(3));
+    let (mut ours, theirs) = (history(6), history(3));
     let update = ours.update_since(KEY, 3).unwrap();
     assert_eq!((update.version, update.base), (6, 3));
     assert!(update.data.len() < 1_000, "{} bytes", update.data.len());
@@ -60,3 +63,14 @@
     };
     assert_eq!(history(3).reconstruct(KEY, &wrong_digest), None);
 }
+
+/// Guards against one computation for each of many daemons that ask for the same update.
+#[test]
+fn an_update_is_made_once_for_all_daemons_with_the_same_version() {
+    let mut ours = history(6);
+    let first = ours.update_since(KEY, 3).unwrap();
+    let second = ours.update_since(KEY, 3).unwrap();
+    assert!(Arc::ptr_eq(&first.data, &second.data));
+    ours.put(KEY, 7, &table(2_000, 7));
+    assert_eq!(ours.update_since(KEY, 3).unwrap().version, 7);
+}
--- a/crates/daemon/src/control/objects.rs
+++ b/crates/daemon/src/control/objects.rs
@@ -173,7 +173,7 @@
         Ok(ObjectUpdate {
             version: message.get_version(),
             base: message.get_base(),
-            data: message.get_body()?.to_vec(),
+            data: message.get_body()?.into(),
             digest: message.get_digest(),
         })
     });
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -346,6 +346,10 @@
     /// Applies a configuration if its version is newer than the current one's. `from` names its
     /// source in the log.
     pub(crate) fn apply_catalog(&mut self, spec: &Value, from: &str) {
+        // The store is listed again after each lost watch, and decoding takes a while.
+        if entries::catalog_version(spec).is_some_and(|version| version <= self.config_version()) {
+            return;
+        }
         let decoded = match entries::decode_catalog(spec) {
             Ok(decoded) => decoded,
             Err(ConfigError::Accounts(findings)) => {
@@ -358,9 +362,6 @@
             }
         };
         let version = decoded.catalog.version();
-        if version <= self.config_version() {
-            return;
-        }
         self.note_unreadable(entries::CATALOG.0, &decoded.unusable);
         let unusable = decoded.unusable.len();
         tracing::info!(version, from, unusable, "applied a newer configuration");
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -190,7 +190,7 @@
     mut results: peer::ObjectResults,
 ) -> Result<usize, capnp::Error> {
     let params = params.get()?;
-    let objects = objects.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut objects = objects.lock().unwrap_or_else(PoisonError::into_inner);
     let Some(newer) = objects.update_since(params.get_key()?.to_str()?, params.get_known()) else {
         return Ok(0);
     };
--- a/crates/demo/benches/slopes.rs
+++ b/crates/demo/benches/slopes.rs
@@ -1,5 +1,5 @@
-//! Measures how the cost of membership and leases grows with the number of daemons. See
-//! docs/CAPACITY.md.
+//! Measures how the cost of membership and leases grows with the number of daemons, and that of a
+//! version of the configuration with its routes. See docs/CAPACITY.md.
 //!
 //! The membership, lease and encoding code is that of a daemon; many members run in one process
 //! and in virtual time, without sockets. Processor time is that of this thread, divided by the
@@ -11,12 +11,15 @@
         NodeId, Time,
         lease::{LeaseClient, LeaseRequest, UnitId, Vote, Voter},
         membership::State,
+        object_history::ObjectHistory,
         rendezvous,
         voter_sets::{Candidate, VoterSets},
     },
     rattanturn_demo::load::ratio,
+    rattanturn_platform::entries::{catalog_lines, decode_catalog},
     rattanturn_standins::gossip::SimNetwork,
     rattanturn_wire::{Datagram, encode},
+    serde_json::{Value, json},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -32,6 +35,9 @@
 const CONVERGE_TIMEOUT: Duration = Duration::from_mins(3);
 /// Members that are killed, one after another, for each setting.
 const DEATHS: usize = 8;
+/// Numbers of routes to compare; 6,000 come close to the store's largest value.
+const CONFIG_ROUTES: [usize; 4] = [1_500, 3_000, 6_000, 12_000];
+const CONFIG_KEY: &str = "catalog";
 /// Lease units per daemon in the largest planned deployment: 12,000 targets in units of 8, and 48
 /// partitions of the deduplication tables, divided among 2,200 daemons.
 const UNITS_PER_DAEMON: f64 = 12_000.0 / 8.0 / 2_200.0 + 48.0 / 2_200.0;
@@ -41,12 +47,17 @@
     if std::env::args().any(|a| a == "--test") {
         return;
     }
+    if std::env::args().any(|a| a == "configuration") {
+        measure_configuration();
+        return;
+    }
     measure_steady_state();
     measure_startup();
     measure_detection();
     measure_propagation();
     measure_leases();
     measure_reassignment();
+    measure_configuration();
 }
 
 fn converged_network(count: usize) -> SimNetwork {
@@ -295,6 +306,64 @@
     }
 }
 
+/// Measures what a version of the configuration that changes every route costs a daemon, by its routes.
+///
+/// A reader decodes it, encodes it by lines and makes one update for all peers with the same version. A
+/// daemon that fetches it applies the update and does the same. Half of the routes changed gives the
+/// largest patch, all of them the whole object.
+fn measure_configuration() {
+    println!("\na version of the configuration that changes routes, in ms of processor time");
+    println!(
+        "{:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "routes", "changed", "bytes", "sent", "decode", "lines", "update", "apply"
+    );
+    for routes in CONFIG_ROUTES {
+        for changed in [1, routes / 2, routes] {
+            let base = catalog_lines(&config_spec(routes, 0));
+            let spec = serde_json::to_vec(&config_spec(routes, changed)).expect("it is valid");
+            let (spec, decode) = timed(|| {
+                let spec = serde_json::from_slice(&spec).expect("it was just encoded");
+                decode_catalog(&spec).expect("it is valid");
+                spec
+            });
+            let (new, encode) = timed(|| catalog_lines(&spec));
+            let mut source = ObjectHistory::default();
+            source.put(CONFIG_KEY, 1, &base);
+            source.put(CONFIG_KEY, 2, &new);
+            let (update, make) = timed(|| source.update_since(CONFIG_KEY, 1));
+            let update = update.expect("the second version is newer");
+            let (body, apply) = timed(|| source.reconstruct(CONFIG_KEY, &update));
+            assert_eq!(body.as_deref(), Some(&new[..]));
+            println!(
+                "{routes:>8} {changed:>8} {:>8} {:>8} {decode:>8.2} {encode:>8.2} {make:>8.2} {apply:>8.2}",
+                new.len(),
+                update.data.len()
+            );
+        }
+    }
+}
+
+/// A configuration with `routes` routes, of which about `changed` have another time limit.
+fn config_spec(routes: usize, changed: usize) -> Value {
+    let is_changed = |i: usize| i * changed / routes != (i + 1) * changed / routes;
+    let route = |i: usize| {
+        json!({
+            "name": format!("route-{i}"), "host": "desk.example", "pathPrefix": format!("/r{i}/"),
+            "type": "idempotent", "timeoutMs": 800 + usize::from(is_changed(i)), "priority": 1,
+            "latencyGoalMs": 200, "service": "mail-office", "maxAttempts": 2,
+        })
+    };
+    let routes: Vec<Value> = (0..routes).map(route).collect();
+    json!({"version": 1 + changed, "routes": routes, "services": []})
+}
+
+/// The result of `work` and the processor time that it took, in milliseconds.
+fn timed<T>(work: impl FnOnce() -> T) -> (T, f64) {
+    let start = ThreadTime::now();
+    let out = work();
+    (out, start.elapsed().as_secs_f64() * 1e3)
+}
+
 /// Resident memory of this process in bytes, if pages have 4 KiB; 0 where there is no `/proc`.
 fn resident_bytes() -> u64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/demo/tests/tier/late_configuration.rs
+++ b/crates/demo/tests/tier/late_configuration.rs
@@ -4,15 +4,19 @@
 use {
     super::{CONFIG_APPLY_TIME, DRAIN_TIME, front_addr, shard_servers, with_cluster},
     actix_rt::time::sleep,
+    futures::future::join_all,
     rattanturn_daemon::Tier,
-    rattanturn_demo::tier_cluster::{PLAIN, TierCluster, request},
+    rattanturn_demo::tier_cluster::{PLAIN, TierCluster, get, request},
     rattanturn_standins::{
         operator::{HOST, register_target},
         platform::Platform,
         proxy::Proxy,
     },
     serde_json::json,
-    std::time::Duration,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -27,6 +31,11 @@
 /// Time in which all watches of a daemon that reads the store have ended and begun again.
 const WATCH_TIME: Duration = Duration::from_secs(2);
 
+/// Routes of a configuration that is about as large as the store accepts.
+const MANY_ROUTES: u64 = 5_000;
+/// Interval of the platform's readiness checks. It takes a daemon out after two that fail.
+const READY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Writes other objects than the configuration, which raises the store's revision.
 fn write_others(cluster: &TierCluster, count: usize) {
     for number in 0..count {
@@ -198,3 +207,47 @@
         assert_eq!(post(&mut stream, "after", 10_000).await, "HTTP/1.1 200 OK");
     });
 }
+
+/// Writes a configuration with [`MANY_ROUTES`] routes whose time limits depend on `number`.
+fn write_many_routes(cluster: &mut TierCluster, number: u64) {
+    let mut config = cluster.config.clone().clear_routes();
+    for route in 0..MANY_ROUTES {
+        let prefix = format!("/many-{route}/");
+        config = config.single_route(&prefix, PLAIN, true);
+        config = config.limits(2_000 + number, 200);
+    }
+    let services = cluster.services.clone();
+    cluster.config = config.gather_route(&format!("/{number}/"), &services, 200);
+    cluster.config.write(&cluster.store);
+}
+
+/// Asks a daemon for its readiness until `end`, and returns the longest wait for a good answer.
+async fn longest_readiness_wait(at: SocketAddr, end: Instant) -> Duration {
+    let url = format!("http://{at}/v1/ready");
+    let mut longest = Duration::ZERO;
+    while Instant::now() < end {
+        let asked = Instant::now();
+        while get(&url).await.is_none_or(|answer| answer.status != 200) {}
+        longest = longest.max(asked.elapsed());
+        sleep(Duration::from_millis(50)).await;
+    }
+    longest
+}
+
+/// Guards against control threads that make a large patch for each peer while readiness is asked for.
+#[test]
+fn a_version_that_changes_all_routes_holds_up_no_daemon() {
+    with_cluster(8, async |cluster| {
+        write_many_routes(cluster, 0);
+        sleep(CONFIG_APPLY_TIME).await;
+        for number in 1..3 {
+            write_many_routes(cluster, number);
+            let end = Instant::now() + CONFIG_APPLY_TIME;
+            let ready = cluster.daemons.iter().map(|d| d.addresses().ready);
+            let waits = join_all(ready.map(|at| longest_readiness_wait(at, end))).await;
+            println!("version {number}: {waits:?}");
+            assert!(waits.iter().all(|wait| *wait < READY_INTERVAL), "{waits:?}");
+            assert_in_force(cluster, usize::try_from(number).unwrap()).await;
+        }
+    });
+}
