Pass on no answer with a status above 599

Here 000 does not reach callers, as the parser refuses it. But a status from 600 to 999 with a seal was passed on as the server sent it.

RFC 9110, section 15, calls statuses outside of 100 to 599 invalid and has a client take them for a 5xx. So such an answer counts as none: callers get a 502 of our own without a seal, and a request that may be repeated goes to another server. As it is refused where answers are read, this holds for parts, hedges, trials and answers of other daemons as well.

--- a/crates/daemon/src/tier/connection.rs
+++ b/crates/daemon/src/tier/connection.rs
@@ -42,6 +42,9 @@
 /// Bytes of heads and of chunks' framing that are read for one call: parsing them costs far more
 /// time than a body, on VMs with a tenth of a core.
 const MAX_FRAMING_BYTES: usize = 256 << 10;
+/// Largest status of an answer. The parser takes three digits from 100 on; RFC 9110, section 15, calls those
+/// above this one invalid, so callers do not get them.
+const MAX_STATUS: u16 = 599;
 /// Number of answers to other requests that are skipped before the connection is given up.
 const MAX_SKIPPED_ANSWERS: u32 = 3;
 /// A connection is not reused within this time before the target's idle timeout, because a request
@@ -306,6 +309,9 @@
             if !self.buffer.is_empty() {
                 let codec = self.codec.as_mut().ok_or_else(unusable)?;
                 if let Some(head) = codec.decode(&mut self.buffer).map_err(io::Error::other)? {
+                    if head.status.as_u16() > MAX_STATUS {
+                        return Err(invalid_data("the answer's status is above 599"));
+                    }
                     return Ok(head);
                 }
             }
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -12,6 +12,7 @@
 mod late_configuration;
 mod odd_entries;
 mod odd_peer;
+mod odd_statuses;
 mod overload;
 mod quotas;
 mod quotas_under_failure;
