Replace a set of evacuations only by one that was read later

What callers saw: a data centre is evacuated, and a seed is restarted while its link loses single packets.

Cause: targets and evacuations are exchanged under one revision. A seed that has read the targets and not yet the evacuations has the store's newest revision, so its peers take over its empty set.

Evidence: a_daemon_that_cannot_read_evacuations_takes_none_back failed on the code before, with 77 requests in the evacuated data centre after the first start.

Change: the set carries the store's position up to which it was read, and core decides by it which of two sets holds. A daemon that keeps its own set raises its revision, so that the other one fetches it. Registered daemons that were never read are not sent, and a reader confirms only what it has read since it began. The same rule covers two readers that cross each other; the test for that passed before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod dedup;
 pub mod discovery;
 pub mod dissemination;
+pub mod evacuations;
 pub mod fair_queue;
 pub mod fingerprint;
 pub mod gather;
--- a/crates/core/src/watch_position.rs
+++ b/crates/core/src/watch_position.rs
@@ -6,7 +6,9 @@
 //! revision, and a revision says nothing in another era. The price of a new era is a list of all
 //! objects for each watch.
 
-/// A revision of the store in one of its eras.
+use serde::{Deserialize, Serialize};
+
+/// A revision of the store in one of its eras, ordered by these.
 ///
 /// ```
 /// use rattanturn_core::watch_position::WatchPosition;
@@ -15,7 +17,7 @@
 /// assert_eq!(next.unwrap().revision, 104);
 /// assert!(position.advance(WatchPosition { era: 2, revision: 104 }).is_none());
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct WatchPosition {
     /// How often the store has come back from an older copy; 0 if it does not tell.
     pub era: u64,
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -518,6 +518,7 @@
             self.reader_role
                 .should_read(now, self.reader_context, self.cluster.targets_read);
         if wanted && self.read_session.is_none() {
+            self.cluster.begin_reading();
             let events = self.store_events.clone();
             let reading = session(self.store.clone(), Box::new(self.tier), events);
             self.read_session = Some(actix_rt::spawn(reading));
--- a/crates/daemon/src/tier/control/dump.rs
+++ b/crates/daemon/src/tier/control/dump.rs
@@ -38,7 +38,7 @@
             "targets": self.cluster.targets.targets().count(),
             "leaving": self.gauges.withdrawn_targets.load(Ordering::Relaxed),
             "targets_lost": self.gauges.targets_lost.load(Ordering::Relaxed),
-            "out": self.cluster.evacuated,
+            "out": self.cluster.evacuations.centres(),
             "rollouts": self.rollouts_dump(),
             "members": members,
             "problems": self.problems(),
--- a/crates/daemon/src/tier/control/problems.rs
+++ b/crates/daemon/src/tier/control/problems.rs
@@ -31,7 +31,7 @@
     fn why_unserved(&self, service: &str) -> Option<String> {
         let targets = self.cluster.targets.targets();
         let all: Vec<_> = targets.filter(|t| t.service == service).collect();
-        let is_evacuated = |centre: &str| self.cluster.evacuated.contains(centre);
+        let is_evacuated = |centre: &str| self.cluster.evacuations.contains(centre);
         let leaving = all.iter().filter(|t| t.leaving).count();
         let evacuated = all
             .iter()
--- a/crates/daemon/src/tier/control/publish.rs
+++ b/crates/daemon/src/tier/control/publish.rs
@@ -95,7 +95,7 @@
             version: self.cluster.config_version(),
             targets: self.cluster.targets.changes(),
             members: self.membership.changes(),
-            evacuated: self.cluster.evacuated.clone(),
+            evacuated: self.cluster.evacuations.centres().clone(),
             daemons: self.cluster.daemons_digest,
             rollouts: self.cluster.rollouts.changes(),
             phase: self.phase,
@@ -113,7 +113,7 @@
         }
         let allowed = |t: &Target| !uses_rollouts || rollouts.allows(&t.service, &t.version);
         for target in self.cluster.targets.targets() {
-            let evacuated = self.cluster.evacuated.contains(&target.centre);
+            let evacuated = self.cluster.evacuations.contains(&target.centre);
             if !target.leaving && !evacuated && allowed(target) {
                 let list = services.entry(target.service.clone()).or_default();
                 list.push(Arc::new(target.clone()));
@@ -146,7 +146,7 @@
             takes_callers: is_advertised || (still_called && took_callers),
             catalog: self.cluster.catalog.clone(),
             services,
-            evacuated: self.cluster.evacuated.clone(),
+            evacuated: self.cluster.evacuations.centres().clone(),
             rollouts,
             uses_rollouts,
             frontends,
--- a/crates/daemon/src/tier/control/rollouts.rs
+++ b/crates/daemon/src/tier/control/rollouts.rs
@@ -178,7 +178,9 @@
         let order = &rollout.order;
         let (mut old, mut new) = (0_u32, 0_u32);
         let targets = self.cluster.targets.targets().filter(|t| {
-            t.service == order.service && !t.leaving && !self.cluster.evacuated.contains(&t.centre)
+            t.service == order.service
+                && !t.leaving
+                && !self.cluster.evacuations.contains(&t.centre)
         });
         for target in targets {
             if target.version == order.version {
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -20,8 +20,10 @@
         accounts::Finding,
         catalog::Catalog,
         discovery::{PeerTargets, Target, TargetSet},
+        evacuations::Evacuations,
         readers::STALE_AFTER,
         rendezvous,
+        watch_position::WatchPosition,
     },
     rattanturn_platform::{
         Object, UnreadableEntry,
@@ -31,7 +33,7 @@
     rattanturn_wire::items::{Items, UnreadableItem, Values},
     serde_json::{Value, json},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         sync::Arc,
     },
 };
@@ -63,12 +65,13 @@
     /// The configuration as JSON in the operators' format, to pass on to peers.
     pub(crate) catalog_spec: Vec<u8>,
     pub(crate) targets: TargetSet,
-    /// Names of the evacuated data centres.
-    pub(crate) evacuated: BTreeSet<String>,
+    pub(crate) evacuations: Evacuations,
     /// Processor cores of each registered daemon, by its name.
     pub(crate) daemons: BTreeMap<String, f64>,
     /// Digest of `daemons`; 0 if there are none.
     pub(crate) daemons_digest: u64,
+    /// Whether `daemons` were read, by this daemon or a peer. If not, peers keep what they know.
+    daemons_known: bool,
     pub(crate) rollouts: KnownRollouts,
     /// Whether the settings ask for roll-outs. If not, versions of targets are dropped, so that peers
     /// exchange the same bytes as before there were roll-outs.
@@ -86,6 +89,8 @@
     /// When this daemon itself last read each kind of object from the store; a kind that it never
     /// read is absent.
     pub(crate) own_reads: HashMap<&'static str, Time>,
+    /// Kinds that were read since this daemon last began to read the store.
+    session_reads: HashSet<&'static str>,
     /// Number of consecutive failed calls to the store, by the kind of object. A kind whose last
     /// call succeeded is absent.
     pub(crate) failures: HashMap<&'static str, u64>,
@@ -165,7 +170,7 @@
                 self.store_recovered(kind);
                 self.note_unreadable(kind, &list.unreadable);
                 self.apply_list(now, kind, list.objects);
-                self.record_read(now, kind, list.position.revision);
+                self.record_read(now, kind, list.position);
             }
             StoreEvent::Changed(kind, changes) => {
                 self.store_recovered(kind);
@@ -173,7 +178,7 @@
                 for change in changes.events {
                     self.apply_change(now, kind, &change.object, change.removed);
                 }
-                self.record_read(now, kind, changes.position.revision);
+                self.record_read(now, kind, changes.position);
             }
             StoreEvent::Failed(kind, error) => {
                 let count = self.failures.entry(kind).or_default();
@@ -191,8 +196,13 @@
         }
     }
 
-    /// Whether this daemon can say that the store holds nothing newer than what it has read: the
-    /// last call for each kind that callers depend on within seconds succeeded.
+    /// Notes that this daemon begins to read the store, whose changes it may have missed.
+    pub(crate) fn begin_reading(&mut self) {
+        self.session_reads.clear();
+    }
+
+    /// Whether this daemon can say that the store holds nothing newer than what it has read: each
+    /// kind that callers depend on within seconds was read, and the last call for it succeeded.
     pub(crate) fn is_read_complete(&self) -> bool {
         let kinds = [
             entries::CATALOG.0,
@@ -200,7 +210,9 @@
             entries::TARGETS,
             entries::ROLLOUTS,
         ];
-        kinds.iter().all(|kind| !self.failures.contains_key(kind))
+        let is_asked = |kind: &str| kind != entries::ROLLOUTS || self.uses_rollouts;
+        let mut asked = kinds.iter().filter(|kind| is_asked(kind));
+        asked.all(|kind| self.session_reads.contains(kind) && !self.failures.contains_key(kind))
     }
 
     fn store_recovered(&mut self, kind: &'static str) {
@@ -218,7 +230,8 @@
                 .collect();
             self.targets.apply_list(now, targets);
         } else if kind == entries::EVACUATIONS {
-            self.set_evacuated(objects.into_iter().map(|o| o.name).collect());
+            let centres = objects.into_iter().map(|o| o.name).collect();
+            self.update_evacuations(|known| known.set(centres));
         } else if kind == entries::ROLLOUTS {
             self.rollouts.set_all(now, objects);
         } else if kind == objects::DAEMONS {
@@ -251,13 +264,13 @@
                 self.targets.entry_removed(now, &object.name);
             }
         } else if kind == entries::EVACUATIONS {
-            let mut evacuated = self.evacuated.clone();
+            let mut centres = self.evacuations.centres().clone();
             if removed {
-                evacuated.remove(&object.name);
+                centres.remove(&object.name);
             } else {
-                evacuated.insert(object.name.clone());
+                centres.insert(object.name.clone());
             }
-            self.set_evacuated(evacuated);
+            self.update_evacuations(|known| known.set(centres));
         } else if kind == entries::ROLLOUTS {
             self.rollouts.apply_change(now, object, removed);
         } else if kind == objects::DAEMONS {
@@ -276,19 +289,25 @@
         }
     }
 
-    fn set_evacuated(&mut self, evacuated: BTreeSet<String>) {
-        if evacuated != self.evacuated {
-            tracing::info!(out = ?evacuated, "evacuated data centres changed");
-            self.evacuated = evacuated;
+    /// Changes the evacuations, and logs them if they differ then.
+    fn update_evacuations<T>(&mut self, change: impl FnOnce(&mut Evacuations) -> T) -> T {
+        let before = self.evacuations.centres().clone();
+        let out = change(&mut self.evacuations);
+        if *self.evacuations.centres() != before {
+            tracing::info!(out = ?self.evacuations.centres(), "evacuated data centres changed");
         }
+        out
     }
 
-    fn record_read(&mut self, now: Time, kind: &'static str, revision: u64) {
+    fn record_read(&mut self, now: Time, kind: &'static str, position: WatchPosition) {
         self.own_reads.insert(kind, now);
+        self.session_reads.insert(kind);
         if kind == entries::TARGETS {
             self.targets.read_complete(now);
             self.targets_read = now;
-            self.seen_revision = self.seen_revision.max(revision);
+            self.seen_revision = self.seen_revision.max(position.revision);
+        } else if kind == entries::EVACUATIONS {
+            self.evacuations.read_up_to(position);
         } else if kind == entries::CATALOG.0 {
             self.config_read = now;
         } else if kind == entries::ROLLOUTS {
@@ -395,7 +414,7 @@
             Some(buckets) => self.targets.adopt_buckets(now, &buckets, from),
             None => self.targets.adopt_from_peer(now, from),
         };
-        self.adopt_evacuated(update.evacuated);
+        let same_evacuations = self.adopt_evacuations(update.evacuated, update.evacuations_read);
         if let Some(daemons) = update.daemons {
             self.adopt_daemons(daemons);
         }
@@ -404,8 +423,9 @@
             self.rollouts.adopt(now, rollouts.readable, &unreadable);
             self.rollouts.confirm_read(now);
         }
-        // Daemons that have the peer's state fetch this one if it lacks a target that was removed.
-        self.revision = reply.revision + u64::from(refused);
+        // Daemons that have the peer's state fetch this one if it lacks a target that was removed, or
+        // evacuations that were read later.
+        self.revision = reply.revision + u64::from(refused || !same_evacuations);
         self.targets_read = now;
         self.set_shared(self.shared_state());
         true
@@ -431,14 +451,14 @@
         }
     }
 
-    /// Takes over a peer's evacuated data centres. While some of their names cannot be read, none is
-    /// taken back.
-    fn adopt_evacuated(&mut self, sent: Items<String>) {
-        let mut evacuated: BTreeSet<String> = sent.readable.into_iter().collect();
+    /// Takes over a peer's evacuated data centres, unless it knows less; true if both know the same then.
+    /// While some of their names cannot be read, none is taken back.
+    fn adopt_evacuations(&mut self, sent: Items<String>, read: Option<WatchPosition>) -> bool {
+        let mut centres: BTreeSet<String> = sent.readable.into_iter().collect();
         if !sent.unreadable.is_empty() {
-            evacuated.extend(self.evacuated.iter().cloned());
+            centres.extend(self.evacuations.centres().iter().cloned());
         }
-        self.set_evacuated(evacuated);
+        self.update_evacuations(|known| known.adopt(centres, read))
     }
 
     /// Takes over a peer's registered daemons. One whose cores cannot be read stays as it is known.
@@ -473,8 +493,9 @@
         let expiry = self.targets.expiry_notice(now);
         let lasting = expiry.is_none();
         let update = TargetsUpdate {
-            evacuated: self.evacuated.iter().cloned().collect::<Vec<_>>().into(),
-            daemons: (digests.is_empty() || daemons != self.daemons_digest)
+            evacuated: self.evacuated_names().into(),
+            evacuations_read: Some(self.evacuations.position()),
+            daemons: (self.daemons_known && (digests.is_empty() || daemons != self.daemons_digest))
                 .then(|| self.daemons.clone().into()),
             buckets: (!digests.is_empty()).then_some(buckets),
             targets: targets.into(),
@@ -491,15 +512,20 @@
         reply
     }
 
+    fn evacuated_names(&self) -> Vec<String> {
+        self.evacuations.centres().iter().cloned().collect()
+    }
+
     fn set_daemons(&mut self, daemons: BTreeMap<String, f64>) {
         self.daemons_digest = digest_daemons(&daemons);
         self.daemons = daemons;
+        self.daemons_known = true;
     }
 
     fn shared_state(&self) -> SharedState {
         SharedState {
             targets: self.targets.changes(),
-            evacuated: self.evacuated.clone(),
+            evacuated: self.evacuations.centres().clone(),
             daemons: self.daemons_digest,
             rollouts: self.known_rollouts(),
         }
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -16,6 +16,7 @@
     rattanturn_core::{
         discovery::{ExpiryNotice, RemovedTarget, Target},
         rendezvous,
+        watch_position::WatchPosition,
     },
     rattanturn_http::{ConnectionLimit, LimitedConnection},
     rattanturn_platform::Object,
@@ -42,6 +43,10 @@
     /// Names of the evacuated data centres.
     #[serde(rename = "out")]
     pub(crate) evacuated: Items<String>,
+    /// The store's position up to which `evacuated` was read, see
+    /// [`rattanturn_core::evacuations::Evacuations`]; `None` from a daemon of an older build.
+    #[serde(rename = "outRead", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) evacuations_read: Option<WatchPosition>,
     /// Processor cores of each registered daemon, by its name; `None` if the peer knows them.
     pub(crate) daemons: Option<Values<f64>>,
     /// Indexes of the buckets that the update replaces; `None` replaces all targets. A daemon of the
--- a/crates/demo/src/tier_cluster.rs
+++ b/crates/demo/src/tier_cluster.rs
@@ -20,7 +20,7 @@
     rattanturn_tables::Settings,
     std::{
         collections::BTreeMap,
-        net::{IpAddr, Ipv4Addr, SocketAddr},
+        net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket},
         sync::{Arc, mpsc},
         time::{Duration, Instant},
     },
@@ -366,6 +366,18 @@
         Ok(format!("target-gateway = {GATEWAY}\n"))
     }
 
+    /// Starts a daemon that is named as a seed in its own settings, so that it reads `store` at once,
+    /// before it knows its peers.
+    ///
+    /// # Errors
+    ///
+    /// A listener of the daemon cannot be bound.
+    pub fn start_as_seed(&mut self, store: SocketAddr) -> eyre::Result<()> {
+        let gossip = UdpSocket::bind(ANY_PORT)?.local_addr()?;
+        let setting = format!("gossip-port = {}\n", gossip.port());
+        self.start_seeded(store, &[gossip], (1.0, &setting, ""))
+    }
+
     /// Starts a daemon with `extra` lines in the section `[daemon]` of its settings.
     fn start(&mut self, store: SocketAddr, cores: f64, extra: &str) -> eyre::Result<()> {
         self.start_with(store, cores, extra, "")
@@ -379,17 +391,25 @@
         extra: &str,
         tier: &str,
     ) -> eyre::Result<()> {
-        let peers: Vec<String> = self
-            .daemons
-            .iter()
-            .take(2)
-            .map(|d| d.addresses().gossip)
-            .map(|own| self.public_gossip.get(&own).unwrap_or(&own).to_string())
-            .collect();
+        let extra = format!("gossip-port = 0\n{extra}");
+        self.start_seeded(store, &[], (cores, &extra, tier))
+    }
+
+    /// Like [`Self::start_with`], with more seeds; the lines name the port for gossip.
+    fn start_seeded(
+        &mut self,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        (cores, extra, tier): (f64, &str, &str),
+    ) -> eyre::Result<()> {
+        let others = self.daemons.iter().take(2).map(|d| d.addresses().gossip);
+        let public = |own: SocketAddr| self.public_gossip.get(&own).copied().unwrap_or(own);
+        let peers = others.map(public).chain(seeds.iter().copied());
+        let peers: Vec<String> = peers.map(|addr| addr.to_string()).collect();
         let (number, centre) = (self.started, CENTRES[self.started % CENTRES.len()]);
         let text = format!(
             "[daemon]\nname = d{number}\ndata-centre = {centre}\nip = 127.0.0.1\n\
-             admin-port = 0\nmetrics-port = 0\nrpc-port = 0\ngossip-port = 0\npeers = {}\n\
+             admin-port = 0\nmetrics-port = 0\nrpc-port = 0\npeers = {}\n\
              drain-limit = {}ms\n{extra}\
              [tier]\nfront = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
              cores = {cores}\n{tier}{}[platform]\naddress = {store}\n",
--- a/crates/demo/tests/tier/main.rs
+++ b/crates/demo/tests/tier/main.rs
@@ -7,6 +7,7 @@
 mod crashing_request;
 mod early_answers;
 mod endless_answers;
+mod evacuations;
 mod idle_connections;
 mod keys_under_failure;
 mod late_configuration;
