Take calls back from a target that has stopped answering

A call waits for a connection to the target that was chosen when it was made. If that target stops answering, the call stays until it has too little time left. Calls that may be repeated are hedged, these are not.

A call that was not written has certainly not run. The call that is taken back uses up no attempt and no budget.

--- a/crates/core/tests/gather.rs
+++ b/crates/core/tests/gather.rs
@@ -510,3 +510,30 @@
     assert_eq!(parts[0], Part::Covered(b"x".to_vec()));
     assert_eq!(parts[1], Part::Missing(MissingReason::Deadline));
 }
+
+/// Guards against a call that goes back to a target which it has left, or uses up the limit by leaving one.
+#[test]
+fn call_that_is_taken_back_leaves_each_target_once_and_keeps_its_attempt() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_single_attempt(&mut budgets);
+    let now = Time::from_millis(5);
+    let taken_back = Reply::NotRun(MissingReason::Withdrawn);
+    assert_eq!(gather.untried_target(0), Some(1));
+    let actions = gather.reply(now, AttemptId(0), taken_back, 7, &mut budgets);
+    assert!(matches!(actions[..], [Action::Call { target: 1, .. }]));
+    assert_eq!(gather.untried_target(0), None, "both are tried");
+    let body = b"x".to_vec();
+    let done = Reply::Done { snapshot: 7, body };
+    gather.reply(now, AttemptId(1), done, 7, &mut budgets);
+    assert_eq!(gather.covered(), 1);
+}
+
+/// Guards against a call that is taken back although its request makes no further calls.
+#[test]
+fn no_call_is_taken_back_once_calls_are_stopped() {
+    let mut budgets = Budgets::default();
+    let mut gather = start_single_attempt(&mut budgets);
+    let _ = gather.stop_calls();
+    assert_eq!(gather.untried_target(0), None);
+    assert_eq!(gather.untried_target(9), None);
+}
--- a/crates/daemon/src/tier/fan_out.rs
+++ b/crates/daemon/src/tier/fan_out.rs
@@ -8,6 +8,8 @@
 //! cut short, see [`crate::tier::ending`], ends with the answers that are there. If the caller left,
 //! its calls are cancelled, except one that must not run twice.
 
+mod waiting;
+
 use {
     crate::{
         clock,
@@ -98,6 +100,9 @@
     /// All calls so far, at the index that is their [`AttemptId`].
     attempts: Vec<Attempt>,
     result: FanOutResult,
+    /// Whether slow calls are hedged, and after what time they would be.
+    hedges: bool,
+    hedge_delay: Duration,
     /// How far the request has been cut short.
     stage: Stage,
     /// Whether open calls are cancelled when the answer is final.
@@ -122,6 +127,8 @@
             counts: Counts::default(),
             tried: String::new(),
         },
+        hedges: plan.hedging,
+        hedge_delay: plan.hedge_delays.first().copied().unwrap_or_default(),
         stage: Stage::Running,
         cancels: false,
         finished: false,
@@ -130,13 +137,12 @@
     let (mut gather, actions) = Gather::start(now, plan, &mut traffic.budgets.borrow_mut());
     run.perform(actions);
     while !run.finished {
+        let due = run.next_tick(&gather);
         let actions = tokio::select! {
             biased;
             Some(ended) = run.calls.next() => run.handle_end(&mut gather, ended),
             stage = run.request.ending.next_stage(run.stage) => run.cut_short(&mut gather, stage),
-            () = clock::sleep_until(gather.next_tick()) => {
-                gather.tick(clock::now(), &mut traffic.budgets.borrow_mut())
-            }
+            () = clock::sleep_until(due) => run.tick(&mut gather),
         };
         run.perform(actions);
     }
@@ -302,22 +308,6 @@
         actions
     }
 
-    /// Ends the calls that still wait for a connection.
-    fn revoke_waiting(&mut self, gather: &mut Gather) -> Vec<Action> {
-        let now = clock::now();
-        let mut actions = Vec::new();
-        for (id, attempt) in (0..).zip(&mut self.attempts) {
-            if attempt.is_open_at(CallStage::Waiting) && !attempt.progress.revoked() {
-                attempt.progress.revoke();
-                attempt.end = Some(("revoked".into(), now.since(attempt.sent)));
-                let reply = Reply::NotRun(MissingReason::Busy);
-                let budgets = &mut self.traffic.budgets.borrow_mut();
-                actions.extend(gather.reply(now, AttemptId(id), reply, ONE_SNAPSHOT, budgets));
-            }
-        }
-        actions
-    }
-
     /// Cause of the next call to a service, for the metrics.
     fn cause(&self, service: usize) -> Cause {
         let mut earlier = self.attempts.iter().filter(|a| a.service == service);
--- a/crates/daemon/src/tier/upstream.rs
+++ b/crates/daemon/src/tier/upstream.rs
@@ -26,7 +26,7 @@
         discovery::Target,
         gather::MissingReason,
         health::TargetHealth,
-        rate_share::RateShare,
+        rate_share::{self, RateShare},
         shutdown::{LateRequest, expected_wait},
     },
     rattanturn_platform::http::{account_header, call_headers},
@@ -94,6 +94,8 @@
     shared: Rc<SharedCalls>,
     /// When the target last answered, or was called while no other call to it was open.
     waiting_since: Cell<Time>,
+    /// When the target last answered a call.
+    answered_at: Cell<Time>,
     /// Whether the target was called or probed.
     tried: Cell<bool>,
     /// Requests a second that this daemon may send until `cold_until`; `None` is unlimited.
@@ -157,6 +159,7 @@
             shared,
             answers,
             waiting_since: Cell::default(),
+            answered_at: Cell::default(),
             tried: Cell::default(),
             cold_quota: Cell::new(None),
             cold_until: Cell::new(Time::ZERO),
@@ -302,6 +305,23 @@
         self.permits.has_free()
     }
 
+    /// Since when the target has answered nothing, if calls hold all its connections and that is at least
+    /// `limit` ago.
+    pub(crate) fn silent_since(&self, now: Time, limit: Duration) -> Option<Time> {
+        let since = self.waiting_since.get();
+        (!self.has_free_connection() && now.since(since) >= limit).then_some(since)
+    }
+
+    /// Whether a call can be sent without a wait, and the target has answered others since `since`.
+    pub(crate) fn takes_at_once(&self, call: &Call, now: Time, since: Time) -> bool {
+        let is_free = self.is_available() && self.has_free_connection() && self.has_cold_room(now);
+        let has_time = !self.is_too_late(call, now) && now < self.send_by(call);
+        is_free
+            && has_time
+            && self.room(now) < rate_share::Room::Exhausted
+            && self.answered_at.get() > since
+    }
+
     /// Sets the pool's limit. Calls above a lowered limit run to their end; calls that wait are woken
     /// if a raised limit has room for them.
     pub(crate) fn set_max_connections(&self, connections: u32) {
@@ -531,6 +551,7 @@
         drop(sizes);
         self.shared.heard.set(now);
         self.waiting_since.set(now);
+        self.answered_at.set(now);
         if !answer.head.misdirected {
             self.set_rate_limit(answer.head.rate_limit);
             self.set_cold(now, answer.head.cold_left);
