Fetch a configuration that cannot be applied once

What daemons saw: while builds are mixed, an older build refuses a version that the newer one applies, and fetches it from its peers again 20 times a second, up to 1 MB each time.

Cause: a fetch counted as done when it had arrived, and the announcement of the newer version stayed due.

Evidence: the two new tests failed on the code before, with 58 fetches in 3 s each.

Change: the newest version that cannot be applied is remembered and not fetched again. An object that cannot be read counts as a failed fetch, which waits for another announcement. Applying configurations is a module of its own.

Result: one fetch in both tests.

--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -353,7 +353,7 @@
         } else {
             NEAR_FETCH_WAIT
         };
-        if versions.tables > self.cluster.config_version() {
+        if versions.tables > self.cluster.seen_version() {
             let version = versions.tables;
             self.peer_sync.note_newer(CATALOG_KEY, rpc, version, wait);
         }
@@ -391,7 +391,7 @@
     }
 
     fn fetch_newer(&mut self) {
-        let (version, revision) = (self.cluster.config_version(), self.cluster.revision);
+        let (version, revision) = (self.cluster.seen_version(), self.cluster.revision);
         let known = || KnownTargets {
             revision,
             digests: self.cluster.targets.digests().as_slice().to_vec(),
@@ -436,10 +436,16 @@
     async fn handle_event(&mut self, socket: &UdpSocket, event: Event) {
         match event {
             Event::ObjectVersion(object) => {
-                self.peer_sync.fetch_succeeded(object.key);
                 match serde_json::from_slice(&object.body) {
-                    Ok(spec) => self.cluster.apply_catalog(&spec, "peer"),
-                    Err(error) => tracing::warn!(%error, "cannot parse a peer's configuration"),
+                    Ok(spec) => {
+                        self.peer_sync.fetch_succeeded(object.key);
+                        let version = object.version;
+                        self.cluster.apply_fetched_catalog(version, &spec);
+                    }
+                    Err(error) => {
+                        self.peer_sync.fetch_failed(object.key);
+                        tracing::warn!(%error, "cannot parse a peer's configuration");
+                    }
                 }
                 self.share_fetched(socket).await;
             }
--- a/crates/daemon/src/tier/knowledge.rs
+++ b/crates/daemon/src/tier/knowledge.rs
@@ -6,6 +6,8 @@
 //! says whose state is newer, the digest whether two states differ at all: two readers give the same
 //! state different revisions. Peers fetch only the parts that differ.
 
+mod catalog;
+
 use {
     crate::{
         tier::{
@@ -17,7 +19,6 @@
     },
     rattanturn_core::{
         Time,
-        accounts::Finding,
         catalog::Catalog,
         discovery::{PeerTargets, Target, TargetSet},
         evacuations::Evacuations,
@@ -25,11 +26,7 @@
         rendezvous,
         watch_position::WatchPosition,
     },
-    rattanturn_platform::{
-        Object, UnreadableEntry,
-        entries::{self, ConfigError},
-        objects,
-    },
+    rattanturn_platform::{Object, UnreadableEntry, entries, objects},
     rattanturn_wire::items::{Items, UnreadableItem, Values},
     serde_json::{Value, json},
     std::{
@@ -38,9 +35,6 @@
     },
 };
 
-/// Findings in the accounts of one configuration that are logged one by one.
-const MAX_LOGGED_FINDINGS: usize = 20;
-
 /// Most cores that a daemon's entry may state; no machine has more. A larger figure would make all
 /// other daemons look small beside it.
 const MAX_CORES: f64 = 4_096.0;
@@ -62,6 +56,8 @@
 pub(crate) struct ClusterState {
     /// `None` until a configuration is known.
     pub(crate) catalog: Option<Arc<Catalog>>,
+    /// Newest version that a peer sent and that cannot be applied here; 0 if there is none.
+    refused_version: u64,
     /// The configuration as JSON in the operators' format, to pass on to peers.
     pub(crate) catalog_spec: Vec<u8>,
     pub(crate) targets: TargetSet,
@@ -153,11 +149,6 @@
         }
     }
 
-    /// Version of the configuration; 0 if none is known.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.catalog.as_ref().map_or(0, |c| c.version())
-    }
-
     /// Whether the targets were never read, or longer ago than [`STALE_AFTER`].
     pub(crate) fn is_stale(&self, now: Time) -> bool {
         self.targets_read == Time::ZERO || now.since(self.targets_read) > STALE_AFTER
@@ -362,32 +353,6 @@
         self.last_reply = None;
     }
 
-    /// Applies a configuration if its version is newer than the current one's. `from` names its
-    /// source in the log.
-    pub(crate) fn apply_catalog(&mut self, spec: &Value, from: &str) {
-        // The store is listed again after each lost watch, and decoding takes a while.
-        if entries::catalog_version(spec).is_some_and(|version| version <= self.config_version()) {
-            return;
-        }
-        let decoded = match entries::decode_catalog(spec) {
-            Ok(decoded) => decoded,
-            Err(ConfigError::Accounts(findings)) => {
-                log_findings(&findings, spec, from);
-                return;
-            }
-            Err(ConfigError::Malformed(error)) => {
-                tracing::error!(%error, from, "cannot parse a configuration; kept the current one");
-                return;
-            }
-        };
-        let version = decoded.catalog.version();
-        self.note_unreadable(entries::CATALOG.0, &decoded.unusable);
-        let unusable = decoded.unusable.len();
-        tracing::info!(version, from, unusable, "applied a newer configuration");
-        self.catalog = Some(Arc::new(decoded.catalog));
-        self.catalog_spec = entries::catalog_lines(spec);
-    }
-
     /// Applies what was fetched from a peer; false if it is not newer or cannot be parsed.
     pub(crate) fn apply_targets(&mut self, now: Time, reply: &TargetsReply) -> bool {
         if reply.revision <= self.revision {
@@ -561,22 +526,6 @@
     unreadable.into_iter().filter_map(|item| item.id).collect()
 }
 
-/// Logs why the accounts of a configuration cannot be used.
-fn log_findings(findings: &[Finding], spec: &Value, from: &str) {
-    let version = spec["version"].as_u64();
-    for finding in findings.iter().take(MAX_LOGGED_FINDINGS) {
-        let (account, field, problem) = (&finding.account, finding.field, finding.problem);
-        tracing::warn!(version, from, %account, field, problem, "finding in the accounts");
-    }
-    let count = findings.len();
-    tracing::error!(
-        version,
-        from,
-        findings = count,
-        "a configuration has findings; kept the current one"
-    );
-}
-
 /// Digest of the registered daemons; 0 if there are none.
 fn digest_daemons(daemons: &BTreeMap<String, f64>) -> u64 {
     if daemons.is_empty() {
--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -19,6 +19,7 @@
     rattanturn_wire::{Datagram, encode, peer_capnp::peer},
     serde_json::{Value, json},
     std::{
+        cell::Cell,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -41,6 +42,27 @@
 /// A peer that answers requests for targets with this body.
 struct OddPeer(Vec<u8>);
 
+/// A peer that answers requests for the configuration with this body, and counts them.
+#[derive(Clone)]
+struct OddConfigPeer {
+    body: Rc<[u8]>,
+    requests: Rc<Cell<u32>>,
+}
+
+impl peer::Server for OddConfigPeer {
+    async fn object(
+        self: Rc<Self>,
+        _: peer::ObjectParams,
+        mut results: peer::ObjectResults,
+    ) -> Result<(), capnp::Error> {
+        self.requests.set(self.requests.get() + 1);
+        let mut out = results.get();
+        out.set_version(REVISION);
+        out.set_body(&self.body);
+        Ok(())
+    }
+}
+
 impl peer::Server for OddPeer {
     async fn targets(
         self: Rc<Self>,
@@ -60,18 +82,39 @@
     let addr = listener.local_addr().unwrap();
     actix_rt::spawn(async move {
         let (stream, _) = listener.accept().await.unwrap();
-        let (reader, writer) = stream.compat().split();
-        let options = capnp::message::ReaderOptions::default();
-        let network = VatNetwork::new(reader, writer, Side::Server, options);
-        let client: peer::Client = capnp_rpc::new_client(OddPeer(body));
-        // The daemon closes the connection once it has the answer.
-        let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+        serve_stream(stream, capnp_rpc::new_client(OddPeer(body))).await;
     });
     addr
 }
 
+/// Serves all connections with a configuration; returns the address.
+async fn serve_config(peer: OddConfigPeer) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let client = capnp_rpc::new_client(peer.clone());
+            actix_rt::spawn(serve_stream(stream, client));
+        }
+    });
+    addr
+}
+
+async fn serve_stream(stream: TcpStream, client: peer::Client) {
+    let (reader, writer) = stream.compat().split();
+    let options = capnp::message::ReaderOptions::default();
+    let network = VatNetwork::new(reader, writer, Side::Server, options);
+    // The daemon closes the connection once it has the answer.
+    let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
+}
+
 /// Tells the first daemon of a peer that has targets of this revision; its ports are all the same.
 async fn announce(cluster: &TierCluster, rpc: SocketAddr, revision: u64) {
+    announce_versions(cluster, rpc, (0, revision)).await;
+}
+
+/// Like [`announce`], of a peer that has a configuration of the first and targets of the second version.
+async fn announce_versions(cluster: &TierCluster, rpc: SocketAddr, (tables, revision): (u64, u64)) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let id = NodeId(99);
     let record = MemberRecord {
@@ -93,7 +136,7 @@
         kind: MessageKind::ANNOUNCE,
         digest: 0,
         versions: Versions {
-            tables: 0,
+            tables,
             voter_sets: revision,
             digest: 7,
         },
@@ -361,3 +404,30 @@
     }
     assert_eq!(seen, [Some(502); 4]);
 }
+
+/// Announces a configuration with this body, and asserts that it is fetched once.
+fn assert_fetched_once(body: &[u8]) {
+    with_cluster(1, async |cluster| {
+        let peer = OddConfigPeer {
+            body: body.into(),
+            requests: Rc::default(),
+        };
+        let rpc = serve_config(peer.clone()).await;
+        announce_versions(cluster, rpc, (REVISION, 0)).await;
+        sleep(DRAIN_TIME).await;
+        assert_eq!(peer.requests.get(), 1);
+        assert_eq!(fetch(cluster, "/one/x", "after").await.status, 200);
+    });
+}
+
+/// Guards against a configuration that only a newer build can apply and that is fetched again and again.
+#[test]
+fn a_configuration_that_cannot_be_applied_is_fetched_once() {
+    assert_fetched_once(br#"{"version": 1000000, "routes": {}}"#);
+}
+
+/// Guards against a configuration that was garbled and is fetched again without a pause.
+#[test]
+fn a_configuration_that_cannot_be_read_is_fetched_once_for_each_announcement() {
+    assert_fetched_once(b"no JSON");
+}
