Send large objects to a few peers at a time

What daemons see: when a large version of the configuration changes most lines, all daemons of a data centre fetch it at once from the one that told them, and each gives up after 2 s. On a slow link none has it in time then, and all start again.

It turns further peers away at once; these come back after a pause that doubles, or ask another daemon that they hear of meanwhile. A daemon of an older build takes the refusal for a peer without a newer version and waits for the next announcement.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -115,6 +115,7 @@
 pub mod silence;
 pub mod snapshot;
 mod time;
+pub mod transfers;
 pub mod unusable_entries;
 pub mod versioned;
 pub mod voter_sets;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -58,6 +58,8 @@
     ObjectVersion(ObjectVersion),
     /// Fetching the object with this key from a peer failed.
     FetchFailed(&'static str),
+    /// A peer has a newer version of the object with this key and sends it to others now.
+    FetchRefused(&'static str),
     /// Requests the state dump.
     Dump(oneshot::Sender<serde_json::Value>),
     /// Requests a graceful stop at the given time; the reply says what was left undone.
@@ -293,7 +295,7 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::ObjectVersion(object) => self.apply_object(&object),
-            Event::FetchFailed(key) => {
+            Event::FetchFailed(key) | Event::FetchRefused(key) => {
                 self.fetches[usize::from(key == VOTERS_KEY)].busy_until = Time::ZERO;
             }
             Event::Dump(send) => {
--- a/crates/daemon/src/control/objects.rs
+++ b/crates/daemon/src/control/objects.rs
@@ -14,7 +14,8 @@
     },
     rattanturn_core::{Time, object_history::ObjectUpdate, rendezvous},
     rattanturn_platform::objects::{ObjectClient, ReadOutcome},
-    std::{net::SocketAddr, sync::PoisonError, time::Duration},
+    rattanturn_wire::peer_capnp::peer,
+    std::{fmt, net::SocketAddr, sync::PoisonError, time::Duration},
     tokio::sync::mpsc::UnboundedSender,
 };
 
@@ -29,7 +30,7 @@
 /// Upper limit of the backoff, before jitter.
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 /// Timeout of fetching an object from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A version of a shared object, from the platform or from a peer.
 #[derive(Clone, Debug)]
@@ -88,8 +89,9 @@
 ) {
     let update = fetch_update(from, key, known, &objects);
     let event = match observe_fetch(from, key, known, update).await {
-        Some(found) => Event::ObjectVersion(found),
-        None => Event::FetchFailed(key),
+        Ok(found) => Event::ObjectVersion(found),
+        Err(FetchError::SourceBusy) => Event::FetchRefused(key),
+        Err(FetchError::Failed) => Event::FetchFailed(key),
     };
     // Sending fails only if the control thread has ended.
     let _ = events.send(event);
@@ -97,18 +99,27 @@
 
 /// Waits for a fetch from a peer, but at most [`FETCH_TIMEOUT`]. Counts its outcome and logs a
 /// failure; `known` is the version here.
+///
+/// # Errors
+///
+/// Nothing was fetched.
 pub(crate) async fn observe_fetch<T>(
     from: SocketAddr,
     key: &'static str,
     known: u64,
     fetch: impl Future<Output = eyre::Result<T>>,
-) -> Option<T> {
+) -> Result<T, FetchError> {
     let started = clock::now();
     let result = tokio::time::timeout(FETCH_TIMEOUT, fetch).await;
     let (outcome, error) = match result {
         Ok(Ok(found)) => {
             count_fetch(key, "done");
-            return Some(found);
+            return Ok(found);
+        }
+        Ok(Err(error)) if error.is::<SourceBusy>() => {
+            count_fetch(key, "busy");
+            tracing::debug!(key, peer = %from, known, %error, "fetching later");
+            return Err(FetchError::SourceBusy);
         }
         Ok(Err(error)) => ("failed", error),
         Err(_) => ("timeout", eyre::eyre!("no answer in time")),
@@ -116,7 +127,34 @@
     count_fetch(key, outcome);
     let took_ms = clock::millis(clock::now().since(started));
     tracing::warn!(key, peer = %from, known, took_ms, %error, "cannot fetch from a peer");
-    None
+    Err(FetchError::Failed)
+}
+
+/// Why nothing was fetched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FetchError {
+    /// The peer has a newer version and sends it to others now.
+    SourceBusy,
+    /// The peer did not answer in time, or had nothing newer that can be used.
+    Failed,
+}
+
+/// The peer has a newer version but sends it to others now.
+#[derive(Debug)]
+struct SourceBusy;
+
+impl fmt::Display for SourceBusy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the peer sends the object to others now")
+    }
+}
+
+impl std::error::Error for SourceBusy {}
+
+/// Answers that `update` is there but cannot be sent now. A daemon of an older build takes it for the answer
+/// of a peer without a newer version.
+pub(crate) fn refuse_fetch(update: &ObjectUpdate, results: &mut peer::ObjectResults) {
+    results.get().set_digest(update.digest);
 }
 
 fn count_fetch(key: &'static str, outcome: &'static str) {
@@ -178,6 +216,9 @@
         })
     });
     let update = update.await?;
+    if update.version == 0 && update.digest != 0 {
+        return Err(SourceBusy.into());
+    }
     eyre::ensure!(update.version > known, "the peer has no newer version");
     Ok(update)
 }
--- a/crates/daemon/src/tier/control.rs
+++ b/crates/daemon/src/tier/control.rs
@@ -450,6 +450,7 @@
                 self.share_fetched(socket).await;
             }
             Event::FetchFailed(key) => self.peer_sync.fetch_failed(key),
+            Event::FetchRefused(key) => self.peer_sync.fetch_refused(key),
             Event::Dump(send) => {
                 // Sending fails only if the operator's connection was closed meanwhile.
                 let _ = send.send(self.dump());
--- a/crates/daemon/src/tier/peer_sync.rs
+++ b/crates/daemon/src/tier/peer_sync.rs
@@ -11,6 +11,7 @@
         tier::peers::{self, CATALOG_KEY, KnownTargets, TARGETS_KEY, TargetsEvent},
         traffic::rpc::SharedObjects,
     },
+    rand::RngExt,
     rattanturn_core::Time,
     std::{collections::HashMap, net::SocketAddr, sync::PoisonError, time::Duration},
     tokio::sync::mpsc::UnboundedSender,
@@ -19,6 +20,10 @@
 /// Time for which a running fetch prevents another one for the same object. The fetch itself may
 /// take longer.
 const FETCH_BLOCK_TIME: Duration = Duration::from_millis(500);
+/// Pause before the first refused fetch is repeated, before doubling and jitter.
+const REFUSED_PAUSE: Duration = Duration::from_millis(50);
+/// Most times that this pause is doubled.
+const MAX_DOUBLINGS: u32 = 4;
 /// Pause after a failed fetch.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -29,6 +34,8 @@
     version: u64,
     /// When to fetch it.
     due: Time,
+    /// How often a peer that has it has refused to send it now.
+    refusals: u32,
 }
 
 /// This daemon's exchange of objects with its peers.
@@ -72,8 +79,18 @@
         let due = clock::now() + wait;
         let is_better =
             |known: &NewerVersion| due < known.due || (wait.is_zero() && version > known.version);
-        if self.newer.get(key).is_none_or(is_better) {
-            self.newer.insert(key, NewerVersion { peer, version, due });
+        let known = self.newer.get_mut(key);
+        let refused = known.filter(|k| k.refusals > 0 && wait.is_zero() && version >= k.version);
+        if let Some(refused) = refused {
+            (refused.peer, refused.version) = (peer, version);
+        } else if self.newer.get(key).is_none_or(is_better) {
+            let newer = NewerVersion {
+                peer,
+                version,
+                due,
+                refusals: 0,
+            };
+            self.newer.insert(key, newer);
         }
     }
 
@@ -134,6 +151,19 @@
         self.blocked.insert(key, clock::now() + FETCH_RETRY_PAUSE);
     }
 
+    /// Lets the next fetch wait longer after each refusal, and start at the daemon that is heard of next, if
+    /// there is one by then: it may have got the object from the one that refused.
+    pub(crate) fn fetch_refused(&mut self, key: &'static str) {
+        let Some(newer) = self.newer.get_mut(key) else {
+            return;
+        };
+        newer.refusals += 1;
+        let pause = REFUSED_PAUSE * (1 << newer.refusals.min(MAX_DOUBLINGS));
+        let jitter = rand::rng().random_range(0.5..1.0);
+        self.blocked
+            .insert(key, clock::now() + pause.mul_f64(jitter));
+    }
+
     /// Makes a version of an object available to peers, unless it already is.
     pub(crate) fn publish(&mut self, key: &'static str, version: u64, body: &[u8]) {
         if self.published.insert(key, version) == Some(version) {
--- a/crates/daemon/src/tier/peers.rs
+++ b/crates/daemon/src/tier/peers.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        clock,
         control::objects,
         supervise::restarted,
         traffic::rpc::{self, SharedObjects},
@@ -16,6 +17,7 @@
     rattanturn_core::{
         discovery::{ExpiryNotice, RemovedTarget, Target},
         rendezvous,
+        transfers::{TransferKey, Transfers},
         watch_position::WatchPosition,
     },
     rattanturn_http::{ConnectionLimit, LimitedConnection},
@@ -25,7 +27,7 @@
         peer_capnp::peer,
     },
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::sync::{mpsc::UnboundedSender, oneshot},
 };
 
@@ -139,9 +141,29 @@
     objects: SharedObjects,
     targets: UnboundedSender<TargetsEvent>,
     connection: Rc<LimitedConnection>,
+    /// The transfers of all connections, and those of this one.
+    transfers: Rc<RefCell<Transfers>>,
+    own_transfers: RefCell<Vec<TransferKey>>,
+}
+
+impl Drop for Server {
+    /// The peer closes the connection once it has what it asked for.
+    fn drop(&mut self) {
+        let mut transfers = self.transfers.borrow_mut();
+        for transfer in self.own_transfers.take() {
+            transfers.end(transfer);
+        }
+    }
 }
 
 impl Server {
+    /// Whether an object of `bytes` may be sent now.
+    fn begin_transfer(&self, bytes: usize) -> bool {
+        let transfer = self.transfers.borrow_mut().begin(clock::now(), bytes);
+        self.own_transfers.borrow_mut().extend(transfer);
+        transfer.is_some()
+    }
+
     /// Counts the reply to a call, which the peer may never read, and what the library keeps of the call.
     fn count_reply(&self, bytes: usize) {
         self.connection.add(CALL_BYTES + bytes);
@@ -175,8 +197,16 @@
     ) -> Result<(), capnp::Error> {
         let request = params.get()?;
         if request.get_key()?.to_str()? != TARGETS_KEY {
-            let bytes = rpc::serve_object(&self.objects, &params, results)?;
-            self.count_reply(bytes);
+            let Some(update) = rpc::find_update(&self.objects, &params)? else {
+                return Ok(());
+            };
+            if self.begin_transfer(update.data.len()) {
+                self.count_reply(update.data.len());
+                rpc::send_update(&update, &mut results);
+            } else {
+                metrics::counter!("rattanturn_object_fetches_refused_total").increment(1);
+                objects::refuse_fetch(&update, &mut results);
+            }
             return Ok(());
         }
         let reply = self.request_targets(Vec::new(), 0).await?;
@@ -228,8 +258,8 @@
     let revision = known.revision;
     let update = request_update(from, &known);
     let event = match objects::observe_fetch(from, TARGETS_KEY, revision, update).await {
-        Some(reply) => TargetsEvent::Fetched(reply),
-        None => TargetsEvent::FetchFailed,
+        Ok(reply) => TargetsEvent::Fetched(reply),
+        Err(_) => TargetsEvent::FetchFailed,
     };
     // Sending fails only if the control thread has ended.
     let _ = events.send(event);
@@ -291,8 +321,9 @@
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let limit = ConnectionLimit::new(memory);
+    let transfers = Rc::new(RefCell::new(Transfers::new(objects::FETCH_TIMEOUT)));
     restarted("peers' connections", || {
-        accept(&listener, &limit, &objects, &targets)
+        accept(&listener, &limit, &transfers, (&objects, &targets))
     })
     .await
 }
@@ -300,8 +331,8 @@
 async fn accept(
     listener: &tokio::net::TcpListener,
     limit: &ConnectionLimit,
-    objects: &SharedObjects,
-    targets: &UnboundedSender<TargetsEvent>,
+    transfers: &Rc<RefCell<Transfers>>,
+    (objects, targets): (&SharedObjects, &UnboundedSender<TargetsEvent>),
 ) -> ! {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -313,6 +344,8 @@
             objects: objects.clone(),
             targets: targets.clone(),
             connection: connection.clone(),
+            transfers: transfers.clone(),
+            own_transfers: RefCell::default(),
         };
         let client: peer::Client = capnp_rpc::new_client(server);
         let network = rpc::vat_network(stream, Side::Server, MAX_REQUEST_BYTES);
--- a/crates/daemon/src/traffic/rpc.rs
+++ b/crates/daemon/src/traffic/rpc.rs
@@ -19,7 +19,10 @@
     capnp::capability::Rc as ObjectRef,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::{AsyncReadExt, future::join_all},
-    rattanturn_core::{Priority, Time, object_history::ObjectHistory},
+    rattanturn_core::{
+        Priority, Time,
+        object_history::{ObjectHistory, ObjectUpdate},
+    },
     rattanturn_wire::peer_capnp::{self, call, peer, result, sink},
     std::{
         cell::{Cell, RefCell},
@@ -176,30 +179,33 @@
     async fn object(
         self: ObjectRef<Self>,
         params: peer::ObjectParams,
-        results: peer::ObjectResults,
+        mut results: peer::ObjectResults,
     ) -> Result<(), capnp::Error> {
-        serve_object(&self.objects, &params, results).map(|_| ())
+        if let Some(update) = find_update(&self.objects, &params)? {
+            send_update(&update, &mut results);
+        }
+        Ok(())
     }
 }
 
-/// Answers a request for a shared object, and returns the length of the answer; it is empty if there is
-/// no newer version than the one that the requester knows.
-pub(crate) fn serve_object(
+/// What a peer lacks of the shared object that it asks for; `None` if there is no newer version.
+pub(crate) fn find_update(
     objects: &SharedObjects,
     params: &peer::ObjectParams,
-    mut results: peer::ObjectResults,
-) -> Result<usize, capnp::Error> {
+) -> Result<Option<ObjectUpdate>, capnp::Error> {
     let params = params.get()?;
+    let key = params.get_key()?.to_str()?;
     let mut objects = objects.lock().unwrap_or_else(PoisonError::into_inner);
-    let Some(newer) = objects.update_since(params.get_key()?.to_str()?, params.get_known()) else {
-        return Ok(0);
-    };
+    Ok(objects.update_since(key, params.get_known()))
+}
+
+/// Answers a request for a shared object. The answer is empty if there is no newer version.
+pub(crate) fn send_update(update: &ObjectUpdate, results: &mut peer::ObjectResults) {
     let mut out = results.get();
-    out.set_version(newer.version);
-    out.set_body(&newer.data);
-    out.set_base(newer.base);
-    out.set_digest(newer.digest);
-    Ok(newer.data.len())
+    out.set_version(update.version);
+    out.set_body(&update.data);
+    out.set_base(update.base);
+    out.set_digest(update.digest);
 }
 
 /// Collects the results that become known in one turn of the event loop and sends them in one
