--- a/crates/core/tests/line_patch.rs
+++ b/crates/core/tests/line_patch.rs
@@ -2,7 +2,7 @@
 
 use {
     cpu_time::ThreadTime,
-    diffy::{Patch, apply_bytes},
+    diffy::{DiffOptions, Patch, apply_bytes},
     proptest::{prelude::*, test_runner::RngSeed},
     rand::{SeedableRng, seq::SliceRandom},
     rattanturn_core::line_patch::{apply, create},
@@ -76,6 +76,11 @@
     let parsed = Patch::from_bytes(&patch).expect(what);
     let old = apply_bytes(base, &parsed);
     assert!(old.is_ok_and(|old| old == new), "{what}, by an older build");
+    let mut options = DiffOptions::new();
+    let options = options.set_context_len(0);
+    let theirs = options.create_patch_bytes(base, new).to_bytes();
+    let ours = apply(base, &theirs);
+    assert!(ours.as_deref() == Some(new), "{what}, of an older build");
 }
 
 /// Guards against a control thread that is held up by a version which changes most lines.
