List a test of a false version that keeps lower ones out

What daemons see: a peer announces a version that does not exist and sends one that cannot be applied. A daemon that does not read the store then applies no lower version of any peer: 404 on a new route, 3 s after its confirmation.

Cause, by reading: takes the refused version for the newest one that need not be fetched, until the daemon ends. Before it, the announcement stayed due and held back those of others, until that peer was gone. Real versions only rise, so an upgrade does not lead to it.

--- a/crates/demo/tests/tier/odd_peer.rs
+++ b/crates/demo/tests/tier/odd_peer.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        DRAIN_TIME, fetch, front_addr, plain_servers,
+        CONFIG_APPLY_TIME, DRAIN_TIME, fetch, front_addr, plain_servers,
         stranded::{Cut, cut_off},
         with_cluster,
     },
@@ -35,6 +35,9 @@
 /// Revision of what the peer sends, higher than any of the store's stand-in.
 const REVISION: u64 = 1_000_000;
 
+/// Time after which a daemon that is no longer to read the store has stopped reading it.
+const READER_CHANGE_TIME: Duration = Duration::from_secs(8);
+
 /// Time for traffic to get to know of a peer and of connections that ended. The daemon suspects the peer
 /// later than that: it answers no probe.
 const VIEW_TIME: Duration = Duration::from_millis(100);
@@ -431,3 +434,30 @@
 fn a_configuration_that_cannot_be_read_is_fetched_once_for_each_announcement() {
     assert_fetched_once(b"no JSON");
 }
+
+/// Guards against a peer's version that cannot be applied and that keeps out lower ones of other peers.
+#[test]
+fn a_version_that_cannot_be_applied_keeps_no_lower_one_out() {
+    with_cluster(0, async |cluster| {
+        cluster.start_with_cores(1, 1.0).unwrap();
+        // The large daemons read the store, and the first one soon gets everything from them.
+        cluster.start_with_cores(2, 4.0).unwrap();
+        cluster.wait_ready().await.unwrap();
+        sleep(READER_CHANGE_TIME).await;
+        let peer = OddConfigPeer {
+            body: (&br#"{"version": 1000000, "routes": {}}"#[..]).into(),
+            requests: Rc::default(),
+        };
+        let rpc = serve_config(peer).await;
+        announce_versions(cluster, rpc, (REVISION, 0)).await;
+        sleep(VIEW_TIME).await;
+        cluster.config = cluster.config.clone().single_route("/new/", PLAIN, true);
+        cluster.config.write(&cluster.store);
+        sleep(CONFIG_APPLY_TIME).await;
+        for daemon in 0..cluster.daemons.len() {
+            let id = format!("n{daemon}");
+            let answer = request(front_addr(cluster, daemon), "/new/x", &id, "").await;
+            assert_eq!(answer.unwrap().status, 200, "at daemon {daemon}");
+        }
+    });
+}
